--- /dev/null
+++ b/Makefile
@@ -0,0 +1,24 @@
+# Every target works on a fresh machine that has Go, a C compiler and make.
+MODULES := pkg service standin cmd/usher-gateway cmd/usher-policy cmd/usher-scheduler cmd/usher-standin cmd/usherctl
+PACKAGES := $(MODULES:%=./%/...)
+PROGRAMS := usher-gateway usher-policy usher-scheduler usher-standin usherctl
+export GOWORK := $(CURDIR)/go.work
+
+.PHONY: build test format lint demo bench policy proof capacity clean
+
+build:
+	@mkdir -p bin
+	@for p in $(PROGRAMS); do go build -o bin/$$p ./cmd/$$p || exit 1; done
+
+test:
+	go test -race -timeout 20m $(PACKAGES)
+
+format:
+	@unformatted=$$(gofmt -l $(MODULES)); if [ -n "$$unformatted" ]; then echo "gofmt: $$unformatted"; exit 1; fi
+
+lint:
+	go vet $(PACKAGES)
+	go tool staticcheck $(PACKAGES)
+
+clean:
+	rm -rf bin
--- /dev/null
+++ b/cmd/usher-gateway/main.go
@@ -0,0 +1,4 @@
+// Command usher-gateway is not built yet.
+package main
+
+func main() {}
--- /dev/null
+++ b/cmd/usher-policy/main.go
@@ -0,0 +1,4 @@
+// Command usher-policy is not built yet.
+package main
+
+func main() {}
--- /dev/null
+++ b/cmd/usher-scheduler/main.go
@@ -0,0 +1,4 @@
+// Command usher-scheduler is not built yet.
+package main
+
+func main() {}
--- /dev/null
+++ b/cmd/usher-standin/main.go
@@ -0,0 +1,4 @@
+// Command usher-standin is not built yet.
+package main
+
+func main() {}
--- /dev/null
+++ b/cmd/usherctl/main.go
@@ -0,0 +1,4 @@
+// Command usherctl is not built yet.
+package main
+
+func main() {}
--- /dev/null
+++ b/service/doc.go
@@ -0,0 +1,2 @@
+// Package service holds the edges of the programs.
+package service
