--- /dev/null
+++ b/pkg/usherlink/codec.go
@@ -0,0 +1,149 @@
+package usherlink
+
+import (
+	"encoding/binary"
+	"io"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/joomcode/errorx"
+)
+
+const (
+	// Version is the version of the envelope; a process refuses any other.
+	Version = 1
+	// MaxMessageBytes bounds a message on a stream.
+	MaxMessageBytes = 1 << 20
+	// MaxDatagramBytes bounds a message in a datagram.
+	MaxDatagramBytes = 1150
+
+	lengthBytes    = 4
+	maxArrayItems  = 1 << 16
+	maxNestedLevel = 16
+)
+
+var (
+	// Errors is the namespace of this package's errors.
+	Errors = errorx.NewNamespace("usher_link")
+	// ErrMalformed says that a message could not be decoded.
+	ErrMalformed = Errors.NewType("malformed")
+	// ErrTooLarge says that a message exceeds its bound.
+	ErrTooLarge = Errors.NewType("too_large")
+	// ErrVersion says that the peer speaks another version of the envelope.
+	ErrVersion = Errors.NewType("version")
+	// ErrUnreachable says that no connection to the peer could be had.
+	ErrUnreachable = Errors.NewType("unreachable", errorx.Temporary())
+	// ErrRemote carries an error that the peer's handler returned.
+	ErrRemote = Errors.NewType("remote")
+	// ErrUnanswered says that the peer had the message but no answer came.
+	ErrUnanswered = Errors.NewType("unanswered", errorx.Temporary())
+
+	encoder = mustEncoder()
+	decoder = mustDecoder()
+)
+
+type (
+	// Payload is the undecoded body of a message.
+	Payload []byte
+
+	envelope struct {
+		_       struct{} `cbor:",toarray"`
+		Version uint8
+		Kind    string
+		Body    cbor.RawMessage
+		Error   string
+	}
+)
+
+// Decode fills value from the payload; it refuses what does not fit.
+func (p Payload) Decode(value any) error {
+	if err := decoder.Unmarshal(p, value); err != nil {
+		return ErrMalformed.Wrap(err, "decode %T", value)
+	}
+	return nil
+}
+
+// Encode returns value in the codec of messages. It serves handlers that keep a message for later.
+func Encode(value any) (Payload, error) {
+	data, err := encoder.Marshal(value)
+	if err != nil {
+		return nil, ErrMalformed.Wrap(err, "encode %T", value)
+	}
+	return data, nil
+}
+
+// DecodeEnvelope parses a whole message as it crosses the network. It is exported for fuzzing.
+func DecodeEnvelope(data []byte) (kind string, body Payload, err error) {
+	var e envelope
+	if err := decoder.Unmarshal(data, &e); err != nil {
+		return "", nil, ErrMalformed.Wrap(err, "envelope of %d bytes", len(data))
+	}
+	if e.Version != Version {
+		return "", nil, ErrVersion.New("peer speaks version %d, this process %d", e.Version, Version)
+	}
+	if e.Error != "" {
+		return e.Kind, Payload(e.Body), ErrRemote.New("%s", e.Error)
+	}
+	return e.Kind, Payload(e.Body), nil
+}
+
+func encodeEnvelope(kind string, value any, failure error) ([]byte, error) {
+	e := envelope{Version: Version, Kind: kind}
+	if failure != nil {
+		e.Error = failure.Error()
+	}
+	if value != nil {
+		body, err := Encode(value)
+		if err != nil {
+			return nil, err
+		}
+		e.Body = cbor.RawMessage(body)
+	}
+	data, err := Encode(e)
+	if err != nil {
+		return nil, err
+	}
+	if len(data) > MaxMessageBytes {
+		return nil, ErrTooLarge.New("message %s of %d bytes, bound %d", kind, len(data), MaxMessageBytes)
+	}
+	return data, nil
+}
+
+func writeFrame(w io.Writer, data []byte) error {
+	frame := make([]byte, lengthBytes+len(data))
+	binary.BigEndian.PutUint32(frame, uint32(len(data)))
+	copy(frame[lengthBytes:], data)
+	_, err := w.Write(frame)
+	return err
+}
+
+func readFrame(r io.Reader) ([]byte, error) {
+	var header [lengthBytes]byte
+	if _, err := io.ReadFull(r, header[:]); err != nil {
+		return nil, err
+	}
+	size := binary.BigEndian.Uint32(header[:])
+	if size > MaxMessageBytes {
+		return nil, ErrTooLarge.New("message of %d bytes, bound %d", size, MaxMessageBytes)
+	}
+	data := make([]byte, size)
+	if _, err := io.ReadFull(r, data); err != nil {
+		return nil, err
+	}
+	return data, nil
+}
+
+func mustEncoder() cbor.EncMode {
+	mode, err := cbor.CoreDetEncOptions().EncMode()
+	if err != nil {
+		panic(err)
+	}
+	return mode
+}
+
+func mustDecoder() cbor.DecMode {
+	mode, err := cbor.DecOptions{MaxArrayElements: maxArrayItems, MaxMapPairs: maxArrayItems, MaxNestedLevels: maxNestedLevel}.DecMode()
+	if err != nil {
+		panic(err)
+	}
+	return mode
+}
