Adapter of engines and plain services

Cause: one place must know the targets' protocol and what was really written to a target. Ruled out: cancelling in httptrace's GotConn (the transport may write before it sees the cancellation); counting WroteHeaders (comes after the bytes). Before: nothing.

--- a/service/doc.go
+++ /dev/null
@@ -1,2 +0,0 @@
-// Package service holds the edges of the programs.
-package service
--- /dev/null
+++ b/service/ushertarget/target_test.go
@@ -0,0 +1,126 @@
+package ushertarget_test
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"github.com/joomcode/errorx"
+
+	"github.com/samphireusher/samphireusher/service/ushertarget"
+)
+
+func serve(t *testing.T, handler http.HandlerFunc) netip.AddrPort {
+	t.Helper()
+	server := httptest.NewServer(handler)
+	t.Cleanup(server.Close)
+	return netip.MustParseAddrPort(server.Listener.Addr().String())
+}
+
+func allow() error { return nil }
+
+func TestGenerateReadsEventsInOrder(t *testing.T) {
+	target := serve(t, func(w http.ResponseWriter, _ *http.Request) {
+		for i := range 3 {
+			fmt.Fprintf(w, "event: token\ndata: {\"generation_id\":\"g\",\"incarnation\":7,\"index\":%d,\"text\":\"a%d\"}\n\n", i, i)
+		}
+		fmt.Fprint(w, "event: note\ndata: {}\n\nevent: end\ndata: {\"generation_id\":\"g\",\"incarnation\":7,\"tokens\":3,\"finish\":\"complete\"}\n\n")
+	})
+	stream, _, err := ushertarget.NewClient().Generate(t.Context(), target, ushertarget.Generation{ID: "g"}, allow)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer stream.Close()
+	for i := range 3 {
+		event, err := stream.Next()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if event.Index != i || string(event.Text) != fmt.Sprintf("%q", fmt.Sprintf("a%d", i)) || event.Incarnation != 7 {
+			t.Fatalf("event %+v", event)
+		}
+	}
+	if event, err := stream.Next(); err != nil || !event.End || event.Tokens != 3 {
+		t.Fatalf("end %+v, %v", event, err)
+	}
+	if _, err := stream.Next(); !errors.Is(err, io.EOF) {
+		t.Fatalf("after the end: %v", err)
+	}
+}
+
+// TestGuardForbidsBeforeAByteIsWritten runs on a new and on a reused connection.
+func TestGuardForbidsBeforeAByteIsWritten(t *testing.T) {
+	var served atomic.Int64
+	target := serve(t, func(w http.ResponseWriter, _ *http.Request) {
+		served.Add(1)
+		fmt.Fprint(w, `{"call_id":"c","result":1}`)
+	})
+	client := ushertarget.NewClient()
+	forbid := func() error { return errors.New("expired") }
+	call := ushertarget.Call{ID: "c", Operation: "checkout"}
+	for round := range 2 {
+		_, evidence, err := client.Call(t.Context(), target, call, forbid)
+		if !errorx.IsOfType(err, ushertarget.ErrGuard) || evidence.Written {
+			t.Fatalf("round %d: %v, evidence %+v", round, err, evidence)
+		}
+		if got := served.Load(); got != int64(round) {
+			t.Fatalf("round %d: target saw %d requests", round, got)
+		}
+		if _, _, err := client.Call(t.Context(), target, call, allow); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
+func TestEvidence(t *testing.T) {
+	closed := httptest.NewServer(nil)
+	unreachable := netip.MustParseAddrPort(closed.Listener.Addr().String())
+	closed.Close()
+	refusing := serve(t, func(w http.ResponseWriter, _ *http.Request) {
+		w.WriteHeader(http.StatusTooManyRequests)
+		fmt.Fprint(w, `{"error":"overloaded","not_run":true}`)
+	})
+	silent := serve(t, func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusInternalServerError) })
+	dying := serve(t, func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) })
+	foreign := serve(t, func(w http.ResponseWriter, _ *http.Request) { fmt.Fprint(w, `{"call_id":"other"}`) })
+	tests := []struct {
+		name   string
+		target netip.AddrPort
+		want   ushertarget.Evidence
+	}{
+		{"unreachable", unreachable, ushertarget.Evidence{}},
+		{"refused", refusing, ushertarget.Evidence{Written: true, Refused: true, Status: http.StatusTooManyRequests}},
+		{"error without a word", silent, ushertarget.Evidence{Written: true, Status: http.StatusInternalServerError}},
+		{"died", dying, ushertarget.Evidence{Written: true}},
+		{"crossed answer", foreign, ushertarget.Evidence{Written: true, Status: http.StatusOK}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			_, evidence, err := ushertarget.NewClient().Call(t.Context(), test.target, ushertarget.Call{ID: "c"}, allow)
+			if err == nil || evidence != test.want {
+				t.Fatalf("evidence %+v with %v, want %+v", evidence, err, test.want)
+			}
+		})
+	}
+}
+
+func FuzzStream(f *testing.F) {
+	for _, seed := range []string{"", "event: token\ndata: {}\n\n", "event: token\ndata: {", "data: x\n", "event: end\ndata: {\"tokens\":-1}\n\n"} {
+		f.Add(seed)
+	}
+	f.Fuzz(func(t *testing.T, text string) {
+		stream := ushertarget.NewStream(io.NopCloser(strings.NewReader(text)))
+		for range len(text) + 1 {
+			if _, err := stream.Next(); err != nil {
+				return
+			}
+		}
+		t.Fatal("more events than bytes")
+	})
+}
