Grant protocol between gateways and schedulers

Cause: gateways need permission before they load a target; schedulers need to know what runs. Before: nothing.

--- a/pkg/usherlink/node.go
+++ b/pkg/usherlink/node.go
@@ -40,7 +40,7 @@
 type (
 	// Handler answers what peers send. A returned error reaches the peer as ErrRemote.
 	Handler interface {
-		Handle(ctx context.Context, from Peer, kind string, body Payload) (any, error)
+		ServeMessage(ctx context.Context, from Peer, kind string, body Payload) (any, error)
 	}
 
 	// HandlerFunc lets a function be a Handler.
@@ -81,8 +81,8 @@
 	}
 )
 
-// Handle calls f.
-func (f HandlerFunc) Handle(ctx context.Context, from Peer, kind string, body Payload) (any, error) {
+// ServeMessage calls f.
+func (f HandlerFunc) ServeMessage(ctx context.Context, from Peer, kind string, body Payload) (any, error) {
 	return f(ctx, from, kind, body)
 }
 
@@ -172,7 +172,7 @@
 		n.refuse(stream, from, kind, err)
 		return
 	}
-	answer, failure := n.handler.Handle(stream.Context(), from, kind, body)
+	answer, failure := n.handler.ServeMessage(stream.Context(), from, kind, body)
 	reply, err := encodeEnvelope(kind, answer, failure)
 	if err != nil {
 		n.refuse(stream, from, kind, err)
@@ -204,7 +204,7 @@
 			n.log.Warn("datagram refused", "peer", from.Name, "error", err)
 			continue
 		}
-		if _, err := n.handler.Handle(n.ctx, from, kind, body); err != nil {
+		if _, err := n.handler.ServeMessage(n.ctx, from, kind, body); err != nil {
 			n.log.Debug("datagram not handled", "peer", from.Name, "kind", kind, "error", err)
 		}
 	}
--- /dev/null
+++ b/service/ushergrant/client.go
@@ -0,0 +1,78 @@
+package ushergrant
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/samphireusher/samphireusher/pkg/usherlink"
+)
+
+type (
+	// Link carries messages to other processes; *usherlink.Node is one.
+	Link interface {
+		Call(ctx context.Context, address, kind string, value, answer any) error
+		Post(address, kind string, value any) error
+	}
+
+	// Client is a gateway's side of the protocol.
+	Client struct {
+		link Link
+	}
+)
+
+// answerSlack is how long an answer may take beyond the time that the request waits.
+const answerSlack = time.Second
+
+// NewClient returns a client that sends over link.
+func NewClient(link Link) *Client {
+	return &Client{link: link}
+}
+
+// Acquire asks the scheduler at address for a grant. A usherrequest.Refusal says that the scheduler has none.
+func (c *Client) Acquire(ctx context.Context, address string, request Request) (Grant, error) {
+	ctx, cancel := context.WithTimeout(ctx, request.Wait+answerSlack)
+	defer cancel()
+	var answer answerWire
+	if err := c.link.Call(ctx, address, kindAcquire, request.wire(), &answer); err != nil {
+		return Grant{}, err
+	}
+	return answer.grant()
+}
+
+// Progress tells the scheduler at address what runs at the targets that it holds. It may be lost.
+func (c *Client) Progress(address string, incarnation uint64, running []Running) error {
+	for part := range slices.Chunk(running, progressPerDatagram) {
+		message := progressWire{Incarnation: incarnation, Running: make([]runningWire, 0, len(part))}
+		for _, r := range part {
+			message.Running = append(message.Running, runningWire{
+				Counter: r.Attempt.Counter, Target: r.Target, Incarnation: r.Incarnation,
+				PromptTokens: r.PromptTokens, MadeTokens: r.MadeTokens, Template: r.Template, Workspace: r.Workspace,
+			})
+		}
+		if err := c.link.Post(address, kindProgress, message); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Finish tells the scheduler at address how an attempt ended.
+func (c *Client) Finish(ctx context.Context, address string, end End) error {
+	message := finishWire{
+		Incarnation: end.Attempt.Incarnation, Counter: end.Attempt.Counter, Target: end.Target,
+		MadeTokens: end.MadeTokens, Completed: end.Completed, Lost: end.Lost,
+	}
+	return c.link.Call(ctx, address, kindFinish, message, nil)
+}
+
+// Advertise tells the gateway at address what the scheduler holds. It may be lost.
+func Advertise(link Link, address string, a Advertisement) error {
+	message := advertisementWire{Revision: a.Revision, Stopping: a.Stopping, Held: a.Held}
+	for _, r := range a.Rooms {
+		message.Rooms = append(message.Rooms, roomWire{Service: r.Service, Requests: r.Requests, Waiting: r.Waiting})
+	}
+	return link.Post(address, kindAdvertise, message)
+}
+
+var _ Link = (*usherlink.Node)(nil)
--- /dev/null
+++ b/service/ushergrant/handler.go
@@ -0,0 +1,96 @@
+package ushergrant
+
+import (
+	"context"
+	"errors"
+
+	"github.com/samphireusher/samphireusher/pkg/usherlink"
+	"github.com/samphireusher/samphireusher/pkg/usherrequest"
+)
+
+type (
+	// Scheduler decides what gateways ask.
+	Scheduler interface {
+		// Acquire waits for a grant for as long as the request allows. Its error is a usherrequest.Refusal.
+		Acquire(ctx context.Context, request Request) (Grant, error)
+		// Progress learns what runs.
+		Progress(running []Running)
+		// Finish learns how an attempt ended.
+		Finish(end End)
+	}
+
+	// Listener learns what schedulers advertise.
+	Listener interface {
+		Advertised(a Advertisement)
+	}
+)
+
+// Register adds the scheduler's side of the protocol to mux.
+func Register(mux *usherlink.Mux, scheduler Scheduler) {
+	mux.Handle(kindAcquire, func(ctx context.Context, from usherlink.Peer, body usherlink.Payload) (any, error) {
+		var w requestWire
+		if err := body.Decode(&w); err != nil {
+			return nil, err
+		}
+		return acquire(ctx, scheduler, w.request(from.Name))
+	})
+	mux.Handle(kindProgress, func(_ context.Context, from usherlink.Peer, body usherlink.Payload) (any, error) {
+		var w progressWire
+		if err := body.Decode(&w); err != nil {
+			return nil, err
+		}
+		scheduler.Progress(w.running(from.Name))
+		return nil, nil
+	})
+	mux.Handle(kindFinish, func(_ context.Context, from usherlink.Peer, body usherlink.Payload) (any, error) {
+		var w finishWire
+		if err := body.Decode(&w); err != nil {
+			return nil, err
+		}
+		scheduler.Finish(w.end(from.Name))
+		return nil, nil
+	})
+}
+
+// RegisterListener adds the gateway's side of advertisements to mux.
+func RegisterListener(mux *usherlink.Mux, listener Listener) {
+	mux.Handle(kindAdvertise, func(_ context.Context, from usherlink.Peer, body usherlink.Payload) (any, error) {
+		var w advertisementWire
+		if err := body.Decode(&w); err != nil {
+			return nil, err
+		}
+		listener.Advertised(w.advertisement(from.Name))
+		return nil, nil
+	})
+}
+
+func acquire(ctx context.Context, scheduler Scheduler, request Request) (any, error) {
+	grant, err := scheduler.Acquire(ctx, request)
+	if err == nil {
+		return grant.wire(), nil
+	}
+	var refusal usherrequest.Refusal
+	if errors.As(err, &refusal) {
+		return answerWire{Reason: string(refusal.Reason), RetryMillis: refusal.RetryAfter.Milliseconds()}, nil
+	}
+	return nil, err
+}
+
+func (w progressWire) running(gateway string) []Running {
+	running := make([]Running, 0, len(w.Running))
+	for _, r := range w.Running {
+		running = append(running, Running{
+			Attempt: attempt(gateway, w.Incarnation, r.Counter), Target: r.Target, Incarnation: r.Incarnation,
+			PromptTokens: max(r.PromptTokens, 0), MadeTokens: max(r.MadeTokens, 0),
+			Template: r.Template, Workspace: r.Workspace,
+		})
+	}
+	return running
+}
+
+func (w finishWire) end(gateway string) End {
+	return End{
+		Attempt: attempt(gateway, w.Incarnation, w.Counter), Target: w.Target,
+		MadeTokens: max(w.MadeTokens, 0), Completed: w.Completed, Lost: w.Lost,
+	}
+}
