--- /dev/null
+++ b/pkg/usherrequest/handle.go
@@ -0,0 +1,85 @@
+package usherrequest
+
+import "time"
+
+type (
+	// Handle lets a caller resume its stream at any gateway. It names the one generation that the stream belongs to.
+	Handle struct {
+		Workspace         string
+		Generation        string
+		Attempt           AttemptID
+		Target            string
+		TargetIncarnation uint64
+		NextIndex         int
+		// Gateway relayed the stream when the handle was given.
+		Gateway string
+		Expiry  time.Time
+	}
+
+	handleWire struct {
+		_                  struct{} `cbor:",toarray"`
+		Workspace          string
+		Generation         string
+		AttemptGateway     string
+		AttemptIncarnation uint64
+		AttemptCounter     uint64
+		Target             string
+		TargetIncarnation  uint64
+		NextIndex          int
+		Gateway            string
+		ExpiryMilli        int64
+	}
+)
+
+// WithNextIndex returns the handle for a caller that has every token before index.
+func (h Handle) WithNextIndex(index int) Handle {
+	h.NextIndex = index
+	return h
+}
+
+// SignHandle returns the text of handle that callers carry.
+func (k Keyring) SignHandle(handle Handle) (string, error) {
+	if handle.Workspace == "" || handle.NextIndex < 0 {
+		return "", MalformedError.New("a handle needs a workspace and an index that is not negative")
+	}
+	return k.seal(labelHandle, handleWire{
+		Workspace:          handle.Workspace,
+		Generation:         handle.Generation,
+		AttemptGateway:     handle.Attempt.Gateway,
+		AttemptIncarnation: handle.Attempt.Incarnation,
+		AttemptCounter:     handle.Attempt.Counter,
+		Target:             handle.Target,
+		TargetIncarnation:  handle.TargetIncarnation,
+		NextIndex:          handle.NextIndex,
+		Gateway:            handle.Gateway,
+		ExpiryMilli:        handle.Expiry.UnixMilli(),
+	})
+}
+
+// ParseHandle returns the handle that text stands for if it is authentic, of workspace and valid at now.
+func (k Keyring) ParseHandle(now time.Time, workspace, text string) (Handle, error) {
+	var wire handleWire
+	if err := k.open(labelHandle, text, &wire); err != nil {
+		return Handle{}, err
+	}
+	if wire.Workspace != workspace {
+		return Handle{}, ForeignError.New("the handle belongs to another workspace")
+	}
+	if wire.NextIndex < 0 {
+		return Handle{}, MalformedError.New("the handle has a negative index")
+	}
+	expiry := time.UnixMilli(wire.ExpiryMilli).UTC()
+	if !now.Before(expiry) {
+		return Handle{}, ExpiredError.New("the handle expired at %s", expiry)
+	}
+	return Handle{
+		Workspace:         wire.Workspace,
+		Generation:        wire.Generation,
+		Attempt:           AttemptID{wire.AttemptGateway, wire.AttemptIncarnation, wire.AttemptCounter},
+		Target:            wire.Target,
+		TargetIncarnation: wire.TargetIncarnation,
+		NextIndex:         wire.NextIndex,
+		Gateway:           wire.Gateway,
+		Expiry:            expiry,
+	}, nil
+}
--- /dev/null
+++ b/pkg/usherrequest/request_test.go
@@ -0,0 +1,269 @@
+package usherrequest_test
+
+import (
+	"flag"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/joomcode/errorx"
+	"github.com/samphireusher/samphireusher/pkg/usherrequest"
+	"pgregory.net/rapid"
+)
+
+const defaultSeed = "1"
+
+var start = time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
+
+func TestMain(m *testing.M) {
+	seed := os.Getenv("USHER_SEED")
+	if seed == "" {
+		seed = defaultSeed
+	}
+	if err := flag.Set("rapid.seed", seed); err != nil {
+		panic(err)
+	}
+	os.Exit(m.Run())
+}
+
+func keyring(t testing.TB, secrets ...string) usherrequest.Keyring {
+	t.Helper()
+	var accepted [][]byte
+	for _, secret := range secrets {
+		accepted = append(accepted, []byte(strings.Repeat(secret, usherrequest.MinSecretBytes)))
+	}
+	k, err := usherrequest.NewKeyring(accepted[0], accepted[1:]...)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return k
+}
+
+func TestOutcomeFollowsFromEvidence(t *testing.T) {
+	var none usherrequest.Evidence
+	tests := []struct {
+		name     string
+		evidence usherrequest.Evidence
+		want     string
+	}{
+		{"nothing written", none, "not_run"},
+		{"written", none.WithWrite(), "unknown"},
+		{"refused by the target", none.WithWrite().WithTargetRefusal(), "not_run"},
+		{"part of the answer", none.WithWrite().WithPart(), "ran_in_part"},
+		{"part of the answer, then a refusal", none.WithWrite().WithPart().WithTargetRefusal(), "ran_in_part"},
+		{"whole answer", none.WithWrite().WithPart().WithWhole(), "completed"},
+	}
+	for _, test := range tests {
+		if got := usherrequest.Refuse(test.evidence, usherrequest.ReasonTargetLost); got.Error() != test.want+": target_lost" {
+			t.Errorf("%s: %v, want %s", test.name, got, test.want)
+		}
+	}
+	if got := (usherrequest.Refusal{}).Outcome(); got != usherrequest.Unknown {
+		t.Errorf("the zero refusal claims %v", got)
+	}
+}
+
+// TestLifeEndsOnceAndTruthfully walks through random lives beside a record of what was really done.
+func TestLifeEndsOnceAndTruthfully(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		rules := usherrequest.Rules{Idempotent: rapid.Bool().Draw(t, "idempotent")}
+		life := usherrequest.NewLife(rules)
+		minter := usherrequest.Minter{Gateway: "g", Incarnation: 1}
+		ran, mayRun, began, ends := false, false, 0, 0
+		for range rapid.IntRange(1, 40).Draw(t, "steps") {
+			step := rapid.IntRange(0, 9).Draw(t, "step")
+			before := life.State()
+			var err error
+			var refusal usherrequest.Refusal
+			switch step {
+			case 0:
+				err = life.Queue()
+			case 1:
+				err = life.Grant()
+			case 2:
+				if err = life.Dispatch(minter.Attempt()); err == nil {
+					mayRun = true
+				}
+			case 3:
+				if err = life.Unsent(); err == nil {
+					mayRun = ran
+				}
+			case 4:
+				if err = life.TargetRefused(); err == nil {
+					mayRun = ran
+				}
+			case 5:
+				if err = life.Stream(); err == nil {
+					ran = true
+					began++
+				}
+			case 6:
+				if err = life.Retry(); err == nil {
+					ran = ran || mayRun
+				}
+			case 7:
+				if err = life.Complete(); err == nil {
+					ran = true
+					ends++
+				}
+			case 8:
+				refusal, err = life.Refuse(usherrequest.ReasonTargetLost)
+			case 9:
+				refusal, err = life.Cancel()
+			}
+			if err != nil {
+				if !errorx.IsOfType(err, usherrequest.TransitionError) || life.State() != before {
+					t.Fatalf("step %d in %s: %v", step, before, err)
+				}
+				continue
+			}
+			if step >= 8 {
+				ends++
+				if notRun := refusal.Outcome() == usherrequest.NotRun; notRun == (ran || mayRun) {
+					t.Fatalf("refused as %v, ran %v, may run %v", refusal, ran, mayRun)
+				}
+			}
+		}
+		if ends > 1 || (ends == 1) != life.Ended() {
+			t.Fatalf("%d ends in state %s", ends, life.State())
+		}
+		if !rules.Idempotent && began > 1 {
+			t.Fatalf("a request that is not idempotent began %d times", began)
+		}
+	})
+}
+
+func TestReleaseForbidsASecondGeneration(t *testing.T) {
+	for _, delivery := range []usherrequest.Delivery{usherrequest.Stream, usherrequest.Whole} {
+		life := usherrequest.NewLife(usherrequest.Rules{Idempotent: true, Delivery: delivery})
+		for _, step := range []func() error{
+			life.Queue, life.Grant, func() error { return life.Dispatch(usherrequest.AttemptID{Counter: 1}) }, life.Stream,
+		} {
+			if err := step(); err != nil {
+				t.Fatal(err)
+			}
+		}
+		streamed := delivery == usherrequest.Stream
+		if err := life.Release(); (err == nil) != streamed {
+			t.Errorf("%s: Release while streaming: %v", delivery, err)
+		}
+		if got := life.CanRetry(); got == streamed {
+			t.Errorf("%s: CanRetry = %v", delivery, got)
+		}
+	}
+}
+
+func TestIDSurvivesRotationAndNothingElse(t *testing.T) {
+	minter := usherrequest.Minter{Gateway: "kochi-1", Incarnation: 7}
+	id, err := minter.ID(start.Add(time.Hour), "weavers", "order/12")
+	if err != nil {
+		t.Fatal(err)
+	}
+	text, err := keyring(t, "a").SignID(id)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, secrets := range [][]string{{"a"}, {"a", "b"}, {"b", "a"}, {"c", "b", "a"}} {
+		if got, err := keyring(t, secrets...).ParseID(text); err != nil || got != id {
+			t.Errorf("with secrets %v: %v, %v, want %v", secrets, got, err, id)
+		}
+	}
+	if _, err := keyring(t, "b").ParseID(text); !errorx.IsOfType(err, usherrequest.ForgedError) {
+		t.Errorf("under another secret: %v", err)
+	}
+	if _, err := (usherrequest.Keyring{}).ParseID(text); !errorx.IsOfType(err, usherrequest.ForgedError) {
+		t.Errorf("under no secret: %v", err)
+	}
+	if _, err := keyring(t, "a").ParseHandle(start, "weavers", text); err == nil {
+		t.Error("an id passed for a handle")
+	}
+	for i := range len(text) {
+		changed := []byte(text)
+		changed[i] ^= 1
+		if _, err := keyring(t, "a").ParseID(string(changed)); err == nil {
+			t.Fatalf("text with byte %d changed was accepted", i)
+		}
+	}
+}
+
+func TestHandleBelongsToItsWorkspace(t *testing.T) {
+	k := keyring(t, "a")
+	handle := usherrequest.Handle{
+		Workspace: "weavers", Generation: "g1", Attempt: usherrequest.AttemptID{Gateway: "kochi-1", Incarnation: 7, Counter: 1},
+		Target: "appraiser-3", TargetIncarnation: 2, Gateway: "kochi-1", Expiry: start.Add(time.Minute),
+	}.WithNextIndex(5)
+	text, err := k.SignHandle(handle)
+	if err != nil {
+		t.Fatal(err)
+	}
+	tests := []struct {
+		name      string
+		now       time.Time
+		workspace string
+		want      *errorx.Type
+	}{
+		{"valid", start, "weavers", nil},
+		{"another workspace", start, "potters", usherrequest.ForeignError},
+		{"expired", handle.Expiry, "weavers", usherrequest.ExpiredError},
+	}
+	for _, test := range tests {
+		got, err := k.ParseHandle(test.now, test.workspace, text)
+		if test.want == nil && (err != nil || got != handle) {
+			t.Errorf("%s: %v, %v", test.name, got, err)
+		}
+		if test.want != nil && !errorx.IsOfType(err, test.want) {
+			t.Errorf("%s: error %v, want %v", test.name, err, test.want)
+		}
+	}
+}
+
+func FuzzParseID(f *testing.F) {
+	k := keyring(f, "a", "b")
+	minter := usherrequest.Minter{Gateway: "kochi-1", Incarnation: 7}
+	id, err := minter.ID(start, "weavers", "k")
+	if err != nil {
+		f.Fatal(err)
+	}
+	text, err := k.SignID(id)
+	if err != nil {
+		f.Fatal(err)
+	}
+	addSeeds(f, text)
+	f.Fuzz(func(t *testing.T, text string) {
+		got, err := k.ParseID(text)
+		if err != nil {
+			return
+		}
+		if again, err := k.SignID(got); err != nil || again != text {
+			t.Fatalf("%q was accepted and is %q again, %v", text, again, err)
+		}
+	})
+}
+
+func FuzzParseHandle(f *testing.F) {
+	k := keyring(f, "a", "b")
+	text, err := k.SignHandle(usherrequest.Handle{Workspace: "weavers", Generation: "g", Target: "t", Expiry: start.Add(time.Hour)})
+	if err != nil {
+		f.Fatal(err)
+	}
+	addSeeds(f, text)
+	f.Fuzz(func(t *testing.T, text string) {
+		got, err := k.ParseHandle(start, "weavers", text)
+		if err != nil {
+			return
+		}
+		if again, err := k.SignHandle(got); err != nil || again != text {
+			t.Fatalf("%q was accepted and is %q again, %v", text, again, err)
+		}
+	})
+}
+
+func addSeeds(f *testing.F, text string) {
+	for _, seed := range []string{
+		text, text[:len(text)/2], text + "A", text + "=", "", "AAAA", strings.Repeat("A", 40), "n" + text[1:],
+		strings.Repeat("_", usherrequest.MaxTextBytes+1),
+	} {
+		f.Add(seed)
+	}
+}
