--- /dev/null
+++ b/service/ushergateway/api.go
@@ -0,0 +1,163 @@
+package ushergateway
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/joomcode/errorx"
+	"github.com/justinas/alice"
+
+	"github.com/samphireusher/samphireusher/pkg/usherconfig"
+	"github.com/samphireusher/samphireusher/pkg/usherrequest"
+)
+
+const (
+	workspaceHeader = "Usher-Workspace"
+	bearerPrefix    = "Bearer "
+)
+
+type (
+	workspaceKey struct{}
+
+	// refusalWire is how a caller sees a request that has no whole answer.
+	refusalWire struct {
+		Outcome      usherrequest.Outcome `json:"outcome"`
+		Reason       string               `json:"reason"`
+		Message      string               `json:"message,omitempty"`
+		RetryAfterMS int64                `json:"retry_after_ms,omitempty"`
+		OtherAddress string               `json:"other_address,omitempty"`
+		RequestID    string               `json:"request_id,omitempty"`
+	}
+
+	handlerError func(w http.ResponseWriter, r *http.Request) error
+)
+
+var (
+	errMalformed       = Errors.NewType("malformed")
+	errUnauthenticated = Errors.NewType("unauthenticated")
+	errNotFound        = Errors.NewType("not_found")
+
+	// statusOf maps the types of errors that callers see; what is not here is an internal error.
+	statusOf = []struct {
+		kind   *errorx.Type
+		status int
+	}{
+		{errMalformed, http.StatusBadRequest},
+		{errUnauthenticated, http.StatusUnauthorized},
+		{errNotFound, http.StatusNotFound},
+		{usherconfig.ErrNoTemplate, http.StatusNotFound},
+		{usherconfig.ErrNoWorkspace, http.StatusUnauthorized},
+		{usherconfig.ErrUnknownParameter, http.StatusBadRequest},
+		{usherconfig.ErrRepeatedParameter, http.StatusBadRequest},
+		{usherconfig.ErrMissingParameter, http.StatusBadRequest},
+		{usherconfig.ErrMalformedParameter, http.StatusBadRequest},
+		{usherconfig.ErrOutOfBounds, http.StatusBadRequest},
+		{usherrequest.MalformedError, http.StatusBadRequest},
+		{usherrequest.ForgedError, http.StatusForbidden},
+		{usherrequest.ForeignError, http.StatusForbidden},
+		{usherrequest.ExpiredError, http.StatusGone},
+	}
+)
+
+// Routes returns the callers' interface.
+func (g *Gateway) Routes() http.Handler {
+	mux := http.NewServeMux()
+	chain := alice.New(g.bound, g.authenticate)
+	handle := func(pattern string, handler handlerError) {
+		mux.Handle(pattern, chain.Then(g.answering(handler)))
+	}
+	handle("GET /v1/locate", g.serveLocate)
+	handle("POST /v1/ids", g.serveMint)
+	handle("POST /v1/requests", g.serveSubmit)
+	handle("GET /v1/requests/{id}", g.serveStatus)
+	handle("DELETE /v1/requests/{id}", g.serveCancel)
+	handle("GET /v1/resume", g.serveResume)
+	return mux
+}
+
+// bound keeps a caller's body within its limit.
+func (g *Gateway) bound(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		r.Body = http.MaxBytesReader(w, r.Body, g.Limits.BodyBytes)
+		next.ServeHTTP(w, r)
+	})
+}
+
+// authenticate lets a caller in that knows its workspace's key.
+func (g *Gateway) authenticate(next http.Handler) http.Handler {
+	return g.answering(func(w http.ResponseWriter, r *http.Request) error {
+		key, ok := strings.CutPrefix(r.Header.Get("Authorization"), bearerPrefix)
+		if !ok {
+			return errUnauthenticated.New("the Authorization header must be %q and the workspace's key", bearerPrefix)
+		}
+		workspace, known := g.Config.Workspace(r.Header.Get(workspaceHeader))
+		if !known || !workspace.Accepts(key) {
+			return errUnauthenticated.New("the workspace in the %s header does not have this key", workspaceHeader)
+		}
+		next.ServeHTTP(w, r.WithContext(context.WithValue(r.Context(), workspaceKey{}, workspace.Name)))
+		return nil
+	})
+}
+
+// answering writes the error of handler as a refusal.
+func (g *Gateway) answering(handler handlerError) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		if err := handler(w, r); err != nil {
+			writeRefusal(w, "", err)
+		}
+	}
+}
+
+func writeRefusal(w http.ResponseWriter, requestID string, cause error) {
+	wire, status := refusalOf(cause)
+	wire.RequestID = requestID
+	if wire.RetryAfterMS > 0 {
+		seconds := (time.Duration(wire.RetryAfterMS)*time.Millisecond + time.Second - 1) / time.Second
+		w.Header().Set("Retry-After", strconv.Itoa(int(seconds)))
+	}
+	writeJSON(w, status, wire)
+}
+
+// refusalOf returns what a caller is told. Errors that are no refusals arise before a request is accepted.
+func refusalOf(cause error) (refusalWire, int) {
+	var refusal usherrequest.Refusal
+	if errors.As(cause, &refusal) {
+		wire := refusalWire{
+			Outcome: refusal.Outcome(), Reason: string(refusal.Reason),
+			RetryAfterMS: refusal.RetryAfter.Milliseconds(), OtherAddress: refusal.OtherAddress,
+		}
+		if refusal.Outcome() == usherrequest.NotRun {
+			return wire, http.StatusServiceUnavailable
+		}
+		return wire, http.StatusBadGateway
+	}
+	for _, entry := range statusOf {
+		if errorx.IsOfType(cause, entry.kind) {
+			name := entry.kind.FullName()
+			reason := name[strings.LastIndex(name, ".")+1:]
+			return refusalWire{Outcome: usherrequest.NotRun, Reason: reason, Message: cause.Error()}, entry.status
+		}
+	}
+	return refusalWire{Outcome: usherrequest.Unknown, Reason: "internal", Message: cause.Error()}, http.StatusInternalServerError
+}
+
+func writeJSON(w http.ResponseWriter, status int, value any) {
+	data, err := json.Marshal(value)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_, _ = w.Write(append(data, '\n'))
+}
+
+func callerOf(r *http.Request) string {
+	workspace, _ := r.Context().Value(workspaceKey{}).(string)
+	return workspace
+}
--- /dev/null
+++ b/service/ushergateway/execution.go
@@ -0,0 +1,268 @@
+package ushergateway
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/joomcode/errorx"
+
+	"github.com/samphireusher/samphireusher/pkg/usherconfig"
+	"github.com/samphireusher/samphireusher/pkg/usherrequest"
+	"github.com/samphireusher/samphireusher/service/ushergrant"
+	"github.com/samphireusher/samphireusher/service/ushertarget"
+)
+
+const (
+	// schedulerTries bounds the schedulers asked for one attempt.
+	schedulerTries = 4
+	// promptBytesPerToken estimates the length of a prompt in tokens.
+	promptBytesPerToken = 4
+	// maxAttempts bounds the targets that one request is sent to.
+	maxAttempts    = 3
+	defaultTimeout = 10 * time.Minute
+)
+
+type (
+	// sink takes a request's answer on its way to the caller.
+	sink interface {
+		// started tells where a stream can be resumed. It may come again when a generation is run afresh.
+		started(handle string) error
+		// token releases one token; text is a JSON string.
+		token(index int, text []byte) error
+	}
+
+	// execution runs one accepted request.
+	execution struct {
+		gateway  *Gateway
+		call     usherconfig.Call
+		id       usherrequest.ID
+		idText   string
+		life     *usherrequest.Life
+		sink     sink
+		avoid    []string
+		deadline time.Time
+		progress progress
+	}
+
+	// verdict is what becomes of a request after one attempt.
+	verdict struct {
+		done bool
+		// unsent says that the target has nothing of the request, or refused it.
+		unsent bool
+		// reason is why the attempt did not complete; it tells the caller if there is no other attempt.
+		reason usherrequest.Reason
+		answer answer
+	}
+
+	// granted is a grant together with who gave it, for which attempt, and when it was asked for.
+	granted struct {
+		ushergrant.Grant
+		scheduler usherconfig.Host
+		attempt   usherrequest.AttemptID
+		asked     time.Time
+	}
+
+	// answer is a whole answer.
+	answer struct {
+		Result []byte
+		Tokens int
+		Finish string
+	}
+)
+
+func (g *Gateway) newExecution(call usherconfig.Call, id usherrequest.ID, idText string, to sink) *execution {
+	delivery := usherrequest.Stream
+	if call.Template.Delivery == usherconfig.WholeDelivery {
+		delivery = usherrequest.Whole
+	}
+	timeout := call.Template.Timeout
+	if timeout <= 0 {
+		timeout = defaultTimeout
+	}
+	rules := usherrequest.Rules{Idempotent: call.Template.Idempotent, Delivery: delivery}
+	return &execution{
+		gateway: g, call: call, id: id, idText: idText, life: usherrequest.NewLife(rules),
+		sink: to, deadline: time.Now().Add(timeout),
+	}
+}
+
+// run takes the request to its end. The error is a usherrequest.Refusal.
+func (e *execution) run(ctx context.Context) (answer, error) {
+	ctx, cancel := context.WithDeadline(ctx, e.deadline)
+	defer cancel()
+	if err := e.life.Queue(); err != nil {
+		return answer{}, err
+	}
+	for {
+		grant, err := e.acquire(ctx)
+		if err != nil {
+			return answer{}, e.refuse(ctx, err)
+		}
+		verdict := e.attempt(ctx, grant)
+		if verdict.done {
+			return verdict.answer, nil
+		}
+		if !e.mayRetry(ctx) {
+			return answer{}, e.refuse(ctx, usherrequest.Refuse(usherrequest.Evidence{}, verdict.reason))
+		}
+		if err := e.life.Retry(); err != nil {
+			return answer{}, e.refuse(ctx, err)
+		}
+		e.gateway.meters.retries.Inc(1)
+	}
+}
+
+// acquire asks one scheduler after another for a grant. Each asking is an attempt of its own, so that a grant whose
+// answer was lost is never mistaken for another.
+func (e *execution) acquire(ctx context.Context) (granted, error) {
+	g := e.gateway
+	tried := []string{}
+	last := error(usherrequest.Refuse(usherrequest.Evidence{}, usherrequest.ReasonOverloaded))
+	for range schedulerTries {
+		asked := time.Now()
+		host, ok := g.schedulers.choose(asked, e.call.Template.Service, g.Config.Hosts(usherconfig.SchedulerRole), tried)
+		if !ok {
+			break
+		}
+		tried = append(tried, host.Name)
+		request := e.request(asked)
+		grant, err := g.Grants.Acquire(ctx, host.Address.String(), request)
+		if err == nil {
+			return granted{Grant: grant, scheduler: host, attempt: request.Attempt, asked: asked}, nil
+		}
+		if ctx.Err() != nil {
+			return granted{}, err
+		}
+		g.Log.Debug("no grant", "request", e.idText, "scheduler", host.Name, "error", err)
+		if refusal := (usherrequest.Refusal{}); errors.As(err, &refusal) {
+			last = refusal
+		}
+	}
+	return granted{}, last
+}
+
+func (e *execution) request(now time.Time) ushergrant.Request {
+	t := e.call.Template
+	return ushergrant.Request{
+		Attempt:      e.gateway.mintAttempt(),
+		Service:      t.Service,
+		Template:     t.Name,
+		Workspace:    e.call.Workspace.Name,
+		PromptTokens: e.promptTokens(),
+		MaxTokens:    t.MaxOutputTokens,
+		Priority:     t.Priority,
+		CacheKey:     cacheKey(e.call),
+		Fingerprint:  e.call.Fingerprint(),
+		Avoid:        e.avoid,
+		Revision:     e.call.Revision,
+		Wait:         e.deadline.Sub(now),
+	}
+}
+
+// attempt sends the request to the granted target and says what became of it.
+func (e *execution) attempt(ctx context.Context, grant granted) verdict {
+	g := e.gateway
+	if err := errors.Join(e.life.Grant(), e.life.Dispatch(grant.attempt)); err != nil {
+		g.Log.Error("request life cycle", "request", e.idText, "error", err)
+		return verdict{reason: usherrequest.ReasonMalformed}
+	}
+	e.progress.start(ushergrant.Running{
+		Attempt: grant.attempt, Target: grant.Target, Incarnation: grant.Incarnation, PromptTokens: e.promptTokens(),
+		Template: e.call.Template.Name, Workspace: e.call.Workspace.Name,
+	})
+	defer e.progress.end()
+	var v verdict
+	if service, _ := g.Config.Service(e.call.Template.Service); service.Kind == usherconfig.PlainService {
+		v = e.callPlain(ctx, grant)
+	} else {
+		v = e.generate(ctx, grant)
+	}
+	if !v.done {
+		e.avoid = append(e.avoid, grant.Target)
+	}
+	e.finish(grant, v)
+	return v
+}
+
+// guard checks, when the connection to the target stands, that the grant is valid and the target still in service.
+func (e *execution) guard(grant granted) ushertarget.Guard {
+	valid := grant.Check(grant.asked)
+	config := e.gateway.Config
+	return func() error {
+		if err := valid(); err != nil {
+			return err
+		}
+		if !config.Eligible(time.Now(), grant.Target) {
+			return ushergrant.ErrExpired.New("target %s is out of service", grant.Target)
+		}
+		return nil
+	}
+}
+
+func (e *execution) promptTokens() int {
+	return len(e.call.Prompt)/promptBytesPerToken + 1
+}
+
+// failed records what is known of a sending that did not succeed.
+func (e *execution) failed(evidence ushertarget.Evidence, cause error) verdict {
+	e.gateway.Log.Debug("attempt failed", "request", e.idText, "error", cause)
+	var err error
+	v := verdict{reason: usherrequest.ReasonTargetLost}
+	switch {
+	case !evidence.Written:
+		err = e.life.Unsent()
+		v.unsent = true
+	case evidence.Refused:
+		err = e.life.TargetRefused()
+		v = verdict{reason: usherrequest.ReasonTargetRefused, unsent: true}
+	}
+	if err != nil {
+		e.gateway.Log.Error("request life cycle", "request", e.idText, "error", err)
+	}
+	return v
+}
+
+func (e *execution) mayRetry(ctx context.Context) bool {
+	return ctx.Err() == nil && e.life.CanRetry() && len(e.avoid) < maxAttempts
+}
+
+// refuse ends the request; the outcome is what the life cycle knows, the reason what went wrong last.
+func (e *execution) refuse(ctx context.Context, cause error) error {
+	reason := usherrequest.ReasonOverloaded
+	retryAfter := time.Duration(0)
+	if refusal := (usherrequest.Refusal{}); errors.As(cause, &refusal) {
+		reason, retryAfter = refusal.Reason, refusal.RetryAfter
+	}
+	switch {
+	case errorx.IsOfType(context.Cause(ctx), errCancelled):
+		refusal, err := e.life.Cancel()
+		return errors.Join(err, refusal)
+	case errors.Is(ctx.Err(), context.Canceled):
+		reason = usherrequest.ReasonCancelled
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		reason = usherrequest.ReasonDeadlinePassed
+	}
+	refusal, err := e.life.Refuse(reason)
+	if err != nil {
+		return err
+	}
+	return refusal.WithRetryAfter(retryAfter)
+}
+
+// finish tells the scheduler how the attempt ended, without holding up the caller.
+func (e *execution) finish(grant granted, v verdict) {
+	g := e.gateway
+	running, _ := e.progress.read()
+	end := ushergrant.End{
+		Attempt: grant.attempt, Target: grant.Target, MadeTokens: running.MadeTokens,
+		Completed: v.done, Unsent: v.unsent, Lost: !v.unsent && v.reason == usherrequest.ReasonTargetLost,
+	}
+	g.requests.Go(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), finishTimeout)
+		defer cancel()
+		if err := g.Grants.Finish(ctx, grant.scheduler.Address.String(), end); err != nil {
+			g.Log.Debug("end not reported", "attempt", grant.attempt.String(), "error", err)
+		}
+	})
+}
--- /dev/null
+++ b/service/ushergateway/submit.go
@@ -0,0 +1,197 @@
+package ushergateway
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/samphireusher/samphireusher/pkg/usherconfig"
+	"github.com/samphireusher/samphireusher/pkg/usherrequest"
+)
+
+type (
+	submitWire struct {
+		Template   string            `json:"template"`
+		Parameters map[string]string `json:"parameters"`
+		// RequestID comes from POST /v1/ids; a template that is not idempotent needs it.
+		RequestID string `json:"request_id"`
+	}
+
+	mintWire struct {
+		IdempotencyKey string `json:"idempotency_key"`
+	}
+
+	mintedWire struct {
+		RequestID string `json:"request_id"`
+		ValidMS   int64  `json:"valid_ms"`
+	}
+
+	statusWire struct {
+		RequestID string               `json:"request_id"`
+		State     string               `json:"state"`
+		Outcome   usherrequest.Outcome `json:"outcome"`
+		Reason    string               `json:"reason,omitempty"`
+		Tokens    int                  `json:"tokens,omitempty"`
+		Result    json.RawMessage      `json:"result,omitempty"`
+	}
+)
+
+// serveMint gives an id under which this gateway, and no other, runs a request at most once.
+func (g *Gateway) serveMint(w http.ResponseWriter, r *http.Request) error {
+	var wire mintWire
+	if err := readJSON(r.Body, &wire); err != nil && !errors.Is(err, io.EOF) {
+		return err
+	}
+	id, err := g.mintID(callerOf(r), wire.IdempotencyKey)
+	if err != nil {
+		return err
+	}
+	text, err := g.Keyring.SignID(id)
+	if err != nil {
+		return err
+	}
+	writeJSON(w, http.StatusOK, mintedWire{RequestID: text, ValidMS: idLifetime.Milliseconds()})
+	return nil
+}
+
+// serveSubmit accepts a request and answers it.
+func (g *Gateway) serveSubmit(w http.ResponseWriter, r *http.Request) error {
+	var wire submitWire
+	if err := readJSON(r.Body, &wire); err != nil {
+		return err
+	}
+	arguments := []usherconfig.Argument{}
+	for name, value := range wire.Parameters {
+		arguments = append(arguments, usherconfig.Argument{Name: name, Value: value})
+	}
+	call, err := g.Config.Resolve(callerOf(r), wire.Template, arguments)
+	if err != nil {
+		return err
+	}
+	id, text, err := g.identify(call, wire.RequestID)
+	if err != nil {
+		return err
+	}
+	to := newSink(w, call, text)
+	answer, err := g.submit(r.Context(), call, id, text, to)
+	to.end(answer, err)
+	return nil
+}
+
+// identify returns the request's id: the caller's, or a new one where the template is idempotent.
+func (g *Gateway) identify(call usherconfig.Call, text string) (usherrequest.ID, string, error) {
+	if text != "" {
+		id, err := g.Keyring.ParseID(text)
+		if err == nil && id.Workspace != call.Workspace.Name {
+			err = usherrequest.ForeignError.New("the request id belongs to another workspace")
+		}
+		return id, text, err
+	}
+	if !call.Template.Idempotent {
+		return usherrequest.ID{}, "", errMalformed.New("template %s is not idempotent: ask for a request_id first", call.Template.Name)
+	}
+	id, err := g.mintID(call.Workspace.Name, "")
+	if err != nil {
+		return usherrequest.ID{}, "", err
+	}
+	text, err = g.Keyring.SignID(id)
+	return id, text, err
+}
+
+// submit runs an identified request to its end.
+func (g *Gateway) submit(ctx context.Context, call usherconfig.Call, id usherrequest.ID, text string, to sink) (answer, error) {
+	g.requests.Add(1)
+	defer g.requests.Done()
+	if g.stopping.Load() {
+		return answer{}, g.turnAway(usherrequest.ReasonStopping)
+	}
+	e := g.newExecution(call, id, text, to)
+	if !g.active.add(e, g.Limits.Requests) {
+		return answer{}, g.turnAway(usherrequest.ReasonOverloaded)
+	}
+	defer g.active.remove(e)
+	if call.Template.KeepAnswer {
+		ctx = context.WithoutCancel(ctx)
+	}
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	e.progress.cancelBy(cancel)
+	g.meters.accepted.Inc(1)
+	result, err := e.run(ctx)
+	g.account(e, result, err)
+	return result, err
+}
+
+// account records how the request ended.
+func (g *Gateway) account(e *execution, result answer, err error) {
+	end := ended{Workspace: e.call.Workspace.Name, Outcome: usherrequest.Completed, Answer: result, At: time.Now()}
+	var refusal usherrequest.Refusal
+	switch {
+	case errors.As(err, &refusal):
+		end.Outcome, end.Reason = refusal.Outcome(), refusal.Reason
+		g.meters.refused.Inc(1)
+	case err != nil:
+		end.Outcome, end.Reason = usherrequest.Unknown, "internal"
+		g.meters.refused.Inc(1)
+	default:
+		g.meters.completed.Inc(1)
+	}
+	g.outcomes.keep(e.idText, end)
+	g.Log.Info("request ended", "request", e.idText, "workspace", end.Workspace, "template", e.call.Template.Name,
+		"revision", e.call.Revision, "outcome", end.Outcome.String(), "reason", end.Reason, "tokens", result.Tokens)
+}
+
+// turnAway refuses a request of which nothing was run.
+func (g *Gateway) turnAway(reason usherrequest.Reason) error {
+	const retryAfter = time.Second
+	refusal := usherrequest.Refuse(usherrequest.Evidence{}, reason).WithRetryAfter(retryAfter)
+	if other, ok := g.otherGateway(); ok {
+		refusal = refusal.WithOtherAddress(other)
+	}
+	return refusal
+}
+
+// serveStatus tells how a request ended, or that it has not.
+func (g *Gateway) serveStatus(w http.ResponseWriter, r *http.Request) error {
+	text := r.PathValue("id")
+	if e, ok := g.active.find(text); ok && e.call.Workspace.Name == callerOf(r) {
+		writeJSON(w, http.StatusOK, statusWire{RequestID: text, State: "in_progress"})
+		return nil
+	}
+	end, ok := g.outcomes.find(text)
+	if !ok || end.Workspace != callerOf(r) {
+		return errNotFound.New("this gateway knows no such request of the workspace")
+	}
+	writeJSON(w, http.StatusOK, statusWire{
+		RequestID: text, State: "ended", Outcome: end.Outcome, Reason: string(end.Reason),
+		Tokens: end.Answer.Tokens, Result: end.Answer.Result,
+	})
+	return nil
+}
+
+// serveCancel ends a request that its caller no longer wants.
+func (g *Gateway) serveCancel(w http.ResponseWriter, r *http.Request) error {
+	text := r.PathValue("id")
+	e, ok := g.active.find(text)
+	if !ok || e.call.Workspace.Name != callerOf(r) {
+		return errNotFound.New("this gateway has no such request of the workspace in progress")
+	}
+	e.progress.stop()
+	writeJSON(w, http.StatusAccepted, statusWire{RequestID: text, State: "cancelling"})
+	return nil
+}
+
+func readJSON(body io.Reader, value any) error {
+	decoder := json.NewDecoder(body)
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(value); err != nil {
+		if errors.Is(err, io.EOF) {
+			return errMalformed.Wrap(err, "the body is empty")
+		}
+		return errMalformed.Wrap(err, "the body is no such request")
+	}
+	return nil
+}
--- a/service/ushergrant/client.go
+++ b/service/ushergrant/client.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
 	"github.com/samphireusher/samphireusher/pkg/usherlink"
@@ -40,28 +39,23 @@
 	return answer.grant()
 }
 
-// Progress tells the scheduler at address what runs at the targets that it holds. It may be lost.
-func (c *Client) Progress(address string, incarnation uint64, running []Running) error {
-	for part := range slices.Chunk(running, progressPerDatagram) {
-		message := progressWire{Incarnation: incarnation, Running: make([]runningWire, 0, len(part))}
-		for _, r := range part {
-			message.Running = append(message.Running, runningWire{
-				Counter: r.Attempt.Counter, Target: r.Target, Incarnation: r.Incarnation,
-				PromptTokens: r.PromptTokens, MadeTokens: r.MadeTokens, Template: r.Template, Workspace: r.Workspace,
-			})
-		}
-		if err := c.link.Post(address, kindProgress, message); err != nil {
-			return err
-		}
+// Progress tells the scheduler at address all that runs at the targets that it holds.
+func (c *Client) Progress(ctx context.Context, address string, incarnation uint64, running []Running) error {
+	message := progressWire{Incarnation: incarnation, Running: make([]runningWire, 0, len(running))}
+	for _, r := range running {
+		message.Running = append(message.Running, runningWire{
+			Counter: r.Attempt.Counter, Target: r.Target, Incarnation: r.Incarnation,
+			PromptTokens: r.PromptTokens, MadeTokens: r.MadeTokens, Template: r.Template, Workspace: r.Workspace,
+		})
 	}
-	return nil
+	return c.link.Call(ctx, address, kindProgress, message, nil)
 }
 
 // Finish tells the scheduler at address how an attempt ended.
 func (c *Client) Finish(ctx context.Context, address string, end End) error {
 	message := finishWire{
 		Incarnation: end.Attempt.Incarnation, Counter: end.Attempt.Counter, Target: end.Target,
-		MadeTokens: end.MadeTokens, Completed: end.Completed, Lost: end.Lost,
+		MadeTokens: end.MadeTokens, Completed: end.Completed, Lost: end.Lost, Unsent: end.Unsent,
 	}
 	return c.link.Call(ctx, address, kindFinish, message, nil)
 }
--- a/service/ushergrant/handler.go
+++ b/service/ushergrant/handler.go
@@ -13,8 +13,8 @@
 	Scheduler interface {
 		// Acquire waits for a grant for as long as the request allows. Its error is a usherrequest.Refusal.
 		Acquire(ctx context.Context, request Request) (Grant, error)
-		// Progress learns what runs.
-		Progress(running []Running)
+		// Progress learns all that a gateway has at the targets that this scheduler holds.
+		Progress(gateway string, running []Running)
 		// Finish learns how an attempt ended.
 		Finish(end End)
 	}
@@ -39,7 +39,7 @@
 		if err := body.Decode(&w); err != nil {
 			return nil, err
 		}
-		scheduler.Progress(w.running(from.Name))
+		scheduler.Progress(from.Name, w.running(from.Name))
 		return nil, nil
 	})
 	mux.Handle(kindFinish, func(_ context.Context, from usherlink.Peer, body usherlink.Payload) (any, error) {
@@ -91,6 +91,6 @@
 func (w finishWire) end(gateway string) End {
 	return End{
 		Attempt: attempt(gateway, w.Incarnation, w.Counter), Target: w.Target,
-		MadeTokens: max(w.MadeTokens, 0), Completed: w.Completed, Lost: w.Lost,
+		MadeTokens: max(w.MadeTokens, 0), Completed: w.Completed, Lost: w.Lost, Unsent: w.Unsent,
 	}
 }
--- a/service/ushergrant/message.go
+++ b/service/ushergrant/message.go
@@ -34,8 +34,6 @@
 )
 
 const (
-	// progressPerDatagram keeps a datagram of progress below usherlink.MaxDatagramBytes.
-	progressPerDatagram = 40
 	// clockMargin shortens a grant by a hundredth, for clocks of different rate.
 	clockMargin = 100
 )
@@ -98,6 +96,8 @@
 		Completed  bool
 		// Lost says that the target died or cannot be reached.
 		Lost bool
+		// Unsent says that nothing was written to the target, or that it refused the request.
+		Unsent bool
 	}
 
 	// Room is what a scheduler can take of one service.
@@ -169,6 +169,7 @@
 		MadeTokens  int    `cbor:"4,keyasint"`
 		Completed   bool   `cbor:"5,keyasint,omitempty"`
 		Lost        bool   `cbor:"6,keyasint,omitempty"`
+		Unsent      bool   `cbor:"7,keyasint,omitempty"`
 	}
 
 	advertisementWire struct {
--- /dev/null
+++ b/service/usherscheduler/core.go
@@ -0,0 +1,265 @@
+package usherscheduler
+
+import (
+	"log/slog"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/samphireusher/samphireusher/pkg/usheradmit"
+	"github.com/samphireusher/samphireusher/pkg/usherconfig"
+	"github.com/samphireusher/samphireusher/pkg/usherlease"
+	"github.com/samphireusher/samphireusher/pkg/ushermember"
+	"github.com/samphireusher/samphireusher/pkg/usherrequest"
+	"github.com/samphireusher/samphireusher/pkg/usherring"
+	"github.com/samphireusher/samphireusher/service/ushergrant"
+)
+
+const (
+	// silentFor is how long a granted attempt may go without a word from its gateway before it is given up.
+	silentFor = 5 * time.Second
+	// ReasonStale refuses a request of a revision that this scheduler cannot get.
+	ReasonStale usherrequest.Reason = "stale_configuration"
+	// ReasonUnconfirmed refuses while the scheduler has woken from a pause and not yet heard a majority.
+	ReasonUnconfirmed usherrequest.Reason = "unconfirmed_view"
+)
+
+type (
+	// core owns every aggregate of a scheduler. Only the goroutine of Run uses it.
+	core struct {
+		options    Options
+		log        *slog.Logger
+		inbox      *usherring.Ring[event]
+		membership *ushermember.Membership
+		leases     *usherlease.Leases
+		services   map[string]*service
+		targets    map[string]*target
+		waiting    map[string]*pending
+		running    map[string]*running
+		revision   uint64
+		due        due
+		stopping   bool
+		granted    metrics.Counter
+		refused    metrics.Counter
+	}
+
+	// service is the admission of one service's targets.
+	service struct {
+		admit *usheradmit.Scheduler
+		names []string
+	}
+
+	// target is what the edge knows of a target beside the aggregates.
+	target struct {
+		usherconfig.Target
+		asking bool
+		// own counts the attempts of this scheduler's grants that have not ended.
+		own int
+	}
+
+	// pending is a request that waits for its answer.
+	pending struct {
+		request ushergrant.Request
+		reply   chan reply
+	}
+
+	reply struct {
+		grant ushergrant.Grant
+		err   error
+	}
+
+	// running is an attempt that was granted and has not ended.
+	running struct {
+		service string
+		target  string
+		gateway string
+		seen    time.Time
+	}
+
+	// due is when each periodic duty comes next.
+	due struct {
+		heartbeat, reports, advertise, sweep time.Time
+	}
+)
+
+func newCore(now time.Time, options Options, inbox *usherring.Ring[event]) *core {
+	member := options.Member
+	member.ID, member.Incarnation, member.Cell = options.Name, options.Incarnation, options.cell()
+	return &core{
+		options:    options,
+		log:        options.Log,
+		inbox:      inbox,
+		membership: ushermember.New(now, member),
+		leases:     usherlease.New(now, options.Lease),
+		services:   map[string]*service{},
+		targets:    map[string]*target{},
+		waiting:    map[string]*pending{},
+		running:    map[string]*running{},
+		granted:    metrics.NewRegisteredCounter("scheduler.granted", options.Metrics),
+		refused:    metrics.NewRegisteredCounter("scheduler.refused", options.Metrics),
+	}
+}
+
+// reconfigure takes over a new revision: the cell's members, its targets and their services.
+func (c *core) reconfigure(now time.Time) {
+	revision := c.options.Config.Revision()
+	if revision == c.revision {
+		return
+	}
+	snapshot := c.options.Config.Snapshot()
+	c.membership.SetList(now, ushermember.NewList(revision, c.members()))
+	c.setTargets(snapshot)
+	c.revision = revision
+}
+
+func (c *core) members() []ushermember.Member {
+	members := []ushermember.Member{}
+	for _, h := range c.options.Config.Hosts(usherconfig.SchedulerRole) {
+		if c.options.CellByDataCentre && h.DataCentre != c.options.DataCentre {
+			continue
+		}
+		members = append(members, ushermember.Member{
+			ID: h.Name, Address: h.Address.String(), DataCentre: h.DataCentre, Leaving: c.options.Config.Leaving(h.Name),
+		})
+	}
+	return members
+}
+
+func (c *core) setTargets(snapshot usherconfig.Snapshot) {
+	declared := map[string]*target{}
+	leased := []usherlease.Target{}
+	for _, s := range c.services {
+		s.names = s.names[:0]
+	}
+	for _, t := range snapshot.Targets {
+		if c.options.CellByDataCentre && t.DataCentre != c.options.DataCentre {
+			continue
+		}
+		known := c.targets[t.Name]
+		if known == nil {
+			known = &target{}
+		}
+		known.Target = t
+		declared[t.Name] = known
+		leased = append(leased, usherlease.Target{ID: t.Name, Cold: t.BearableColdLoad, Full: t.MaxWarmConcurrency})
+		s := c.service(t.Service)
+		s.names = append(s.names, t.Name)
+	}
+	for name, t := range c.targets {
+		if declared[name] == nil {
+			c.service(t.Service).admit.RemoveTarget(name)
+		}
+	}
+	c.targets = declared
+	c.leases.SetTargets(leased)
+}
+
+func (c *core) service(name string) *service {
+	s := c.services[name]
+	if s == nil {
+		s = &service{admit: usheradmit.New(c.options.Admit)}
+		c.services[name] = s
+	}
+	return s
+}
+
+// decide gives waiting requests to targets that may take them.
+func (c *core) decide(now time.Time) {
+	if len(c.waiting) == 0 {
+		return
+	}
+	for _, s := range c.services {
+		c.limit(now, s)
+		assignments, refusals := s.admit.Next(now)
+		for _, a := range assignments {
+			c.grant(now, s, a)
+		}
+		for _, r := range refusals {
+			c.refuse(r.Request.Attempt, refusalOf(r.Reason, r.RetryAfter))
+		}
+	}
+}
+
+// limit tells the admission how many more requests the leases allow on each target now.
+func (c *core) limit(now time.Time, s *service) {
+	for _, name := range s.names {
+		t := c.targets[name]
+		budget := c.leases.Budget(now, name)
+		s.admit.SetTarget(usheradmit.Target{
+			ID: name, DataCentre: t.DataCentre, MemoryTokens: c.memory(t), Limit: t.own + budget.Room,
+			InService: budget.Room > 0 && c.options.Config.Eligible(now, name),
+		})
+	}
+}
+
+// memory is what admission packs into. A plain service has none: only its limit counts.
+func (c *core) memory(t *target) int {
+	const unbounded = 1 << 30
+	if t.MemoryTokens > 0 {
+		return t.MemoryTokens
+	}
+	return unbounded
+}
+
+func (c *core) grant(now time.Time, s *service, a usheradmit.Assignment) {
+	p := c.waiting[a.Request.Attempt]
+	t := c.targets[a.Target]
+	if p == nil || t == nil {
+		s.admit.Finish(now, a.Request.Attempt, 0, usheradmit.ResultCancelled)
+		return
+	}
+	granted, err := c.leases.Admit(now, usherlease.Request{Attempt: a.Request.Attempt, Target: a.Target})
+	if err != nil {
+		c.log.Debug("lease refused", "target", a.Target, "error", err)
+		s.admit.Finish(now, a.Request.Attempt, 0, usheradmit.ResultCancelled)
+		c.refuse(a.Request.Attempt, overloaded())
+		return
+	}
+	delete(c.waiting, a.Request.Attempt)
+	t.own++
+	c.running[a.Request.Attempt] = &running{service: t.Service, target: a.Target, gateway: p.request.Attempt.Gateway, seen: now}
+	c.granted.Inc(1)
+	p.reply <- reply{grant: ushergrant.Grant{
+		Target: a.Target, Address: t.Address, Incarnation: granted.Incarnation,
+		Revision: c.revision, ValidFor: granted.ValidFor,
+	}}
+}
+
+func (c *core) refuse(attempt string, err error) {
+	p := c.waiting[attempt]
+	if p == nil {
+		return
+	}
+	delete(c.waiting, attempt)
+	c.refused.Inc(1)
+	p.reply <- reply{err: err}
+}
+
+// end forgets a granted attempt.
+func (c *core) end(now time.Time, attempt string, tokens int, result usheradmit.Result, leased usherlease.Result) {
+	c.leases.Finish(attempt, leased)
+	r := c.running[attempt]
+	if r == nil {
+		return
+	}
+	delete(c.running, attempt)
+	if t := c.targets[r.target]; t != nil {
+		t.own--
+	}
+	c.service(r.service).admit.Finish(now, attempt, tokens, result)
+}
+
+func refusalOf(reason usheradmit.Reason, retryAfter time.Duration) error {
+	word := usherrequest.ReasonOverloaded
+	if reason == usheradmit.ReasonDeadline {
+		word = usherrequest.ReasonDeadlinePassed
+	}
+	return usherrequest.Refuse(usherrequest.Evidence{}, word).WithRetryAfter(retryAfter)
+}
+
+func (o Options) cell() string {
+	if o.CellByDataCentre {
+		return o.DataCentre
+	}
+	return "fleet"
+}
--- /dev/null
+++ b/service/usherscheduler/duty.go
@@ -0,0 +1,134 @@
+package usherscheduler
+
+import (
+	"context"
+	"time"
+
+	"github.com/samphireusher/samphireusher/pkg/usheradmit"
+	"github.com/samphireusher/samphireusher/pkg/usherconfig"
+	"github.com/samphireusher/samphireusher/pkg/usherlease"
+	"github.com/samphireusher/samphireusher/pkg/usherlink"
+	"github.com/samphireusher/samphireusher/pkg/ushermember"
+	"github.com/samphireusher/samphireusher/service/ushergrant"
+)
+
+const kindHeartbeat = "cell.heartbeat"
+
+// heartbeatEvent is a heartbeat of another scheduler. The message on the wire is ushermember.Heartbeat.
+type heartbeatEvent struct {
+	heartbeat ushermember.Heartbeat
+}
+
+func registerHeartbeat(mux *usherlink.Mux, s *Scheduler) {
+	mux.Handle(kindHeartbeat, func(_ context.Context, from usherlink.Peer, body usherlink.Payload) (any, error) {
+		var heartbeat ushermember.Heartbeat
+		if err := body.Decode(&heartbeat); err != nil {
+			return nil, err
+		}
+		if heartbeat.From != ushermember.KeyOf(from.Name) {
+			return nil, ErrForeign.New("heartbeat of another member came from %s", from.Name)
+		}
+		s.inbox.Offer(heartbeatEvent{heartbeat})
+		return nil, nil
+	})
+}
+
+func (e heartbeatEvent) apply(c *core, now time.Time) {
+	received, err := c.membership.Receive(now, e.heartbeat)
+	if err != nil {
+		c.log.Debug("heartbeat refused", "error", err)
+		return
+	}
+	c.leases.Receive(now, received)
+}
+
+// tick does what is due by the clock.
+func (c *core) tick(ctx context.Context, now time.Time) {
+	if !now.Before(c.due.heartbeat) {
+		c.due.heartbeat = now.Add(heartbeatPeriod)
+		c.reconfigure(now)
+		if c.membership.Tick(now) {
+			c.log.Warn("process was paused; its view is unconfirmed")
+		}
+		c.sendHeartbeats(now)
+	}
+	if !now.Before(c.due.reports) {
+		c.due.reports = now.Add(reportPeriod)
+		c.askReports(ctx, now)
+	}
+	if !now.Before(c.due.advertise) {
+		c.due.advertise = now.Add(advertisePeriod)
+		c.advertise(now)
+	}
+	if !now.Before(c.due.sweep) {
+		c.due.sweep = now.Add(time.Second)
+		c.sweep(now)
+	}
+}
+
+func (c *core) sendHeartbeats(now time.Time) {
+	outgoing := c.membership.Heartbeats(now)
+	c.leases.Ballots(now, c.membership.View(now), outgoing)
+	for _, out := range outgoing {
+		if err := c.options.Link.Post(out.To.Address, kindHeartbeat, out.Heartbeat); err != nil {
+			c.log.Debug("heartbeat not sent", "peer", out.To.ID, "error", err)
+		}
+	}
+}
+
+// askReports reads the load of each target on which this scheduler holds a vote.
+func (c *core) askReports(ctx context.Context, now time.Time) {
+	for name, t := range c.targets {
+		if t.asking || c.leases.Budget(now, name).Votes == 0 {
+			continue
+		}
+		t.asking = true
+		go c.askReport(ctx, name, t.Target)
+	}
+}
+
+func (c *core) askReport(ctx context.Context, name string, t usherconfig.Target) {
+	ctx, cancel := context.WithTimeout(ctx, 2*reportPeriod)
+	defer cancel()
+	asked := time.Now()
+	report, err := c.options.Reports.Report(ctx, t.Address)
+	e := reportEvent{target: name, asked: asked, report: report, err: err}
+	for !c.inbox.Offer(e) && ctx.Err() == nil {
+		time.Sleep(decisionPeriod)
+	}
+}
+
+// advertise tells the gateways what is held and how much room there is.
+func (c *core) advertise(now time.Time) {
+	a := ushergrant.Advertisement{Scheduler: c.options.Name, Revision: c.revision, Stopping: c.stopping, Held: c.leases.Held(now)}
+	for name, s := range c.services {
+		room := ushergrant.Room{Service: name}
+		for _, t := range s.names {
+			if c.options.Config.Eligible(now, t) {
+				room.Requests += c.leases.Budget(now, t).Room
+			}
+		}
+		for _, p := range c.waiting {
+			if p.request.Service == name {
+				room.Waiting++
+			}
+		}
+		if room.Requests > 0 || room.Waiting > 0 {
+			a.Rooms = append(a.Rooms, room)
+		}
+	}
+	for _, h := range c.options.Config.Hosts(usherconfig.GatewayRole) {
+		if err := ushergrant.Advertise(c.options.Link, h.Address.String(), a); err != nil {
+			c.log.Debug("advertisement not sent", "gateway", h.Name, "error", err)
+		}
+	}
+}
+
+// sweep gives up attempts of which no gateway has said anything for long.
+func (c *core) sweep(now time.Time) {
+	for attempt, r := range c.running {
+		if now.Sub(r.seen) > silentFor {
+			c.end(now, attempt, 0, usheradmit.ResultCancelled, usherlease.Unknown)
+		}
+	}
+}
--- /dev/null
+++ b/service/usherscheduler/event.go
@@ -0,0 +1,159 @@
+package usherscheduler
+
+import (
+	"time"
+
+	"github.com/samphireusher/samphireusher/pkg/usheradmit"
+	"github.com/samphireusher/samphireusher/pkg/usherlease"
+	"github.com/samphireusher/samphireusher/pkg/usherrequest"
+	"github.com/samphireusher/samphireusher/service/ushergrant"
+	"github.com/samphireusher/samphireusher/service/ushertarget"
+)
+
+type (
+	acquireEvent struct {
+		pending *pending
+	}
+
+	withdrawEvent struct {
+		attempt string
+		service string
+	}
+
+	progressEvent struct {
+		gateway string
+		running []ushergrant.Running
+	}
+
+	finishEvent struct {
+		end ushergrant.End
+	}
+
+	reportEvent struct {
+		target string
+		asked  time.Time
+		report ushertarget.Report
+		err    error
+	}
+
+	stopEvent struct {
+		stopped chan struct{}
+	}
+)
+
+// interactiveFrom is the priority from which requests are short and awaited.
+const interactiveFrom = 5
+
+func (e acquireEvent) apply(c *core, now time.Time) {
+	r := e.pending.request
+	attempt := r.Attempt.String()
+	switch {
+	case c.stopping:
+		e.pending.reply <- reply{err: usherrequest.Refuse(usherrequest.Evidence{}, usherrequest.ReasonStopping)}
+		return
+	case !c.membership.View(now).Confirmed:
+		e.pending.reply <- reply{err: usherrequest.Refuse(usherrequest.Evidence{}, ReasonUnconfirmed).WithRetryAfter(heartbeatPeriod)}
+		return
+	}
+	weight := 1.0
+	if w, ok := c.options.Config.Workspace(r.Workspace); ok && w.Weight > 0 {
+		weight = float64(w.Weight)
+	}
+	avoid := ""
+	if len(r.Avoid) > 0 {
+		avoid = r.Avoid[len(r.Avoid)-1]
+	}
+	decision := c.service(r.Service).admit.Offer(now, usheradmit.Request{
+		Attempt: attempt, Workspace: r.Workspace, Template: r.Template, PromptTokens: r.PromptTokens,
+		LongestReply: r.MaxTokens, Prefix: r.CacheKey, PrefixTokens: r.PromptTokens,
+		Interactive: r.Priority >= interactiveFrom, Retry: len(r.Avoid) > 0, Weight: weight,
+		Patience: r.Wait, Avoid: avoid,
+	})
+	if !decision.Queued {
+		e.pending.reply <- reply{err: refusalOf(decision.Reason, decision.RetryAfter)}
+		return
+	}
+	c.waiting[attempt] = e.pending
+}
+
+func (e withdrawEvent) apply(c *core, now time.Time) {
+	if c.waiting[e.attempt] != nil {
+		delete(c.waiting, e.attempt)
+		c.service(e.service).admit.Withdraw(e.attempt)
+		return
+	}
+	// The grant was given while the gateway gave up: it was never used, or its gateway will say so.
+	if r := c.running[e.attempt]; r != nil {
+		r.seen = now
+	}
+}
+
+func (e progressEvent) apply(c *core, now time.Time) {
+	announced := usherlease.Announcement{Gateway: e.gateway}
+	for _, r := range e.running {
+		attempt := r.Attempt.String()
+		announced.Running = append(announced.Running, usherlease.Running{Attempt: attempt, Target: r.Target, Incarnation: r.Incarnation})
+		if known := c.running[attempt]; known != nil {
+			known.seen = now
+			c.service(known.service).admit.Progress(now, attempt, r.MadeTokens)
+		}
+	}
+	c.leases.Reannounce(announced)
+}
+
+func (e finishEvent) apply(c *core, now time.Time) {
+	attempt := e.end.Attempt.String()
+	switch {
+	case e.end.Completed:
+		c.end(now, attempt, e.end.MadeTokens, usheradmit.ResultCompleted, usherlease.Completed)
+	case e.end.Unsent:
+		c.end(now, attempt, 0, usheradmit.ResultNotRun, usherlease.NotRun)
+	case e.end.Lost:
+		c.end(now, attempt, e.end.MadeTokens, usheradmit.ResultLost, usherlease.Unknown)
+	default:
+		c.end(now, attempt, e.end.MadeTokens, usheradmit.ResultCancelled, usherlease.Unknown)
+	}
+}
+
+func (e reportEvent) apply(c *core, now time.Time) {
+	t := c.targets[e.target]
+	if t == nil {
+		return
+	}
+	t.asking = false
+	if e.err != nil {
+		c.log.Debug("no load report", "target", e.target, "error", e.err)
+		return
+	}
+	age := c.options.ReportLag
+	if e.report.AgeMillis != nil {
+		age = time.Duration(*e.report.AgeMillis) * time.Millisecond
+	}
+	taken := e.asked.Add(-age)
+	step := time.Duration(e.report.StepTimeMillis * float64(time.Millisecond))
+	err := c.leases.Report(now, usherlease.LoadReport{
+		Target: e.target, Incarnation: e.report.Incarnation, AskedAt: taken,
+		Running: e.report.Running + e.report.Waiting, Completed: uint64(max(e.report.Completed, 0)),
+		Preempted: uint64(max(e.report.Preemptions, 0)), StepTime: step,
+	})
+	if err != nil {
+		c.log.Debug("load report not used", "target", e.target, "error", err)
+	}
+	c.service(t.Service).admit.Report(now, e.target, usheradmit.LoadReport{
+		TakenAt: taken, Incarnation: e.report.Incarnation, Running: e.report.Running, Waiting: e.report.Waiting,
+		MemoryUsed: e.report.MemoryUsedTokens, MemoryTokens: e.report.MemoryTokens, StepTime: step,
+		Preemptions: uint64(max(e.report.Preemptions, 0)), Completed: uint64(max(e.report.Completed, 0)),
+	})
+}
+
+func (e stopEvent) apply(c *core, now time.Time) {
+	c.stopping = true
+	c.membership.Leave()
+	c.leases.GiveBack(now)
+	for attempt := range c.waiting {
+		c.refuse(attempt, usherrequest.Refuse(usherrequest.Evidence{}, usherrequest.ReasonStopping))
+	}
+	c.sendHeartbeats(now)
+	c.advertise(now)
+	close(e.stopped)
+}
--- /dev/null
+++ b/service/usherscheduler/scheduler.go
@@ -0,0 +1,222 @@
+// Package usherscheduler is the edge of the scheduler daemon.
+//
+// One goroutine, the core, owns the aggregates: membership and leases of the cell, and the admission of each
+// service. Everything reaches it as an event through a bounded ring: what gateways ask, heartbeats of other
+// schedulers, load reports, and the clock. So decisions are made one at a time and need no locks, and a burst that the
+// core cannot take is refused at the ring.
+//
+// # Usage
+//
+//	scheduler, err := usherscheduler.New(options)
+//	if err != nil {
+//		return err
+//	}
+//	scheduler.Register(mux)
+//	go scheduler.Run(ctx)
+//	...
+//	err = scheduler.Stop(ctx)
+package usherscheduler
+
+import (
+	"context"
+	"log/slog"
+	"net/netip"
+	"time"
+
+	"github.com/joomcode/errorx"
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/samphireusher/samphireusher/pkg/usheradmit"
+	"github.com/samphireusher/samphireusher/pkg/usherconfig"
+	"github.com/samphireusher/samphireusher/pkg/usherlease"
+	"github.com/samphireusher/samphireusher/pkg/usherlink"
+	"github.com/samphireusher/samphireusher/pkg/ushermember"
+	"github.com/samphireusher/samphireusher/pkg/usherrequest"
+	"github.com/samphireusher/samphireusher/pkg/usherring"
+	"github.com/samphireusher/samphireusher/service/ushergrant"
+	"github.com/samphireusher/samphireusher/service/ushertarget"
+)
+
+const (
+	inboxEvents     = 8192
+	decisionPeriod  = 5 * time.Millisecond
+	heartbeatPeriod = time.Second
+	reportPeriod    = 500 * time.Millisecond
+	advertisePeriod = 500 * time.Millisecond
+	catchUpTimeout  = 2 * time.Second
+)
+
+var (
+	// Errors is the namespace of this package's errors.
+	Errors = errorx.NewNamespace("usher_scheduler")
+	// ErrOptions says that a scheduler lacks something that it needs.
+	ErrOptions = Errors.NewType("options")
+	// ErrForeign says that a process spoke for another.
+	ErrForeign = Errors.NewType("foreign")
+)
+
+type (
+	// Configuration is the view in force; *usherfeed.Feed is one.
+	Configuration interface {
+		Revision() uint64
+		Snapshot() usherconfig.Snapshot
+		Workspace(name string) (usherconfig.Workspace, bool)
+		Hosts(role usherconfig.Role) []usherconfig.Host
+		Leaving(host string) bool
+		Eligible(now time.Time, target string) bool
+		CatchUp(ctx context.Context, revision uint64) error
+	}
+
+	// Reports reads targets' load reports; *ushertarget.Client is one.
+	Reports interface {
+		Report(ctx context.Context, target netip.AddrPort) (ushertarget.Report, error)
+	}
+
+	// Options are what a scheduler is made of.
+	Options struct {
+		Name        string
+		DataCentre  string
+		Incarnation uint64
+		// CellByDataCentre makes the schedulers of each data centre a cell; else all are one cell.
+		CellByDataCentre bool
+		// ReportLag is the longest time by which a load report that does not tell its age may be late.
+		ReportLag time.Duration
+		Config    Configuration
+		Reports   Reports
+		Link      ushergrant.Link
+		Log       *slog.Logger
+		Metrics   metrics.Registry
+		Lease     usherlease.Options
+		Member    ushermember.Options
+		Admit     usheradmit.Options
+	}
+
+	// Scheduler grants requests of gateways to targets.
+	Scheduler struct {
+		options Options
+		inbox   *usherring.Ring[event]
+		core    *core
+		done    chan struct{}
+	}
+
+	// event is something that the core learns.
+	event interface {
+		apply(c *core, now time.Time)
+	}
+)
+
+// New returns a scheduler that grants nothing before Run.
+func New(options Options) (*Scheduler, error) {
+	if options.Name == "" || options.Incarnation == 0 || options.Config == nil || options.Reports == nil || options.Link == nil {
+		return nil, ErrOptions.New("a scheduler needs a name, an incarnation, a configuration, reports and a link")
+	}
+	if options.Metrics == nil {
+		options.Metrics = metrics.NewRegistry()
+	}
+	s := &Scheduler{options: options, inbox: usherring.New[event](inboxEvents), done: make(chan struct{})}
+	s.core = newCore(time.Now(), options, s.inbox)
+	return s, nil
+}
+
+// Register adds what other processes ask a scheduler to mux.
+func (s *Scheduler) Register(mux *usherlink.Mux) {
+	ushergrant.Register(mux, s)
+	registerHeartbeat(mux, s)
+}
+
+// Run decides until ctx ends.
+func (s *Scheduler) Run(ctx context.Context) {
+	defer close(s.done)
+	ticker := time.NewTicker(decisionPeriod)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case e := <-s.inbox.Items():
+			e.apply(s.core, time.Now())
+			s.drain()
+			s.core.decide(time.Now())
+		case now := <-ticker.C:
+			s.core.tick(ctx, now)
+			s.core.decide(now)
+		}
+	}
+}
+
+// drain applies what has queued up, so that one decision serves a burst.
+func (s *Scheduler) drain() {
+	const burst = 256
+	for range burst {
+		select {
+		case e := <-s.inbox.Items():
+			e.apply(s.core, time.Now())
+		default:
+			return
+		}
+	}
+}
+
+// Acquire implements ushergrant.Scheduler.
+func (s *Scheduler) Acquire(ctx context.Context, request ushergrant.Request) (ushergrant.Grant, error) {
+	if request.Revision > s.options.Config.Revision() {
+		if err := s.catchUp(ctx, request.Revision); err != nil {
+			s.options.Log.Warn("configuration behind a request", "revision", request.Revision, "error", err)
+			return ushergrant.Grant{}, usherrequest.Refuse(usherrequest.Evidence{}, ReasonStale)
+		}
+	}
+	p := &pending{request: request, reply: make(chan reply, 1)}
+	if !s.inbox.Offer(acquireEvent{p}) {
+		return ushergrant.Grant{}, overloaded()
+	}
+	select {
+	case r := <-p.reply:
+		return r.grant, r.err
+	case <-ctx.Done():
+		s.inbox.Offer(withdrawEvent{attempt: request.Attempt.String(), service: request.Service})
+		return ushergrant.Grant{}, ctx.Err()
+	case <-s.done:
+		return ushergrant.Grant{}, usherrequest.Refuse(usherrequest.Evidence{}, usherrequest.ReasonStopping)
+	}
+}
+
+// Progress implements ushergrant.Scheduler.
+func (s *Scheduler) Progress(gateway string, running []ushergrant.Running) {
+	s.inbox.Offer(progressEvent{gateway: gateway, running: running})
+}
+
+// Finish implements ushergrant.Scheduler.
+func (s *Scheduler) Finish(end ushergrant.End) {
+	s.inbox.Offer(finishEvent{end})
+}
+
+// Stop leaves the cell: votes go back at once, nothing more is granted, and what waits is refused as not run. It
+// returns when the other schedulers have been told.
+func (s *Scheduler) Stop(ctx context.Context) error {
+	stopped := make(chan struct{})
+	for !s.inbox.Offer(stopEvent{stopped}) {
+		if err := ctx.Err(); err != nil {
+			return err
+		}
+		time.Sleep(decisionPeriod)
+	}
+	select {
+	case <-stopped:
+		return nil
+	case <-s.done:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func (s *Scheduler) catchUp(ctx context.Context, revision uint64) error {
+	ctx, cancel := context.WithTimeout(ctx, catchUpTimeout)
+	defer cancel()
+	return s.options.Config.CatchUp(ctx, revision)
+}
+
+func overloaded() error {
+	const retryAfter = time.Second
+	return usherrequest.Refuse(usherrequest.Evidence{}, usherrequest.ReasonOverloaded).WithRetryAfter(retryAfter)
+}
--- a/service/ushertarget/stream.go
+++ b/service/ushertarget/stream.go
@@ -34,6 +34,9 @@
 
 	// Stream reads the events of one generation in the order in which they arrive.
 	Stream struct {
+		// Incarnation is the target's, as it gave it before the first event.
+		Incarnation uint64
+
 		body    io.ReadCloser
 		lines   *bufio.Scanner
 		wire    eventWire
--- a/service/ushertarget/target.go
+++ b/service/ushertarget/target.go
@@ -38,6 +38,8 @@
 	dialTimeout     = 500 * time.Millisecond
 	idleConnections = 256
 	maxAnswerBytes  = 1 << 20
+
+	incarnationHeader = "Usher-Incarnation"
 )
 
 var (
@@ -93,8 +95,9 @@
 
 	// Report is an engine's account of its load.
 	Report struct {
-		Incarnation      uint64  `json:"incarnation"`
-		TakenAtMillis    int64   `json:"taken_at_ms"`
+		Incarnation uint64 `json:"incarnation"`
+		// AgeMillis is how old the report was when it was sent, by the target's own clock; nil where it does not say.
+		AgeMillis        *int64  `json:"age_ms"`
 		Running          int     `json:"running"`
 		Waiting          int     `json:"waiting"`
 		MemoryUsedTokens int     `json:"memory_used_tokens"`
@@ -133,7 +136,7 @@
 	if err != nil {
 		return nil, evidence, err
 	}
-	return NewStream(response.Body), evidence, nil
+	return streamOf(response), evidence, nil
 }
 
 // Resume reads the same generation again from the token with the given index.
@@ -143,7 +146,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return NewStream(response.Body), nil
+	return streamOf(response), nil
 }
 
 // Cancel tells the engine to drop a generation.
@@ -240,6 +243,12 @@
 	io.Reader
 }
 
+func streamOf(response *http.Response) *Stream {
+	stream := NewStream(response.Body)
+	stream.Incarnation, _ = strconv.ParseUint(response.Header.Get(incarnationHeader), 10, 64)
+	return stream
+}
+
 // sendError keeps apart what the guard forbade and what the connection did.
 func sendError(err error) error {
 	var cause *errorx.Error
