--- /dev/null
+++ b/pkg/ushermember/heartbeat.go
@@ -0,0 +1,71 @@
+package ushermember
+
+import "time"
+
+type (
+	// Heartbeat is the datagram that one member sends to another. The QUIC edge encodes it by cbor.
+	//
+	// Sets of members are bitmaps over the sender's list when the receiver has confirmed that list, else keys.
+	// It carries no clock: Echo names the last heartbeat that the sender had from the receiver.
+	Heartbeat struct {
+		Cell          string `cbor:"1,keyasint"`
+		From          Key    `cbor:"2,keyasint"`
+		Incarnation   uint64 `cbor:"3,keyasint"`
+		Sequence      uint64 `cbor:"4,keyasint"`
+		Echo          Echo   `cbor:"5,keyasint,omitzero"`
+		List          uint64 `cbor:"6,keyasint"`
+		Revision      uint64 `cbor:"7,keyasint"`
+		Total         int    `cbor:"8,keyasint"`
+		Heard         []byte `cbor:"9,keyasint,omitempty"`
+		Candidates    []byte `cbor:"10,keyasint,omitempty"`
+		HeardKeys     []Key  `cbor:"11,keyasint,omitempty"`
+		CandidateKeys []Key  `cbor:"12,keyasint,omitempty"`
+		Settled       bool   `cbor:"13,keyasint,omitempty"`
+		Leaving       bool   `cbor:"14,keyasint,omitempty"`
+		Ballot        Ballot `cbor:"15,keyasint,omitzero"`
+	}
+
+	// Echo names a heartbeat of the receiver.
+	Echo struct {
+		_           struct{} `cbor:",toarray"`
+		Incarnation uint64
+		Sequence    uint64
+	}
+
+	// Ballot is the part of a heartbeat that lends votes on targets to its receiver. Package usherlease fills and
+	// reads it.
+	//
+	// Without Explicit the sender lends each target of which the receiver is first by rendezvous hash among the
+	// heartbeat's candidates, but for those in Withheld. That needs both to know the same targets, so Targets has
+	// the digest of the sender's. With Explicit the sender lends what Lent names.
+	Ballot struct {
+		Targets  uint64 `cbor:"1,keyasint,omitempty"`
+		Abstain  bool   `cbor:"2,keyasint,omitempty"`
+		Explicit bool   `cbor:"3,keyasint,omitempty"`
+		Returned bool   `cbor:"4,keyasint,omitempty"`
+		Withheld []byte `cbor:"5,keyasint,omitempty"`
+		Lent     []byte `cbor:"6,keyasint,omitempty"`
+	}
+
+	// Outgoing is a heartbeat to send.
+	Outgoing struct {
+		To Member
+		// Key and Incarnation are those of the receiver; EchoReceivedAt is when the echoed heartbeat came.
+		Key            Key
+		Incarnation    uint64
+		EchoReceivedAt time.Time
+		Heartbeat      Heartbeat
+	}
+
+	// Received is an accepted heartbeat with its sets decoded.
+	Received struct {
+		From        Member
+		Key         Key
+		Incarnation uint64
+		// EchoSentAt is when this member sent the heartbeat that is echoed; zero if that isn't known any more.
+		EchoSentAt time.Time
+		Candidates []Key
+		Total      int
+		Ballot     Ballot
+	}
+)
