--- /dev/null
+++ b/cmd/usher-policy/experiment/scenario.go
@@ -0,0 +1,161 @@
+package usherexperiment
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"time"
+)
+
+const (
+	longestReply     = 16_000
+	shortestPrompt   = 300
+	longestPrompt    = 1_200
+	prefixes         = 40
+	prefixShare      = 0.5
+	workspaces       = 10
+	dataCentres      = 3
+	linkDelay        = 2 * time.Millisecond
+	reportInterval   = 500 * time.Millisecond
+	reportLag        = 250 * time.Millisecond
+	progressInterval = 500 * time.Millisecond
+	lookupShare      = 12.0 // lookups a second for each twelve engines
+)
+
+type (
+	// Scenario says what arrives and what happens. The zero value of a field leaves that matter out.
+	Scenario struct {
+		Name       string
+		Engines    int
+		Warmup     time.Duration // not measured
+		Duration   time.Duration // measured
+		Load       float64       // appraisals and checks, as a share of what the oracle carries
+		Rate       float64       // requests a second of them; set from Load before a run
+		Lookups    float64       // a second
+		Schedulers int           // that split the targets; zero counts as one
+		Shared     bool          // each scheduler uses every target
+		ReportLag  time.Duration
+		ReportLoss float64 // share of the reports that are lost
+		Greedy     bool    // the first workspace sends ten times its share
+		Light      int     // targets kept light for lookups
+
+		BurstFrom, BurstTo time.Duration // since the start
+		ShiftAt            time.Duration // lengths double
+		ColdAt             time.Duration // half of the engines restart
+		OutAt, BackAt      time.Duration // a data centre leaves and returns
+	}
+
+	// template is one kind of generation.
+	template struct {
+		name        string
+		mu, sigma   float64 // of the logarithm of the length
+		share       float64 // of the requests that are not lookups
+		interactive bool
+	}
+
+	arrival struct {
+		template  *template
+		workspace int
+		prompt    int
+		output    int
+		prefix    uint64
+	}
+)
+
+const (
+	burstFactor     = 5
+	greedyFactor    = 10
+	largeFleet      = 100
+	modestWorkspace = 1 // the first workspace that is never greedy
+	shiftedLength   = math.Ln2
+	lookupPrompt    = 60
+	lookupSpread    = 60
+)
+
+var (
+	appraisal = template{name: "appraisal", mu: 6.3, sigma: 1.0, share: 0.6}
+	check     = template{name: "check", mu: 4.6, sigma: 0.9, share: 0.4}
+	lookup    = template{name: "lookup", mu: 2.7, sigma: 0.4, interactive: true}
+)
+
+// Scenarios returns the scenarios at a number of engines, in the order of their weight.
+func Scenarios(engines int) []Scenario {
+	base := Scenario{Engines: engines, Warmup: 150 * time.Second, Duration: 300 * time.Second, ReportLag: reportLag}
+	if engines > largeFleet {
+		base.Warmup, base.Duration = 25*time.Second, 20*time.Second
+	}
+	end := base.Warmup + base.Duration
+	with := func(name string, load float64, change func(*Scenario)) Scenario {
+		s := base
+		s.Name, s.Load = name, load
+		if change != nil {
+			change(&s)
+		}
+		return s
+	}
+	scale := float64(engines) / 12
+	return []Scenario{
+		with("steady_60", 0.60, nil),
+		with("steady_85", 0.85, nil),
+		with("steady_95", 0.95, nil),
+		with("two_schedulers", 0.85, func(s *Scenario) { s.Schedulers, s.Shared = 2, true }),
+		with("nine_schedulers", 0.85, func(s *Scenario) { s.Schedulers = 9 }),
+		with("lookups_idle", 0, func(s *Scenario) { s.Lookups = lookupShare * scale }),
+		with("lookups_saturated", 1.2, func(s *Scenario) { s.Lookups, s.Light = lookupShare*scale, lightTargets(engines) }),
+		with("greedy", 0.95, func(s *Scenario) { s.Greedy = true }),
+		with("length_shift", 0.95, func(s *Scenario) { s.ShiftAt = s.Warmup }),
+		with("half_cold", 0.40, func(s *Scenario) { s.ColdAt = s.Warmup + s.Duration/4 }),
+		with("late_reports", 0.85, func(s *Scenario) { s.ReportLag, s.ReportLoss, s.Schedulers, s.Shared = 5*time.Second, 0.3, 2, true }),
+		with("data_centre_out", 0.60, func(s *Scenario) { s.OutAt, s.BackAt = s.Warmup+s.Duration/4, end-s.Duration/4 }),
+		with("burst", 0.60, func(s *Scenario) {
+			s.BurstFrom = s.Warmup + s.Duration/4
+			s.BurstTo = s.BurstFrom + s.Duration/20
+		}),
+	}
+}
+
+func lightTargets(engines int) int { return (engines + 11) / 12 }
+
+func (t *template) draw(random *rand.Rand, shift float64) int {
+	tokens := int(math.Exp(t.mu + shift + t.sigma*random.NormFloat64()))
+	return min(max(tokens, 1), longestReply)
+}
+
+// draw returns the next request at a time since the start.
+func (s *Scenario) draw(random *rand.Rand, at time.Duration) arrival {
+	a := arrival{template: &check, workspace: random.IntN(workspaces), prompt: shortestPrompt + random.IntN(longestPrompt-shortestPrompt)}
+	if s.Greedy && random.IntN(workspaces+greedyFactor-1) >= workspaces-1 {
+		a.workspace = 0
+	}
+	if random.Float64() < appraisal.share {
+		a.template = &appraisal
+	}
+	shift := 0.0
+	if s.ShiftAt > 0 && at >= s.ShiftAt {
+		shift = shiftedLength
+	}
+	a.output = a.template.draw(random, shift)
+	if random.Float64() < prefixShare {
+		a.prefix = 1 + uint64(random.IntN(prefixes))
+	}
+	return a
+}
+
+func drawLookup(random *rand.Rand) arrival {
+	return arrival{template: &lookup, workspace: random.IntN(workspaces), prompt: lookupPrompt + random.IntN(lookupSpread), output: lookup.draw(random, 0)}
+}
+
+// rateAt returns how many requests a second arrive, without lookups.
+func (s *Scenario) rateAt(at time.Duration) float64 {
+	rate := s.Rate
+	if at >= s.BurstFrom && at < s.BurstTo {
+		rate *= burstFactor
+	}
+	if s.Greedy {
+		rate *= float64(workspaces+greedyFactor-1) / workspaces
+	}
+	return rate
+}
+
+// dataCentreOf returns the data centre of an engine.
+func dataCentreOf(engine int) string { return fmt.Sprintf("dc%d", engine%dataCentres) }
