--- a/pkg/usherrequest/id.go
+++ b/pkg/usherrequest/id.go
@@ -94,13 +94,17 @@
 	})
 }
 
-// ParseID returns the id that text stands for. With a ForgedError it returns what the text claims, which proves nothing.
-func (k Keyring) ParseID(text string) (ID, error) {
+// ParseID returns the id that text stands for if it is authentic and of workspace. With a ForgedError it returns what
+// the text claims, which proves nothing.
+func (k Keyring) ParseID(workspace, text string) (ID, error) {
 	var wire idWire
 	err := k.open(labelID, text, &wire)
 	if errorx.IsOfType(err, MalformedError) {
 		return ID{}, err
 	}
+	if err == nil && wire.Workspace != workspace {
+		return ID{}, ForeignError.New("the id belongs to another workspace")
+	}
 	return ID{
 		Gateway:     wire.Gateway,
 		Incarnation: wire.Incarnation,
--- a/pkg/usherrequest/refusal.go
+++ b/pkg/usherrequest/refusal.go
@@ -9,6 +9,7 @@
 // Reasons why a request ends without a whole answer.
 const (
 	ReasonCancelled      Reason = "cancelled"
+	ReasonConflict       Reason = "conflict"
 	ReasonDeadlinePassed Reason = "deadline_passed"
 	ReasonExpired        Reason = "expired"
 	ReasonForged         Reason = "forged"
@@ -33,7 +34,7 @@
 	ForgedError = namespace.NewType("forged")
 	// ExpiredError is the type of errors about a handle after its time.
 	ExpiredError = namespace.NewType("expired")
-	// ForeignError is the type of errors about a handle of another workspace.
+	// ForeignError is the type of errors about an id or handle of another workspace.
 	ForeignError = namespace.NewType("foreign")
 	// SecretError is the type of errors about a keyring that cannot sign.
 	SecretError = namespace.NewType("secret")
--- a/pkg/usherrequest/request_test.go
+++ b/pkg/usherrequest/request_test.go
@@ -165,23 +165,26 @@
 		t.Fatal(err)
 	}
 	for _, secrets := range [][]string{{"a"}, {"a", "b"}, {"b", "a"}, {"c", "b", "a"}} {
-		if got, err := keyring(t, secrets...).ParseID(text); err != nil || got != id {
+		if got, err := keyring(t, secrets...).ParseID("weavers", text); err != nil || got != id {
 			t.Errorf("with secrets %v: %v, %v, want %v", secrets, got, err, id)
 		}
 	}
-	if _, err := keyring(t, "b").ParseID(text); !errorx.IsOfType(err, usherrequest.ForgedError) {
+	if _, err := keyring(t, "b").ParseID("weavers", text); !errorx.IsOfType(err, usherrequest.ForgedError) {
 		t.Errorf("under another secret: %v", err)
 	}
-	if _, err := (usherrequest.Keyring{}).ParseID(text); !errorx.IsOfType(err, usherrequest.ForgedError) {
+	if _, err := (usherrequest.Keyring{}).ParseID("weavers", text); !errorx.IsOfType(err, usherrequest.ForgedError) {
 		t.Errorf("under no secret: %v", err)
 	}
+	if _, err := keyring(t, "a").ParseID("potters", text); !errorx.IsOfType(err, usherrequest.ForeignError) {
+		t.Errorf("of another workspace: %v", err)
+	}
 	if _, err := keyring(t, "a").ParseHandle(start, "weavers", text); err == nil {
 		t.Error("an id passed for a handle")
 	}
 	for i := range len(text) {
 		changed := []byte(text)
 		changed[i] ^= 1
-		if _, err := keyring(t, "a").ParseID(string(changed)); err == nil {
+		if _, err := keyring(t, "a").ParseID("weavers", string(changed)); err == nil {
 			t.Fatalf("text with byte %d changed was accepted", i)
 		}
 	}
@@ -231,7 +234,7 @@
 	}
 	addSeeds(f, text)
 	f.Fuzz(func(t *testing.T, text string) {
-		got, err := k.ParseID(text)
+		got, err := k.ParseID("weavers", text)
 		if err != nil {
 			return
 		}
