--- /dev/null
+++ b/standin/usherplatform/hosts.go
@@ -0,0 +1,126 @@
+package usherplatform
+
+import (
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/joomcode/errorx"
+
+	"github.com/samphireusher/samphireusher/standin/internal/usherhttp"
+)
+
+// Roles and states of a host.
+const (
+	RoleGateway   = "gateway"
+	RoleScheduler = "scheduler"
+	StateLive     = "live"
+	StateLeaving  = "leaving"
+)
+
+type (
+	// Host is one entry of the host list.
+	Host struct {
+		Name       string `json:"name"`
+		Address    string `json:"address"`
+		DataCentre string `json:"data_centre"`
+		Role       string `json:"role"`
+		State      string `json:"state"`
+	}
+
+	hostList struct {
+		version int64
+		since   time.Time
+		hosts   []Host
+	}
+
+	// hostLists keeps the lists that are shown now or later, oldest first.
+	hostLists struct {
+		version int64
+		lists   []hostList
+	}
+
+	hostsBody struct {
+		Hosts []Host `json:"hosts"`
+	}
+
+	hostsAnswer struct {
+		Version int64  `json:"version"`
+		Hosts   []Host `json:"hosts"`
+	}
+)
+
+// SetHosts replaces the host list; readers see it after the lag.
+func (p *Platform) SetHosts(hosts []Host) (version int64, err error) {
+	for _, host := range hosts {
+		if err := host.check(); err != nil {
+			return 0, err
+		}
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := time.Now()
+	p.hosts.forget(now.Add(-p.hostLag()))
+	p.hosts.version++
+	p.hosts.lists = append(p.hosts.lists, hostList{p.hosts.version, now, slices.Clone(hosts)})
+	return p.hosts.version, nil
+}
+
+func (h Host) check() error {
+	if h.Name == "" || h.Address == "" || h.DataCentre == "" {
+		return errorx.IllegalArgument.New("host %q lacks a name, an address or a data centre", h.Name)
+	}
+	if h.Role != RoleGateway && h.Role != RoleScheduler {
+		return errorx.IllegalArgument.New("host %q has the unknown role %q", h.Name, h.Role)
+	}
+	if h.State != StateLive && h.State != StateLeaving {
+		return errorx.IllegalArgument.New("host %q has the unknown state %q", h.Name, h.State)
+	}
+	return nil
+}
+
+func (p *Platform) hostLag() time.Duration {
+	if p.faults.HostLagMS > 0 {
+		return time.Duration(p.faults.HostLagMS) * time.Millisecond
+	}
+	return p.config.HostLag
+}
+
+// forget drops the lists that a newer one had replaced by the given time.
+func (l *hostLists) forget(by time.Time) {
+	for len(l.lists) > 1 && !l.lists[1].since.After(by) {
+		l.lists = l.lists[1:]
+	}
+}
+
+// at returns the list that was in force at a time.
+func (l *hostLists) at(when time.Time) hostsAnswer {
+	shown := hostsAnswer{Hosts: []Host{}}
+	for _, list := range l.lists {
+		if !list.since.After(when) {
+			shown = hostsAnswer{list.version, list.hosts}
+		}
+	}
+	return shown
+}
+
+func (p *Platform) serveHosts(w http.ResponseWriter, _ *http.Request) {
+	p.mu.Lock()
+	answer := p.hosts.at(time.Now().Add(-p.hostLag()))
+	p.mu.Unlock()
+	usherhttp.Reply(w, http.StatusOK, answer)
+}
+
+func (p *Platform) servePutHosts(w http.ResponseWriter, r *http.Request) {
+	var body hostsBody
+	if err := usherhttp.Decode(w, r, &body); err != nil {
+		usherhttp.Refuse(w, http.StatusBadRequest, err.Error())
+		return
+	}
+	version, err := p.SetHosts(body.Hosts)
+	if err != nil {
+		usherhttp.Refuse(w, http.StatusBadRequest, err.Error())
+		return
+	}
+	usherhttp.Reply(w, http.StatusOK, writeAnswer{version})
+}
