--- a/standin/usherpipe/pipe.go
+++ b/standin/usherpipe/pipe.go
@@ -20,9 +20,10 @@
 	// Client sends requests to one handler; the host in their address is ignored.
 	Client struct {
 		http.Client
-		server    *http.Server
-		transport *http.Transport
-		served    sync.WaitGroup
+		server      *http.Server
+		transport   *http.Transport
+		served      sync.WaitGroup
+		connections sync.WaitGroup
 	}
 
 	listener struct {
@@ -37,22 +38,30 @@
 // Serve starts a server of handler and returns its client.
 func Serve(handler http.Handler) *Client {
 	pipes := &listener{connections: make(chan net.Conn), closed: make(chan struct{})}
-	c := &Client{
-		server:    &http.Server{Handler: handler, ErrorLog: log.New(io.Discard, "", 0)},
-		transport: &http.Transport{DialContext: pipes.dial},
-	}
+	c := &Client{transport: &http.Transport{DialContext: pipes.dial}}
+	c.server = &http.Server{Handler: handler, ErrorLog: log.New(io.Discard, "", 0), ConnState: c.count}
 	c.Transport = c.transport
 	c.served.Go(func() { c.server.Serve(pipes) })
 	return c
 }
 
-// Close cuts all connections and waits for the server to end.
+// Close cuts all connections and waits until no handler runs any more.
 func (c *Client) Close() {
 	c.server.Close()
 	c.served.Wait()
+	c.connections.Wait()
 	c.transport.CloseIdleConnections()
 }
 
+func (c *Client) count(_ net.Conn, state http.ConnState) {
+	switch state {
+	case http.StateNew:
+		c.connections.Add(1)
+	case http.StateClosed:
+		c.connections.Done()
+	}
+}
+
 func (l *listener) dial(ctx context.Context, _, _ string) (net.Conn, error) {
 	near, far := net.Pipe()
 	select {
