Thin whole path: one request end to end over real QUIC and HTTP

Ruled out: a load report for plain services left out (their leases would never be proven); reports without an age (a lag of unknown length would let a takeover count from a stale report), so the stand-ins tell the age by their own clock. Before: no path.

--- a/cmd/usher-gateway/main.go
+++ b/cmd/usher-gateway/main.go
@@ -1,4 +1,12 @@
-// Command usher-gateway is not built yet.
+// Command usher-gateway is the daemon that callers connect to.
 package main
 
-func main() {}
+import (
+	"os"
+
+	"github.com/samphireusher/samphireusher/service/usherdaemon"
+)
+
+func main() {
+	os.Exit(usherdaemon.Main("usher-gateway", usherdaemon.RunGateway))
+}
--- a/cmd/usher-scheduler/main.go
+++ b/cmd/usher-scheduler/main.go
@@ -1,4 +1,12 @@
-// Command usher-scheduler is not built yet.
+// Command usher-scheduler is the daemon that grants requests to targets.
 package main
 
-func main() {}
+import (
+	"os"
+
+	"github.com/samphireusher/samphireusher/service/usherdaemon"
+)
+
+func main() {
+	os.Exit(usherdaemon.Main("usher-scheduler", usherdaemon.RunScheduler))
+}
--- /dev/null
+++ b/service/usherdaemon/daemon.go
@@ -0,0 +1,176 @@
+// Package usherdaemon joins the parts of a daemon and runs it until a planned stop.
+//
+// A daemon checks its settings as a whole, loads its keys, opens its link, waits for a configuration and only then
+// serves. SIGTERM and SIGINT begin a planned stop; SIGHUP loads the keys anew.
+//
+// # Usage
+//
+//	func main() {
+//		os.Exit(usherdaemon.Main("usher-gateway", usherdaemon.RunGateway))
+//	}
+package usherdaemon
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/alecthomas/kong"
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/samphireusher/samphireusher/pkg/usherkey"
+	"github.com/samphireusher/samphireusher/pkg/usherlink"
+	"github.com/samphireusher/samphireusher/service/usherfeed"
+)
+
+const (
+	exitFailure       = 1
+	readHeaderTimeout = 10 * time.Second
+)
+
+type (
+	// daemon is what every process has.
+	daemon struct {
+		settings *Common
+		log      *slog.Logger
+		keys     *usherkey.Ring
+		node     *usherlink.Node
+		mux      *usherlink.Mux
+		feed     *usherfeed.Feed
+		metrics  metrics.Registry
+		duties   sync.WaitGroup
+	}
+
+	// part is the product code that a daemon runs.
+	part interface {
+		Run(ctx context.Context)
+		Stop(ctx context.Context) error
+		Dump(ctx context.Context) any
+	}
+
+	arguments struct {
+		Settings string `arg:"" help:"File with the settings, in INI." type:"existingfile"`
+		Check    bool   `help:"Only check the settings."`
+	}
+)
+
+// Main parses the command line and runs the daemon; it returns the exit code.
+func Main(name string, run func(ctx context.Context, settings string, checkOnly bool) error) int {
+	var args arguments
+	kong.Parse(&args, kong.Name(name), kong.Description("A daemon of samphireusher. SIGTERM is a planned stop."))
+	if err := run(context.Background(), args.Settings, args.Check); err != nil {
+		fmt.Fprintf(os.Stderr, "%s: %v\n", name, err)
+		return exitFailure
+	}
+	return 0
+}
+
+// open does what comes before the product code: keys, link and configuration.
+func open(ctx context.Context, settings *Common, mux *usherlink.Mux) (*daemon, error) {
+	d := &daemon{settings: settings, log: settings.logger(), mux: mux, metrics: metrics.NewRegistry()}
+	var err error
+	if d.keys, err = usherkey.Load(settings.files()); err != nil {
+		return nil, err
+	}
+	if d.node, err = usherlink.Listen(settings.Listen.Address.String(), d.keys, usherlink.HandlerFunc(mux.ServeMessage), d.log); err != nil {
+		return nil, err
+	}
+	d.feed = usherfeed.New(usherfeed.NewPlatform(settings.Platform.Address), d.log)
+	if err := d.feed.Start(ctx); err != nil {
+		return nil, errors.Join(err, d.node.Close())
+	}
+	return d, nil
+}
+
+// serve runs p until a planned stop has ended.
+func (d *daemon) serve(ctx context.Context, p part, callers http.Handler) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	servers, err := d.listen(p, callers)
+	if err != nil {
+		return err
+	}
+	d.duties.Go(func() { d.feed.Run(ctx) })
+	d.duties.Go(func() { p.Run(ctx) })
+	d.log.Info("serving", "address", d.settings.Listen.Address.String(), "admin", d.settings.Listen.Admin.String(), "revision", d.feed.Revision())
+	d.awaitSignal(ctx)
+	err = d.stop(ctx, p, servers)
+	cancel()
+	d.duties.Wait()
+	return errors.Join(err, d.node.Close())
+}
+
+// awaitSignal returns at the signal of a planned stop.
+func (d *daemon) awaitSignal(ctx context.Context) {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	defer signal.Stop(signals)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case s := <-signals:
+			if s != syscall.SIGHUP {
+				d.log.Info("planned stop begins")
+				return
+			}
+			if err := d.keys.Reload(); err != nil {
+				d.log.Error("keys not reloaded; the old ones stay in force", "error", err)
+				continue
+			}
+			d.log.Info("keys reloaded")
+		}
+	}
+}
+
+// stop lets what is in progress end, then closes the servers.
+func (d *daemon) stop(ctx context.Context, p part, servers []*http.Server) error {
+	ctx, cancel := context.WithTimeout(ctx, d.settings.Stop.Timeout)
+	defer cancel()
+	failures := []error{p.Stop(ctx)}
+	for _, s := range servers {
+		failures = append(failures, s.Shutdown(ctx))
+	}
+	err := errors.Join(failures...)
+	d.log.Info("planned stop ends", "error", err)
+	return err
+}
+
+func (d *daemon) listen(p part, callers http.Handler) ([]*http.Server, error) {
+	servers := []*http.Server{}
+	admin, err := d.listenHTTP(d.settings.Listen.Admin.String(), d.adminRoutes(p))
+	if err != nil {
+		return nil, err
+	}
+	servers = append(servers, admin)
+	if callers == nil {
+		return servers, nil
+	}
+	server, err := d.listenHTTP(d.settings.Listen.Address.String(), callers)
+	if err != nil {
+		return nil, errors.Join(err, admin.Close())
+	}
+	return append([]*http.Server{server}, servers...), nil
+}
+
+func (d *daemon) listenHTTP(address string, handler http.Handler) (*http.Server, error) {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout, ErrorLog: slog.NewLogLogger(d.log.Handler(), slog.LevelDebug)}
+	d.duties.Go(func() {
+		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			d.log.Error("server ended", "address", address, "error", err)
+		}
+	})
+	return server, nil
+}
--- /dev/null
+++ b/service/usherdaemon/run.go
@@ -0,0 +1,98 @@
+package usherdaemon
+
+import (
+	"bytes"
+	"context"
+	"os"
+	"time"
+
+	"github.com/samphireusher/samphireusher/pkg/usherlink"
+	"github.com/samphireusher/samphireusher/pkg/usherrequest"
+	"github.com/samphireusher/samphireusher/pkg/ushersetting"
+	"github.com/samphireusher/samphireusher/service/ushergateway"
+	"github.com/samphireusher/samphireusher/service/ushergrant"
+	"github.com/samphireusher/samphireusher/service/usherscheduler"
+	"github.com/samphireusher/samphireusher/service/ushertarget"
+)
+
+// RunGateway runs usher-gateway with the settings in a file.
+func RunGateway(ctx context.Context, path string, checkOnly bool) error {
+	var settings GatewaySettings
+	if err := ushersetting.Load(path, &settings); err != nil || checkOnly {
+		return err
+	}
+	keyring, err := loadKeyring(settings.Secret.Current, settings.Secret.Accepted)
+	if err != nil {
+		return err
+	}
+	mux := &usherlink.Mux{}
+	d, err := open(ctx, &settings.Common, mux)
+	if err != nil {
+		return err
+	}
+	gateway, err := ushergateway.New(ushergateway.Options{
+		Name: settings.Process.Name, DataCentre: settings.Process.DataCentre, Address: settings.Listen.Address,
+		Incarnation: incarnation(), Keyring: keyring, Config: d.feed, Grants: ushergrant.NewClient(d.node),
+		Targets: ushertarget.NewClient(), Link: d.node, Log: d.log, Metrics: d.metrics,
+		Limits: ushergateway.Limits{
+			Requests: settings.Limits.Requests, BodyBytes: int64(settings.Limits.BodyBytes), KeptOutcomes: settings.Limits.KeptOutcomes,
+		},
+	})
+	if err != nil {
+		return err
+	}
+	gateway.Register(mux)
+	return d.serve(ctx, gateway, gateway.Routes())
+}
+
+// RunScheduler runs usher-scheduler with the settings in a file.
+func RunScheduler(ctx context.Context, path string, checkOnly bool) error {
+	var settings SchedulerSettings
+	if err := ushersetting.Load(path, &settings); err != nil || checkOnly {
+		return err
+	}
+	mux := &usherlink.Mux{}
+	d, err := open(ctx, &settings.Common, mux)
+	if err != nil {
+		return err
+	}
+	scheduler, err := usherscheduler.New(usherscheduler.Options{
+		Name: settings.Process.Name, DataCentre: settings.Process.DataCentre, Incarnation: incarnation(),
+		CellByDataCentre: settings.Cell.ByDataCentre, ReportLag: settings.Cell.ReportLag, Config: d.feed,
+		Reports: ushertarget.NewClient(), Link: d.node, Log: d.log, Metrics: d.metrics,
+	})
+	if err != nil {
+		return err
+	}
+	scheduler.Register(mux)
+	return d.serve(ctx, scheduler, nil)
+}
+
+// incarnation differs between any two starts of a process, and rises unless the host's clock was set back.
+func incarnation() uint64 {
+	return uint64(time.Now().UnixNano())
+}
+
+// loadKeyring reads the fleet secrets; the second file may be unnamed.
+func loadKeyring(current, accepted string) (usherrequest.Keyring, error) {
+	signing, err := readSecret(current)
+	if err != nil {
+		return usherrequest.Keyring{}, err
+	}
+	if accepted == "" {
+		return usherrequest.NewKeyring(signing)
+	}
+	other, err := readSecret(accepted)
+	if err != nil {
+		return usherrequest.Keyring{}, err
+	}
+	return usherrequest.NewKeyring(signing, other)
+}
+
+func readSecret(path string) ([]byte, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, ushersetting.ErrInvalid.Wrap(err, "fleet secret")
+	}
+	return bytes.TrimSpace(data), nil
+}
--- /dev/null
+++ b/service/usherdaemon/setting.go
@@ -0,0 +1,99 @@
+package usherdaemon
+
+import (
+	"log/slog"
+	"net/netip"
+	"os"
+	"time"
+
+	"github.com/samphireusher/samphireusher/pkg/usherkey"
+)
+
+type (
+	// Common are the settings that every daemon has.
+	Common struct {
+		Process struct {
+			Name       string `ini:"name" required:"true" usage:"name of this process, as the declarations' hosts have it"`
+			DataCentre string `ini:"data_centre" required:"true" usage:"data centre that this process runs in"`
+		} `ini:"process"`
+		Listen struct {
+			Address netip.AddrPort `ini:"address" required:"true" usage:"IP number and port: UDP for other processes and, at gateways, TCP for callers"`
+			Admin   netip.AddrPort `ini:"admin" required:"true" usage:"IP number and TCP port of dump and metrics"`
+		} `ini:"listen"`
+		Keys struct {
+			Certificate string `ini:"certificate" required:"true" usage:"file with this process's certificate in PEM"`
+			Key         string `ini:"key" required:"true" usage:"file with its private key in PEM"`
+			Authorities string `ini:"authorities" required:"true" usage:"file with the certificates of the fleet's authorities in PEM"`
+		} `ini:"keys"`
+		Platform struct {
+			Address netip.AddrPort `ini:"address" required:"true" usage:"IP number and port of the configuration service"`
+		} `ini:"platform"`
+		Log struct {
+			Level string `ini:"level" default:"info" usage:"debug, info, warn or error"`
+		} `ini:"log"`
+		Stop struct {
+			Timeout time.Duration `ini:"timeout" default:"15m" usage:"longest time that a planned stop waits for requests in progress"`
+		} `ini:"stop"`
+	}
+
+	// GatewaySettings are the settings of usher-gateway.
+	GatewaySettings struct {
+		Common
+		Secret struct {
+			Current  string `ini:"current" required:"true" usage:"file with the fleet secret that signs request ids and handles"`
+			Accepted string `ini:"accepted" usage:"file with another fleet secret that is accepted too, while secrets rotate"`
+		} `ini:"secret"`
+		Limits struct {
+			Requests     int `ini:"requests" default:"20000" usage:"most requests in progress"`
+			BodyBytes    int `ini:"body_bytes" default:"1048576" usage:"largest body of a caller's request in bytes"`
+			KeptOutcomes int `ini:"kept_outcomes" default:"50000" usage:"most outcomes kept for callers that ask later"`
+		} `ini:"limits"`
+	}
+
+	// SchedulerSettings are the settings of usher-scheduler.
+	SchedulerSettings struct {
+		Common
+		Cell struct {
+			ByDataCentre bool          `ini:"by_data_centre" default:"false" usage:"schedulers of one data centre form a cell; otherwise all are one cell"`
+			ReportLag    time.Duration `ini:"report_lag" default:"1s" usage:"longest delay of a target's load report that does not tell its age"`
+		} `ini:"cell"`
+	}
+)
+
+// Check implements ushersetting.Checker.
+func (c *Common) Check() []string {
+	faults := []string{}
+	var level slog.Level
+	if err := level.UnmarshalText([]byte(c.Log.Level)); err != nil {
+		faults = append(faults, "log.level must be debug, info, warn or error")
+	}
+	if c.Listen.Address == c.Listen.Admin {
+		faults = append(faults, "listen.address and listen.admin must differ")
+	}
+	return faults
+}
+
+// Check implements ushersetting.Checker.
+func (s *GatewaySettings) Check() []string {
+	faults := s.Common.Check()
+	for name, n := range map[string]int{"requests": s.Limits.Requests, "body_bytes": s.Limits.BodyBytes, "kept_outcomes": s.Limits.KeptOutcomes} {
+		if n < 1 {
+			faults = append(faults, "limits."+name+" must be at least 1")
+		}
+	}
+	return faults
+}
+
+func (c *Common) files() usherkey.Files {
+	return usherkey.Files{Certificate: c.Keys.Certificate, Key: c.Keys.Key, Authorities: c.Keys.Authorities}
+}
+
+// logger writes JSON lines to standard error.
+func (c *Common) logger() *slog.Logger {
+	var level slog.Level
+	if err := level.UnmarshalText([]byte(c.Log.Level)); err != nil {
+		level = slog.LevelInfo
+	}
+	handler := slog.NewJSONHandler(os.Stderr, &slog.HandlerOptions{Level: level})
+	return slog.New(handler).With("process", c.Process.Name, "data_centre", c.Process.DataCentre)
+}
--- /dev/null
+++ b/service/ushergateway/dump.go
@@ -0,0 +1,56 @@
+package ushergateway
+
+import (
+	"context"
+	"time"
+)
+
+type (
+	dumpWire struct {
+		Stopping   bool            `json:"stopping"`
+		Requests   []requestDump   `json:"requests"`
+		Schedulers []schedulerDump `json:"schedulers"`
+	}
+
+	requestDump struct {
+		RequestID  string `json:"request_id"`
+		Workspace  string `json:"workspace"`
+		Template   string `json:"template"`
+		Revision   uint64 `json:"revision"`
+		Target     string `json:"target,omitempty"`
+		MadeTokens int    `json:"made_tokens"`
+	}
+
+	schedulerDump struct {
+		Name     string   `json:"name"`
+		AgeMS    int64    `json:"age_ms"`
+		Revision uint64   `json:"revision"`
+		Stopping bool     `json:"stopping"`
+		Held     []string `json:"held"`
+	}
+)
+
+// Dump returns the gateway's state for operators.
+func (g *Gateway) Dump(context.Context) any {
+	dump := dumpWire{Stopping: g.stopping.Load(), Requests: []requestDump{}, Schedulers: g.schedulers.dump(time.Now())}
+	for _, e := range g.active.all() {
+		running, _ := e.progress.read()
+		dump.Requests = append(dump.Requests, requestDump{
+			RequestID: e.idText, Workspace: e.call.Workspace.Name, Template: e.call.Template.Name,
+			Revision: e.call.Revision, Target: running.Target, MadeTokens: running.MadeTokens,
+		})
+	}
+	return dump
+}
+
+func (s *schedulers) dump(now time.Time) []schedulerDump {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	dumps := []schedulerDump{}
+	for name, known := range s.known {
+		dumps = append(dumps, schedulerDump{
+			Name: name, AgeMS: now.Sub(known.at).Milliseconds(), Revision: known.Revision, Stopping: known.Stopping, Held: known.Held,
+		})
+	}
+	return dumps
+}
--- a/service/ushergateway/execution.go
+++ b/service/ushergateway/execution.go
@@ -30,6 +30,8 @@
 		started(handle string) error
 		// token releases one token; text is a JSON string.
 		token(index int, text []byte) error
+		// text returns what was collected of the answer, if the sink does that.
+		text() string
 	}
 
 	// execution runs one accepted request.
@@ -66,6 +68,7 @@
 	// answer is a whole answer.
 	answer struct {
 		Result []byte
+		Text   string
 		Tokens int
 		Finish string
 	}
@@ -101,6 +104,7 @@
 		}
 		verdict := e.attempt(ctx, grant)
 		if verdict.done {
+			verdict.answer.Text = e.sink.text()
 			return verdict.answer, nil
 		}
 		if !e.mayRetry(ctx) {
--- /dev/null
+++ b/service/ushergateway/fleet_test.go
@@ -0,0 +1,62 @@
+package ushergateway_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/samphireusher/samphireusher/service/usherclient"
+	"github.com/samphireusher/samphireusher/standin/usherfleet"
+)
+
+// start brings up a fleet and waits until its schedulers grant.
+func start(t *testing.T, config usherfleet.Config) *usherfleet.Fleet {
+	t.Helper()
+	config.Directory = t.TempDir()
+	if os.Getenv("USHER_LOG") != "" {
+		config.Log = slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: slog.LevelDebug}))
+	}
+	fleet, err := usherfleet.Start(t.Context(), config)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = fleet.Close() })
+	warmUp(t, fleet)
+	return fleet
+}
+
+func newClient(t *testing.T) *usherclient.Client {
+	t.Helper()
+	client := usherclient.New(usherfleet.Workspace, usherfleet.Key)
+	t.Cleanup(client.Close)
+	return client
+}
+
+func appraisal(tokens int) usherclient.Request {
+	return usherclient.Request{Template: "appraisal", Parameters: map[string]string{"entry": fmt.Sprintf("a kasavu sari, tokens=%d", tokens)}}
+}
+
+// warmUp sends short requests until one is answered at each gateway.
+func warmUp(t *testing.T, fleet *usherfleet.Fleet) {
+	t.Helper()
+	client := newClient(t)
+	ctx, cancel := context.WithTimeout(t.Context(), 60*time.Second)
+	defer cancel()
+	for _, gateway := range fleet.Gateways {
+		for {
+			_, err := client.Send(ctx, gateway.Address(), appraisal(1), nil)
+			if err == nil {
+				break
+			}
+			var refusal usherclient.Refusal
+			if !errors.As(err, &refusal) || refusal.Outcome != "not_run" || ctx.Err() != nil {
+				t.Fatalf("warming up %s: %v", gateway.Name(), err)
+			}
+			time.Sleep(50 * time.Millisecond)
+		}
+	}
+}
--- a/service/ushergateway/gateway.go
+++ b/service/ushergateway/gateway.go
@@ -30,6 +30,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/samphireusher/samphireusher/pkg/usherconfig"
+	"github.com/samphireusher/samphireusher/pkg/usherledger"
 	"github.com/samphireusher/samphireusher/pkg/usherlink"
 	"github.com/samphireusher/samphireusher/pkg/usherrequest"
 	"github.com/samphireusher/samphireusher/service/ushergrant"
@@ -113,6 +114,7 @@
 		active     active
 		outcomes   outcomes
 		takeovers  takeovers
+		once       once
 		meters     meters
 		minting    sync.Mutex
 		minter     usherrequest.Minter
@@ -136,6 +138,7 @@
 		meters:   newMeters(options.Metrics),
 		minter:   usherrequest.Minter{Gateway: options.Name, Incarnation: options.Incarnation},
 	}
+	g.once.ledger = usherledger.New(options.Name, options.Incarnation, usherledger.Limits{})
 	g.schedulers.prefer(options.DataCentre)
 	return g, nil
 }
@@ -144,6 +147,7 @@
 func (g *Gateway) Register(mux *usherlink.Mux) {
 	ushergrant.RegisterListener(mux, &g.schedulers)
 	g.registerTakeover(mux)
+	mux.Handle(kindForward, g.serveForward)
 }
 
 // Run reports progress to the schedulers until ctx ends.
@@ -164,6 +168,7 @@
 // Stop turns new requests away and waits until those in progress have ended, or ctx does.
 func (g *Gateway) Stop(ctx context.Context) error {
 	g.stopping.Store(true)
+	g.once.stop()
 	done := make(chan struct{})
 	go func() {
 		g.requests.Wait()
--- a/service/ushergateway/generate.go
+++ b/service/ushergateway/generate.go
@@ -42,11 +42,7 @@
 
 // callPlain runs the request at a plain service.
 func (e *execution) callPlain(ctx context.Context, grant granted) verdict {
-	parameters := map[string]string{}
-	for _, a := range e.call.Arguments {
-		parameters[a.Name] = a.Value
-	}
-	call := ushertarget.Call{ID: e.idText, Operation: e.call.Template.Name, Parameters: parameters}
+	call := ushertarget.Call{ID: e.idText, Operation: e.call.Template.Name, Parameters: parametersOf(e.call)}
 	result, evidence, err := e.gateway.Targets.Call(ctx, grant.Address, call, e.guard(grant))
 	if err != nil {
 		return e.failed(evidence, err)
--- a/service/ushergateway/locate.go
+++ b/service/ushergateway/locate.go
@@ -35,3 +35,12 @@
 	}
 	return "", false
 }
+
+func (g *Gateway) gatewayNamed(name string) (usherconfig.Host, bool) {
+	for _, host := range g.Config.Hosts(usherconfig.GatewayRole) {
+		if host.Name == name {
+			return host, true
+		}
+	}
+	return usherconfig.Host{}, false
+}
--- a/service/ushergateway/sink.go
+++ b/service/ushergateway/sink.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/samphireusher/samphireusher/pkg/usherconfig"
+	"github.com/samphireusher/samphireusher/pkg/usherledger"
 	"github.com/samphireusher/samphireusher/pkg/usherrequest"
 )
 
@@ -30,11 +31,23 @@
 		buffer    []byte
 	}
 
+	// collector keeps the text of an answer.
+	collector struct {
+		collected strings.Builder
+	}
+
 	// wholeSink collects an answer and writes it at its end.
 	wholeSink struct {
+		collector
 		w         http.ResponseWriter
 		requestID string
-		text      strings.Builder
+	}
+
+	// keepingSink collects an answer for a caller that may go away, and passes it on while the caller is there.
+	keepingSink struct {
+		collector
+		to   sink
+		gone bool
 	}
 
 	startedWire struct {
@@ -96,7 +109,20 @@
 		s.last("refused", wire)
 		return
 	}
-	s.last("end", endWire{RequestID: s.requestID, Outcome: usherrequest.Completed, Tokens: answer.Tokens, Finish: answer.Finish})
+	answer.Text = "" // the caller has it, token by token
+	s.last("end", answer.wire(s.requestID))
+}
+
+// endResult ends a stream whose request ran under the ledger.
+func (s *eventSink) endResult(result usherledger.Result, err error) {
+	switch {
+	case err != nil:
+		s.end(answer{}, err)
+	case result.Outcome() != usherrequest.Completed:
+		s.end(answer{}, result.Refusal)
+	default:
+		_ = s.event("end", result.Answer)
+	}
 }
 
 func (s *eventSink) last(name string, wire any) {
@@ -115,6 +141,11 @@
 	return s.flush()
 }
 
+// text is empty: a stream keeps nothing.
+func (s *eventSink) text() string {
+	return ""
+}
+
 func (s *eventSink) begin() {
 	if s.begun {
 		return
@@ -133,27 +164,46 @@
 	return s.control.Flush()
 }
 
-func (s *wholeSink) started(string) error {
-	s.text.Reset()
+func (c *collector) started(string) error {
+	c.collected.Reset()
 	return nil
 }
 
-func (s *wholeSink) token(_ int, text []byte) error {
+func (c *collector) token(_ int, text []byte) error {
 	var token string
 	if err := json.Unmarshal(text, &token); err != nil {
 		return errMalformed.Wrap(err, "token")
 	}
-	s.text.WriteString(token)
+	c.collected.WriteString(token)
 	return nil
 }
 
+func (c *collector) text() string {
+	return c.collected.String()
+}
+
+func (s *keepingSink) started(handle string) error {
+	s.gone = s.gone || s.to.started(handle) != nil
+	return s.collector.started(handle)
+}
+
+func (s *keepingSink) token(index int, text []byte) error {
+	s.gone = s.gone || s.to.token(index, text) != nil
+	return s.collector.token(index, text)
+}
+
 func (s *wholeSink) end(answer answer, err error) {
 	if err != nil {
 		writeRefusal(s.w, s.requestID, err)
 		return
 	}
-	writeJSON(s.w, http.StatusOK, endWire{
-		RequestID: s.requestID, Outcome: usherrequest.Completed, Tokens: answer.Tokens, Finish: answer.Finish,
-		Text: s.text.String(), Result: answer.Result,
-	})
+	writeJSON(s.w, http.StatusOK, answer.wire(s.requestID))
+}
+
+// wire returns the answer as callers see its end.
+func (a answer) wire(requestID string) endWire {
+	return endWire{
+		RequestID: requestID, Outcome: usherrequest.Completed, Tokens: a.Tokens, Finish: a.Finish,
+		Text: a.Text, Result: a.Result,
+	}
 }
--- a/service/ushergateway/submit.go
+++ b/service/ushergateway/submit.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/samphireusher/samphireusher/pkg/usherconfig"
+	"github.com/samphireusher/samphireusher/pkg/usherledger"
 	"github.com/samphireusher/samphireusher/pkg/usherrequest"
 )
 
@@ -35,6 +36,7 @@
 		Outcome   usherrequest.Outcome `json:"outcome"`
 		Reason    string               `json:"reason,omitempty"`
 		Tokens    int                  `json:"tokens,omitempty"`
+		Text      string               `json:"text,omitempty"`
 		Result    json.RawMessage      `json:"result,omitempty"`
 	}
 )
@@ -63,15 +65,23 @@
 	if err := readJSON(r.Body, &wire); err != nil {
 		return err
 	}
-	arguments := []usherconfig.Argument{}
-	for name, value := range wire.Parameters {
-		arguments = append(arguments, usherconfig.Argument{Name: name, Value: value})
+	call, err := g.Config.Resolve(callerOf(r), wire.Template, argumentsOf(wire.Parameters))
+	if err != nil {
+		return err
+	}
+	if call.Template.Idempotent {
+		return g.serveIdempotent(w, r, call)
 	}
-	call, err := g.Config.Resolve(callerOf(r), wire.Template, arguments)
+	return g.serveOnce(w, r, call, wire.RequestID)
+}
+
+// serveIdempotent runs a request under an id of this gateway's own.
+func (g *Gateway) serveIdempotent(w http.ResponseWriter, r *http.Request, call usherconfig.Call) error {
+	id, err := g.mintID(call.Workspace.Name, "")
 	if err != nil {
 		return err
 	}
-	id, text, err := g.identify(call, wire.RequestID)
+	text, err := g.Keyring.SignID(id)
 	if err != nil {
 		return err
 	}
@@ -81,24 +91,24 @@
 	return nil
 }
 
-// identify returns the request's id: the caller's, or a new one where the template is idempotent.
-func (g *Gateway) identify(call usherconfig.Call, text string) (usherrequest.ID, string, error) {
-	if text != "" {
-		id, err := g.Keyring.ParseID(text)
-		if err == nil && id.Workspace != call.Workspace.Name {
-			err = usherrequest.ForeignError.New("the request id belongs to another workspace")
-		}
-		return id, text, err
-	}
-	if !call.Template.Idempotent {
-		return usherrequest.ID{}, "", errMalformed.New("template %s is not idempotent: ask for a request_id first", call.Template.Name)
+// serveOnce runs a request that may not run twice, under the id that its caller was given before.
+func (g *Gateway) serveOnce(w http.ResponseWriter, r *http.Request, call usherconfig.Call, text string) error {
+	if text == "" {
+		return errMalformed.New("template %s is not idempotent: ask POST /v1/ids for a request_id first", call.Template.Name)
 	}
-	id, err := g.mintID(call.Workspace.Name, "")
+	id, err := g.Keyring.ParseID(call.Workspace.Name, text)
 	if err != nil {
-		return usherrequest.ID{}, "", err
+		writeRefusal(w, text, usherledger.Unproven(err))
+		return nil
 	}
-	text, err = g.Keyring.SignID(id)
-	return id, text, err
+	to := newSink(w, call, text)
+	result, err := g.runOnce(r.Context(), call, id, text, to)
+	if events, ok := to.(*eventSink); ok && events.begun {
+		events.endResult(result, err)
+		return nil
+	}
+	writeResult(w, text, result, err)
+	return nil
 }
 
 // submit runs an identified request to its end.
@@ -108,14 +118,15 @@
 	if g.stopping.Load() {
 		return answer{}, g.turnAway(usherrequest.ReasonStopping)
 	}
+	if call.Template.KeepAnswer {
+		ctx = context.WithoutCancel(ctx)
+		to = &keepingSink{to: to}
+	}
 	e := g.newExecution(call, id, text, to)
 	if !g.active.add(e, g.Limits.Requests) {
 		return answer{}, g.turnAway(usherrequest.ReasonOverloaded)
 	}
 	defer g.active.remove(e)
-	if call.Template.KeepAnswer {
-		ctx = context.WithoutCancel(ctx)
-	}
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	e.progress.cancelBy(cancel)
@@ -139,6 +150,9 @@
 	default:
 		g.meters.completed.Inc(1)
 	}
+	if !e.call.Template.KeepAnswer {
+		end.Answer.Text, end.Answer.Result = "", nil
+	}
 	g.outcomes.keep(e.idText, end)
 	g.Log.Info("request ended", "request", e.idText, "workspace", end.Workspace, "template", e.call.Template.Name,
 		"revision", e.call.Revision, "outcome", end.Outcome.String(), "reason", end.Reason, "tokens", result.Tokens)
@@ -167,7 +181,7 @@
 	}
 	writeJSON(w, http.StatusOK, statusWire{
 		RequestID: text, State: "ended", Outcome: end.Outcome, Reason: string(end.Reason),
-		Tokens: end.Answer.Tokens, Result: end.Answer.Result,
+		Tokens: end.Answer.Tokens, Text: end.Answer.Text, Result: end.Answer.Result,
 	})
 	return nil
 }
--- a/service/usherscheduler/duty.go
+++ b/service/usherscheduler/duty.go
@@ -45,7 +45,7 @@
 // tick does what is due by the clock.
 func (c *core) tick(ctx context.Context, now time.Time) {
 	if !now.Before(c.due.heartbeat) {
-		c.due.heartbeat = now.Add(heartbeatPeriod)
+		c.due.heartbeat = now.Add(c.options.Member.Interval)
 		c.reconfigure(now)
 		if c.membership.Tick(now) {
 			c.log.Warn("process was paused; its view is unconfirmed")
--- a/service/usherscheduler/event.go
+++ b/service/usherscheduler/event.go
@@ -42,7 +42,7 @@
 )
 
 // interactiveFrom is the priority from which requests are short and awaited.
-const interactiveFrom = 5
+const interactiveFrom = 7
 
 func (e acquireEvent) apply(c *core, now time.Time) {
 	r := e.pending.request
@@ -52,7 +52,7 @@
 		e.pending.reply <- reply{err: usherrequest.Refuse(usherrequest.Evidence{}, usherrequest.ReasonStopping)}
 		return
 	case !c.membership.View(now).Confirmed:
-		e.pending.reply <- reply{err: usherrequest.Refuse(usherrequest.Evidence{}, ReasonUnconfirmed).WithRetryAfter(heartbeatPeriod)}
+		e.pending.reply <- reply{err: usherrequest.Refuse(usherrequest.Evidence{}, ReasonUnconfirmed).WithRetryAfter(c.options.Member.Interval)}
 		return
 	}
 	weight := 1.0
--- a/service/usherscheduler/scheduler.go
+++ b/service/usherscheduler/scheduler.go
@@ -40,7 +40,7 @@
 const (
 	inboxEvents     = 8192
 	decisionPeriod  = 5 * time.Millisecond
-	heartbeatPeriod = time.Second
+	defaultInterval = time.Second
 	reportPeriod    = 500 * time.Millisecond
 	advertisePeriod = 500 * time.Millisecond
 	catchUpTimeout  = 2 * time.Second
@@ -113,6 +113,9 @@
 	if options.Metrics == nil {
 		options.Metrics = metrics.NewRegistry()
 	}
+	if options.Member.Interval == 0 {
+		options.Member.Interval = defaultInterval
+	}
 	s := &Scheduler{options: options, inbox: usherring.New[event](inboxEvents), done: make(chan struct{})}
 	s.core = newCore(time.Now(), options, s.inbox)
 	return s, nil
--- a/standin/usherengine/report.go
+++ b/standin/usherengine/report.go
@@ -11,6 +11,7 @@
 	report struct {
 		Incarnation      int64   `json:"incarnation"`
 		TakenAtMS        int64   `json:"taken_at_ms"`
+		AgeMS            int64   `json:"age_ms"`
 		Running          int     `json:"running"`
 		Waiting          int     `json:"waiting"`
 		MemoryUsedTokens int     `json:"memory_used_tokens"`
@@ -83,7 +84,9 @@
 		if e.faults.LoseReports {
 			panic(http.ErrAbortHandler)
 		}
-		shown = e.laggingReport(s, time.Now())
+		now := time.Now()
+		shown = e.laggingReport(s, now)
+		shown.AgeMS = now.UnixMilli() - shown.TakenAtMS
 	})
 	usherhttp.Reply(w, http.StatusOK, shown)
 }
--- /dev/null
+++ b/standin/usherfleet/daemon.go
@@ -0,0 +1,180 @@
+package usherfleet
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/samphireusher/samphireusher/pkg/usherconfig"
+	"github.com/samphireusher/samphireusher/pkg/usherlink"
+	"github.com/samphireusher/samphireusher/pkg/usherrequest"
+	"github.com/samphireusher/samphireusher/service/usherfeed"
+	"github.com/samphireusher/samphireusher/service/ushergateway"
+	"github.com/samphireusher/samphireusher/service/ushergrant"
+	"github.com/samphireusher/samphireusher/service/usherscheduler"
+	"github.com/samphireusher/samphireusher/service/ushertarget"
+)
+
+type (
+	// Daemon is a gateway or scheduler that runs in this process.
+	Daemon struct {
+		host   usherconfig.Host
+		fleet  *Fleet
+		feed   *usherfeed.Feed
+		node   *usherlink.Node
+		part   part
+		server *http.Server
+		cancel context.CancelFunc
+		duties sync.WaitGroup
+		once   sync.Once
+	}
+
+	part interface {
+		Run(ctx context.Context)
+		Stop(ctx context.Context) error
+		Dump(ctx context.Context) any
+	}
+)
+
+// Name returns the daemon's name.
+func (d *Daemon) Name() string {
+	return d.host.Name
+}
+
+// Address returns where the daemon listens.
+func (d *Daemon) Address() string {
+	return d.host.Address.String()
+}
+
+// Revision returns the revision that is in force in the daemon.
+func (d *Daemon) Revision() uint64 {
+	return d.feed.Revision()
+}
+
+// Dump returns the daemon's state.
+func (d *Daemon) Dump(ctx context.Context) any {
+	return d.part.Dump(ctx)
+}
+
+// Stop is a planned stop.
+func (d *Daemon) Stop(ctx context.Context) error {
+	err := d.part.Stop(ctx)
+	if d.server != nil {
+		err = errors.Join(err, d.server.Shutdown(ctx))
+	}
+	return errors.Join(err, d.Kill())
+}
+
+// Kill ends the daemon at once, as the loss of its host does.
+func (d *Daemon) Kill() error {
+	var err error
+	d.once.Do(func() {
+		d.cancel()
+		if d.server != nil {
+			err = d.server.Close()
+		}
+		err = errors.Join(err, d.node.Close())
+		d.duties.Wait()
+	})
+	return err
+}
+
+// Restart starts a daemon of the same name and address after Kill or Stop.
+func (f *Fleet) Restart(ctx context.Context, d *Daemon) error {
+	for _, list := range [][]*Daemon{f.Gateways, f.Schedulers} {
+		for i, known := range list {
+			if known != d {
+				continue
+			}
+			started, err := f.newDaemon(ctx, d.host)
+			if err != nil {
+				return err
+			}
+			list[i] = started
+		}
+	}
+	return nil
+}
+
+func (f *Fleet) startDaemon(ctx context.Context, host usherconfig.Host) error {
+	d, err := f.newDaemon(ctx, host)
+	if err != nil {
+		return err
+	}
+	if host.Role == usherconfig.GatewayRole {
+		f.Gateways = append(f.Gateways, d)
+	} else {
+		f.Schedulers = append(f.Schedulers, d)
+	}
+	return nil
+}
+
+func (f *Fleet) newDaemon(ctx context.Context, host usherconfig.Host) (*Daemon, error) {
+	d := &Daemon{host: host, fleet: f}
+	keys, err := f.keysOf(host.Name)
+	if err != nil {
+		return nil, err
+	}
+	log := f.config.Log.With("process", host.Name)
+	mux := &usherlink.Mux{}
+	if d.node, err = usherlink.Listen(d.Address(), keys, usherlink.HandlerFunc(mux.ServeMessage), log); err != nil {
+		return nil, err
+	}
+	d.feed = usherfeed.New(usherfeed.NewPlatform(f.platform), log)
+	if err := d.feed.Start(ctx); err != nil {
+		return nil, err
+	}
+	if host.Role == usherconfig.GatewayRole {
+		err = d.asGateway(mux)
+	} else {
+		err = d.asScheduler(mux)
+	}
+	if err != nil {
+		return nil, err
+	}
+	running, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	d.cancel = cancel
+	d.duties.Go(func() { d.feed.Run(running) })
+	d.duties.Go(func() { d.part.Run(running) })
+	return d, nil
+}
+
+func (d *Daemon) asGateway(mux *usherlink.Mux) error {
+	keyring, err := usherrequest.NewKeyring(d.fleet.secret)
+	if err != nil {
+		return err
+	}
+	gateway, err := ushergateway.New(ushergateway.Options{
+		Name: d.host.Name, DataCentre: d.host.DataCentre, Address: d.host.Address, Incarnation: uint64(time.Now().UnixNano()),
+		Keyring: keyring, Config: d.feed, Grants: ushergrant.NewClient(d.node), Targets: ushertarget.NewClient(),
+		Link: d.node, Log: d.fleet.config.Log.With("process", d.host.Name),
+	})
+	if err != nil {
+		return err
+	}
+	gateway.Register(mux)
+	d.part = gateway
+	listener, err := net.Listen("tcp", d.Address())
+	if err != nil {
+		return err
+	}
+	d.server = &http.Server{Handler: gateway.Routes(), ReadHeaderTimeout: time.Minute}
+	d.duties.Go(func() { _ = d.server.Serve(listener) })
+	return nil
+}
+
+func (d *Daemon) asScheduler(mux *usherlink.Mux) error {
+	scheduler, err := usherscheduler.New(usherscheduler.Options{
+		Name: d.host.Name, DataCentre: d.host.DataCentre, Incarnation: uint64(time.Now().UnixNano()), ReportLag: time.Second,
+		Lease: d.fleet.config.Lease, Member: d.fleet.config.Member, Config: d.feed, Reports: ushertarget.NewClient(), Link: d.node, Log: d.fleet.config.Log.With("process", d.host.Name),
+	})
+	if err != nil {
+		return err
+	}
+	scheduler.Register(mux)
+	d.part = scheduler
+	return nil
+}
--- /dev/null
+++ b/standin/usherfleet/fleet.go
@@ -0,0 +1,281 @@
+// Package usherfleet joins stand-ins and the product's daemons in one process, on loopback, for tests.
+//
+// It starts the platform and the targets that a snapshot declares as HTTP servers, and gateways and schedulers that talk
+// QUIC to each other, so that a test meets the product at the same edges as its users do.
+//
+// # Usage
+//
+//	fleet, err := usherfleet.Start(ctx, usherfleet.Config{Gateways: 3, Schedulers: 3, Engines: 3, Services: 1})
+//	if err != nil {
+//		return err
+//	}
+//	defer fleet.Close()
+//	address := fleet.Gateways[0].Address()
+package usherfleet
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/samphireusher/samphireusher/pkg/usherconfig"
+	"github.com/samphireusher/samphireusher/pkg/usherkey"
+	"github.com/samphireusher/samphireusher/pkg/usherlease"
+	"github.com/samphireusher/samphireusher/pkg/ushermember"
+	"github.com/samphireusher/samphireusher/standin/usherengine"
+	"github.com/samphireusher/samphireusher/standin/usherplain"
+	"github.com/samphireusher/samphireusher/standin/usherplatform"
+)
+
+const (
+	// Workspace and Key are the credentials of the one workspace that every fleet has; OtherWorkspace has OtherKey.
+	Workspace      = "kochi"
+	Key            = "kochi-demo-key"
+	OtherWorkspace = "thrissur"
+	OtherKey       = "thrissur-demo-key"
+
+	keyValidity = time.Hour
+	secretBytes = 32
+)
+
+type (
+	// Config says how large a fleet is. Data centres are dealt in turn.
+	Config struct {
+		DataCentres int
+		Gateways    int
+		Schedulers  int
+		Engines     int
+		Services    int
+		// Engine sets what every engine stand-in is.
+		Engine usherengine.Config
+		// Bearable is the load that a cold engine bears; zero counts as one.
+		Bearable int
+		// Full is the load that a warm engine bears; zero counts as 32.
+		Full int
+		// Lease and Member time the schedulers' cell; zero values stand for intervals a fifth of the product's, so that
+		// tests need not wait.
+		Lease  usherlease.Options
+		Member ushermember.Options
+		// Directory holds the fleet's keys; it must be empty.
+		Directory string
+		Log       *slog.Logger
+	}
+
+	// Fleet is a running fleet.
+	Fleet struct {
+		Platform   *usherplatform.Platform
+		Engines    []*usherengine.Engine
+		Services   []*usherplain.Service
+		Gateways   []*Daemon
+		Schedulers []*Daemon
+
+		config    Config
+		authority usherkey.Pair
+		secret    []byte
+		platform  netip.AddrPort
+		snapshot  usherconfig.Snapshot
+		servers   []*http.Server
+	}
+)
+
+// Start brings a fleet up; its gateways serve when it returns.
+func Start(ctx context.Context, config Config) (*Fleet, error) {
+	f := &Fleet{config: config.withDefaults(), secret: make([]byte, secretBytes)}
+	var err error
+	if f.authority, err = usherkey.NewAuthority(time.Now(), keyValidity); err != nil {
+		return nil, err
+	}
+	f.Platform = usherplatform.New(usherplatform.Config{HostLag: time.Millisecond})
+	if f.platform, err = f.serve(f.Platform); err != nil {
+		return nil, err
+	}
+	if err := f.declare(); err != nil {
+		return nil, err
+	}
+	if err := f.Publish(f.snapshot); err != nil {
+		return nil, err
+	}
+	for _, h := range f.snapshot.Hosts {
+		if err := f.startDaemon(ctx, h); err != nil {
+			return nil, errors.Join(err, f.Close())
+		}
+	}
+	return f, nil
+}
+
+// Snapshot returns what was published last.
+func (f *Fleet) Snapshot() usherconfig.Snapshot {
+	return f.snapshot
+}
+
+// Publish publishes s under the next revision, as the operators' pipeline does.
+func (f *Fleet) Publish(s usherconfig.Snapshot) error {
+	s = s.WithRevision(f.snapshot.Revision + 1)
+	values := []usherplatform.Value{}
+	for _, v := range usherconfig.Render(s) {
+		values = append(values, usherplatform.Value{Key: v.Key, Body: v.Data})
+	}
+	if _, err := f.Platform.Publish(values); err != nil {
+		return err
+	}
+	f.snapshot = s
+	return nil
+}
+
+// Close ends every daemon at once, and the stand-ins.
+func (f *Fleet) Close() error {
+	failures := []error{}
+	for _, d := range append(f.Gateways, f.Schedulers...) {
+		failures = append(failures, d.Kill())
+	}
+	for _, s := range f.servers {
+		failures = append(failures, s.Close())
+	}
+	for _, e := range f.Engines {
+		e.Close()
+	}
+	return errors.Join(failures...)
+}
+
+// declare starts the targets and reserves the daemons' addresses.
+func (f *Fleet) declare() error {
+	s := usherconfig.Snapshot{}
+	for i := range f.config.DataCentres {
+		s = s.WithDataCentre(usherconfig.DataCentre{Name: f.dataCentre(i), Region: "kerala", InService: true})
+	}
+	s = withTemplates(s.WithService(usherconfig.Service{Name: "appraiser", Kind: usherconfig.EngineService}).
+		WithService(usherconfig.Service{Name: "registry", Kind: usherconfig.PlainService}))
+	for i := range f.config.Engines {
+		engine := usherengine.New(f.config.Engine)
+		address, err := f.serve(engine)
+		if err != nil {
+			return err
+		}
+		f.Engines = append(f.Engines, engine)
+		s = s.WithTarget(f.target(fmt.Sprintf("appraiser-%02d", i+1), "appraiser", i, address))
+	}
+	for i := range f.config.Services {
+		service := usherplain.New(usherplain.Config{})
+		address, err := f.serve(service)
+		if err != nil {
+			return err
+		}
+		f.Services = append(f.Services, service)
+		s = s.WithTarget(f.target(fmt.Sprintf("registry-%02d", i+1), "registry", i, address))
+	}
+	hosts := []usherplatform.Host{}
+	for role, count := range map[usherconfig.Role]int{usherconfig.GatewayRole: f.config.Gateways, usherconfig.SchedulerRole: f.config.Schedulers} {
+		for i := range count {
+			address, err := freeAddress()
+			if err != nil {
+				return err
+			}
+			h := usherconfig.Host{Name: fmt.Sprintf("%s-%d", role, i+1), Address: address, DataCentre: f.dataCentre(i), Role: role, InService: true}
+			s = s.WithHost(h)
+			hosts = append(hosts, usherplatform.Host{
+				Name: h.Name, Address: address.String(), DataCentre: h.DataCentre, Role: string(role), State: usherplatform.StateLive,
+			})
+		}
+	}
+	f.snapshot = s
+	_, err := f.Platform.SetHosts(hosts)
+	return err
+}
+
+func (f *Fleet) target(name, service string, i int, address netip.AddrPort) usherconfig.Target {
+	t := usherconfig.Target{
+		Name: name, Address: address, DataCentre: f.dataCentre(i), Service: service, BearableColdLoad: f.config.Bearable,
+		MaxWarmConcurrency: f.config.Full, InService: true,
+	}
+	if service == "appraiser" {
+		t.MemoryTokens = 60_000
+	}
+	return t
+}
+
+func (f *Fleet) dataCentre(i int) string {
+	names := []string{"kochi", "thrissur", "kozhikode"}
+	return names[i%f.config.DataCentres%len(names)]
+}
+
+// serve serves handler on a free port of loopback.
+func (f *Fleet) serve(handler http.Handler) (netip.AddrPort, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return netip.AddrPort{}, err
+	}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: time.Minute}
+	f.servers = append(f.servers, server)
+	go func() { _ = server.Serve(listener) }()
+	return netip.ParseAddrPort(listener.Addr().String())
+}
+
+// keysOf writes the keys of the daemon called name.
+func (f *Fleet) keysOf(name string) (*usherkey.Ring, error) {
+	pair, err := f.authority.Issue(name, time.Now(), keyValidity)
+	if err != nil {
+		return nil, err
+	}
+	path := func(ending string) string { return filepath.Join(f.config.Directory, name+ending) }
+	files := usherkey.Files{Certificate: path(".pem"), Key: path(".key"), Authorities: path("-fleet.pem")}
+	for file, data := range map[string][]byte{
+		files.Certificate: pair.Certificate, files.Key: pair.Key, files.Authorities: f.authority.Certificate,
+	} {
+		if err := os.WriteFile(file, data, 0o600); err != nil {
+			return nil, err
+		}
+	}
+	return usherkey.Load(files)
+}
+
+// freeAddress returns a port of loopback that is free for UDP and TCP.
+func freeAddress() (netip.AddrPort, error) {
+	const tries = 20
+	var last error
+	for range tries {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return netip.AddrPort{}, err
+		}
+		address := listener.Addr().String()
+		socket, err := net.ListenPacket("udp", address)
+		_ = listener.Close()
+		if err != nil {
+			last = err
+			continue
+		}
+		_ = socket.Close()
+		return netip.ParseAddrPort(address)
+	}
+	return netip.AddrPort{}, last
+}
+
+func (c Config) withDefaults() Config {
+	const (
+		full  = 32
+		quick = 200 * time.Millisecond
+	)
+	for field, value := range map[*int]int{&c.DataCentres: 1, &c.Gateways: 1, &c.Schedulers: 1, &c.Bearable: 1, &c.Full: full} {
+		if *field == 0 {
+			*field = value
+		}
+	}
+	if c.Member.Interval == 0 {
+		c.Member = ushermember.Options{
+			Interval: quick, SuspectAfter: 5 * quick / 2, DeadAfter: 4 * quick, SettleAfter: 5 * quick,
+			PauseAfter: 10 * quick,
+		}
+		c.Lease.Lease = 4 * quick
+	}
+	if c.Log == nil {
+		c.Log = slog.New(slog.DiscardHandler)
+	}
+	return c
+}
--- /dev/null
+++ b/standin/usherfleet/template.go
@@ -0,0 +1,40 @@
+package usherfleet
+
+import (
+	"time"
+
+	"github.com/samphireusher/samphireusher/pkg/usherconfig"
+)
+
+// withTemplates declares the kinds of work that the users have: streamed, whole, idempotent and not.
+func withTemplates(s usherconfig.Snapshot) usherconfig.Snapshot {
+	entry := usherconfig.Parameter{Name: "entry", Type: usherconfig.StringParameter, Min: 1, Max: 16 << 10, Required: true}
+	artisan := usherconfig.Parameter{Name: "artisan", Type: usherconfig.StringParameter, Min: 1, Max: 100, Required: true}
+	generation := usherconfig.Template{
+		Kind: usherconfig.GenerationTemplate, Service: "appraiser", Idempotent: true, MaxOutputTokens: 4000, Timeout: time.Minute,
+	}
+	appraisal := generation.WithParameter(entry).WithPrompt("Appraise this entry.\n{entry}")
+	appraisal.Name, appraisal.Delivery, appraisal.Priority = "appraisal", usherconfig.StreamDelivery, 5
+	plan := generation.WithParameter(entry).WithPrompt("Draft a lesson plan.\n{entry}")
+	plan.Name, plan.Delivery, plan.Priority = "plan", usherconfig.WholeDelivery, 3
+	kept := appraisal
+	kept.Name, kept.KeepAnswer = "kept", true
+	call := usherconfig.Template{Kind: usherconfig.CallTemplate, Service: "registry", Delivery: usherconfig.WholeDelivery, Priority: 8, Timeout: 10 * time.Second}
+	standing := call.WithParameter(artisan)
+	standing.Name, standing.Idempotent = "standing", true
+	allotment := call.WithParameter(artisan)
+	allotment.Name = "allotment"
+	for _, t := range []usherconfig.Template{appraisal, plan, kept, standing, allotment} {
+		s = s.WithTemplate(t)
+	}
+	return withWorkspaces(s)
+}
+
+func withWorkspaces(s usherconfig.Snapshot) usherconfig.Snapshot {
+	for name, key := range map[string]string{Workspace: Key, OtherWorkspace: OtherKey} {
+		s = s.WithWorkspace(usherconfig.Workspace{
+			Name: name, RequestsPerSecond: 1000, Burst: 1000, Weight: 1, KeyHash: usherconfig.HashKey(key),
+		})
+	}
+	return s
+}
--- a/standin/usherplain/service.go
+++ b/standin/usherplain/service.go
@@ -59,6 +59,7 @@
 		mu         sync.Mutex
 		faults     Faults
 		inProgress int
+		completed  int
 		record     recorder
 	}
 
@@ -68,6 +69,14 @@
 		Parameters json.RawMessage `json:"parameters"`
 	}
 
+	reportAnswer struct {
+		Incarnation int64 `json:"incarnation"`
+		AgeMS       int64 `json:"age_ms"`
+		Running     int   `json:"running"`
+		Completed   int   `json:"completed"`
+		Warm        bool  `json:"warm"`
+	}
+
 	callAnswer struct {
 		CallID string     `json:"call_id"`
 		Result callResult `json:"result"`
@@ -89,6 +98,7 @@
 
 	surface := http.NewServeMux()
 	surface.HandleFunc("POST /v1/calls", s.serveCall)
+	surface.HandleFunc("GET /v1/report", s.serveReport)
 
 	routes := http.NewServeMux()
 	routes.Handle("/v1/", alice.New(s.gate.Middleware).Then(surface))
@@ -142,6 +152,15 @@
 	s.answer(life.Context(), w, answer)
 }
 
+// serveReport tells the load without a lag.
+func (s *Service) serveReport(w http.ResponseWriter, r *http.Request) {
+	life := usherlife.FromContext(r.Context())
+	s.mu.Lock()
+	answer := reportAnswer{Incarnation: life.Incarnation, Running: s.inProgress, Completed: s.completed, Warm: true}
+	s.mu.Unlock()
+	usherhttp.Reply(w, http.StatusOK, answer)
+}
+
 func (s *Service) enter() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -158,6 +177,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.inProgress--
+	s.completed++
 }
 
 // execute runs a call unless the service dies before it, and may die after it.
