Suspicion of requests that crash targets; which gateway a caller is told

Ruled out: counting deaths by time (two gateways that lose work on one target would count its death twice), so a death is named by target and incarnation; the later of two times on a merge, since suspicion would never end while it goes back and forth between peers, so the earlier wins; a trial at every gateway, which kills a target each, so one gateway by rendezvous tries.

Conclusion: after the first death is known, at most one more target dies of runs that begin later. Runs already going elsewhere are not stopped.

--- a/pkg/usherrequest/id.go
+++ b/pkg/usherrequest/id.go
@@ -1,6 +1,7 @@
 package usherrequest
 
 import (
+	"cmp"
 	"strconv"
 	"time"
 
@@ -77,6 +78,11 @@
 	return AttemptID{Gateway: m.Gateway, Incarnation: m.Incarnation, Counter: m.attempts}
 }
 
+// Compare orders attempts by gateway, incarnation and counter.
+func (a AttemptID) Compare(b AttemptID) int {
+	return cmp.Or(cmp.Compare(a.Gateway, b.Gateway), cmp.Compare(a.Incarnation, b.Incarnation), cmp.Compare(a.Counter, b.Counter))
+}
+
 // String returns the id of the attempt as text for targets and logs.
 func (a AttemptID) String() string {
 	return a.Gateway + "-" + strconv.FormatUint(a.Incarnation, 36) + "-" + strconv.FormatUint(a.Counter, 36)
--- /dev/null
+++ b/pkg/ushersuspect/doc.go
@@ -0,0 +1,27 @@
+// Package ushersuspect finds requests that crash the targets which run them, and stops them.
+//
+// A request is known by its Fingerprint: workspace, template and parameters. Its id is not part of it, so a caller
+// that sends the request again under a new id gets no fresh start. When a target dies, every request in progress on
+// it is suspect. A suspect runs again only at one gateway, one at a time and on a target without another suspect, so
+// that the next death names its cause. Two deaths refuse the request for a while; finishing clears it.
+//
+// A death is named by the target and its incarnation, so that all who see it count it once. What a Watch has seen
+// spreads to its peers as Messages. They may be lost, reordered and repeated: the state after them is the same.
+//
+// Schedulers keep a Watch as well, to hold suspects of several gateways apart on one target.
+//
+// # Usage
+//
+//	watch := ushersuspect.New("kochi-1", ushersuspect.Limits{})
+//	fingerprint, err := ushersuspect.NewFingerprint(workspace, template, parameters)
+//	switch judgement := watch.Judge(now, fingerprint, gateways); judgement.Verdict {
+//	case ushersuspect.Free: // any target
+//	case ushersuspect.Isolated: // a target for which watch.Apart(now, fingerprint, target) holds
+//	case ushersuspect.Elsewhere: // refuse with the address of judgement.Gateway
+//	case ushersuspect.Wait, ushersuspect.Refused: // refuse with judgement.RetryAfter
+//	}
+//	watch.Start(target, attempt, fingerprint)
+//	watch.Finish(now, attempt, true)
+//	watch.Died(now, target) // a crash; never call it for a planned stop
+//	message, cursor := watch.Changes(now, cursor)
+package ushersuspect
--- /dev/null
+++ b/pkg/ushersuspect/suspect_test.go
@@ -0,0 +1,390 @@
+package ushersuspect_test
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"reflect"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/samphireusher/samphireusher/pkg/usherrequest"
+	"github.com/samphireusher/samphireusher/pkg/ushersuspect"
+	"pgregory.net/rapid"
+)
+
+const (
+	defaultSeed = "1"
+	faultSeeds  = 100
+
+	innocents    = 12
+	firstKillers = 3
+	killerSends  = 10
+	targetCount  = 4
+)
+
+const (
+	noFault fault = iota
+	// idCounts makes the id of a request part of its fingerprint.
+	idCounts
+	// noSpread keeps each gateway's suspicion to itself.
+	noSpread
+	// allTry lets every gateway try a suspect again.
+	allTry
+	// notApart puts suspects on one target.
+	notApart
+	// noClearing keeps suspecting what has finished.
+	noClearing
+)
+
+var (
+	start        = time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
+	gatewayNames = []string{"g0", "g1", "g2"}
+)
+
+type (
+	// fault takes one mechanism out of the fleet.
+	fault int
+
+	// job is a request at a gateway. The killer crashes every target that runs it.
+	job struct {
+		killer      bool
+		number      int
+		gateway     int
+		fingerprint ushersuspect.Fingerprint
+		attempt     usherrequest.AttemptID
+		target      int
+		late        bool
+	}
+
+	// fleet is three gateways and, as the last watch, a scheduler that places what they run.
+	fleet struct {
+		choose      func(int) int
+		fault       fault
+		now         time.Time
+		watches     []*ushersuspect.Watch
+		incarnation [targetCount]uint64
+		minter      usherrequest.Minter
+		pending     []job
+		running     []job
+		sends       int
+		finished    int
+		deaths      int
+		lateDeaths  int
+	}
+)
+
+func TestMain(m *testing.M) {
+	seed := os.Getenv("USHER_SEED")
+	if seed == "" {
+		seed = defaultSeed
+	}
+	if err := flag.Set("rapid.seed", seed); err != nil {
+		panic(err)
+	}
+	os.Exit(m.Run())
+}
+
+func fingerprint(text string) ushersuspect.Fingerprint {
+	f, err := ushersuspect.NewFingerprint("weavers", "appraisal", map[string]string{"text": text})
+	if err != nil {
+		panic(err)
+	}
+	return f
+}
+
+func newFleet(choose func(int) int, f fault) *fleet {
+	fl := &fleet{choose: choose, fault: f, now: start, minter: usherrequest.Minter{Gateway: "g", Incarnation: 1}}
+	for _, name := range append(slices.Clone(gatewayNames), "scheduler") {
+		fl.watches = append(fl.watches, ushersuspect.New(name, ushersuspect.Limits{}))
+	}
+	for i := range innocents {
+		fl.pending = append(fl.pending, job{number: i, gateway: choose(3), fingerprint: fingerprint(fmt.Sprint(i))})
+	}
+	for range firstKillers {
+		fl.sendKiller()
+	}
+	return fl
+}
+
+// sendKiller sends the killer, as ever under a new id.
+func (fl *fleet) sendKiller() {
+	if fl.sends == killerSends {
+		return
+	}
+	fl.sends++
+	text := "killer"
+	if fl.fault == idCounts {
+		text += fmt.Sprint(fl.sends)
+	}
+	fl.pending = append(fl.pending, job{killer: true, gateway: fl.choose(3), fingerprint: fingerprint(text)})
+}
+
+// run works until every innocent request is answered, and returns what is wrong.
+func (fl *fleet) run() error {
+	for range 3000 {
+		fl.now = fl.now.Add(time.Millisecond)
+		if fl.finished == innocents && fl.sends == killerSends && len(fl.running) == 0 {
+			break
+		}
+		switch {
+		case fl.choose(4) > 0 && len(fl.pending) > 0:
+			if err := fl.dispatch(fl.choose(len(fl.pending))); err != nil {
+				return err
+			}
+		case len(fl.running) > 0:
+			fl.end(fl.choose(len(fl.running)))
+		}
+	}
+	if fl.finished != innocents {
+		return fmt.Errorf("%d of %d innocent requests were answered", fl.finished, innocents)
+	}
+	if fl.lateDeaths > 1 {
+		return fmt.Errorf("%d targets died of runs that began after the first death was known", fl.lateDeaths)
+	}
+	for i := range innocents {
+		for _, w := range fl.watches {
+			if got := w.Judge(fl.now, fingerprint(fmt.Sprint(i)), gatewayNames); got.Verdict != ushersuspect.Free {
+				return fmt.Errorf("innocent request %d finished and is judged %+v", i, got)
+			}
+		}
+	}
+	return nil
+}
+
+func (fl *fleet) dispatch(i int) error {
+	j := fl.pending[i]
+	watch, scheduler := fl.watches[j.gateway], fl.watches[3]
+	peers := gatewayNames
+	if fl.fault == allTry {
+		peers = []string{gatewayNames[j.gateway]}
+	}
+	judgement := watch.Judge(fl.now, j.fingerprint, peers)
+	j.target = fl.choose(targetCount)
+	target := fl.target(j.target)
+	switch judgement.Verdict {
+	case ushersuspect.Wait:
+		return nil
+	case ushersuspect.Elsewhere:
+		fl.pending[i].gateway = slices.Index(gatewayNames, judgement.Gateway)
+		return nil
+	case ushersuspect.Refused:
+		if !j.killer {
+			return fmt.Errorf("innocent request %d is refused", j.number)
+		}
+		fl.pending = slices.Delete(fl.pending, i, i+1)
+		fl.sendKiller()
+		return nil
+	case ushersuspect.Isolated:
+		if fl.fault != notApart && !scheduler.Apart(fl.now, j.fingerprint, target) {
+			return nil
+		}
+	}
+	fl.pending = slices.Delete(fl.pending, i, i+1)
+	j.attempt = fl.minter.Attempt()
+	j.late = fl.deaths > 0
+	watch.Start(target, j.attempt, j.fingerprint)
+	scheduler.Start(target, j.attempt, j.fingerprint)
+	fl.running = append(fl.running, j)
+	return nil
+}
+
+func (fl *fleet) target(i int) ushersuspect.Target {
+	return ushersuspect.Target{Name: fmt.Sprint("t", i), Incarnation: fl.incarnation[i]}
+}
+
+// end lets an innocent request finish, or the killer take its target with it.
+func (fl *fleet) end(i int) {
+	j := fl.running[i]
+	if !j.killer {
+		fl.running = slices.Delete(fl.running, i, i+1)
+		fl.finished++
+		fl.watches[j.gateway].Finish(fl.now, j.attempt, fl.fault != noClearing)
+		fl.watches[3].Finish(fl.now, j.attempt, fl.fault != noClearing)
+		fl.spread()
+		return
+	}
+	fl.deaths++
+	if j.late {
+		fl.lateDeaths++
+	}
+	for _, w := range fl.watches {
+		w.Died(fl.now, fl.target(j.target))
+	}
+	fl.incarnation[j.target]++
+	var alive []job
+	for _, other := range fl.running {
+		switch {
+		case other.target != j.target:
+			alive = append(alive, other)
+		case other.killer:
+			fl.sendKiller()
+		default:
+			fl.pending = append(fl.pending, other)
+		}
+	}
+	fl.running = alive
+	fl.spread()
+}
+
+// spread sends every watch's changes to all, in a random order and some of them twice.
+func (fl *fleet) spread() {
+	if fl.fault == noSpread {
+		return
+	}
+	var data [][]byte
+	for _, w := range fl.watches {
+		message, _ := w.Changes(fl.now, 0)
+		encoded, err := message.Encode()
+		if err != nil {
+			panic(err)
+		}
+		data = append(data, encoded, encoded)
+	}
+	for len(data) > 0 {
+		i := fl.choose(len(data))
+		message, err := ushersuspect.DecodeMessage(data[i])
+		if err != nil {
+			panic(err)
+		}
+		data = slices.Delete(data, i, i+1)
+		for _, w := range fl.watches {
+			if err := w.Merge(fl.now, message); err != nil {
+				panic(err)
+			}
+		}
+	}
+}
+
+func TestKillersAreStoppedAndInnocentsAnswered(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		r := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "walk"), 1))
+		if err := newFleet(r.IntN, noFault).run(); err != nil {
+			t.Fatal(err)
+		}
+	})
+}
+
+func TestCheckFindsFaults(t *testing.T) {
+	for _, f := range []fault{noFault, idCounts, noSpread, allTry, notApart, noClearing} {
+		found := 0
+		var example error
+		for seed := range uint64(faultSeeds) {
+			if err := newFleet(rand.New(rand.NewPCG(seed, 3)).IntN, f).run(); err != nil {
+				found++
+				example = err
+			}
+		}
+		t.Logf("fault %d: found with %d of %d seeds, such as: %v", f, found, faultSeeds, example)
+		if (found > 0) != (f != noFault) {
+			t.Errorf("fault %d: found with %d of %d seeds", f, found, faultSeeds)
+		}
+	}
+}
+
+func TestMergeIsCommutativeAndIdempotent(t *testing.T) {
+	sightings := rapid.SliceOfN(rapid.Custom(func(t *rapid.T) ushersuspect.Sighting {
+		return ushersuspect.Sighting{
+			Fingerprint: fingerprint(fmt.Sprint(rapid.IntRange(0, 3).Draw(t, "request"))),
+			Target:      fmt.Sprint("t", rapid.IntRange(0, 2).Draw(t, "target")),
+			Age:         time.Duration(rapid.IntRange(0, 20).Draw(t, "age")) * time.Minute,
+			Cleared:     rapid.Bool().Draw(t, "cleared"),
+		}
+	}), 1, 12)
+	rapid.Check(t, func(t *rapid.T) {
+		list := sightings.Draw(t, "sightings")
+		again := append(rapid.Permutation(list).Draw(t, "order"), list[:rapid.IntRange(0, len(list)).Draw(t, "repeated")]...)
+		var states [2]map[ushersuspect.Sighting]bool
+		for i, l := range [][]ushersuspect.Sighting{list, again} {
+			w := ushersuspect.New("g", ushersuspect.Limits{})
+			for _, s := range l {
+				message := ushersuspect.Message{Version: ushersuspect.MessageVersion, Sightings: []ushersuspect.Sighting{s}}
+				if err := w.Merge(start, message); err != nil {
+					t.Fatal(err)
+				}
+			}
+			states[i] = make(map[ushersuspect.Sighting]bool)
+			message, _ := w.Changes(start, 0)
+			for _, s := range message.Sightings {
+				states[i][s] = true
+			}
+		}
+		if !reflect.DeepEqual(states[0], states[1]) {
+			t.Fatalf("in order %v, otherwise %v", states[0], states[1])
+		}
+	})
+}
+
+// crash makes the request called text die with n targets.
+func crash(w *ushersuspect.Watch, now time.Time, text string, n int) {
+	for i := range n {
+		target := ushersuspect.Target{Name: text, Incarnation: uint64(i)}
+		w.Start(target, usherrequest.AttemptID{Counter: uint64(i)}, fingerprint(text))
+		w.Died(now, target)
+	}
+}
+
+func TestSuspicionEndsAndIsNotRevived(t *testing.T) {
+	var w, peer ushersuspect.Watch
+	crash(&w, start, "killer", 2)
+	end := start.Add(ushersuspect.DefaultHold)
+	if got := w.Judge(start, fingerprint("killer"), nil); got.Verdict != ushersuspect.Refused || got.RetryAfter != ushersuspect.DefaultHold {
+		t.Errorf("after two deaths: %+v", got)
+	}
+	// The peer hears of it late, so that its suspicion would outlive the first one.
+	message, _ := w.Changes(start, 0)
+	if err := peer.Merge(start.Add(time.Second), message); err != nil {
+		t.Fatal(err)
+	}
+	late, _ := peer.Changes(end, 0)
+	if len(late.Sightings) != 2 {
+		t.Fatalf("peer tells of %d deaths, want 2", len(late.Sightings))
+	}
+	if err := w.Merge(end, late); err != nil {
+		t.Fatal(err)
+	}
+	if got := w.Judge(end, fingerprint("killer"), nil); got.Verdict != ushersuspect.Free {
+		t.Errorf("after the hold: %+v", got)
+	}
+	if w.Judge(end.Add(2*ushersuspect.DefaultHold), fingerprint("killer"), nil); w.Len() != 0 {
+		t.Errorf("%d requests are remembered for good", w.Len())
+	}
+}
+
+func TestRecordsAreBoundedAndKeepTheWorst(t *testing.T) {
+	w := ushersuspect.New("g0", ushersuspect.Limits{Records: 4})
+	crash(w, start, "killer", 2)
+	for i := range 20 {
+		crash(w, start, fmt.Sprint("once-", i), 1)
+	}
+	if got := w.Judge(start, fingerprint("killer"), nil); got.Verdict != ushersuspect.Refused || w.Len() != 4 {
+		t.Errorf("killer is judged %+v among %d records", got, w.Len())
+	}
+}
+
+func FuzzDecodeMessage(f *testing.F) {
+	var w ushersuspect.Watch
+	crash(&w, start, "killer", 2)
+	message, _ := w.Changes(start, 0)
+	encoded, err := message.Encode()
+	if err != nil {
+		f.Fatal(err)
+	}
+	for _, seed := range [][]byte{encoded, encoded[:len(encoded)/2], append(slices.Clone(encoded), 0), {}, {0xa0}, {0x9f}, {0xbf, 0xff}} {
+		f.Add(seed)
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		message, err := ushersuspect.DecodeMessage(data)
+		if err != nil {
+			return
+		}
+		if _, err := message.Encode(); err != nil {
+			t.Fatalf("decoded %+v does not encode: %v", message, err)
+		}
+		if err := ushersuspect.New("g", ushersuspect.Limits{}).Merge(start, message); err != nil {
+			t.Fatalf("decoded %+v does not merge: %v", message, err)
+		}
+	})
+}
