Requests stay with the local scheduler unless another has clearly more room

Ruled out: fresher summaries (9 peers at 100 ms would take more than the 6 KB/s allowed); a summary rides on each answer instead. Measuring fault mended: a retried request counted its whole first attempt as stall.

--- a/cmd/usher-policy/experiment/scenario.go
+++ b/cmd/usher-policy/experiment/scenario.go
@@ -19,7 +19,8 @@
 	reportInterval   = 500 * time.Millisecond
 	reportLag        = 250 * time.Millisecond
 	progressInterval = 500 * time.Millisecond
-	lookupShare      = 12.0 // lookups a second for each twelve engines
+	followed         = time.Minute // until a shift of lengths must be followed
+	lookupShare      = 12.0        // lookups a second for each twelve engines
 )
 
 type (
@@ -103,7 +104,7 @@
 		with("lookups_idle", 0, func(s *Scenario) { s.Lookups = lookupShare * scale }),
 		with("lookups_saturated", 1.2, func(s *Scenario) { s.Lookups, s.Light = lookupShare*scale, lightTargets(engines) }),
 		with("greedy", 0.95, func(s *Scenario) { s.Greedy = true }),
-		with("length_shift", 0.95, func(s *Scenario) { s.ShiftAt = s.Warmup }),
+		with("length_shift", 0.95, func(s *Scenario) { s.ShiftAt = s.Warmup - followed }),
 		with("half_cold", 0.40, func(s *Scenario) { s.ColdAt = s.Warmup + s.Duration/4 }),
 		with("late_reports", 0.85, func(s *Scenario) { s.ReportLag, s.ReportLoss, s.Schedulers, s.Shared = 5*time.Second, 0.3, 2, true }),
 		with("data_centre_out", 0.60, func(s *Scenario) { s.OutAt, s.BackAt = s.Warmup+s.Duration/4, end-s.Duration/4 }),
--- a/cmd/usher-policy/experiment/simulation.go
+++ b/cmd/usher-policy/experiment/simulation.go
@@ -18,6 +18,7 @@
 	restartTime     = 2 * time.Second
 	noticeDelay     = time.Second // until a published change reaches a scheduler
 	randomStream    = 1
+	gateways        = 9
 )
 
 type (
@@ -31,7 +32,7 @@
 		sequence   uint64
 		engines    []*engine
 		schedulers []policy
-		router     *usheradmit.Router
+		routers    []usheradmit.Router // of the gateways; empty if there is nothing to choose
 		jobs       []job
 		meter      *meter
 		oracle     bool
@@ -49,13 +50,14 @@
 	job struct {
 		arrival
 		at        time.Duration
+		gateway   int // that the caller connected to
 		scheduler int
 		attempts  int
 		attempt   string // the latest
 		engine    int
 		position  int           // among the jobs of the engine
-		first     time.Duration // first token; zero before
-		last      time.Duration // latest token
+		first     time.Duration // first token, if it is measured
+		last      time.Duration // latest token of this attempt; zero before
 		made      int
 		done      bool
 	}
@@ -78,7 +80,9 @@
 		sim.schedulers = append(sim.schedulers, newPolicy())
 	}
 	if !s.Shared && s.Schedulers > 1 {
-		sim.router = &usheradmit.Router{}
+		for i := range s.Schedulers {
+			sim.routers = append(sim.routers, usheradmit.Router{Local: strconv.Itoa(i), Seed: seed + uint64(i)})
+		}
 	}
 	for i := range s.Engines {
 		sim.engines = append(sim.engines, &engine{
@@ -115,7 +119,7 @@
 		offset := reportInterval * time.Duration(i) / time.Duration(len(sim.engines))
 		sim.after(offset, func() { sim.every(reportInterval, func() { sim.report(sim.engines[i]) }) })
 	}
-	if sim.router != nil {
+	if len(sim.routers) > 0 {
 		sim.every(summaryInterval, sim.summarise)
 	}
 	if s.Lookups > 0 {
@@ -167,7 +171,7 @@
 }
 
 func (sim *simulation) accept(a arrival) {
-	sim.jobs = append(sim.jobs, job{arrival: a, at: sim.now, engine: -1})
+	sim.jobs = append(sim.jobs, job{arrival: a, at: sim.now, gateway: sim.random.IntN(gateways), engine: -1})
 	if sim.meter.measures(sim.now) {
 		sim.meter.result.Offered++
 		sim.meter.asked[a.workspace]++
@@ -194,6 +198,7 @@
 	switch {
 	case decision.Queued:
 		sim.grant(j.scheduler)
+		sim.answer(id)
 	case decision.Reason == usheradmit.ReasonRetries:
 		sim.after(decision.RetryAfter, func() { sim.offer(id, true) })
 	default:
@@ -201,18 +206,25 @@
 	}
 }
 
+// pick returns the scheduler that a request goes to. Without summaries it is the one of the next target in turn.
 func (sim *simulation) pick(id int) int {
-	switch {
-	case len(sim.schedulers) == 1:
-		return 0
-	case sim.router == nil:
+	if len(sim.routers) == 0 {
 		return id % len(sim.schedulers)
 	}
-	peer, _ := sim.router.Pick(sim.jobs[id].template.interactive)
-	i, _ := strconv.Atoi(peer)
-	return i
+	j := &sim.jobs[id]
+	router := &sim.routers[sim.gatewayOf(id)]
+	if local, ok := sim.schedulers[sim.gatewayOf(id)].(*usheradmit.Scheduler); ok {
+		router.Hear(router.Local, local.Summary(sim.clock()))
+	}
+	if peer, ok := router.Pick(sim.clock(), j.template.interactive); ok {
+		scheduler, _ := strconv.Atoi(peer)
+		return scheduler
+	}
+	return id % len(sim.engines) % len(sim.schedulers)
 }
 
+func (sim *simulation) gatewayOf(id int) int { return sim.jobs[id].gateway % len(sim.routers) }
+
 func (sim *simulation) refuse(id int) {
 	if sim.meter.measures(sim.jobs[id].at) {
 		sim.meter.result.RefusedNotRun++
@@ -279,12 +291,8 @@
 		}
 		tokens++
 		switch {
-		case j.first == 0:
-			j.first = end
-			if sim.meter.measures(j.at) {
-				_ = sim.meter.ttft.RecordValue(int64((end + linkDelay - j.at) / time.Microsecond)) // below ten minutes
-				sim.meter.started[j.workspace]++
-			}
+		case j.last == 0:
+			sim.begin(j, end)
 		case j.last == sim.now:
 			regular++
 		default:
@@ -301,6 +309,16 @@
 	sim.at(end, func() { sim.step(e) })
 }
 
+// begin notes the first token of an attempt.
+func (sim *simulation) begin(j *job, end time.Duration) {
+	if j.first > 0 || !sim.meter.measures(j.at) {
+		return
+	}
+	j.first = end
+	_ = sim.meter.ttft.RecordValue(int64((end + linkDelay - j.at) / time.Microsecond)) // below ten minutes
+	sim.meter.started[j.workspace]++
+}
+
 func (sim *simulation) complete(e *engine, id int, end time.Duration) {
 	j := &sim.jobs[id]
 	if sim.meter.measures(end) {
@@ -397,15 +415,29 @@
 	})
 }
 
+// summarise tells every gateway how much room each scheduler has.
 func (sim *simulation) summarise() {
-	for i, scheduler := range sim.schedulers {
-		if s, ok := scheduler.(*usheradmit.Scheduler); ok {
-			summary := s.Summary(sim.clock())
-			sim.after(linkDelay, func() { sim.router.Hear(strconv.Itoa(i), summary) })
+	for i := range sim.schedulers {
+		for gateway := range sim.routers {
+			sim.tell(gateway, i)
 		}
 	}
 }
 
+// answer tells the gateway of a request how much room its scheduler has, as part of the answer.
+func (sim *simulation) answer(id int) {
+	if len(sim.routers) > 0 {
+		sim.tell(sim.gatewayOf(id), sim.jobs[id].scheduler)
+	}
+}
+
+func (sim *simulation) tell(gateway, scheduler int) {
+	if s, ok := sim.schedulers[scheduler].(*usheradmit.Scheduler); ok {
+		summary := s.Summary(sim.clock())
+		sim.after(linkDelay, func() { sim.routers[gateway].Hear(strconv.Itoa(scheduler), summary) })
+	}
+}
+
 func (sim *simulation) setDataCentre(inService bool) {
 	for i := range sim.engines {
 		if dataCentreOf(i) == dataCentreOf(0) {
--- a/pkg/usheradmit/placement.go
+++ b/pkg/usheradmit/placement.go
@@ -139,7 +139,7 @@
 		switch {
 		case r.Interactive && light:
 			return 1 + spare, true
-		case !r.Interactive && !light:
+		case !r.Interactive:
 			return 0, false
 		}
 	}
--- a/pkg/usheradmit/router.go
+++ b/pkg/usheradmit/router.go
@@ -6,7 +6,11 @@
 	"time"
 )
 
-const routerSample = 16 // schedulers looked at for one request
+const (
+	routerSample = 3                     // other schedulers looked at for one request
+	localMargin  = 0.03                  // share of the memory by which another must have more room than the local one
+	promptPause  = 40 * time.Millisecond // until a prompt is mostly computed
+)
 
 type (
 	// Summary says how much room a scheduler has, for the others of its cell.
@@ -21,6 +25,9 @@
 	// Router spreads requests over the schedulers of a cell by the room that each said it has,
 	// less what was sent to it since. The zero value knows no scheduler.
 	Router struct {
+		Local string // scheduler in the same process or host, whose summary is always fresh
+		Seed  uint64 // of the sample
+
 		peers  []*routerPeer
 		byName map[string]*routerPeer
 		random *rand.Rand
@@ -30,6 +37,7 @@
 		name    string
 		summary Summary
 		sent    int // requests since the summary
+		sentAt  time.Time
 	}
 )
 
@@ -58,7 +66,7 @@
 	if !known {
 		if r.byName == nil {
 			r.byName = make(map[string]*routerPeer)
-			r.random = rand.New(rand.NewPCG(0, 0))
+			r.random = rand.New(rand.NewPCG(r.Seed, r.Seed))
 		}
 		peer = &routerPeer{name: name}
 		r.byName[name] = peer
@@ -79,30 +87,52 @@
 }
 
 // Pick returns the scheduler that a request should go to, or false if none has a target.
-func (r *Router) Pick(interactive bool) (string, bool) {
-	var best *routerPeer
-	offset := 0
-	if len(r.peers) > routerSample {
-		offset = r.random.IntN(len(r.peers))
+// It is the local one unless the best of a few others has clearly more room: what is known of those is older,
+// and routers that all chose the best one would overrun it.
+func (r *Router) Pick(now time.Time, interactive bool) (string, bool) {
+	best := r.byName[r.Local]
+	if best != nil && best.summary.Targets == 0 {
+		best = nil
+	}
+	margin := 0.0
+	if best != nil {
+		margin = localMargin
 	}
-	for i := range min(len(r.peers), routerSample) {
-		peer := r.peers[(offset+i)%len(r.peers)]
-		if peer.summary.Targets > 0 && (best == nil || peer.room(interactive) > best.room(interactive)) {
-			best = peer
+	for range min(len(r.peers), routerSample) {
+		peer := r.peers[r.random.IntN(len(r.peers))]
+		if peer.summary.Targets > 0 && (best == nil || peer.room(now, interactive) > best.room(now, interactive)+margin) {
+			best, margin = peer, 0
 		}
 	}
+	if best == nil {
+		best = r.any()
+	}
 	if best == nil {
 		return "", false
 	}
 	best.sent++
+	best.sentAt = now
 	return best.name, true
 }
 
-func (p *routerPeer) room(interactive bool) float64 {
+// any returns a scheduler with a target, or nil.
+func (r *Router) any() *routerPeer {
+	for _, peer := range r.peers {
+		if peer.summary.Targets > 0 {
+			return peer
+		}
+	}
+	return nil
+}
+
+func (p *routerPeer) room(now time.Time, interactive bool) float64 {
 	s := p.summary
 	room := s.Spare - s.Cost*float64(p.sent+s.Queued)/float64(s.Targets)
 	if interactive && s.Light > 0 {
 		room++
 	}
+	if now.Sub(p.sentAt) < promptPause {
+		room -= spreadPenalty / float64(s.Targets)
+	}
 	return room
 }
