--- /dev/null
+++ b/pkg/usherconfig/check.go
@@ -0,0 +1,252 @@
+package usherconfig
+
+import (
+	"fmt"
+	"net/netip"
+	"strings"
+	"time"
+
+	"github.com/joomcode/errorx"
+)
+
+// Bounds of what may be declared.
+const (
+	maxNameBytes         = 64
+	maxPriority          = 9
+	maxPromptBytes       = 64 << 10
+	maxParameters        = 64
+	maxEnumValues        = 256
+	maxStringBytes       = 64 << 10
+	maxWorkspaceBytes    = 128 << 10
+	maxOutputTokensBound = 1 << 20
+	maxTimeout           = 24 * time.Hour
+	maxConcurrency       = 1 << 16
+	maxMemoryTokens      = 1 << 30
+	maxWeight            = 1000
+	maxRequestsPerSecond = 1e6
+	maxBurst             = 1e6
+)
+
+type (
+	// Violation is a rule that a snapshot breaks, with the INI section and key that it concerns.
+	Violation struct {
+		Section string
+		Key     string // empty if the section as a whole is meant
+		Rule    string
+	}
+
+	// checker gathers violations.
+	checker struct {
+		snapshot   Snapshot
+		section    string
+		violations []Violation
+	}
+)
+
+// Check returns every rule that the snapshot breaks. It is a pure function of the snapshot.
+func (s Snapshot) Check() []Violation {
+	c := &checker{snapshot: s}
+	c.checkFleet()
+	hashes := make(map[KeyHash]string, len(s.Workspaces))
+	for _, w := range s.Workspaces {
+		c.checkWorkspace(w)
+		other, found := hashes[w.KeyHash]
+		c.require(!found, "key_hash", "is also the key of workspace %q", other)
+		hashes[w.KeyHash] = w.Name
+	}
+	return c.violations
+}
+
+// require notes a violation of the current section unless kept is true.
+func (c *checker) require(kept bool, key, rule string, arguments ...any) {
+	if kept {
+		return
+	}
+	c.violations = append(c.violations, Violation{Section: c.section, Key: key, Rule: fmt.Sprintf(rule, arguments...)})
+}
+
+func (c *checker) requireBetween(value, least, greatest int, key string) {
+	c.require(value >= least && value <= greatest, key, "must be %d to %d", least, greatest)
+}
+
+func (c *checker) begin(kind, name string) {
+	c.section = kind + " " + name
+	c.require(validName(name), "", "a name has 1 to %d of a-z, 0-9, _ and -, and begins with a letter or digit", maxNameBytes)
+}
+
+// checkFleet checks all but the workspaces.
+func (c *checker) checkFleet() {
+	c.section = declarationSection
+	c.require(c.snapshot.Revision > 0, "revision", "must be 1 or more")
+	for _, s := range c.snapshot.Services {
+		c.begin(serviceSection, s.Name)
+		c.require(s.Kind == EngineService || s.Kind == PlainService, "kind", "must be engine or plain")
+	}
+	for _, d := range c.snapshot.DataCentres {
+		c.begin(dataCentreSection, d.Name)
+		c.require(d.Region != "", "region", "must not be empty")
+	}
+	addresses := map[netip.AddrPort]string{}
+	for _, t := range c.snapshot.Targets {
+		c.checkTarget(t)
+		c.checkAddress(addresses, t.Address)
+	}
+	for _, h := range c.snapshot.Hosts {
+		c.begin(hostSection, h.Name)
+		c.requireDataCentre(h.DataCentre)
+		c.require(h.Role == GatewayRole || h.Role == SchedulerRole, "role", "must be gateway or scheduler")
+		c.checkAddress(addresses, h.Address)
+	}
+	for _, t := range c.snapshot.Templates {
+		c.checkTemplate(t)
+	}
+}
+
+func (c *checker) checkAddress(addresses map[netip.AddrPort]string, address netip.AddrPort) {
+	if !address.IsValid() || address.Port() == 0 {
+		c.require(false, "address", "must be an IP number and a port, such as 127.0.0.1:8080")
+		return
+	}
+	other, found := addresses[address]
+	c.require(!found, "address", "is also the address of %s", other)
+	addresses[address] = c.section
+}
+
+func (c *checker) requireDataCentre(name string) {
+	_, found := c.snapshot.DataCentre(name)
+	c.require(found, "data_centre", "data centre %q is not declared", name)
+}
+
+func (c *checker) checkTarget(t Target) {
+	c.begin(targetSection, t.Name)
+	c.requireDataCentre(t.DataCentre)
+	service, found := c.snapshot.Service(t.Service)
+	c.require(found, "service", "service %q is not declared", t.Service)
+	c.requireBetween(t.BearableColdLoad, 1, maxConcurrency, "bearable_cold_load")
+	c.requireBetween(t.MaxWarmConcurrency, 1, maxConcurrency, "max_warm_concurrency")
+	c.require(t.BearableColdLoad <= t.MaxWarmConcurrency, "bearable_cold_load", "must not be above max_warm_concurrency")
+	if service.Kind == EngineService {
+		c.requireBetween(t.MemoryTokens, 1, maxMemoryTokens, "memory_tokens")
+	} else {
+		c.require(!found || t.MemoryTokens == 0, "memory_tokens", "only targets of an engine have it")
+	}
+}
+
+func (c *checker) checkTemplate(t Template) {
+	c.begin(templateSection, t.Name)
+	service, found := c.snapshot.Service(t.Service) // without a kind if it is not found
+	c.require(found, "service", "service %q is not declared", t.Service)
+	c.requireBetween(t.Priority, 0, maxPriority, "priority")
+	c.require(t.Timeout > 0 && t.Timeout <= maxTimeout, "timeout", "must be above 0s and at most %s", maxTimeout)
+	c.require(t.Delivery == StreamDelivery || t.Delivery == WholeDelivery, "delivery", "must be stream or whole")
+	c.require(len(t.Prompt) <= maxPromptBytes, "prompt", "must be at most %d bytes long", maxPromptBytes)
+	switch t.Kind {
+	case GenerationTemplate:
+		c.require(service.Kind != PlainService, "service", "a generation needs a service of kind engine")
+		c.requireBetween(t.MaxOutputTokens, 1, maxOutputTokensBound, "max_output_tokens")
+		c.require(t.Prompt != "", "prompt", "a generation needs one")
+	case CallTemplate:
+		c.require(service.Kind != EngineService, "service", "a call needs a service of kind plain")
+		c.require(t.MaxOutputTokens == 0, "max_output_tokens", "only a generation has it")
+		c.require(t.Delivery != StreamDelivery, "delivery", "a call is delivered whole")
+	default:
+		c.require(false, "kind", "must be generation or call")
+	}
+	c.checkPrompt(t)
+	c.require(len(t.Parameters) <= maxParameters, "", "must have at most %d parameters", maxParameters)
+	for _, p := range t.Parameters {
+		c.checkParameter(t, p)
+	}
+}
+
+func (c *checker) checkPrompt(t Template) {
+	parts, matched := splitPrompt(t.Prompt)
+	c.require(matched, "prompt", "has a brace without its partner; {{ and }} stand for single braces")
+	for _, part := range parts {
+		if part.placeholder != "" {
+			_, found := t.Parameter(part.placeholder)
+			c.require(found, "prompt", "{%s} is not a parameter of the template", part.placeholder)
+		}
+	}
+}
+
+func (c *checker) checkParameter(t Template, p Parameter) {
+	c.section = parameterSection + " " + t.Name + " " + p.Name
+	c.require(validName(p.Name), "", "a name has 1 to %d of a-z, 0-9, _ and -, and begins with a letter or digit", maxNameBytes)
+	switch p.Type {
+	case StringParameter:
+		c.requireBetween(p.Min, 0, maxStringBytes, "min")
+		c.requireBetween(p.Max, 0, maxStringBytes, "max")
+	case EnumParameter:
+		c.require(len(p.Values) > 0 && len(p.Values) <= maxEnumValues, "values", "must name 1 to %d values", maxEnumValues)
+	case IntegerParameter, BoolParameter:
+	default:
+		c.require(false, "type", "must be string, int, enum or bool")
+	}
+	c.require(p.Min <= p.Max, "min", "must not be above max")
+	c.require(p.Type == EnumParameter || len(p.Values) == 0, "values", "only an enum has them")
+	c.require(p.Default == nil || !p.Required, "default", "a required parameter has none")
+	if p.Default != nil {
+		c.requireAccepted(t, p, "default", *p.Default)
+	}
+}
+
+func (c *checker) checkWorkspace(w Workspace) {
+	c.begin(workspaceSection, w.Name)
+	c.require(w.RequestsPerSecond > 0 && w.RequestsPerSecond <= maxRequestsPerSecond, "requests_per_second",
+		"must be above 0 and at most %d", int(maxRequestsPerSecond))
+	c.requireBetween(w.Burst, 1, maxBurst, "burst")
+	c.requireBetween(w.Weight, 1, maxWeight, "weight")
+	c.require(w.KeyHash != KeyHash{}, "key_hash", "must be the SHA-256 of the workspace's key, as 64 hexadecimal digits")
+	size := 0
+	for _, v := range w.Values {
+		size += len(v.Template) + len(v.Parameter) + len(v.Value)
+		c.checkValue(w, v)
+	}
+	c.section = workspaceSection + " " + w.Name
+	c.require(size <= maxWorkspaceBytes, "", "all its values must be at most %d bytes together", maxWorkspaceBytes)
+}
+
+func (c *checker) checkValue(w Workspace, v ParameterValue) {
+	c.section = valuesSection + " " + w.Name + " " + v.Template
+	t, found := c.snapshot.Template(v.Template)
+	if !found {
+		c.require(false, "", "template %q is not declared", v.Template)
+		return
+	}
+	p, found := t.Parameter(v.Parameter)
+	if !found {
+		c.require(false, v.Parameter, "template %q has no such parameter", v.Template)
+		return
+	}
+	c.requireAccepted(t, p, v.Parameter, v.Value)
+}
+
+func (c *checker) requireAccepted(t Template, p Parameter, key, value string) {
+	boundsHold := p.Min <= p.Max
+	switch p.Type {
+	case StringParameter, IntegerParameter, BoolParameter:
+	case EnumParameter:
+		boundsHold = len(p.Values) > 0
+	default:
+		boundsHold = false
+	}
+	if !boundsHold {
+		return // what is wrong there has its own violation
+	}
+	if err := p.accept(t.Name, value); err != nil {
+		c.require(false, key, "%s", errorx.Cast(err).Message())
+	}
+}
+
+func validName(name string) bool {
+	if name == "" || len(name) > maxNameBytes || strings.Trim(name[:1], "_-") == "" {
+		return false
+	}
+	for _, c := range []byte(name) {
+		if (c < 'a' || c > 'z') && (c < '0' || c > '9') && c != '_' && c != '-' {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/pkg/usherconfig/view.go
@@ -0,0 +1,283 @@
+package usherconfig
+
+import (
+	"bytes"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+	lru "github.com/hashicorp/golang-lru/v2"
+)
+
+// decodedWorkspaces is how many workspaces a view keeps decoded.
+const decodedWorkspaces = 1024
+
+type (
+	// View is a published configuration as a daemon holds it: the workspaces stay encoded until they are used.
+	// It is immutable and may be used by several goroutines. The zero View is of revision 0 and declares nothing.
+	View struct {
+		index      Index
+		indexData  []byte
+		snapshot   Snapshot // without workspaces
+		shards     map[Digest][]byte
+		workspaces []workspaceShard
+		decoded    *lru.Cache[string, Workspace]
+		count      int
+	}
+
+	// workspaceShard finds workspaces in the bytes of a shard.
+	workspaceShard struct {
+		digest  Digest
+		data    []byte
+		entries []workspaceEntry // in order of hash
+	}
+
+	// workspaceEntry says where a workspace begins.
+	workspaceEntry struct {
+		hash   uint32 // upper half of the hash of its name
+		offset uint32
+	}
+)
+
+// Assemble verifies an index and its shards, by digest, against their digests and the rules of Check.
+func Assemble(index []byte, shards map[Digest][]byte) (View, error) {
+	return View{}.Advance(index, shards)
+}
+
+// Advance returns the view of another index. Shards that both name are taken from v and need not be given.
+func (v View) Advance(index []byte, shards map[Digest][]byte) (View, error) {
+	decoded, err := DecodeIndex(index)
+	if err != nil {
+		return View{}, err
+	}
+	next := View{index: decoded, indexData: bytes.Clone(index), shards: map[Digest][]byte{}}
+	if err := next.collect(v, shards); err != nil {
+		return View{}, err
+	}
+	if err := next.decodeFleet(); err != nil {
+		return View{}, err
+	}
+	if err := next.readWorkspaces(v); err != nil {
+		return View{}, err
+	}
+	if next.decoded, err = lru.New[string, Workspace](decodedWorkspaces); err != nil {
+		return View{}, err
+	}
+	return next, nil
+}
+
+// Version returns the version of the view.
+func (v View) Version() Version {
+	return v.index.Version
+}
+
+// Index returns the index of the view as it was published; it is empty for the zero View.
+func (v View) Index() []byte {
+	return v.indexData
+}
+
+// Shard returns the bytes of a shard.
+func (v View) Shard(digest Digest) ([]byte, bool) {
+	data, found := v.shards[digest]
+	return data, found
+}
+
+// Snapshot returns everything of the view but the workspaces.
+func (v View) Snapshot() Snapshot {
+	return v.snapshot
+}
+
+// WorkspaceCount returns how many workspaces are declared.
+func (v View) WorkspaceCount() int {
+	return v.count
+}
+
+// Workspace returns the workspace called name.
+func (v View) Workspace(name string) (Workspace, bool) {
+	if len(v.workspaces) == 0 {
+		return Workspace{}, false
+	}
+	if w, found := v.decoded.Get(name); found {
+		return w, true
+	}
+	w, found := v.workspaces[shardNumber(name, len(v.workspaces))].find(name)
+	if found {
+		v.decoded.Add(name, w)
+	}
+	return w, found
+}
+
+// Resolve checks a request against the view and fills the values it leaves out.
+func (v View) Resolve(workspace, template string, arguments []Argument) (Call, error) {
+	w, found := v.Workspace(workspace)
+	if !found {
+		return Call{}, ErrNoWorkspace.New("workspace %q is not declared", workspace)
+	}
+	return v.snapshot.resolveIn(w, template, arguments)
+}
+
+// collect verifies the shards that the index names.
+func (v *View) collect(previous View, shards map[Digest][]byte) error {
+	for _, shard := range v.index.Shards() {
+		if data, found := previous.shards[shard.Digest]; found {
+			v.shards[shard.Digest] = data
+			continue
+		}
+		data, found := shards[shard.Digest]
+		if !found {
+			return ErrMissingShard.New("%s is missing", shard.Key)
+		}
+		if DigestOf(data) != shard.Digest {
+			return ErrDamaged.New("%s does not match its digest", shard.Key)
+		}
+		if len(data) > maxShardBytes {
+			return ErrFormat.New("%s is larger than %d bytes", shard.Key, maxShardBytes)
+		}
+		v.shards[shard.Digest] = data
+	}
+	return nil
+}
+
+func (v *View) decodeFleet() (err error) {
+	s := &v.snapshot
+	s.Revision = v.index.Version.Revision
+	if s.Services, err = decodeShards(v, serviceShards, decodeService); err != nil {
+		return err
+	}
+	if s.Targets, err = decodeShards(v, targetShards, decodeTarget); err != nil {
+		return err
+	}
+	if s.DataCentres, err = decodeShards(v, dataCentreShards, decodeDataCentre); err != nil {
+		return err
+	}
+	if s.Hosts, err = decodeShards(v, hostShards, decodeHost); err != nil {
+		return err
+	}
+	if s.Templates, err = decodeShards(v, templateShards, decodeTemplate); err != nil {
+		return err
+	}
+	for _, t := range s.Templates {
+		if !ordered(t.Parameters) {
+			return ErrFormat.New("template %q: parameters are out of order", t.Name)
+		}
+	}
+	c := &checker{snapshot: *s}
+	c.checkFleet()
+	return c.err()
+}
+
+// readWorkspaces checks the workspaces that v does not share with the previous view under the same templates.
+func (v *View) readWorkspaces(previous View) error {
+	checked := map[Digest]workspaceShard{}
+	if slices.Equal(previous.digests(templateShards), v.digests(templateShards)) {
+		for _, shard := range previous.workspaces {
+			checked[shard.digest] = shard
+		}
+	}
+	digests := v.digests(workspaceShards)
+	for number, digest := range digests {
+		shard, found := checked[digest]
+		if !found {
+			var err error
+			if shard, err = v.readWorkspaceShard(number, digest); err != nil {
+				return err
+			}
+		}
+		v.workspaces = append(v.workspaces, shard)
+		v.count += len(shard.entries)
+	}
+	return nil
+}
+
+func (v *View) readWorkspaceShard(number int, digest Digest) (workspaceShard, error) {
+	shard := workspaceShard{digest: digest, data: v.shards[digest]}
+	c := &checker{snapshot: v.snapshot}
+	previous := ""
+	for rest := shard.data; len(rest) > 0; {
+		offset := len(shard.data) - len(rest)
+		w, after, err := decodeWorkspace(rest)
+		if err != nil {
+			return shard, ErrFormat.New("%s is malformed: %s", shardName(workspaceShards, number), err)
+		}
+		if w.Name <= previous || shardNumber(w.Name, len(v.digests(workspaceShards))) != number {
+			return shard, ErrFormat.New("%s: workspace %q is out of place", shardName(workspaceShards, number), w.Name)
+		}
+		if !slices.IsSortedFunc(w.Values, compareParameterValues) {
+			return shard, ErrFormat.New("workspace %q: values are out of order", w.Name)
+		}
+		c.checkWorkspace(w)
+		shard.entries = append(shard.entries, workspaceEntry{hash: entryHash(w.Name), offset: uint32(offset)})
+		previous, rest = w.Name, after
+	}
+	slices.SortFunc(shard.entries, func(a, b workspaceEntry) int { return int(a.hash) - int(b.hash) })
+	shard.entries = slices.Clip(shard.entries)
+	return shard, c.err()
+}
+
+func (v View) digests(kind int) []Digest {
+	if len(v.index.shards) == 0 {
+		return nil
+	}
+	return v.index.shards[kind]
+}
+
+func (s workspaceShard) find(name string) (Workspace, bool) {
+	hash := entryHash(name)
+	i, _ := slices.BinarySearchFunc(s.entries, hash, func(e workspaceEntry, hash uint32) int {
+		return int(e.hash) - int(hash)
+	})
+	for ; i < len(s.entries) && s.entries[i].hash == hash; i++ {
+		if w, _, err := decodeWorkspace(s.data[s.entries[i].offset:]); err == nil && w.Name == name {
+			return w, true
+		}
+	}
+	return Workspace{}, false
+}
+
+// decodeShards decodes all items of a kind and returns them in order of name.
+func decodeShards[T item](v *View, kind int, decode func([]byte) (T, []byte, error)) ([]T, error) {
+	var items []T
+	digests := v.digests(kind)
+	for number, digest := range digests {
+		for rest := v.shards[digest]; len(rest) > 0; {
+			var (
+				value T
+				err   error
+			)
+			if value, rest, err = decode(rest); err != nil {
+				return nil, ErrFormat.New("%s is malformed: %s", shardName(kind, number), err)
+			}
+			if shardNumber(value.itemName(), len(digests)) != number {
+				return nil, ErrFormat.New("%s: %q is out of place", shardName(kind, number), value.itemName())
+			}
+			items = append(items, value)
+		}
+	}
+	slices.SortStableFunc(items, compareItems)
+	if !ordered(items) {
+		return nil, ErrFormat.New("%s: a name is declared twice", shardNames[kind])
+	}
+	return items, nil
+}
+
+// ordered reports whether names strictly rise.
+func ordered[T item](items []T) bool {
+	for i := 1; i < len(items); i++ {
+		if items[i-1].itemName() >= items[i].itemName() {
+			return false
+		}
+	}
+	return true
+}
+
+// err returns the violations that were found as one error.
+func (c *checker) err() error {
+	if len(c.violations) == 0 {
+		return nil
+	}
+	first := c.violations[0]
+	return ErrInvalid.New("[%s] %s: %s (%d rules broken)", first.Section, first.Key, first.Rule, len(c.violations))
+}
+
+func entryHash(name string) uint32 {
+	return uint32(xxhash.Sum64String(name) >> 32)
+}
