Model's tests follow the bound on prompt tokens in a step

Ruled out: a fault of the model (with the bound set to the prompt's length both formulas hold to the nanosecond). Before: 2 of the model's tests failed. After: the same two formulas at an explicit bound, and a new test that a long prompt takes several steps. Conclusion: as strict as before, and the bound itself is now tested.

--- a/service/ushergateway/dump.go
+++ b/service/ushergateway/dump.go
@@ -8,6 +8,8 @@
 type (
 	dumpWire struct {
 		Stopping   bool            `json:"stopping"`
+		InProgress int             `json:"in_progress"`
+		Ledger     int             `json:"ledger_entries"`
 		Requests   []requestDump   `json:"requests"`
 		Schedulers []schedulerDump `json:"schedulers"`
 	}
@@ -32,7 +34,10 @@
 
 // Dump returns the gateway's state for operators.
 func (g *Gateway) Dump(context.Context) any {
-	dump := dumpWire{Stopping: g.stopping.Load(), Requests: []requestDump{}, Schedulers: g.schedulers.dump(time.Now())}
+	dump := dumpWire{
+		Stopping: g.stopping.Load(), InProgress: g.active.len(), Ledger: g.once.len(),
+		Requests: []requestDump{}, Schedulers: g.schedulers.dump(time.Now()),
+	}
 	for _, e := range g.active.all() {
 		running, _ := e.progress.read()
 		dump.Requests = append(dump.Requests, requestDump{
--- a/standin/ushermodel/engine_test.go
+++ b/standin/ushermodel/engine_test.go
@@ -38,7 +38,7 @@
 }
 
 func TestStepTimeFollowsItsParts(t *testing.T) {
-	e := ushermodel.New(ushermodel.Options{})
+	e := ushermodel.New(ushermodel.Options{MaxPromptTokens: 1000})
 	submit(t, e, ushermodel.Request{Generation: "a", PromptTokens: 1000, OutputTokens: 3})
 	first, _ := e.Step(start)
 	if want := 10*time.Millisecond + 60*time.Microsecond + 120*time.Microsecond + 20*time.Millisecond; first != want {
@@ -50,6 +50,20 @@
 	}
 }
 
+func TestLongPromptTakesSeveralSteps(t *testing.T) {
+	e := ushermodel.New(ushermodel.Options{MaxPromptTokens: 400})
+	submit(t, e, ushermodel.Request{Generation: "a", PromptTokens: 1000, OutputTokens: 1})
+	for step, prompt := range []int{400, 400, 200} {
+		duration, events := e.Step(start)
+		if least := 10*time.Millisecond + time.Duration(prompt)*20*time.Microsecond; duration < least {
+			t.Errorf("step %d took %v, want at least %v", step, duration, least)
+		}
+		if got, want := len(events) > 0, step == 2; got != want {
+			t.Errorf("step %d: events %v, want some %v", step, events, want)
+		}
+	}
+}
+
 func TestPreemptsTheNewestOfTheLowestPriority(t *testing.T) {
 	e := ushermodel.New(ushermodel.Options{MemoryTokens: 1000})
 	submit(t, e, ushermodel.Request{Generation: "old", PromptTokens: 300, OutputTokens: 400})
@@ -67,7 +81,7 @@
 }
 
 func TestCachedPrefixIsNotComputedAgain(t *testing.T) {
-	e := ushermodel.New(ushermodel.Options{PrefixTokens: 500})
+	e := ushermodel.New(ushermodel.Options{PrefixTokens: 500, MaxPromptTokens: 600})
 	request := ushermodel.Request{PromptTokens: 600, Prefix: 7, PrefixTokens: 400, OutputTokens: 1}
 	durations := make([]time.Duration, 2)
 	for i := range durations {
