A queued request's grant counts from the gateway's last asking

Cause: a request that waited 1.45 s in the queue got a grant valid for 0.5 s from when the gateway had asked, so every queued grant was spent before it came; the request then avoided its only target, waited on, and the silent QUIC connection timed out after 6 s (seen in the log of TestOneRequestEndToEnd, which took 8.2 s). Ruled out: adding the time in the queue to the validity in one long call (at 30 s in the queue and clocks 2% apart the margin is longer than the grant); QUIC keep-alives alone (they would keep the connection, not mend the validity). Conclusion: gateways ask in slices of a second; an unused grant no longer makes a request avoid its target.

--- a/service/ushergateway/execution.go
+++ b/service/ushergateway/execution.go
@@ -21,6 +21,9 @@
 	// maxAttempts bounds the targets that one request is sent to.
 	maxAttempts    = 3
 	defaultTimeout = 10 * time.Minute
+
+	// reasonGrantExpired refuses a request whose grants ran out before they could be used.
+	reasonGrantExpired usherrequest.Reason = "grant_expired"
 )
 
 type (
@@ -43,6 +46,7 @@
 		life     *usherrequest.Life
 		sink     sink
 		avoid    []string
+		attempts int
 		deadline time.Time
 		progress progress
 	}
@@ -124,14 +128,14 @@
 	tried := []string{}
 	last := error(usherrequest.Refuse(usherrequest.Evidence{}, usherrequest.ReasonOverloaded))
 	for range schedulerTries {
-		asked := time.Now()
-		host, ok := g.schedulers.choose(asked, e.call.Template.Service, g.Config.Hosts(usherconfig.SchedulerRole), tried)
+		now := time.Now()
+		host, ok := g.schedulers.choose(now, e.call.Template.Service, g.Config.Hosts(usherconfig.SchedulerRole), tried)
 		if !ok {
 			break
 		}
 		tried = append(tried, host.Name)
-		request := e.request(asked)
-		grant, err := g.Grants.Acquire(ctx, host.Address.String(), request)
+		request := e.request(now)
+		grant, asked, err := g.Grants.Acquire(ctx, host.Address.String(), request)
 		if err == nil {
 			return granted{Grant: grant, scheduler: host, attempt: request.Attempt, asked: asked}, nil
 		}
@@ -159,6 +163,7 @@
 		CacheKey:     cacheKey(e.call),
 		Fingerprint:  e.call.Fingerprint(),
 		Avoid:        e.avoid,
+		Retry:        e.attempts > 0,
 		Revision:     e.call.Revision,
 		Wait:         e.deadline.Sub(now),
 	}
@@ -182,7 +187,8 @@
 	} else {
 		v = e.generate(ctx, grant)
 	}
-	if !v.done {
+	e.attempts++
+	if !v.done && v.reason != reasonGrantExpired {
 		e.avoid = append(e.avoid, grant.Target)
 	}
 	e.finish(grant, v)
@@ -217,6 +223,9 @@
 	case !evidence.Written:
 		err = e.life.Unsent()
 		v.unsent = true
+		if errorx.IsOfType(cause, ushertarget.ErrGuard) {
+			v.reason = reasonGrantExpired
+		}
 	case evidence.Refused:
 		err = e.life.TargetRefused()
 		v = verdict{reason: usherrequest.ReasonTargetRefused, unsent: true}
@@ -228,7 +237,7 @@
 }
 
 func (e *execution) mayRetry(ctx context.Context) bool {
-	return ctx.Err() == nil && e.life.CanRetry() && len(e.avoid) < maxAttempts
+	return ctx.Err() == nil && e.life.CanRetry() && e.attempts < maxAttempts
 }
 
 // refuse ends the request; the outcome is what the life cycle knows, the reason what went wrong last.
--- a/service/ushergateway/path_test.go
+++ b/service/ushergateway/path_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/samphireusher/samphireusher/service/usherclient"
 	"github.com/samphireusher/samphireusher/standin/usherfleet"
@@ -25,3 +26,28 @@
 		t.Fatalf("answer %+v after %d tokens", answer, next)
 	}
 }
+
+// TestQueuedRequestIsServed has a request wait in the queue for longer than a grant is valid, and than a connection
+// without traffic stays open: the grant counts from the last asking, and the gateway keeps asking.
+func TestQueuedRequestIsServed(t *testing.T) {
+	fleet := start(t, usherfleet.Config{Engines: 1, Full: 1})
+	client := newClient(t)
+	first := make(chan error, 1)
+	begun := make(chan struct{})
+	watcher := &usherclient.Watcher{Started: func(string, string) { close(begun) }}
+	go func() {
+		_, err := client.Send(t.Context(), fleet.Gateways[0].Address(), appraisal(700), watcher)
+		first <- err
+	}()
+	<-begun
+	sent := time.Now()
+	if _, err := client.Send(t.Context(), fleet.Gateways[0].Address(), appraisal(5), nil); err != nil {
+		t.Fatalf("the queued request after %s: %v", time.Since(sent), err)
+	}
+	if waited := time.Since(sent); waited < 6*time.Second {
+		t.Fatalf("the queued request waited only %s", waited)
+	}
+	if err := <-first; err != nil {
+		t.Fatal(err)
+	}
+}
--- a/service/ushergrant/client.go
+++ b/service/ushergrant/client.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/joomcode/errorx"
+
 	"github.com/samphireusher/samphireusher/pkg/usherlink"
 )
 
@@ -20,17 +22,35 @@
 	}
 )
 
-// answerSlack is how long an answer may take beyond the time that the request waits.
-const answerSlack = time.Second
+const (
+	// answerSlack is how long an answer may take beyond the slice.
+	answerSlack = time.Second
+	// slice is how long one asking waits in the queue.
+	slice = time.Second
+)
 
 // NewClient returns a client that sends over link.
 func NewClient(link Link) *Client {
 	return &Client{link: link}
 }
 
-// Acquire asks the scheduler at address for a grant. A usherrequest.Refusal says that the scheduler has none.
-func (c *Client) Acquire(ctx context.Context, address string, request Request) (Grant, error) {
-	ctx, cancel := context.WithTimeout(ctx, request.Wait+answerSlack)
+// Acquire asks the scheduler at address for a grant until it has one or the request has waited long enough, and returns
+// when it asked last. A usherrequest.Refusal says that the scheduler has none.
+func (c *Client) Acquire(ctx context.Context, address string, request Request) (Grant, time.Time, error) {
+	until := time.Now().Add(request.Wait)
+	request.Slice = slice
+	for {
+		asked := time.Now()
+		request.Wait = max(until.Sub(asked), 0)
+		grant, err := c.ask(ctx, address, request)
+		if !errorx.IsOfType(err, ErrWaiting) {
+			return grant, asked, err
+		}
+	}
+}
+
+func (c *Client) ask(ctx context.Context, address string, request Request) (Grant, error) {
+	ctx, cancel := context.WithTimeout(ctx, request.Slice+answerSlack)
 	defer cancel()
 	var answer answerWire
 	if err := c.link.Call(ctx, address, kindAcquire, request.wire(), &answer); err != nil {
--- a/service/ushergrant/handler.go
+++ b/service/ushergrant/handler.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 
+	"github.com/joomcode/errorx"
+
 	"github.com/samphireusher/samphireusher/pkg/usherlink"
 	"github.com/samphireusher/samphireusher/pkg/usherrequest"
 )
@@ -11,7 +13,7 @@
 type (
 	// Scheduler decides what gateways ask.
 	Scheduler interface {
-		// Acquire waits for a grant for as long as the request allows. Its error is a usherrequest.Refusal.
+		// Acquire waits for a grant for one slice. Its error is ErrWaiting or a usherrequest.Refusal.
 		Acquire(ctx context.Context, request Request) (Grant, error)
 		// Progress learns all that a gateway has at the targets that this scheduler holds.
 		Progress(gateway string, running []Running)
@@ -69,6 +71,9 @@
 	if err == nil {
 		return grant.wire(), nil
 	}
+	if errorx.IsOfType(err, ErrWaiting) {
+		return answerWire{Waiting: true}, nil
+	}
 	var refusal usherrequest.Refusal
 	if errors.As(err, &refusal) {
 		return answerWire{Reason: string(refusal.Reason), RetryMillis: refusal.RetryAfter.Milliseconds()}, nil
--- a/service/ushergrant/message.go
+++ b/service/ushergrant/message.go
@@ -1,6 +1,8 @@
 // Package ushergrant is the protocol by which gateways ask schedulers for grants.
 //
-// A gateway acquires a grant before it sends a request to a target, reports while the request runs how many tokens it
+// A gateway acquires a grant before it sends a request to a target. While the request waits in the scheduler's queue the
+// gateway asks again every second or so: a grant is valid from the last time that it asked, so that two clocks of
+// different rate part by little, and a gateway that is gone is noticed. The gateway reports while the request runs how many tokens it
 // has made, and says how it ended. A scheduler advertises which targets it holds and how much room each service
 // has. Client is the gateway's side, Register the scheduler's; the messages on the wire stay inside this package.
 //
@@ -34,8 +36,8 @@
 )
 
 const (
-	// clockMargin shortens a grant by a hundredth, for clocks of different rate.
-	clockMargin = 100
+	// clockMargin shortens a grant by a fiftieth, for clocks of different rate.
+	clockMargin = 50
 )
 
 var (
@@ -43,6 +45,8 @@
 	Errors = errorx.NewNamespace("usher_grant")
 	// ErrExpired says that a grant ran out before it was used.
 	ErrExpired = Errors.NewType("expired")
+	// ErrWaiting says that a request is still in the queue and must be asked for again.
+	ErrWaiting = Errors.NewType("waiting")
 )
 
 type (
@@ -59,12 +63,16 @@
 		Fingerprint  uint64
 		// Isolated asks for a target that runs no other suspect.
 		Isolated bool
+		// Retry says that an earlier attempt of the request was lost.
+		Retry bool
 		// Avoid names targets that this request must not be sent to again.
 		Avoid []string
 		// Revision is the configuration that the request was admitted under.
 		Revision uint64
-		// Wait is how long the request may wait in the queue.
+		// Wait is how long the request may wait in the queue, from now on.
 		Wait time.Duration
+		// Slice is how long the scheduler may take to answer that the request still waits.
+		Slice time.Duration
 	}
 
 	// Grant is the permission to send one attempt to one target.
@@ -134,6 +142,8 @@
 		Avoid        []string `cbor:"12,keyasint,omitempty"`
 		Revision     uint64   `cbor:"13,keyasint"`
 		WaitMillis   int64    `cbor:"14,keyasint"`
+		SliceMillis  int64    `cbor:"15,keyasint"`
+		Retry        bool     `cbor:"16,keyasint,omitempty"`
 	}
 
 	answerWire struct {
@@ -144,6 +154,7 @@
 		ValidForMillis int64  `cbor:"5,keyasint,omitempty"`
 		Reason         string `cbor:"6,keyasint,omitempty"`
 		RetryMillis    int64  `cbor:"7,keyasint,omitempty"`
+		Waiting        bool   `cbor:"8,keyasint,omitempty"`
 	}
 
 	progressWire struct {
@@ -203,7 +214,7 @@
 		Incarnation: r.Attempt.Incarnation, Counter: r.Attempt.Counter, Service: r.Service, Template: r.Template,
 		Workspace: r.Workspace, PromptTokens: r.PromptTokens, MaxTokens: r.MaxTokens, Priority: r.Priority,
 		CacheKey: r.CacheKey, Fingerprint: r.Fingerprint, Isolated: r.Isolated, Avoid: r.Avoid,
-		Revision: r.Revision, WaitMillis: r.Wait.Milliseconds(),
+		Revision: r.Revision, WaitMillis: r.Wait.Milliseconds(), SliceMillis: r.Slice.Milliseconds(), Retry: r.Retry,
 	}
 }
 
@@ -212,7 +223,7 @@
 		Attempt: attempt(gateway, w.Incarnation, w.Counter), Service: w.Service, Template: w.Template,
 		Workspace: w.Workspace, PromptTokens: max(w.PromptTokens, 0), MaxTokens: max(w.MaxTokens, 0),
 		Priority: w.Priority, CacheKey: w.CacheKey, Fingerprint: w.Fingerprint, Isolated: w.Isolated,
-		Avoid: w.Avoid, Revision: w.Revision, Wait: max(time.Duration(w.WaitMillis)*time.Millisecond, 0),
+		Avoid: w.Avoid, Revision: w.Revision, Wait: milliseconds(w.WaitMillis), Slice: milliseconds(w.SliceMillis), Retry: w.Retry,
 	}
 }
 
@@ -225,6 +236,9 @@
 
 // grant returns what the scheduler granted, or its refusal as an error.
 func (w answerWire) grant() (Grant, error) {
+	if w.Waiting {
+		return Grant{}, ErrWaiting.New("still in the queue")
+	}
 	if w.Target == "" {
 		refusal := usherrequest.Refuse(usherrequest.Evidence{}, usherrequest.Reason(w.Reason))
 		return Grant{}, refusal.WithRetryAfter(time.Duration(w.RetryMillis) * time.Millisecond)
@@ -247,6 +261,10 @@
 	return a
 }
 
+func milliseconds(n int64) time.Duration {
+	return max(time.Duration(n)*time.Millisecond, 0)
+}
+
 func attempt(gateway string, incarnation, counter uint64) usherrequest.AttemptID {
 	return usherrequest.AttemptID{Gateway: gateway, Incarnation: incarnation, Counter: counter}
 }
--- a/service/usherscheduler/core.go
+++ b/service/usherscheduler/core.go
@@ -57,8 +57,16 @@
 		own int
 	}
 
-	// pending is a request that waits for its answer.
+	// pending is a request in the queue, or one that has a target and waits to be asked for again.
 	pending struct {
+		*asking
+		// arrived is when the gateway asked last, by this process's clock.
+		arrived time.Time
+		target  string
+	}
+
+	// asking is one asking of a gateway. It may have been answered already, by the end of its slice.
+	asking struct {
 		request ushergrant.Request
 		reply   chan reply
 	}
@@ -201,30 +209,48 @@
 	return unbounded
 }
 
+// grant gives the target that admission chose to a request. If its gateway is between two askings, the target waits.
 func (c *core) grant(now time.Time, s *service, a usheradmit.Assignment) {
 	p := c.waiting[a.Request.Attempt]
-	t := c.targets[a.Target]
-	if p == nil || t == nil {
+	if p == nil || c.targets[a.Target] == nil {
 		s.admit.Finish(now, a.Request.Attempt, 0, usheradmit.ResultCancelled)
 		return
 	}
-	granted, err := c.leases.Admit(now, usherlease.Request{Attempt: a.Request.Attempt, Target: a.Target})
+	p.target = a.Target
+	if now.Sub(p.arrived) < p.request.Slice {
+		c.confer(now, a.Request.Attempt, p)
+	}
+}
+
+// confer answers a request that has a target. The grant counts from the gateway's last asking.
+func (c *core) confer(now time.Time, attempt string, p *pending) {
+	t := c.targets[p.target]
+	if t == nil {
+		c.forfeit(now, attempt, p)
+		return
+	}
+	granted, err := c.leases.Admit(now, usherlease.Request{Attempt: attempt, Target: p.target})
 	if err != nil {
-		c.log.Debug("lease refused", "target", a.Target, "error", err)
-		s.admit.Finish(now, a.Request.Attempt, 0, usheradmit.ResultCancelled)
-		c.refuse(a.Request.Attempt, overloaded())
+		c.log.Debug("lease refused", "target", p.target, "error", err)
+		c.forfeit(now, attempt, p)
 		return
 	}
-	delete(c.waiting, a.Request.Attempt)
+	delete(c.waiting, attempt)
 	t.own++
-	c.running[a.Request.Attempt] = &running{service: t.Service, target: a.Target, gateway: p.request.Attempt.Gateway, seen: now}
+	c.running[attempt] = &running{service: t.Service, target: p.target, gateway: p.request.Attempt.Gateway, seen: now}
 	c.granted.Inc(1)
 	p.reply <- reply{grant: ushergrant.Grant{
-		Target: a.Target, Address: t.Address, Incarnation: granted.Incarnation,
-		Revision: c.revision, ValidFor: granted.ValidFor,
+		Target: p.target, Address: t.Address, Incarnation: granted.Incarnation,
+		Revision: c.revision, ValidFor: now.Sub(p.arrived) + granted.ValidFor,
 	}}
 }
 
+// forfeit takes back the target of a request and refuses it.
+func (c *core) forfeit(now time.Time, attempt string, p *pending) {
+	c.service(p.request.Service).admit.Finish(now, attempt, 0, usheradmit.ResultCancelled)
+	c.refuse(attempt, overloaded())
+}
+
 func (c *core) refuse(attempt string, err error) {
 	p := c.waiting[attempt]
 	if p == nil {
--- a/service/usherscheduler/duty.go
+++ b/service/usherscheduler/duty.go
@@ -124,11 +124,16 @@
 	}
 }
 
-// sweep gives up attempts of which no gateway has said anything for long.
+// sweep gives up attempts of which no gateway has said anything for long, and requests that are no longer asked for.
 func (c *core) sweep(now time.Time) {
 	for attempt, r := range c.running {
 		if now.Sub(r.seen) > silentFor {
 			c.end(now, attempt, 0, usheradmit.ResultCancelled, usherlease.Unknown)
 		}
 	}
+	for attempt, p := range c.waiting {
+		if now.Sub(p.arrived) > p.request.Slice+silentFor {
+			c.withdraw(now, attempt, p)
+		}
+	}
 }
--- a/service/usherscheduler/event.go
+++ b/service/usherscheduler/event.go
@@ -12,12 +12,11 @@
 
 type (
 	acquireEvent struct {
-		pending *pending
+		*asking
 	}
 
 	withdrawEvent struct {
 		attempt string
-		service string
 	}
 
 	progressEvent struct {
@@ -45,16 +44,33 @@
 const interactiveFrom = 7
 
 func (e acquireEvent) apply(c *core, now time.Time) {
-	r := e.pending.request
+	r := e.request
 	attempt := r.Attempt.String()
+	if p := c.waiting[attempt]; p != nil {
+		p.asking, p.arrived = e.asking, now
+		if p.target != "" {
+			c.confer(now, attempt, p)
+		}
+		return
+	}
 	switch {
 	case c.stopping:
-		e.pending.reply <- reply{err: usherrequest.Refuse(usherrequest.Evidence{}, usherrequest.ReasonStopping)}
+		e.reply <- reply{err: usherrequest.Refuse(usherrequest.Evidence{}, usherrequest.ReasonStopping)}
 		return
 	case !c.membership.View(now).Confirmed:
-		e.pending.reply <- reply{err: usherrequest.Refuse(usherrequest.Evidence{}, ReasonUnconfirmed).WithRetryAfter(c.options.Member.Interval)}
+		e.reply <- reply{err: usherrequest.Refuse(usherrequest.Evidence{}, ReasonUnconfirmed).WithRetryAfter(c.options.Member.Interval)}
 		return
 	}
+	decision := c.service(r.Service).admit.Offer(now, c.admission(attempt, r))
+	if !decision.Queued {
+		e.reply <- reply{err: refusalOf(decision.Reason, decision.RetryAfter)}
+		return
+	}
+	c.waiting[attempt] = &pending{asking: e.asking, arrived: now}
+}
+
+// admission is the request as admission sees it.
+func (c *core) admission(attempt string, r ushergrant.Request) usheradmit.Request {
 	weight := 1.0
 	if w, ok := c.options.Config.Workspace(r.Workspace); ok && w.Weight > 0 {
 		weight = float64(w.Weight)
@@ -63,29 +79,31 @@
 	if len(r.Avoid) > 0 {
 		avoid = r.Avoid[len(r.Avoid)-1]
 	}
-	decision := c.service(r.Service).admit.Offer(now, usheradmit.Request{
+	return usheradmit.Request{
 		Attempt: attempt, Workspace: r.Workspace, Template: r.Template, PromptTokens: r.PromptTokens,
 		LongestReply: r.MaxTokens, Prefix: r.CacheKey, PrefixTokens: r.PromptTokens,
-		Interactive: r.Priority >= interactiveFrom, Retry: len(r.Avoid) > 0, Weight: weight,
+		Interactive: r.Priority >= interactiveFrom, Retry: r.Retry, Weight: weight,
 		Patience: r.Wait, Avoid: avoid,
-	})
-	if !decision.Queued {
-		e.pending.reply <- reply{err: refusalOf(decision.Reason, decision.RetryAfter)}
-		return
 	}
-	c.waiting[attempt] = e.pending
 }
 
 func (e withdrawEvent) apply(c *core, now time.Time) {
-	if c.waiting[e.attempt] != nil {
-		delete(c.waiting, e.attempt)
-		c.service(e.service).admit.Withdraw(e.attempt)
+	p := c.waiting[e.attempt]
+	if p == nil {
 		return
 	}
-	// The grant was given while the gateway gave up: it was never used, or its gateway will say so.
-	if r := c.running[e.attempt]; r != nil {
-		r.seen = now
+	c.withdraw(now, e.attempt, p)
+}
+
+// withdraw takes a request out of the queue whose gateway no longer wants it.
+func (c *core) withdraw(now time.Time, attempt string, p *pending) {
+	delete(c.waiting, attempt)
+	admit := c.service(p.request.Service).admit
+	if p.target != "" {
+		admit.Finish(now, attempt, 0, usheradmit.ResultCancelled)
+		return
 	}
+	admit.Withdraw(attempt)
 }
 
 func (e progressEvent) apply(c *core, now time.Time) {
--- a/service/usherscheduler/scheduler.go
+++ b/service/usherscheduler/scheduler.go
@@ -168,15 +168,19 @@
 			return ushergrant.Grant{}, usherrequest.Refuse(usherrequest.Evidence{}, ReasonStale)
 		}
 	}
-	p := &pending{request: request, reply: make(chan reply, 1)}
-	if !s.inbox.Offer(acquireEvent{p}) {
+	ask := &asking{request: request, reply: make(chan reply, 1)}
+	if !s.inbox.Offer(acquireEvent{ask}) {
 		return ushergrant.Grant{}, overloaded()
 	}
+	slice := time.NewTimer(request.Slice)
+	defer slice.Stop()
 	select {
-	case r := <-p.reply:
+	case r := <-ask.reply:
 		return r.grant, r.err
+	case <-slice.C:
+		return ushergrant.Grant{}, ushergrant.ErrWaiting.New("attempt %s", request.Attempt.String())
 	case <-ctx.Done():
-		s.inbox.Offer(withdrawEvent{attempt: request.Attempt.String(), service: request.Service})
+		s.inbox.Offer(withdrawEvent{attempt: request.Attempt.String()})
 		return ushergrant.Grant{}, ctx.Err()
 	case <-s.done:
 		return ushergrant.Grant{}, usherrequest.Refuse(usherrequest.Evidence{}, usherrequest.ReasonStopping)
