Gateway: suspicion of crashing requests, locate, and at most once shown by tests

Before: no test of at most once through the product. After: TestNonIdempotentRunsAtMostOnce (resent to three gateways at once, two ids under one key, lost answer, reused id, dead and restarted gateway) and TestNotRunMeansNotRun pass under the race detector; the record of the service stand-in is what counts.

--- a/service/usherfeed/feed.go
+++ b/service/usherfeed/feed.go
@@ -133,7 +133,16 @@
 	if !ok || !t.InService {
 		return false
 	}
-	d, ok := snapshot.DataCentre(t.DataCentre)
+	return inService(snapshot, t.DataCentre)
+}
+
+// DataCentreInService reports whether operators have the data centre in service.
+func (f *Feed) DataCentreInService(name string) bool {
+	return inService(f.Snapshot(), name)
+}
+
+func inService(snapshot usherconfig.Snapshot, dataCentre string) bool {
+	d, ok := snapshot.DataCentre(dataCentre)
 	return ok && d.InService
 }
 
--- a/service/ushergateway/execution.go
+++ b/service/ushergateway/execution.go
@@ -47,6 +47,7 @@
 		sink     sink
 		avoid    []string
 		attempts int
+		isolated bool
 		deadline time.Time
 		progress progress
 	}
@@ -102,6 +103,9 @@
 		return answer{}, err
 	}
 	for {
+		if err := e.judge(); err != nil {
+			return answer{}, e.refuse(ctx, err)
+		}
 		grant, err := e.acquire(ctx)
 		if err != nil {
 			return answer{}, e.refuse(ctx, err)
@@ -121,6 +125,13 @@
 	}
 }
 
+// judge refuses a request that has crashed targets, and lets one that may have run only apart from others.
+func (e *execution) judge() error {
+	var err error
+	e.isolated, err = e.gateway.judge(e.call)
+	return err
+}
+
 // acquire asks one scheduler after another for a grant. Each asking is an attempt of its own, so that a grant whose
 // answer was lost is never mistaken for another.
 func (e *execution) acquire(ctx context.Context) (granted, error) {
@@ -162,6 +173,7 @@
 		Priority:     t.Priority,
 		CacheKey:     cacheKey(e.call),
 		Fingerprint:  e.call.Fingerprint(),
+		Isolated:     e.isolated,
 		Avoid:        e.avoid,
 		Retry:        e.attempts > 0,
 		Revision:     e.call.Revision,
@@ -181,6 +193,7 @@
 		Template: e.call.Template.Name, Workspace: e.call.Workspace.Name,
 	})
 	defer e.progress.end()
+	g.suspicion.begin(grant, e.call)
 	var v verdict
 	if service, _ := g.Config.Service(e.call.Template.Service); service.Kind == usherconfig.PlainService {
 		v = e.callPlain(ctx, grant)
@@ -188,6 +201,7 @@
 		v = e.generate(ctx, grant)
 	}
 	e.attempts++
+	e.settle(ctx, grant, v)
 	if !v.done && v.reason != reasonGrantExpired {
 		e.avoid = append(e.avoid, grant.Target)
 	}
--- a/service/ushergateway/gateway.go
+++ b/service/ushergateway/gateway.go
@@ -33,6 +33,7 @@
 	"github.com/samphireusher/samphireusher/pkg/usherledger"
 	"github.com/samphireusher/samphireusher/pkg/usherlink"
 	"github.com/samphireusher/samphireusher/pkg/usherrequest"
+	"github.com/samphireusher/samphireusher/pkg/ushersuspect"
 	"github.com/samphireusher/samphireusher/service/ushergrant"
 	"github.com/samphireusher/samphireusher/service/ushertarget"
 )
@@ -62,6 +63,9 @@
 		// Eligible reports whether new work may go to the target.
 		Eligible(now time.Time, target string) bool
 		Hosts(role usherconfig.Role) []usherconfig.Host
+		// Leaving reports whether a host takes no new work.
+		Leaving(host string) bool
+		DataCentreInService(name string) bool
 		// CatchUp waits until the revision is in force here.
 		CatchUp(ctx context.Context, revision uint64) error
 	}
@@ -78,6 +82,7 @@
 		Generate(ctx context.Context, target netip.AddrPort, g ushertarget.Generation, guard ushertarget.Guard) (*ushertarget.Stream, ushertarget.Evidence, error)
 		Resume(ctx context.Context, target netip.AddrPort, generation string, index int) (*ushertarget.Stream, error)
 		Cancel(ctx context.Context, target netip.AddrPort, generation string) error
+		Report(ctx context.Context, target netip.AddrPort) (ushertarget.Report, error)
 		Call(ctx context.Context, target netip.AddrPort, call ushertarget.Call, guard ushertarget.Guard) (json.RawMessage, ushertarget.Evidence, error)
 	}
 
@@ -115,6 +120,7 @@
 		outcomes   outcomes
 		takeovers  takeovers
 		once       once
+		suspicion  suspicion
 		meters     meters
 		minting    sync.Mutex
 		minter     usherrequest.Minter
@@ -138,6 +144,7 @@
 		meters:   newMeters(options.Metrics),
 		minter:   usherrequest.Minter{Gateway: options.Name, Incarnation: options.Incarnation},
 	}
+	g.suspicion = suspicion{watch: ushersuspect.New(options.Name, ushersuspect.Limits{}), cursors: map[string]uint64{}}
 	g.once.ledger = usherledger.New(options.Name, options.Incarnation, usherledger.Limits{})
 	g.schedulers.prefer(options.DataCentre)
 	return g, nil
@@ -148,9 +155,10 @@
 	ushergrant.RegisterListener(mux, &g.schedulers)
 	g.registerTakeover(mux)
 	mux.Handle(kindForward, g.serveForward)
+	mux.Handle(kindSightings, g.serveSightings)
 }
 
-// Run reports progress to the schedulers until ctx ends.
+// Run reports progress to the schedulers and suspicion to the gateways until ctx ends.
 func (g *Gateway) Run(ctx context.Context) {
 	ticker := time.NewTicker(progressPeriod)
 	defer ticker.Stop()
@@ -161,6 +169,7 @@
 			return
 		case now := <-ticker.C:
 			g.reportProgress(ctx, now)
+			g.spreadSuspicion(ctx)
 		}
 	}
 }
--- a/service/ushergateway/generate.go
+++ b/service/ushergateway/generate.go
@@ -58,7 +58,7 @@
 	g := &generation{execution: e, grant: grant, id: grant.attempt.String(), relay: e.newRelay()}
 	order := ushertarget.Generation{
 		ID: g.id, Prompt: e.call.Prompt, MaxTokens: e.call.Template.MaxOutputTokens,
-		Priority: e.call.Template.Priority, CacheKey: e.call.Template.Name,
+		Priority: e.call.Template.Priority, Isolated: e.isolated, CacheKey: e.call.Template.Name,
 	}
 	stream, evidence, err := e.gateway.Targets.Generate(ctx, grant.Address, order, e.guard(grant))
 	if err != nil {
--- a/service/ushergateway/locate.go
+++ b/service/ushergateway/locate.go
@@ -1,39 +1,81 @@
 package ushergateway
 
 import (
+	"net"
 	"net/http"
-	"time"
+	"strings"
 
 	"github.com/samphireusher/samphireusher/pkg/usherconfig"
+	"github.com/samphireusher/samphireusher/pkg/usherlocate"
+	"github.com/samphireusher/samphireusher/pkg/usherrequest"
 )
 
-// locateLifetime is how long a caller may keep the answer.
-const locateLifetime = 30 * time.Second
+// locateAddresses is how many gateways a caller is told: the best, and one to turn to if it does not answer.
+const locateAddresses = 2
 
 type locateWire struct {
 	Addresses []string `json:"addresses"`
 	ValidMS   int64    `json:"valid_ms"`
 }
 
-// serveLocate tells a caller which gateways to use, the best first.
+// serveLocate tells a caller which gateways to use, the best first. The parameter near lists data centres, the nearest
+// first; without it this gateway's own counts as the nearest.
 func (g *Gateway) serveLocate(w http.ResponseWriter, r *http.Request) error {
-	wire := locateWire{ValidMS: locateLifetime.Milliseconds()}
-	for _, host := range g.Config.Hosts(usherconfig.GatewayRole) {
-		if host.InService {
-			wire.Addresses = append(wire.Addresses, host.Address.String())
+	caller := g.locating(r)
+	view := g.gateways()
+	wire := locateWire{}
+	for range locateAddresses {
+		answer, ok := view.Locate(caller)
+		if !ok {
+			break
+		}
+		if len(wire.Addresses) == 0 {
+			wire.ValidMS = answer.Lifetime.Milliseconds()
 		}
+		wire.Addresses = append(wire.Addresses, answer.Address)
+		view = view.Without(answer.Gateway)
+	}
+	if len(wire.Addresses) == 0 {
+		return usherrequest.Refuse(usherrequest.Evidence{}, usherrequest.ReasonOverloaded).WithRetryAfter(usherlocate.ShortLifetime)
 	}
 	writeJSON(w, http.StatusOK, wire)
 	return nil
 }
 
-func (g *Gateway) otherGateway() (string, bool) {
+func (g *Gateway) locating(r *http.Request) usherlocate.Caller {
+	client, _, err := net.SplitHostPort(r.RemoteAddr)
+	if err != nil {
+		client = r.RemoteAddr
+	}
+	near := []string{g.DataCentre}
+	if given := r.URL.Query().Get("near"); given != "" {
+		near = strings.Split(given, ",")
+	}
+	return usherlocate.Caller{Workspace: callerOf(r), Client: client, Near: near}
+}
+
+// gateways is what this process knows of all gateways.
+func (g *Gateway) gateways() usherlocate.View {
+	known := []usherlocate.Gateway{}
 	for _, host := range g.Config.Hosts(usherconfig.GatewayRole) {
-		if host.InService && host.Name != g.Name {
-			return host.Address.String(), true
-		}
+		known = append(known, usherlocate.Gateway{
+			Name: host.Name, Address: host.Address.String(), DataCentre: host.DataCentre, State: g.stateOf(host),
+		})
+	}
+	return usherlocate.NewView(known...)
+}
+
+func (g *Gateway) stateOf(host usherconfig.Host) usherlocate.State {
+	switch {
+	case host.Name == g.Name && g.stopping.Load(), g.Config.Leaving(host.Name):
+		return usherlocate.Leaving
+	case !g.Config.DataCentreInService(host.DataCentre):
+		return usherlocate.OutOfService
+	case host.Name == g.Name && g.active.len() >= g.Limits.Requests:
+		return usherlocate.Overloaded
+	default:
+		return usherlocate.InService
 	}
-	return "", false
 }
 
 func (g *Gateway) gatewayNamed(name string) (usherconfig.Host, bool) {
--- /dev/null
+++ b/service/ushergateway/once_test.go
@@ -0,0 +1,160 @@
+package ushergateway_test
+
+import (
+	"errors"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/samphireusher/samphireusher/service/usherclient"
+	"github.com/samphireusher/samphireusher/standin/usherfleet"
+	"github.com/samphireusher/samphireusher/standin/usherplain"
+)
+
+func allotment(artisan, id string) usherclient.Request {
+	return usherclient.Request{Template: "allotment", Parameters: map[string]string{"artisan": artisan}, RequestID: id}
+}
+
+func mint(t *testing.T, client *usherclient.Client, address, key string) string {
+	t.Helper()
+	id, err := client.Mint(t.Context(), address, key)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return id
+}
+
+// executions returns how often the services ran the allotment of artisan, by their own record.
+func executions(fleet *usherfleet.Fleet, artisan string) int {
+	count := 0
+	for _, service := range fleet.Services {
+		for _, operation := range service.Record().Operations {
+			if operation.Operation == "allotment" && string(operation.Parameters) == `{"artisan":"`+artisan+`"}` {
+				count += operation.Executions
+			}
+		}
+	}
+	return count
+}
+
+func outcomeOf(err error) string {
+	var refusal usherclient.Refusal
+	switch {
+	case err == nil:
+		return "completed"
+	case errors.As(err, &refusal):
+		return refusal.Outcome
+	default:
+		return "broken"
+	}
+}
+
+func TestNonIdempotentRunsAtMostOnce(t *testing.T) {
+	fleet := start(t, usherfleet.Config{Gateways: 3, Engines: 1, Services: 2})
+	client := newClient(t)
+	first, second := fleet.Gateways[0], fleet.Gateways[1]
+
+	t.Run("resent at once, to several gateways", func(t *testing.T) {
+		id := mint(t, client, first.Address(), "")
+		var group sync.WaitGroup
+		for _, gateway := range []*usherfleet.Daemon{first, first, second, fleet.Gateways[2]} {
+			group.Go(func() {
+				answer, err := client.Send(t.Context(), gateway.Address(), allotment("meera", id), nil)
+				if err != nil || answer.Outcome != "completed" {
+					t.Errorf("answer at %s: %+v, %v", gateway.Name(), answer, err)
+				}
+			})
+		}
+		group.Wait()
+		if got := executions(fleet, "meera"); got != 1 {
+			t.Fatalf("ran %d times", got)
+		}
+	})
+
+	t.Run("two ids under one idempotency key", func(t *testing.T) {
+		for range 2 {
+			id := mint(t, client, first.Address(), "stall-12")
+			if _, err := client.Send(t.Context(), first.Address(), allotment("anu", id), nil); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if got := executions(fleet, "anu"); got != 1 {
+			t.Fatalf("ran %d times", got)
+		}
+	})
+
+	t.Run("answer lost", func(t *testing.T) {
+		setServiceFaults(fleet, usherplain.Faults{LoseAnswers: true})
+		id := mint(t, client, first.Address(), "")
+		_, err := client.Send(t.Context(), first.Address(), allotment("jose", id), nil)
+		if got := outcomeOf(err); got != "unknown" {
+			t.Fatalf("outcome %s, want unknown: %v", got, err)
+		}
+		setServiceFaults(fleet, usherplain.Faults{})
+		if _, err := client.Send(t.Context(), second.Address(), allotment("jose", id), nil); outcomeOf(err) != "unknown" {
+			t.Fatalf("resent: %v", err)
+		}
+		if got := executions(fleet, "jose"); got != 1 {
+			t.Fatalf("ran %d times", got)
+		}
+	})
+
+	t.Run("id of another request", func(t *testing.T) {
+		id := mint(t, client, first.Address(), "")
+		if _, err := client.Send(t.Context(), first.Address(), allotment("latha", id), nil); err != nil {
+			t.Fatal(err)
+		}
+		if _, err := client.Send(t.Context(), first.Address(), allotment("rema", id), nil); err == nil {
+			t.Fatal("an id was used for two requests")
+		}
+		if got := executions(fleet, "rema"); got != 0 {
+			t.Fatalf("ran %d times", got)
+		}
+	})
+
+	t.Run("gateway died", func(t *testing.T) {
+		id := mint(t, client, first.Address(), "")
+		if err := first.Kill(); err != nil {
+			t.Fatal(err)
+		}
+		if _, err := client.Send(t.Context(), second.Address(), allotment("vinod", id), nil); outcomeOf(err) != "unknown" {
+			t.Fatalf("at another gateway: %v", err)
+		}
+		if err := fleet.Restart(t.Context(), first); err != nil {
+			t.Fatal(err)
+		}
+		if _, err := client.Send(t.Context(), first.Address(), allotment("vinod", id), nil); outcomeOf(err) != "unknown" {
+			t.Fatalf("at its next incarnation: %v", err)
+		}
+		if got := executions(fleet, "vinod"); got != 0 {
+			t.Fatalf("ran %d times", got)
+		}
+	})
+}
+
+func TestNotRunMeansNotRun(t *testing.T) {
+	fleet := start(t, usherfleet.Config{Engines: 1, Services: 1})
+	client := newClient(t)
+	setServiceFaults(fleet, usherplain.Faults{Refuse: true})
+	id := mint(t, client, fleet.Gateways[0].Address(), "")
+	_, err := client.Send(t.Context(), fleet.Gateways[0].Address(), allotment("meera", id), nil)
+	var refusal usherclient.Refusal
+	if !errors.As(err, &refusal) || refusal.Outcome != "not_run" {
+		t.Fatalf("refused by its target: %v", err)
+	}
+	setServiceFaults(fleet, usherplain.Faults{DieAfter: true, RestartAfterMS: 500})
+	time.Sleep(10 * time.Millisecond)
+	id = mint(t, client, fleet.Gateways[0].Address(), "")
+	if _, err := client.Send(t.Context(), fleet.Gateways[0].Address(), allotment("anu", id), nil); outcomeOf(err) != "unknown" {
+		t.Fatalf("target died after running: %v", err)
+	}
+	if got := executions(fleet, "meera"); got != 0 {
+		t.Fatalf("not_run, but ran %d times", got)
+	}
+}
+
+func setServiceFaults(fleet *usherfleet.Fleet, faults usherplain.Faults) {
+	for _, service := range fleet.Services {
+		service.SetFaults(faults)
+	}
+}
--- a/service/ushergateway/submit.go
+++ b/service/ushergateway/submit.go
@@ -10,6 +10,7 @@
 
 	"github.com/samphireusher/samphireusher/pkg/usherconfig"
 	"github.com/samphireusher/samphireusher/pkg/usherledger"
+	"github.com/samphireusher/samphireusher/pkg/usherlocate"
 	"github.com/samphireusher/samphireusher/pkg/usherrequest"
 )
 
@@ -116,7 +117,7 @@
 	g.requests.Add(1)
 	defer g.requests.Done()
 	if g.stopping.Load() {
-		return answer{}, g.turnAway(usherrequest.ReasonStopping)
+		return answer{}, g.turnAway(call.Workspace.Name, usherrequest.ReasonStopping)
 	}
 	if call.Template.KeepAnswer {
 		ctx = context.WithoutCancel(ctx)
@@ -124,7 +125,7 @@
 	}
 	e := g.newExecution(call, id, text, to)
 	if !g.active.add(e, g.Limits.Requests) {
-		return answer{}, g.turnAway(usherrequest.ReasonOverloaded)
+		return answer{}, g.turnAway(call.Workspace.Name, usherrequest.ReasonOverloaded)
 	}
 	defer g.active.remove(e)
 	ctx, cancel := context.WithCancelCause(ctx)
@@ -158,12 +159,13 @@
 		"revision", e.call.Revision, "outcome", end.Outcome.String(), "reason", end.Reason, "tokens", result.Tokens)
 }
 
-// turnAway refuses a request of which nothing was run.
-func (g *Gateway) turnAway(reason usherrequest.Reason) error {
+// turnAway refuses a request of which nothing was run, and names another gateway.
+func (g *Gateway) turnAway(workspace string, reason usherrequest.Reason) error {
 	const retryAfter = time.Second
 	refusal := usherrequest.Refuse(usherrequest.Evidence{}, reason).WithRetryAfter(retryAfter)
-	if other, ok := g.otherGateway(); ok {
-		refusal = refusal.WithOtherAddress(other)
+	caller := usherlocate.Caller{Workspace: workspace, Near: []string{g.DataCentre}}
+	if other, ok := g.gateways().Without(g.Name).Locate(caller); ok {
+		refusal = refusal.WithOtherAddress(other.Address)
 	}
 	return refusal
 }
--- a/service/usherscheduler/core.go
+++ b/service/usherscheduler/core.go
@@ -78,10 +78,11 @@
 
 	// running is an attempt that was granted and has not ended.
 	running struct {
-		service string
-		target  string
-		gateway string
-		seen    time.Time
+		isolated bool
+		service  string
+		target   string
+		gateway  string
+		seen     time.Time
 	}
 
 	// due is when each periodic duty comes next.
@@ -225,7 +226,7 @@
 // confer answers a request that has a target. The grant counts from the gateway's last asking.
 func (c *core) confer(now time.Time, attempt string, p *pending) {
 	t := c.targets[p.target]
-	if t == nil {
+	if t == nil || p.request.Isolated && c.runsSuspect(p.target) {
 		c.forfeit(now, attempt, p)
 		return
 	}
@@ -237,7 +238,7 @@
 	}
 	delete(c.waiting, attempt)
 	t.own++
-	c.running[attempt] = &running{service: t.Service, target: p.target, gateway: p.request.Attempt.Gateway, seen: now}
+	c.running[attempt] = &running{isolated: p.request.Isolated, service: t.Service, target: p.target, gateway: p.request.Attempt.Gateway, seen: now}
 	c.granted.Inc(1)
 	p.reply <- reply{grant: ushergrant.Grant{
 		Target: p.target, Address: t.Address, Incarnation: granted.Incarnation,
@@ -245,6 +246,16 @@
 	}}
 }
 
+// runsSuspect reports whether a request that may crash targets runs on the target already.
+func (c *core) runsSuspect(target string) bool {
+	for _, r := range c.running {
+		if r.isolated && r.target == target {
+			return true
+		}
+	}
+	return false
+}
+
 // forfeit takes back the target of a request and refuses it.
 func (c *core) forfeit(now time.Time, attempt string, p *pending) {
 	c.service(p.request.Service).admit.Finish(now, attempt, 0, usheradmit.ResultCancelled)
