Tests kill the mutants of the stand-ins that survived

Cause: do the tests notice a stand-in that is wrong? 38 mutants were tried on a scratch copy: 30 were killed, 4 survived, 2 did not compile and the text of 1 was not found (its twin in stream.go was killed). Survivors: no cold after load_model, no freeze of the step loop, a refused generation that stays in the model, and no forgetting of old host lists. The first three have a test now; the last changes only what is kept in memory. Also: the batch body may be 256 MiB, so that a configuration of 47,000 workspaces fits in base64.

--- a/standin/internal/usherhttp/http.go
+++ b/standin/internal/usherhttp/http.go
@@ -19,7 +19,7 @@
 )
 
 // MaxBodyBytes bounds the body of a JSON request.
-const MaxBodyBytes = 64 << 20
+const MaxBodyBytes = 256 << 20
 
 type refusal struct {
 	Error  string `json:"error"`
--- a/standin/usherengine/engine_test.go
+++ b/standin/usherengine/engine_test.go
@@ -309,6 +309,10 @@
 		if seen := b.engine.Record(); seen.PeakRunningCold != 1 || len(seen.Deaths) != 0 {
 			b.Errorf("record: peak %d, %d deaths", seen.PeakRunningCold, len(seen.Deaths))
 		}
+		time.Sleep(time.Second)
+		if got := b.report(); got.Running != 1 || got.Waiting != 0 {
+			b.Errorf("the refused generation takes room: %+v", got)
+		}
 	})
 }
 
--- a/standin/usherengine/faults_test.go
+++ b/standin/usherengine/faults_test.go
@@ -111,6 +111,20 @@
 	}
 }
 
+func TestFrozenEngineMakesNoTokens(t *testing.T) {
+	run(t, usherengine.Config{}, func(b bench) {
+		b.open("tokens=500", "g1")
+		time.Sleep(time.Second)
+		b.switchFaults(`{"freeze_ms":60000}`)
+		time.Sleep(time.Second)
+		before := b.engine.Record().Generations[0].Tokens
+		time.Sleep(58 * time.Second)
+		if after := b.engine.Record().Generations[0].Tokens; before == 0 || after != before {
+			b.Errorf("%d tokens before, %d after, want the same", before, after)
+		}
+	})
+}
+
 func TestDeathLosesEverything(t *testing.T) {
 	tests := []struct {
 		name, before, prompt, after, reason string
@@ -189,6 +203,9 @@
 				b.Errorf("while loading: status %d, body %s, want 503", status, answer)
 			}
 			time.Sleep(time.Second)
+			if got := b.report(); got.Warm || got.Incarnation != 1 {
+				b.Errorf("report after loading: %+v", got)
+			}
 			b.wantWhole(b.generate("g1", "tokens=1"), "g1", "tokens=1", 0)
 
 			wantStatus, wantModel := http.StatusOK, "weaver-1"
