A late step of the engine shortens the next one

Cause: each step slept its whole time after the work of the one before, so that the engine ran slower than its model says. Ruled out: catching up by more than one step; after a freeze the engine goes on at its usual pace.

--- a/standin/usherengine/loop.go
+++ b/standin/usherengine/loop.go
@@ -20,15 +20,20 @@
 	e.loops.Go(func() { e.loop(s) })
 }
 
-// loop runs one step after the other until there is nothing to do.
+// loop runs one step after the other until there is nothing to do. A step that woke late shortens the next one.
 func (e *Engine) loop(s *state) {
 	life := s.life.Context()
+	due := time.Now()
 	for {
 		pause, events := e.beginStep(s)
 		if pause == 0 {
 			return
 		}
-		if err := usherlife.Sleep(life, pause); err != nil {
+		due = due.Add(pause)
+		if time.Now().After(due) {
+			due = time.Now()
+		}
+		if err := usherlife.Sleep(life, time.Until(due)); err != nil {
 			return
 		}
 		if err := e.gate.Thaw(life); err != nil {
