--- /dev/null
+++ b/pkg/usherview/readers.go
@@ -0,0 +1,33 @@
+package usherview
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Member is a process whose heartbeats are heard.
+type Member struct {
+	Name       string
+	DataCentre string
+}
+
+// Readers returns which k members of a data centre read the platform. All who hear the same members agree on them, and
+// a member that comes or goes changes no more than one of them.
+func Readers(members []Member, dataCentre string, k int) []string {
+	var local []string
+	for _, m := range members {
+		if m.DataCentre == dataCentre {
+			local = append(local, m.Name)
+		}
+	}
+	slices.SortFunc(local, func(a, b string) int {
+		return cmp.Or(cmp.Compare(readerScore(b), readerScore(a)), cmp.Compare(a, b))
+	})
+	return local[:min(k, len(local))]
+}
+
+func readerScore(name string) uint64 {
+	return xxhash.Sum64String("reader " + name)
+}
