Configuration spreads between processes; a start needs no platform

Cause: every process read the platform itself, so 350 of them would each watch it, and a restart during an outage had nothing to start from. Before: a feed that reads the platform alone. After: the feed does the I/O of usherview.Store; the tests of service/ushergateway pass on it under the race detector.

--- a/service/usherdaemon/daemon.go
+++ b/service/usherdaemon/daemon.go
@@ -83,10 +83,12 @@
 	if d.node, err = usherlink.Listen(settings.Listen.Address.String(), d.keys, usherlink.HandlerFunc(mux.ServeMessage), d.log); err != nil {
 		return nil, err
 	}
-	d.feed = usherfeed.New(usherfeed.NewPlatform(settings.Platform.Address), d.log)
-	if err := d.feed.Start(ctx); err != nil {
-		return nil, errors.Join(err, d.node.Close())
-	}
+	d.feed = usherfeed.New(usherfeed.Options{
+		Address: settings.Listen.Address, DataCentre: settings.Process.DataCentre,
+		Platform: usherfeed.NewPlatform(settings.Platform.Address), Link: d.node, Log: d.log,
+		Seeds: settings.Platform.Seeds, Seed: incarnation(),
+	})
+	d.feed.Register(mux)
 	return d, nil
 }
 
@@ -94,25 +96,54 @@
 func (d *daemon) serve(ctx context.Context, p part, callers http.Handler) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	signals := notify()
+	defer signal.Stop(signals)
+	d.duties.Go(func() { d.feed.Run(ctx) })
+	if stopped, err := d.start(ctx, signals); err != nil || stopped {
+		cancel()
+		d.duties.Wait()
+		return errors.Join(err, d.node.Close())
+	}
 	servers, err := d.listen(p, callers)
 	if err != nil {
 		return err
 	}
-	d.duties.Go(func() { d.feed.Run(ctx) })
 	d.duties.Go(func() { p.Run(ctx) })
 	d.log.Info("serving", "address", d.settings.Listen.Address.String(), "admin", d.settings.Listen.Admin.String(), "revision", d.feed.Revision())
-	d.awaitSignal(ctx)
+	d.awaitSignal(ctx, signals)
 	err = d.stop(ctx, p, servers)
 	cancel()
 	d.duties.Wait()
 	return errors.Join(err, d.node.Close())
 }
 
-// awaitSignal returns at the signal of a planned stop.
-func (d *daemon) awaitSignal(ctx context.Context) {
+// notify returns the signals that a daemon obeys.
+func notify() chan os.Signal {
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
-	defer signal.Stop(signals)
+	return signals
+}
+
+// start waits for a configuration; it reports whether a planned stop came first.
+func (d *daemon) start(ctx context.Context, signals <-chan os.Signal) (stopped bool, err error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	started := make(chan error, 1)
+	go func() { started <- d.feed.Start(ctx) }()
+	for {
+		select {
+		case err := <-started:
+			return false, err
+		case s := <-signals:
+			if s != syscall.SIGHUP {
+				return true, nil
+			}
+		}
+	}
+}
+
+// awaitSignal returns at the signal of a planned stop.
+func (d *daemon) awaitSignal(ctx context.Context, signals <-chan os.Signal) {
 	for {
 		select {
 		case <-ctx.Done():
--- a/service/usherdaemon/setting.go
+++ b/service/usherdaemon/setting.go
@@ -26,7 +26,8 @@
 			Authorities string `ini:"authorities" required:"true" usage:"file with the certificates of the fleet's authorities in PEM"`
 		} `ini:"keys"`
 		Platform struct {
-			Address netip.AddrPort `ini:"address" required:"true" usage:"IP number and port of the configuration service"`
+			Address netip.AddrPort   `ini:"address" required:"true" usage:"IP number and port of the configuration service"`
+			Seeds   []netip.AddrPort `ini:"seeds" usage:"addresses of processes to ask for a configuration at a start"`
 		} `ini:"platform"`
 		Log struct {
 			Level string `ini:"level" default:"info" usage:"debug, info, warn or error"`
--- a/service/usherfeed/dump.go
+++ b/service/usherfeed/dump.go
@@ -1,12 +1,27 @@
 package usherfeed
 
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/samphireusher/samphireusher/pkg/usherview"
+)
+
 type dumpWire struct {
-	Revision   uint64 `json:"revision"`
-	Workspaces int    `json:"workspaces"`
+	usherview.Dump
+	LeavingHosts []string `json:"leaving_hosts"`
+	HostsAgeMS   int64    `json:"hosts_age_ms"`
 }
 
 // Dump returns the feed's state for operators.
 func (f *Feed) Dump() any {
-	view := f.View()
-	return dumpWire{Revision: view.Version().Revision, Workspaces: view.WorkspaceCount()}
+	now := time.Now()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	dump := dumpWire{Dump: f.store.Dump(now), LeavingHosts: slices.Sorted(maps.Keys(f.hosts.leaving))}
+	if !f.hosts.takenAt.IsZero() {
+		dump.HostsAgeMS = now.Sub(f.hosts.takenAt).Milliseconds()
+	}
+	return dump
 }
--- a/service/usherfeed/platform.go
+++ b/service/usherfeed/platform.go
@@ -6,17 +6,14 @@
 	"io"
 	"net/http"
 	"net/netip"
-	"strconv"
 	"time"
 
 	"github.com/joomcode/errorx"
 )
 
 const (
-	versionHeader = "Usher-Version"
 	maxValueBytes = 1 << 20
 	readTimeout   = 2 * time.Second
-	watchTimeout  = 35 * time.Second
 )
 
 var (
@@ -39,17 +36,6 @@
 		Leaving bool
 	}
 
-	// Change says what a watch saw.
-	Change struct {
-		Version uint64
-		Keys    []string
-	}
-
-	changeWire struct {
-		Version uint64   `json:"version"`
-		Keys    []string `json:"keys"`
-	}
-
 	hostsWire struct {
 		Version uint64     `json:"version"`
 		Hosts   []hostWire `json:"hosts"`
@@ -70,30 +56,14 @@
 func (p *Platform) Value(ctx context.Context, key string) ([]byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
-	data, _, err := p.get(ctx, "/v1/values/"+key)
-	return data, err
-}
-
-// Watch waits until something has changed after version.
-func (p *Platform) Watch(ctx context.Context, version uint64) (Change, error) {
-	ctx, cancel := context.WithTimeout(ctx, watchTimeout)
-	defer cancel()
-	data, _, err := p.get(ctx, "/v1/watch?after="+strconv.FormatUint(version, 10))
-	if err != nil {
-		return Change{}, err
-	}
-	var wire changeWire
-	if err := json.Unmarshal(data, &wire); err != nil {
-		return Change{}, ErrPlatform.Wrap(err, "watch")
-	}
-	return Change(wire), nil
+	return p.get(ctx, "/v1/values/"+key)
 }
 
 // Hosts reads the list of hosts.
 func (p *Platform) Hosts(ctx context.Context) ([]HostState, error) {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
-	data, _, err := p.get(ctx, "/v1/hosts")
+	data, err := p.get(ctx, "/v1/hosts")
 	if err != nil {
 		return nil, err
 	}
@@ -108,26 +78,25 @@
 	return hosts, nil
 }
 
-func (p *Platform) get(ctx context.Context, path string) ([]byte, uint64, error) {
+func (p *Platform) get(ctx context.Context, path string) ([]byte, error) {
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+p.address.String()+path, nil)
 	if err != nil {
-		return nil, 0, ErrPlatform.Wrap(err, "%s", path)
+		return nil, ErrPlatform.Wrap(err, "%s", path)
 	}
 	response, err := p.http.Do(request)
 	if err != nil {
-		return nil, 0, ErrPlatform.Wrap(err, "%s", path)
+		return nil, ErrPlatform.Wrap(err, "%s", path)
 	}
 	defer response.Body.Close()
 	if response.StatusCode != http.StatusOK {
-		return nil, 0, ErrPlatform.New("%s: %s", path, response.Status)
+		return nil, ErrPlatform.New("%s: %s", path, response.Status)
 	}
 	data, err := io.ReadAll(io.LimitReader(response.Body, maxValueBytes+1))
 	if err != nil {
-		return nil, 0, ErrPlatform.Wrap(err, "%s", path)
+		return nil, ErrPlatform.Wrap(err, "%s", path)
 	}
 	if len(data) > maxValueBytes {
-		return nil, 0, ErrPlatform.New("%s: value above %d bytes", path, maxValueBytes)
+		return nil, ErrPlatform.New("%s: value above %d bytes", path, maxValueBytes)
 	}
-	version, _ := strconv.ParseUint(response.Header.Get(versionHeader), 10, 64)
-	return data, version, nil
+	return data, nil
 }
--- a/service/ushergateway/gateway.go
+++ b/service/ushergateway/gateway.go
@@ -66,8 +66,8 @@
 		// Leaving reports whether a host takes no new work.
 		Leaving(host string) bool
 		DataCentreInService(name string) bool
-		// CatchUp waits until the revision is in force here.
-		CatchUp(ctx context.Context, revision uint64) error
+		// CatchUp waits until the revision is in force here, which the process at address has.
+		CatchUp(ctx context.Context, revision uint64, address string) error
 	}
 
 	// Grants asks schedulers; *ushergrant.Client is one.
--- a/service/ushergateway/once.go
+++ b/service/ushergateway/once.go
@@ -177,12 +177,12 @@
 }
 
 // serveForward runs what another gateway was asked for under an id of this one.
-func (g *Gateway) serveForward(ctx context.Context, _ usherlink.Peer, body usherlink.Payload) (any, error) {
+func (g *Gateway) serveForward(ctx context.Context, from usherlink.Peer, body usherlink.Payload) (any, error) {
 	var wire forwardWire
 	if err := body.Decode(&wire); err != nil {
 		return nil, err
 	}
-	if err := g.Config.CatchUp(ctx, wire.Revision); err != nil {
+	if err := g.Config.CatchUp(ctx, wire.Revision, from.Address.String()); err != nil {
 		return nil, err
 	}
 	call, err := g.Config.Resolve(wire.Workspace, wire.Template, argumentsOf(wire.Parameters))
--- a/service/ushergrant/handler.go
+++ b/service/ushergrant/handler.go
@@ -34,7 +34,9 @@
 		if err := body.Decode(&w); err != nil {
 			return nil, err
 		}
-		return acquire(ctx, scheduler, w.request(from.Name))
+		request := w.request(from.Name)
+		request.From = from.Address.String()
+		return acquire(ctx, scheduler, request)
 	})
 	mux.Handle(kindProgress, func(_ context.Context, from usherlink.Peer, body usherlink.Payload) (any, error) {
 		var w progressWire
--- a/service/ushergrant/message.go
+++ b/service/ushergrant/message.go
@@ -52,6 +52,8 @@
 type (
 	// Request asks for a grant for one attempt.
 	Request struct {
+		// From is the address of the gateway that asks. It does not cross the network.
+		From         string
 		Attempt      usherrequest.AttemptID
 		Service      string
 		Template     string
--- a/service/usherscheduler/scheduler.go
+++ b/service/usherscheduler/scheduler.go
@@ -64,7 +64,7 @@
 		Hosts(role usherconfig.Role) []usherconfig.Host
 		Leaving(host string) bool
 		Eligible(now time.Time, target string) bool
-		CatchUp(ctx context.Context, revision uint64) error
+		CatchUp(ctx context.Context, revision uint64, address string) error
 	}
 
 	// Reports reads targets' load reports; *ushertarget.Client is one.
@@ -163,7 +163,7 @@
 // Acquire implements ushergrant.Scheduler.
 func (s *Scheduler) Acquire(ctx context.Context, request ushergrant.Request) (ushergrant.Grant, error) {
 	if request.Revision > s.options.Config.Revision() {
-		if err := s.catchUp(ctx, request.Revision); err != nil {
+		if err := s.catchUp(ctx, request); err != nil {
 			s.options.Log.Warn("configuration behind a request", "revision", request.Revision, "error", err)
 			return ushergrant.Grant{}, usherrequest.Refuse(usherrequest.Evidence{}, ReasonStale)
 		}
@@ -217,10 +217,10 @@
 	}
 }
 
-func (s *Scheduler) catchUp(ctx context.Context, revision uint64) error {
+func (s *Scheduler) catchUp(ctx context.Context, request ushergrant.Request) error {
 	ctx, cancel := context.WithTimeout(ctx, catchUpTimeout)
 	defer cancel()
-	return s.options.Config.CatchUp(ctx, revision)
+	return s.options.Config.CatchUp(ctx, request.Revision, request.From)
 }
 
 func overloaded() error {
--- a/standin/usherfleet/daemon.go
+++ b/standin/usherfleet/daemon.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"net/netip"
 	"sync"
 	"time"
 
@@ -104,6 +105,8 @@
 	if err != nil {
 		return err
 	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	if host.Role == usherconfig.GatewayRole {
 		f.Gateways = append(f.Gateways, d)
 	} else {
@@ -123,10 +126,17 @@
 	if d.node, err = usherlink.Listen(d.Address(), keys, usherlink.HandlerFunc(mux.ServeMessage), log); err != nil {
 		return nil, err
 	}
-	d.feed = usherfeed.New(usherfeed.NewPlatform(f.platform), log)
-	if err := d.feed.Start(ctx); err != nil {
-		return nil, err
+	seeds := []netip.AddrPort{}
+	for _, h := range f.snapshot.Hosts {
+		if h.Name != host.Name {
+			seeds = append(seeds, h.Address)
+		}
 	}
+	d.feed = usherfeed.New(usherfeed.Options{
+		Address: host.Address, DataCentre: host.DataCentre, Platform: usherfeed.NewPlatform(f.platform), Link: d.node,
+		Log: log, Seeds: seeds, Seed: uint64(time.Now().UnixNano()),
+	})
+	d.feed.Register(mux)
 	if host.Role == usherconfig.GatewayRole {
 		err = d.asGateway(mux)
 	} else {
@@ -138,8 +148,26 @@
 	running, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	d.cancel = cancel
 	d.duties.Go(func() { d.feed.Run(running) })
+	if err := d.feed.Start(ctx); err != nil {
+		return nil, errors.Join(err, d.Kill())
+	}
 	d.duties.Go(func() { d.part.Run(running) })
-	return d, nil
+	return d, d.listen()
+}
+
+// listen serves callers, once a configuration is in force.
+func (d *Daemon) listen() error {
+	gateway, ok := d.part.(*ushergateway.Gateway)
+	if !ok {
+		return nil
+	}
+	listener, err := net.Listen("tcp", d.Address())
+	if err != nil {
+		return err
+	}
+	d.server = &http.Server{Handler: gateway.Routes(), ReadHeaderTimeout: time.Minute}
+	d.duties.Go(func() { _ = d.server.Serve(listener) })
+	return nil
 }
 
 func (d *Daemon) asGateway(mux *usherlink.Mux) error {
@@ -157,12 +185,6 @@
 	}
 	gateway.Register(mux)
 	d.part = gateway
-	listener, err := net.Listen("tcp", d.Address())
-	if err != nil {
-		return err
-	}
-	d.server = &http.Server{Handler: gateway.Routes(), ReadHeaderTimeout: time.Minute}
-	d.duties.Go(func() { _ = d.server.Serve(listener) })
 	return nil
 }
 
--- a/standin/usherfleet/fleet.go
+++ b/standin/usherfleet/fleet.go
@@ -23,6 +23,9 @@
 	"net/netip"
 	"os"
 	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
 	"time"
 
 	"github.com/samphireusher/samphireusher/pkg/usherconfig"
@@ -76,6 +79,7 @@
 		Gateways   []*Daemon
 		Schedulers []*Daemon
 
+		mu        sync.Mutex // guards the lists of daemons while they start
 		config    Config
 		authority usherkey.Pair
 		secret    []byte
@@ -102,12 +106,26 @@
 	if err := f.Publish(f.snapshot); err != nil {
 		return nil, err
 	}
+	return f, f.startAll(ctx)
+}
+
+// startAll starts the daemons at once, for each waits until it hears others.
+func (f *Fleet) startAll(ctx context.Context) error {
+	failures := make(chan error, len(f.snapshot.Hosts))
 	for _, h := range f.snapshot.Hosts {
-		if err := f.startDaemon(ctx, h); err != nil {
-			return nil, errors.Join(err, f.Close())
-		}
+		go func() { failures <- f.startDaemon(ctx, h) }()
 	}
-	return f, nil
+	var failure error
+	for range f.snapshot.Hosts {
+		failure = errors.Join(failure, <-failures)
+	}
+	if failure != nil {
+		return errors.Join(failure, f.Close())
+	}
+	byName := func(a, b *Daemon) int { return strings.Compare(a.Name(), b.Name()) }
+	slices.SortFunc(f.Gateways, byName)
+	slices.SortFunc(f.Schedulers, byName)
+	return nil
 }
 
 // Snapshot returns what was published last.
@@ -132,7 +150,7 @@
 // Close ends every daemon at once, and the stand-ins.
 func (f *Fleet) Close() error {
 	failures := []error{}
-	for _, d := range append(f.Gateways, f.Schedulers...) {
+	for _, d := range slices.Concat(f.Gateways, f.Schedulers) {
 		failures = append(failures, d.Kill())
 	}
 	for _, s := range f.servers {
--- a/standin/usherplatform/hosts.go
+++ b/standin/usherplatform/hosts.go
@@ -14,6 +14,7 @@
 const (
 	RoleGateway   = "gateway"
 	RoleScheduler = "scheduler"
+	RoleTarget    = "target"
 	StateLive     = "live"
 	StateLeaving  = "leaving"
 )
@@ -70,7 +71,7 @@
 	if h.Name == "" || h.Address == "" || h.DataCentre == "" {
 		return errorx.IllegalArgument.New("host %q lacks a name, an address or a data centre", h.Name)
 	}
-	if h.Role != RoleGateway && h.Role != RoleScheduler {
+	if h.Role != RoleGateway && h.Role != RoleScheduler && h.Role != RoleTarget {
 		return errorx.IllegalArgument.New("host %q has the unknown role %q", h.Name, h.Role)
 	}
 	if h.State != StateLive && h.State != StateLeaving {
