A request reaches the granted incarnation of a target or none; a cold target stays at its published load

Two causes: for up to 0.7 s after a restart grants went by the report of the incarnation before; and the ramp rose by completed work past what an engine bears that says itself that it is still cold. Ruled out: polling reports faster (it only narrows the window); relying on broken streams to notice the death (an idle target has none). Change: on each new connection the gateway reads the target's incarnation before anything else, and writes only if it is the granted one; the connection ends with the process that told it. The ramp stays at the published cold load while reports say cold.

--- a/pkg/usherlease/load.go
+++ b/pkg/usherlease/load.go
@@ -15,6 +15,8 @@
 		Completed uint64
 		Preempted uint64
 		StepTime  time.Duration
+		// Cold is whether the target says that it does not bear its full load yet.
+		Cold bool
 	}
 
 	// load is what is known of the requests on a target.
--- a/pkg/usherlease/ramp.go
+++ b/pkg/usherlease/ramp.go
@@ -109,7 +109,8 @@
 
 // observe moves the ramp by a report: up a level when the level has been used and as many requests have ended as it
 // bears, with the step time in bound and no preemption; down by half on a preemption; back to the start when the
-// step time of a warm target jumps.
+// step time of a warm target jumps, and for as long as the target says that it is cold: a target may bear two requests
+// for a thousand tokens and fall over at the third.
 func (r *ramp) observe(l lifecycle, declared Target, bounds Ramp, report LoadReport) {
 	r.state = r.current()
 	r.level = max(r.level, declared.Cold)
@@ -120,6 +121,9 @@
 	}
 	r.seen, r.preempted = true, report.Preempted
 	switch {
+	case report.Cold:
+		r.chill(l, declared)
+		r.reported = report.Completed
 	case r.jumped(bounds, report.StepTime):
 		r.chill(l, declared)
 	case preempted:
--- a/service/ushergateway/execution.go
+++ b/service/ushergateway/execution.go
@@ -132,23 +132,21 @@
 	return err
 }
 
-// acquire asks one scheduler after another for a grant. Each asking is an attempt of its own, so that a grant whose
-// answer was lost is never mistaken for another.
+// acquire asks one scheduler after another for a grant. Each scheduler is asked for an attempt of its own, so that a grant
+// whose answer was lost is never mistaken for another.
 func (e *execution) acquire(ctx context.Context) (granted, error) {
 	g := e.gateway
 	tried := []string{}
 	last := error(usherrequest.Refuse(usherrequest.Evidence{}, usherrequest.ReasonOverloaded))
 	for range schedulerTries {
-		now := time.Now()
-		host, ok := g.schedulers.choose(now, e.call.Template.Service, g.Config.Hosts(usherconfig.SchedulerRole), tried)
+		host, ok := g.schedulers.choose(time.Now(), e.call.Template.Service, g.Config.Hosts(usherconfig.SchedulerRole), tried)
 		if !ok {
 			break
 		}
 		tried = append(tried, host.Name)
-		request := e.request(now)
-		grant, asked, err := g.Grants.Acquire(ctx, host.Address.String(), request)
+		grant, err := e.await(ctx, host)
 		if err == nil {
-			return granted{Grant: grant, scheduler: host, attempt: request.Attempt, asked: asked}, nil
+			return grant, nil
 		}
 		if ctx.Err() != nil {
 			return granted{}, err
@@ -161,6 +159,27 @@
 	return granted{}, last
 }
 
+// await asks one scheduler until it grants or refuses, or another has room while this one has none.
+func (e *execution) await(ctx context.Context, host usherconfig.Host) (granted, error) {
+	g := e.gateway
+	request := e.request(time.Now())
+	for {
+		asked := time.Now()
+		request.Wait = max(e.deadline.Sub(asked), 0)
+		grant, err := g.Grants.Acquire(ctx, host.Address.String(), request)
+		if err == nil {
+			return granted{Grant: grant, scheduler: host, attempt: request.Attempt, asked: asked}, nil
+		}
+		if !errorx.IsOfType(err, ushergrant.ErrWaiting) || ctx.Err() != nil {
+			return granted{}, err
+		}
+		if g.schedulers.roomElsewhere(asked, e.call.Template.Service, host.Name) {
+			e.report(host, ushergrant.End{Attempt: request.Attempt, Unsent: true})
+			return granted{}, err
+		}
+	}
+}
+
 func (e *execution) request(now time.Time) ushergrant.Request {
 	t := e.call.Template
 	return ushergrant.Request{
@@ -209,14 +228,18 @@
 	return v
 }
 
-// guard checks, when the connection to the target stands, that the grant is valid and the target still in service.
+// guard checks, when the connection to the target stands, that the grant is valid, the target still in service and
+// the incarnation the one that was granted.
 func (e *execution) guard(grant granted) ushertarget.Guard {
 	valid := grant.Check(grant.asked)
 	config := e.gateway.Config
-	return func() error {
+	return func(incarnation uint64) error {
 		if err := valid(); err != nil {
 			return err
 		}
+		if incarnation != grant.Incarnation {
+			return ushergrant.ErrExpired.New("target %s has incarnation %d, granted was %d", grant.Target, incarnation, grant.Incarnation)
+		}
 		if !config.Eligible(time.Now(), grant.Target) {
 			return ushergrant.ErrExpired.New("target %s is out of service", grant.Target)
 		}
@@ -277,19 +300,24 @@
 	return refusal.WithRetryAfter(retryAfter)
 }
 
-// finish tells the scheduler how the attempt ended, without holding up the caller.
+// finish tells the scheduler how the attempt ended.
 func (e *execution) finish(grant granted, v verdict) {
-	g := e.gateway
 	running, _ := e.progress.read()
 	end := ushergrant.End{
 		Attempt: grant.attempt, Target: grant.Target, MadeTokens: running.MadeTokens,
 		Completed: v.done, Unsent: v.unsent, Lost: !v.unsent && v.reason == usherrequest.ReasonTargetLost,
 	}
+	e.report(grant.scheduler, end)
+}
+
+// report tells a scheduler of an attempt's end without holding up the caller.
+func (e *execution) report(scheduler usherconfig.Host, end ushergrant.End) {
+	g := e.gateway
 	g.requests.Go(func() {
 		ctx, cancel := context.WithTimeout(context.Background(), finishTimeout)
 		defer cancel()
-		if err := g.Grants.Finish(ctx, grant.scheduler.Address.String(), end); err != nil {
-			g.Log.Debug("end not reported", "attempt", grant.attempt.String(), "error", err)
+		if err := g.Grants.Finish(ctx, scheduler.Address.String(), end); err != nil {
+			g.Log.Debug("end not reported", "attempt", end.Attempt.String(), "error", err)
 		}
 	})
 }
--- a/service/ushergateway/gateway.go
+++ b/service/ushergateway/gateway.go
@@ -72,7 +72,7 @@
 
 	// Grants asks schedulers; *ushergrant.Client is one.
 	Grants interface {
-		Acquire(ctx context.Context, address string, request ushergrant.Request) (ushergrant.Grant, time.Time, error)
+		Acquire(ctx context.Context, address string, request ushergrant.Request) (ushergrant.Grant, error)
 		Progress(ctx context.Context, address string, incarnation uint64, running []ushergrant.Running) error
 		Finish(ctx context.Context, address string, end ushergrant.End) error
 	}
--- a/service/ushergateway/generate.go
+++ b/service/ushergateway/generate.go
@@ -159,7 +159,9 @@
 	if !errors.Is(cause, io.EOF) {
 		g.gateway.Log.Info("resuming generation", "request", g.idText, "target", g.grant.Target, "index", step.From, "error", cause)
 	}
-	_ = g.stream.Close()
+	if g.stream != nil {
+		_ = g.stream.Close()
+	}
 	for until := time.Now().Add(resumeFor); time.Now().Before(until) && ctx.Err() == nil; pause(ctx, resumePause) {
 		stream, err := g.gateway.Targets.Resume(ctx, g.grant.Address, g.id, step.From)
 		if errorx.IsOfType(err, ushertarget.ErrUnknownGeneration) {
--- a/service/ushergateway/once_test.go
+++ b/service/ushergateway/once_test.go
@@ -50,6 +50,7 @@
 }
 
 func TestNonIdempotentRunsAtMostOnce(t *testing.T) {
+	t.Parallel()
 	fleet := start(t, usherfleet.Config{Gateways: 3, Engines: 1, Services: 2})
 	client := newClient(t)
 	first, second := fleet.Gateways[0], fleet.Gateways[1]
@@ -133,6 +134,7 @@
 }
 
 func TestNotRunMeansNotRun(t *testing.T) {
+	t.Parallel()
 	fleet := start(t, usherfleet.Config{Engines: 1, Services: 1})
 	client := newClient(t)
 	setServiceFaults(fleet, usherplain.Faults{Refuse: true})
--- a/service/ushergateway/path_test.go
+++ b/service/ushergateway/path_test.go
@@ -9,6 +9,7 @@
 )
 
 func TestOneRequestEndToEnd(t *testing.T) {
+	t.Parallel()
 	fleet := start(t, usherfleet.Config{Engines: 1, Services: 1})
 	client := newClient(t)
 	next := 0
@@ -30,6 +31,7 @@
 // TestQueuedRequestIsServed has a request wait in the queue for longer than a grant is valid, and than a connection
 // without traffic stays open: the grant counts from the last asking, and the gateway keeps asking.
 func TestQueuedRequestIsServed(t *testing.T) {
+	t.Parallel()
 	fleet := start(t, usherfleet.Config{Engines: 1, Full: 1})
 	client := newClient(t)
 	first := make(chan error, 1)
--- a/service/ushergateway/schedulers.go
+++ b/service/ushergateway/schedulers.go
@@ -72,6 +72,21 @@
 	return chosen, true
 }
 
+// roomElsewhere reports whether a scheduler other than name has room for service while that one has none.
+func (s *schedulers) roomElsewhere(now time.Time, service, name string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if room, ok := s.room(now, name, service); ok && room > 0 {
+		return false
+	}
+	for other := range s.known {
+		if room, ok := s.room(now, other, service); ok && room > 0 && other != name && !s.stopping(now, other) {
+			return true
+		}
+	}
+	return false
+}
+
 // holder returns the address of the scheduler that advertises target.
 func (s *schedulers) holder(now time.Time, target string, hosts []usherconfig.Host) (string, bool) {
 	s.mu.Lock()
--- a/service/ushergrant/client.go
+++ b/service/ushergrant/client.go
@@ -4,8 +4,6 @@
 	"context"
 	"time"
 
-	"github.com/joomcode/errorx"
-
 	"github.com/samphireusher/samphireusher/pkg/usherlink"
 )
 
@@ -34,19 +32,11 @@
 	return &Client{link: link}
 }
 
-// Acquire asks the scheduler at address for a grant until it has one or the request has waited long enough, and returns
-// when it asked last. A usherrequest.Refusal says that the scheduler has none.
-func (c *Client) Acquire(ctx context.Context, address string, request Request) (Grant, time.Time, error) {
-	until := time.Now().Add(request.Wait)
-	request.Slice = slice
-	for {
-		asked := time.Now()
-		request.Wait = max(until.Sub(asked), 0)
-		grant, err := c.ask(ctx, address, request)
-		if !errorx.IsOfType(err, ErrWaiting) {
-			return grant, asked, err
-		}
-	}
+// Acquire asks the scheduler at address for a grant, for one slice. ErrWaiting says that the request waits in the
+// scheduler's queue and is to be asked for again; a usherrequest.Refusal that the scheduler has no grant for it.
+func (c *Client) Acquire(ctx context.Context, address string, request Request) (Grant, error) {
+	request.Slice = min(slice, request.Wait)
+	return c.ask(ctx, address, request)
 }
 
 func (c *Client) ask(ctx context.Context, address string, request Request) (Grant, error) {
--- a/service/usherscheduler/event.go
+++ b/service/usherscheduler/event.go
@@ -1,6 +1,7 @@
 package usherscheduler
 
 import (
+	"slices"
 	"time"
 
 	"github.com/samphireusher/samphireusher/pkg/usheradmit"
@@ -61,6 +62,10 @@
 		e.reply <- reply{err: usherrequest.Refuse(usherrequest.Evidence{}, ReasonUnconfirmed).WithRetryAfter(c.options.Member.Interval)}
 		return
 	}
+	if !c.holdsAny(now, r.Service) {
+		e.reply <- reply{err: usherrequest.Refuse(usherrequest.Evidence{}, usherrequest.ReasonNotHere).WithRetryAfter(c.options.Member.Interval)}
+		return
+	}
 	decision := c.service(r.Service).admit.Offer(now, c.admission(attempt, r))
 	if !decision.Queued {
 		e.reply <- reply{err: refusalOf(decision.Reason, decision.RetryAfter)}
@@ -69,6 +74,13 @@
 	c.waiting[attempt] = &pending{asking: e.asking, arrived: now}
 }
 
+// holdsAny reports whether this scheduler holds a vote on any target of the service; without one nothing that waits
+// here would ever be granted.
+func (c *core) holdsAny(now time.Time, service string) bool {
+	s := c.services[service]
+	return s != nil && slices.ContainsFunc(s.names, func(name string) bool { return c.leases.Budget(now, name).Votes > 0 })
+}
+
 // admission is the request as admission sees it.
 func (c *core) admission(attempt string, r ushergrant.Request) usheradmit.Request {
 	weight := 1.0
@@ -121,6 +133,10 @@
 
 func (e finishEvent) apply(c *core, now time.Time) {
 	attempt := e.end.Attempt.String()
+	if p := c.waiting[attempt]; p != nil {
+		c.withdraw(now, attempt, p)
+		return
+	}
 	switch {
 	case e.end.Completed:
 		c.end(now, attempt, e.end.MadeTokens, usheradmit.ResultCompleted, usherlease.Completed)
@@ -153,6 +169,7 @@
 		Target: e.target, Incarnation: e.report.Incarnation, AskedAt: taken,
 		Running: e.report.Running + e.report.Waiting, Completed: uint64(max(e.report.Completed, 0)),
 		Preempted: uint64(max(e.report.Preemptions, 0)), StepTime: step,
+		Cold: e.report.Warm != nil && !*e.report.Warm,
 	})
 	if err != nil {
 		c.log.Debug("load report not used", "target", e.target, "error", err)
--- a/service/ushertarget/sending.go
+++ b/service/ushertarget/sending.go
@@ -1,31 +1,42 @@
 package ushertarget
 
 import (
+	"bufio"
 	"context"
+	"errors"
+	"io"
 	"net"
+	"net/http"
 	"net/http/httptrace"
 	"sync"
 	"sync/atomic"
+	"time"
 )
 
 type (
 	// sending watches one request: it asks the guard once, at the first byte, and knows whether any byte was written.
 	sending struct {
-		ask     func() error
+		guard   Guard
+		asked   sync.Once
+		refusal error
 		written atomic.Bool
 	}
 
 	// guardedConn is a connection whose writes the current request's guard allows. HTTP/1.1 serves one request at a
 	// time on a connection, so the current request is the one that the transport last handed the connection to.
+	//
+	// The target has told its incarnation on this connection before anything else. The connection ends with the process
+	// that told it, so whatever is written here reaches that incarnation or none.
 	guardedConn struct {
 		net.Conn
-		current atomic.Pointer[sending]
+		incarnation uint64
+		current     atomic.Pointer[sending]
 	}
 )
 
 // newSending returns the watch of a request and the context under which the request is to be made.
 func newSending(ctx context.Context, guard Guard) (*sending, context.Context) {
-	s := &sending{ask: sync.OnceValue(guard)}
+	s := &sending{guard: guard}
 	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
 		if conn, ok := info.Conn.(*guardedConn); ok {
 			conn.current.Store(s)
@@ -35,9 +46,14 @@
 }
 
 // allow asks the guard before the first byte.
-func (s *sending) allow() error {
-	if err := s.ask(); err != nil {
-		return ErrGuard.Wrap(err, "not sent")
+func (s *sending) allow(incarnation uint64) error {
+	s.asked.Do(func() {
+		if err := s.guard(incarnation); err != nil {
+			s.refusal = ErrGuard.Wrap(err, "not sent")
+		}
+	})
+	if s.refusal != nil {
+		return s.refusal
 	}
 	s.written.Store(true)
 	return nil
@@ -46,7 +62,7 @@
 // Write refuses the bytes of a request that its guard forbids.
 func (c *guardedConn) Write(data []byte) (int, error) {
 	if s := c.current.Load(); s != nil {
-		if err := s.allow(); err != nil {
+		if err := s.allow(c.incarnation); err != nil {
 			return 0, err
 		}
 	}
@@ -59,11 +75,46 @@
 		if err != nil {
 			return nil, err
 		}
-		return &guardedConn{Conn: conn}, nil
+		incarnation, err := askIncarnation(conn, address)
+		if err != nil {
+			return nil, errors.Join(err, conn.Close())
+		}
+		return &guardedConn{Conn: conn, incarnation: incarnation}, nil
+	}
+}
+
+// askIncarnation reads the target's load report on a connection that carries nothing else yet.
+func askIncarnation(conn net.Conn, address string) (uint64, error) {
+	if err := conn.SetDeadline(time.Now().Add(dialTimeout)); err != nil {
+		return 0, ErrBroken.Wrap(err, "deadline")
+	}
+	request, err := http.NewRequest(http.MethodGet, "http://"+address+reportPath, nil)
+	if err != nil {
+		return 0, ErrMalformed.Wrap(err, "request")
+	}
+	if err := request.Write(conn); err != nil {
+		return 0, ErrBroken.Wrap(err, "ask incarnation")
+	}
+	response, err := http.ReadResponse(bufio.NewReader(conn), request)
+	if err != nil {
+		return 0, ErrBroken.Wrap(err, "ask incarnation")
+	}
+	defer response.Body.Close()
+	var report Report
+	if err := decode(response.Body, &report); err != nil {
+		return 0, err
+	}
+	// The rest of the body goes too: the connection's next bytes answer the next request.
+	if _, err := io.Copy(io.Discard, response.Body); err != nil {
+		return 0, ErrBroken.Wrap(err, "ask incarnation")
+	}
+	if response.Close {
+		return 0, ErrBroken.New("target closes after its report")
 	}
+	return report.Incarnation, conn.SetDeadline(time.Time{})
 }
 
 // noGuard allows every sending; requests that only read use it.
-func noGuard() error {
+func noGuard(uint64) error {
 	return nil
 }
--- a/service/ushertarget/target.go
+++ b/service/ushertarget/target.go
@@ -40,6 +40,7 @@
 	maxAnswerBytes  = 1 << 20
 
 	incarnationHeader = "Usher-Incarnation"
+	reportPath        = "/v1/report"
 )
 
 var (
@@ -63,8 +64,9 @@
 		http *http.Client
 	}
 
-	// Guard is asked when the connection stands and before anything is written.
-	Guard func() error
+	// Guard is asked when the connection stands and before anything is written. It learns which incarnation of the
+	// target is at the other end.
+	Guard func(incarnation uint64) error
 
 	// Evidence is what is known of one sending.
 	Evidence struct {
@@ -106,7 +108,8 @@
 		Preemptions      int     `json:"preemptions"`
 		Completed        int     `json:"completed"`
 		Model            string  `json:"model"`
-		Warm             bool    `json:"warm"`
+		// Warm is whether the target bears its full load, by its own account; nil where it does not say.
+		Warm *bool `json:"warm"`
 	}
 
 	callAnswer struct {
@@ -165,7 +168,7 @@
 
 // Report reads an engine's load report.
 func (c *Client) Report(ctx context.Context, target netip.AddrPort) (Report, error) {
-	response, err := c.get(ctx, address(target, "/v1/report"))
+	response, err := c.get(ctx, address(target, reportPath))
 	if err != nil {
 		return Report{}, err
 	}
--- a/service/ushertarget/target_test.go
+++ b/service/ushertarget/target_test.go
@@ -18,12 +18,18 @@
 
 func serve(t *testing.T, handler http.HandlerFunc) netip.AddrPort {
 	t.Helper()
-	server := httptest.NewServer(handler)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/v1/report" {
+			fmt.Fprint(w, `{"incarnation":7}`)
+			return
+		}
+		handler(w, r)
+	}))
 	t.Cleanup(server.Close)
 	return netip.MustParseAddrPort(server.Listener.Addr().String())
 }
 
-func allow() error { return nil }
+func allow(uint64) error { return nil }
 
 func TestGenerateReadsEventsInOrder(t *testing.T) {
 	target := serve(t, func(w http.ResponseWriter, _ *http.Request) {
@@ -62,7 +68,7 @@
 		fmt.Fprint(w, `{"call_id":"c","result":1}`)
 	})
 	client := ushertarget.NewClient()
-	forbid := func() error { return errors.New("expired") }
+	forbid := func(uint64) error { return errors.New("expired") }
 	call := ushertarget.Call{ID: "c", Operation: "checkout"}
 	for round := range 2 {
 		_, evidence, err := client.Call(t.Context(), target, call, forbid)
@@ -78,6 +84,47 @@
 	}
 }
 
+// TestRestartedTargetGetsNothing has a target restart behind the same address: neither an old connection nor a new one
+// brings the request to an incarnation that was not granted.
+func TestRestartedTargetGetsNothing(t *testing.T) {
+	var incarnation, served atomic.Int64
+	incarnation.Store(1)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/v1/report" {
+			fmt.Fprintf(w, `{"incarnation":%d}`, incarnation.Load())
+			return
+		}
+		served.Add(1)
+		fmt.Fprint(w, `{"call_id":"c"}`)
+	}))
+	defer server.Close()
+	target := netip.MustParseAddrPort(server.Listener.Addr().String())
+	client := ushertarget.NewClient()
+	only := func(granted uint64) ushertarget.Guard {
+		return func(incarnation uint64) error {
+			if incarnation != granted {
+				return fmt.Errorf("incarnation %d, granted %d", incarnation, granted)
+			}
+			return nil
+		}
+	}
+	call := ushertarget.Call{ID: "c"}
+	if _, _, err := client.Call(t.Context(), target, call, only(1)); err != nil {
+		t.Fatal(err)
+	}
+	incarnation.Store(2)
+	server.CloseClientConnections()
+	if _, evidence, err := client.Call(t.Context(), target, call, only(1)); err == nil || evidence.Written {
+		t.Fatalf("sent to the next incarnation: %v, %+v", err, evidence)
+	}
+	if _, _, err := client.Call(t.Context(), target, call, only(2)); err != nil {
+		t.Fatal(err)
+	}
+	if got := served.Load(); got != 2 {
+		t.Fatalf("target ran %d calls, want 2", got)
+	}
+}
+
 func TestEvidence(t *testing.T) {
 	closed := httptest.NewServer(nil)
 	unreachable := netip.MustParseAddrPort(closed.Listener.Addr().String())
