--- /dev/null
+++ b/service/ushergateway/move_test.go
@@ -0,0 +1,254 @@
+package ushergateway_test
+
+import (
+	"context"
+	"errors"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/samphireusher/samphireusher/pkg/usherconfig"
+	"github.com/samphireusher/samphireusher/service/usherclient"
+	"github.com/samphireusher/samphireusher/standin/usherengine"
+	"github.com/samphireusher/samphireusher/standin/usherfleet"
+	"github.com/samphireusher/samphireusher/standin/usherplatform"
+)
+
+// inForceBound is the users' bound on the time until a change is in force everywhere.
+const inForceBound = 4 * time.Second
+
+// load sends short requests through every gateway until its context ends, and counts how they ended.
+type load struct {
+	cancel   context.CancelFunc
+	done     chan map[string]int
+	outcomes map[string]int
+}
+
+func startLoad(t *testing.T, fleet *usherfleet.Fleet, callers int) *load {
+	t.Helper()
+	ctx, cancel := context.WithCancel(t.Context())
+	l := &load{cancel: cancel, done: make(chan map[string]int, callers), outcomes: map[string]int{}}
+	client := newClient(t)
+	for i := range callers {
+		go func() {
+			outcomes := map[string]int{}
+			for ctx.Err() == nil {
+				_, err := client.Send(context.WithoutCancel(ctx), fleet.Gateways[i%len(fleet.Gateways)].Address(), appraisal(30), nil)
+				outcomes[outcomeOf(err)]++
+			}
+			l.done <- outcomes
+		}()
+	}
+	return l
+}
+
+// end waits until every request that was sent has ended.
+func (l *load) end() map[string]int {
+	l.cancel()
+	for range cap(l.done) {
+		for outcome, count := range <-l.done {
+			l.outcomes[outcome] += count
+		}
+	}
+	return l.outcomes
+}
+
+// startedSince returns how many generations began at the engine after the given time, by its own record.
+func startedSince(engine *usherengine.Engine, since time.Time) int {
+	count := 0
+	for _, g := range engine.Record().Generations {
+		if time.UnixMilli(g.StartedAtMS).After(since) {
+			count++
+		}
+	}
+	return count
+}
+
+func eventually(t *testing.T, within time.Duration, what string, holds func() bool) time.Duration {
+	t.Helper()
+	begin := time.Now()
+	for !holds() {
+		if time.Since(begin) > within {
+			t.Fatalf("%s: not within %s", what, within)
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	return time.Since(begin)
+}
+
+func inForce(fleet *usherfleet.Fleet) bool {
+	for _, list := range [][]*usherfleet.Daemon{fleet.Gateways, fleet.Schedulers} {
+		for _, d := range list {
+			if d.Revision() < fleet.Snapshot().Revision {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+func withDataCentre(fleet *usherfleet.Fleet, name string, inService bool) usherconfig.Snapshot {
+	d, _ := fleet.Snapshot().DataCentre(name)
+	return fleet.Snapshot().WithDataCentre(d.WithInService(inService))
+}
+
+func TestDataCentreOutAndBack(t *testing.T) {
+	t.Parallel()
+	fleet := start(t, usherfleet.Config{DataCentres: 3, Gateways: 3, Schedulers: 3, Engines: 3, Bearable: 8})
+	l := startLoad(t, fleet, 6)
+	engine := fleet.Engines[0]
+	eventually(t, 20*time.Second, "work at the engine of kochi", func() bool { return startedSince(engine, time.Now().Add(-time.Second)) > 0 })
+	published := time.Now()
+	if err := fleet.Publish(withDataCentre(fleet, "kochi", false)); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(inForceBound + 2*time.Second)
+	if got := startedSince(engine, published.Add(inForceBound)); got > 0 {
+		t.Errorf("%d generations began in a data centre out of service", got)
+	}
+	returned := time.Now()
+	if err := fleet.Publish(withDataCentre(fleet, "kochi", true)); err != nil {
+		t.Fatal(err)
+	}
+	eventually(t, 20*time.Second, "work after the return", func() bool { return startedSince(engine, returned) > 0 })
+	outcomes := l.end()
+	if outcomes["completed"] == 0 || outcomes["ran_in_part"]+outcomes["unknown"]+outcomes["broken"] > 0 {
+		t.Errorf("outcomes %v", outcomes)
+	}
+}
+
+func TestLeavingTargetGetsNothing(t *testing.T) {
+	t.Parallel()
+	fleet := start(t, usherfleet.Config{Schedulers: 2, Engines: 2, Bearable: 8})
+	l := startLoad(t, fleet, 4)
+	engine := fleet.Engines[0]
+	eventually(t, 20*time.Second, "work at the engine", func() bool { return startedSince(engine, time.Now().Add(-time.Second)) > 0 })
+	target, _ := fleet.Snapshot().Target("appraiser-01")
+	shown := time.Now()
+	if _, err := fleet.Platform.SetHosts([]usherplatform.Host{{
+		Name: target.Name, Address: target.Address.String(), DataCentre: target.DataCentre,
+		Role: usherplatform.RoleTarget, State: usherplatform.StateLeaving,
+	}}); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(inForceBound + 2*time.Second)
+	if got := startedSince(engine, shown.Add(inForceBound)); got > 0 {
+		t.Errorf("%d generations began at a leaving target", got)
+	}
+	if outcomes := l.end(); outcomes["completed"] == 0 || outcomes["ran_in_part"]+outcomes["unknown"]+outcomes["broken"] > 0 {
+		t.Errorf("outcomes %v", outcomes)
+	}
+}
+
+func TestPlannedStopCutsNothing(t *testing.T) {
+	t.Parallel()
+	fleet := start(t, usherfleet.Config{Gateways: 2, Schedulers: 2, Engines: 2, Bearable: 8})
+	client := newClient(t)
+	r := newReader(t, 5)
+	streamed := make(chan error, 1)
+	go func() {
+		_, err := client.Send(t.Context(), fleet.Gateways[0].Address(), appraisal(400), r.watcher())
+		streamed <- err
+	}()
+	<-r.reached
+	stopped := make(chan error, 1)
+	go func() { stopped <- fleet.Gateways[0].Stop(t.Context()) }()
+	var refusal usherclient.Refusal
+	eventually(t, 2*time.Second, "new work turned away", func() bool {
+		_, err := client.Send(t.Context(), fleet.Gateways[0].Address(), appraisal(1), nil)
+		return errors.As(err, &refusal) && refusal.Outcome == "not_run"
+	})
+	if refusal.OtherAddress != fleet.Gateways[1].Address() {
+		t.Errorf("turned away with %+v", refusal)
+	}
+	if err := fleet.Schedulers[0].Stop(t.Context()); err != nil {
+		t.Errorf("scheduler: %v", err)
+	}
+	if err := <-streamed; err != nil || r.next != 400 {
+		t.Errorf("the stream ended after %d tokens: %v", r.next, err)
+	}
+	if err := <-stopped; err != nil {
+		t.Errorf("gateway: %v", err)
+	}
+	eventually(t, 10*time.Second, "the rest of the fleet serves", func() bool {
+		_, err := client.Send(t.Context(), fleet.Gateways[1].Address(), appraisal(1), nil)
+		return err == nil
+	})
+}
+
+func TestChangeIsInForceEverywhere(t *testing.T) {
+	t.Parallel()
+	fleet := start(t, usherfleet.Config{DataCentres: 3, Gateways: 6, Schedulers: 3, Engines: 1})
+	for range 3 {
+		template, _ := fleet.Snapshot().Template("appraisal")
+		if err := fleet.Publish(fleet.Snapshot().WithTemplate(template.WithPrompt("Appraise.\n{entry}"))); err != nil {
+			t.Fatal(err)
+		}
+		eventually(t, inForceBound, "in force", func() bool { return inForce(fleet) })
+	}
+	before := fleet.Snapshot().Revision
+	if _, err := fleet.Platform.Publish([]usherplatform.Value{{Key: usherconfig.IndexKey, Body: []byte("damaged")}}); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(2 * time.Second)
+	if !inForce(fleet) || fleet.Gateways[0].Revision() != before {
+		t.Error("a damaged value changed what is in force")
+	}
+}
+
+func TestRestartDuringOutage(t *testing.T) {
+	t.Parallel()
+	fleet := start(t, usherfleet.Config{DataCentres: 3, Gateways: 3, Schedulers: 3, Engines: 1})
+	fleet.Platform.SetFaults(usherplatform.Faults{Down: true})
+	client := newClient(t)
+	gateway := fleet.Gateways[0]
+	if err := gateway.Kill(); err != nil {
+		t.Fatal(err)
+	}
+	if err := fleet.Restart(t.Context(), gateway); err != nil {
+		t.Fatal(err)
+	}
+	gateway = fleet.Gateways[0]
+	if gateway.Revision() != fleet.Snapshot().Revision {
+		t.Errorf("revision %d, want %d", gateway.Revision(), fleet.Snapshot().Revision)
+	}
+	eventually(t, 10*time.Second, "served", func() bool {
+		_, err := client.Send(t.Context(), gateway.Address(), appraisal(1), nil)
+		return err == nil
+	})
+	fleet.Platform.SetFaults(usherplatform.Faults{Stale: true, StaleVersion: 0})
+}
+
+func TestCrashingRequestIsStopped(t *testing.T) {
+	t.Parallel()
+	fleet := start(t, usherfleet.Config{Gateways: 2, Engines: 4, Bearable: 4})
+	setEngineFaults(fleet, usherengine.Faults{Poison: true, RestartAfterMS: 300})
+	client := newClient(t)
+	poison := appraisal(50)
+	poison.Parameters["entry"] = "poison, tokens=50"
+	refused := false
+	for i := range 12 {
+		_, err := client.Send(t.Context(), fleet.Gateways[i%2].Address(), poison, nil)
+		var refusal usherclient.Refusal
+		if err == nil {
+			t.Fatal("a request that crashes engines was answered")
+		}
+		refused = refused || errors.As(err, &refusal) && refusal.Reason == "suspect" && refusal.Outcome == "not_run"
+		time.Sleep(500 * time.Millisecond)
+	}
+	deaths := 0
+	for _, engine := range fleet.Engines {
+		for _, d := range engine.Record().Deaths {
+			if strings.Contains(d.Reason, "poison") {
+				deaths++
+			}
+		}
+	}
+	if deaths > 2 || !refused {
+		t.Errorf("%d engines died, refused as suspect: %v", deaths, refused)
+	}
+	eventually(t, 20*time.Second, "others served", func() bool {
+		_, err := client.Send(t.Context(), fleet.Gateways[0].Address(), appraisal(5), nil)
+		return err == nil
+	})
+}
