--- a/pkg/usherlease/budget.go
+++ b/pkg/usherlease/budget.go
@@ -29,6 +29,9 @@
 	if warm {
 		counted = len(all)
 	}
+	if !warm && !isMajority(counted, total) && !now.Before(l.view.CurrentUntil) {
+		counted = 0
+	}
 	b := Budget{
 		Votes: len(all), Proven: len(proven), Total: total, Majority: isMajority(len(all), total),
 		Bearable: t.bearable(), Share: share(t.bearable(), counted, total), Used: t.used(),
--- /dev/null
+++ b/pkg/usherlease/dump.go
@@ -0,0 +1,70 @@
+package usherlease
+
+import (
+	"time"
+
+	"github.com/samphireusher/samphireusher/pkg/ushermember"
+)
+
+type (
+	// Dump is the state of a Leases at one moment, for operators.
+	Dump struct {
+		Abstaining bool
+		Returning  bool
+		Loans      int
+		Attempts   int
+		Targets    []TargetDump
+	}
+
+	// TargetDump is the state of one target.
+	TargetDump struct {
+		ID          string
+		Incarnation uint64
+		Budget      Budget
+		Running     int // by the last report
+		Foreign     int // of those, at most under other schedulers' grants
+		ReportAge   time.Duration
+		Lenders     []ushermember.Key
+		LentTo      ushermember.Key // zero if the own vote isn't lent
+	}
+)
+
+// Dump returns the state at now. It lists the targets on which votes are held, or all.
+func (l *Leases) Dump(now time.Time, all bool) Dump {
+	d := Dump{
+		Abstaining: l.view.Abstain || now.Before(l.abstainUntil), Returning: l.returning,
+		Loans: len(l.loans), Attempts: len(l.attempts),
+	}
+	for _, t := range l.targets {
+		if td := l.dumpTarget(now, t); all || len(td.Lenders) > 0 {
+			d.Targets = append(d.Targets, td)
+		}
+	}
+	return d
+}
+
+func (l *Leases) dumpTarget(now time.Time, t *target) TargetDump {
+	td := TargetDump{
+		ID: t.ID, Incarnation: t.load.incarnation, Budget: l.Budget(now, t.ID), Running: t.load.running,
+		Foreign: t.load.foreign, ReportAge: now.Sub(t.load.askedAt), Lenders: l.Lenders(now, t.ID),
+	}
+	if current, ok := l.loans[t.hash]; ok && now.Before(current.until) {
+		td.LentTo = current.holder.key
+	}
+	return td
+}
+
+// Lenders returns the members whose votes on a target are held at now.
+func (l *Leases) Lenders(now time.Time, id string) []ushermember.Key {
+	t := l.byID[id]
+	if t == nil {
+		return nil
+	}
+	var lenders []ushermember.Key
+	for _, v := range t.votes {
+		if now.Before(v.until) && l.view.Lists(v.lender) {
+			lenders = append(lenders, v.lender)
+		}
+	}
+	return lenders
+}
--- a/pkg/usherlease/grant.go
+++ b/pkg/usherlease/grant.go
@@ -91,7 +91,11 @@
 	if votes > len(untils) {
 		return 0
 	}
-	return untils[votes-1].Sub(now)
+	until := untils[votes-1]
+	if b.State != Warm && !isMajority(votes, total) && l.view.CurrentUntil.Before(until) {
+		until = l.view.CurrentUntil
+	}
+	return until.Sub(now)
 }
 
 // Finish notes the end of an attempt. An attempt with an unknown end counts until a report shows that it is gone.
--- a/pkg/usherlease/leases.go
+++ b/pkg/usherlease/leases.go
@@ -49,7 +49,7 @@
 
 var (
 	// Errors is the namespace of this package's errors.
-	Errors = errorx.NewNamespace("usherlease")
+	Errors = errorx.NewNamespace("usherlease").ApplyModifiers(errorx.TypeModifierOmitStackTrace)
 	// ErrUnknownTarget is the type of errors on targets that aren't declared.
 	ErrUnknownTarget = Errors.NewType("unknown_target")
 	// ErrNoRoom is the type of errors on targets that bear no further request now.
--- a/pkg/ushermember/view.go
+++ b/pkg/ushermember/view.go
@@ -21,6 +21,8 @@
 		Abstain bool
 		// Confirmed tells that more than half of the list has answered since the last start or pause.
 		Confirmed bool
+		// CurrentUntil is until when a majority is known to have had the same list in force not long ago.
+		CurrentUntil time.Time
 		// Settled tells that every member has confirmed the list.
 		Settled bool
 	}
@@ -52,7 +54,7 @@
 	v := View{
 		Cell: m.options.Cell, Self: m.key, Incarnation: m.options.Incarnation, Revision: m.list.revision,
 		Total: m.total(), Abstain: m.newcomer || !m.list.Contains(m.key),
-		Confirmed: m.confirmed && now.Sub(m.lastTick) <= m.options.PauseAfter, Settled: m.settled,
+		Confirmed: m.confirmed && now.Sub(m.lastTick) <= m.options.PauseAfter, Settled: m.settled, CurrentUntil: m.currentUntil(),
 		Members: make([]MemberView, 0, m.list.Len()), Candidates: make([]Key, 0, m.list.Len()),
 	}
 	for i, key := range m.list.keys {
@@ -83,8 +85,8 @@
 
 // Lists reports whether the member is on the list in force.
 func (v View) Lists(key Key) bool {
-	for _, mv := range v.Members {
-		if mv.Key == key {
+	for i := range v.Members {
+		if v.Members[i].Key == key {
 			return true
 		}
 	}
