--- a/pkg/usherconfig/parse_test.go
+++ b/pkg/usherconfig/parse_test.go
@@ -74,6 +74,8 @@
 		{"after a byte order mark", "\uFEFF[service s]\nkind = wheel\n", "x.ini:2: [service s] kind: must be engine or plain"},
 		{"carriage returns", "[service s]\r\nkind = wheel\r\n", "x.ini:2: [service s] kind: must be engine or plain"},
 		{"value with a comment sign", "[service s]\nkind = plain ; no comment\n", "x.ini:2: [service s] kind: must be engine or plain"},
+		{"no UTF-8", "[service s]\nkind = \xff\n", "x.ini:2: [service s] a line must be valid UTF-8"},
+		{"no UTF-8 in a quoted value", "[template t]\nprompt = `a\n\xff`\n", "x.ini:3: [template t] a line must be valid UTF-8"},
 		{"title with spaces", "[ service   s ]\nkind = wheel\n", "x.ini:2: [service s] kind: must be engine or plain"},
 	}
 	for _, test := range tests {
--- a/pkg/usherconfig/scan.go
+++ b/pkg/usherconfig/scan.go
@@ -2,6 +2,7 @@
 
 import (
 	"strings"
+	"unicode/utf8"
 
 	"gopkg.in/ini.v1"
 )
@@ -58,6 +59,8 @@
 	line := strings.TrimSpace(raw)
 	s.next++
 	switch {
+	case !utf8.ValidString(raw):
+		s.report(number, "", "a line must be valid UTF-8")
 	case line == "" || line[0] == '#' || line[0] == ';':
 	case line[0] == '[':
 		s.scanTitle(number, line)
@@ -118,6 +121,9 @@
 	for s.next < len(s.lines) {
 		line := s.lines[s.next]
 		s.next++
+		if !utf8.ValidString(line) {
+			s.report(s.next, "", "a line must be valid UTF-8")
+		}
 		if strings.Contains(line, quote) {
 			return strings.Join(s.lines[first:s.next], ""), true
 		}
--- a/pkg/usherview/exchange.go
+++ b/pkg/usherview/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"slices"
 	"time"
 
 	"github.com/samphireusher/samphireusher/pkg/usherconfig"
@@ -61,7 +62,7 @@
 		fanout = max(fanout, s.settings.StartPeers)
 	}
 	var effects Effects
-	for _, peer := range s.somePeers(fanout) {
+	for _, peer := range s.peersToPoll(fanout) {
 		s.sequence++
 		s.polls[s.sequence] = poll{peer: peer, at: now}
 		body := &Poll{Sequence: s.sequence, Version: s.Version()}
@@ -112,7 +113,7 @@
 	}
 	delete(s.polls, summary.Echo)
 	s.heard[from] = true
-	s.confirm(from, summary.Version, p.at)
+	s.confirm(confirmation{source: from, version: summary.Version, at: p.at})
 	if summary.PlatformAge >= 0 && !s.newer(summary.Version, s.Version()) {
 		s.seePlatform(p.at.Add(-summary.PlatformAge))
 	}
@@ -124,12 +125,12 @@
 	if err != nil {
 		version := usherconfig.Version{Digest: usherconfig.DigestOf(data)}
 		s.reject(now, version, err)
-		s.confirm(Platform, version, readAt)
+		s.confirm(confirmation{source: Platform, version: version, at: readAt})
 		s.seePlatform(readAt)
 		return Effects{}
 	}
 	s.platformVersion = index.Version
-	s.confirm(Platform, index.Version, readAt)
+	s.confirm(confirmation{source: Platform, version: index.Version, at: readAt})
 	effects := s.learnIndex(now, index, data, Platform)
 	if !s.newer(index.Version, s.Version()) || s.isRejected(index.Version) {
 		s.seePlatform(readAt)
@@ -175,8 +176,11 @@
 	return effects
 }
 
-// somePeers returns up to count peers at random, those that have not been heard since the start first.
-func (s *Store) somePeers(count int) []string {
+// peersToPoll returns up to count peers at random; while starting, those that have not been heard come first.
+func (s *Store) peersToPoll(count int) []string {
+	if !s.machine.Is(Starting) {
+		return s.randomPeers(count)
+	}
 	var unheard, heard []string
 	for _, i := range s.random.Perm(len(s.members)) {
 		name := s.members[i].Name
@@ -186,18 +190,18 @@
 			unheard = append(unheard, name)
 		}
 	}
-	if !s.machine.Is(Starting) {
-		return s.randomPeers(count)
-	}
 	peers := append(unheard, heard...)
 	return peers[:min(count, len(peers))]
 }
 
+// randomPeers returns up to count different peers.
 func (s *Store) randomPeers(count int) []string {
-	var peers []string
-	for _, i := range s.random.Perm(len(s.members)) {
-		if len(peers) < count {
-			peers = append(peers, s.members[i].Name)
+	count = min(count, len(s.members))
+	peers := make([]string, 0, count)
+	for len(peers) < count {
+		name := s.members[s.random.IntN(len(s.members))].Name
+		if !slices.Contains(peers, name) {
+			peers = append(peers, name)
 		}
 	}
 	return peers
--- a/pkg/usherview/fetch.go
+++ b/pkg/usherview/fetch.go
@@ -144,6 +144,7 @@
 	s.noteReturns(now, view.Snapshot())
 	s.view, s.adoptedAt = view, now
 	s.counts.Adopted++
+	s.confirmAhead()
 	s.candidates = slices.DeleteFunc(s.candidates, func(c *candidate) bool { return !s.newer(c.version, s.Version()) })
 	var effects Effects
 	for _, peer := range s.randomPeers(s.settings.SummariesOnChange) {
@@ -162,6 +163,7 @@
 	if len(s.rejected) > s.settings.MaxRejected {
 		s.rejected = slices.Delete(s.rejected, 0, 1)
 	}
+	s.confirmAhead()
 }
 
 func (s *Store) isRejected(version usherconfig.Version) bool {
--- a/pkg/usherview/store.go
+++ b/pkg/usherview/store.go
@@ -69,16 +69,17 @@
 		rejected   []Rejected
 		returned   map[string]time.Time // by data centre, target or host, with its kind
 
-		startedAt     time.Time
-		lastTick      time.Time
-		wokenAt       time.Time // when the process last ran again after a pause
-		nextPoll      time.Time
-		nextRead      time.Time
-		polls         map[uint64]poll
-		reads         map[uint64]read
-		confirmations map[string]confirmation
-		heard         map[string]bool      // peers that answered since the start
-		neededAt      map[string]time.Time // when a peer was last asked for what work from it needs
+		startedAt    time.Time
+		lastTick     time.Time
+		wokenAt      time.Time // when the process last ran again after a pause
+		nextPoll     time.Time
+		nextRead     time.Time
+		polls        map[uint64]poll
+		reads        map[uint64]read
+		confirmation confirmation            // the freshest of the version in force
+		ahead        map[string]confirmation // by source, of versions that are not in force yet
+		heard        map[string]bool         // peers that answered since the start
+		neededAt     map[string]time.Time    // when a peer was last asked for what work from it needs
 
 		platformSeen    time.Time
 		platformVersion usherconfig.Version
@@ -100,6 +101,7 @@
 
 	// confirmation is what a source said last, and when that round trip began.
 	confirmation struct {
+		source  string
 		version usherconfig.Version
 		at      time.Time
 	}
@@ -116,17 +118,17 @@
 			{Name: expireEvent, Src: []string{Serving}, Dst: Unconfirmed},
 			{Name: confirmEvent, Src: []string{Unconfirmed}, Dst: Serving},
 		}, nil),
-		random:        random,
-		budget:        rate.NewLimiter(rate.Limit(settings.CallsPerSecond), 1),
-		newer:         func(a, b usherconfig.Version) bool { return a.Compare(b) > 0 },
-		reader:        true,
-		sequence:      random.Uint64(),
-		returned:      map[string]time.Time{},
-		polls:         map[uint64]poll{},
-		reads:         map[uint64]read{},
-		confirmations: map[string]confirmation{},
-		heard:         map[string]bool{},
-		neededAt:      map[string]time.Time{},
+		random:   random,
+		budget:   rate.NewLimiter(rate.Limit(settings.CallsPerSecond), 1),
+		newer:    func(a, b usherconfig.Version) bool { return a.Compare(b) > 0 },
+		reader:   true,
+		sequence: random.Uint64(),
+		returned: map[string]time.Time{},
+		polls:    map[uint64]poll{},
+		reads:    map[uint64]read{},
+		ahead:    map[string]confirmation{},
+		heard:    map[string]bool{},
+		neededAt: map[string]time.Time{},
 	}
 }
 
@@ -224,18 +226,28 @@
 
 // confirmed returns who last confirmed the version in force, and when that round trip began.
 func (s *Store) confirmed() (source string, at time.Time) {
-	for name, c := range s.confirmations {
-		known := !s.newer(c.version, s.Version()) || s.isRejected(c.version)
-		if known && !c.at.Before(s.wokenAt) && (c.at.After(at) || c.at.Equal(at) && name < source) {
-			source, at = name, c.at
-		}
+	if s.confirmation.at.Before(s.wokenAt) {
+		return "", time.Time{}
+	}
+	return s.confirmation.source, s.confirmation.at
+}
+
+// confirm takes what a source said. It confirms the version in force if that is no older, and else waits until it is.
+func (s *Store) confirm(c confirmation) {
+	if s.newer(c.version, s.Version()) && !s.isRejected(c.version) {
+		s.ahead[c.source] = c
+		return
+	}
+	delete(s.ahead, c.source)
+	if c.at.After(s.confirmation.at) {
+		s.confirmation = c
 	}
-	return source, at
 }
 
-func (s *Store) confirm(source string, version usherconfig.Version, at time.Time) {
-	if old, found := s.confirmations[source]; !found || at.After(old.at) {
-		s.confirmations[source] = confirmation{version: version, at: at}
+// confirmAhead confirms anew what had named a version that was not in force.
+func (s *Store) confirmAhead() {
+	for _, c := range s.ahead {
+		s.confirm(c)
 	}
 }
 
@@ -257,9 +269,9 @@
 			delete(s.reads, id)
 		}
 	}
-	for source, c := range s.confirmations {
-		if now.Sub(c.at) > s.settings.ReturnMemory {
-			delete(s.confirmations, source)
+	for source, c := range s.ahead {
+		if now.Sub(c.at) > s.settings.ConfirmBound {
+			delete(s.ahead, source)
 		}
 	}
 	for peer, at := range s.neededAt {
