--- /dev/null
+++ b/cmd/usherctl/commands/render.go
@@ -0,0 +1,83 @@
+package usherctlcommand
+
+import (
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+
+	"github.com/samphireusher/samphireusher/pkg/usherconfig"
+)
+
+const (
+	directoryMode = 0o755
+	fileMode      = 0o644
+)
+
+type (
+	// renderCommand writes the values of a declaration as files.
+	renderCommand struct {
+		Directory string `arg:"" name:"dir" type:"existingdir" help:"Directory of the declaration's INI files."`
+		Out       string `required:"" placeholder:"DIR" help:"Directory for the values; each key is a path in it."`
+	}
+
+	// renderResult is what render prints.
+	renderResult struct {
+		Revision uint64        `json:"revision"`
+		Values   []renderValue `json:"values"` // in the order in which they are to be published
+	}
+
+	// renderValue describes one value.
+	renderValue struct {
+		Key    string `json:"key"`
+		Bytes  int    `json:"bytes"`
+		Digest string `json:"digest"`
+		New    bool   `json:"new"` // the directory did not hold this value
+	}
+)
+
+// Run writes the values, unless the declaration has faults.
+func (c renderCommand) Run(output Output) error {
+	snapshot, err := parse(c.Directory, output, false)
+	if err != nil {
+		return err
+	}
+	rendered := renderResult{Revision: snapshot.Revision}
+	for _, value := range usherconfig.Render(snapshot) {
+		written, err := c.write(value)
+		if err != nil {
+			return err
+		}
+		digest := usherconfig.DigestOf(value.Data).String()
+		rendered.Values = append(rendered.Values, renderValue{
+			Key: value.Key, Bytes: len(value.Data), Digest: digest, New: written,
+		})
+	}
+	return output.Print(rendered)
+}
+
+// write writes one value and reports whether it differs from what was there.
+func (c renderCommand) write(value usherconfig.Value) (bool, error) {
+	path := filepath.Join(c.Out, filepath.FromSlash(value.Key))
+	if old, err := os.ReadFile(path); err == nil && string(old) == string(value.Data) {
+		return false, nil
+	}
+	if err := os.MkdirAll(filepath.Dir(path), directoryMode); err != nil {
+		return false, ErrFile.Wrap(err, "cannot make the directory of %s", value.Key)
+	}
+	if err := os.WriteFile(path, value.Data, fileMode); err != nil {
+		return false, ErrFile.Wrap(err, "cannot write %s", value.Key)
+	}
+	return true, nil
+}
+
+func (r renderResult) writeText(w io.Writer) {
+	for _, value := range r.Values {
+		mark := " "
+		if value.New {
+			mark = "+"
+		}
+		fmt.Fprintf(w, "%s %s %d bytes\n", mark, value.Key, value.Bytes)
+	}
+	fmt.Fprintf(w, "ok: revision %d, %d values\n", r.Revision, len(r.Values))
+}
