--- a/pkg/usherconfig/check.go
+++ b/pkg/usherconfig/check.go
@@ -43,6 +43,14 @@
 	}
 )
 
+// String returns the violation as a line such as "[template appraisal] priority: must be 0 to 9".
+func (v Violation) String() string {
+	if v.Key == "" {
+		return fmt.Sprintf("[%s] %s", v.Section, v.Rule)
+	}
+	return fmt.Sprintf("[%s] %s: %s", v.Section, v.Key, v.Rule)
+}
+
 // Check returns every rule that the snapshot breaks. It is a pure function of the snapshot.
 func (s Snapshot) Check() []Violation {
 	c := &checker{snapshot: s}
--- a/pkg/usherconfig/view.go
+++ b/pkg/usherconfig/view.go
@@ -274,8 +274,7 @@
 	if len(c.violations) == 0 {
 		return nil
 	}
-	first := c.violations[0]
-	return ErrInvalid.New("[%s] %s: %s (%d rules broken)", first.Section, first.Key, first.Rule, len(c.violations))
+	return ErrInvalid.New("%s (%d rules broken)", c.violations[0], len(c.violations))
 }
 
 func entryHash(name string) uint32 {
--- a/pkg/usherview/calls_test.go
+++ b/pkg/usherview/calls_test.go
@@ -26,14 +26,14 @@
 		agreeOn uint64 // the revision in force at the end
 		within  time.Duration
 	}{
-		{"first start", func() {}, 6 * time.Second, 1, 0},
+		{"first start", func() {}, 5 * time.Second, 1, 0},
 		{"publication", func() { f.publish(declare(2, 1, false)) }, 4 * time.Second, 2, letterInForce},
-		{"outage", func() { f.platform.down = true }, 8 * time.Second, 2, 0},
+		{"outage", func() { f.platform.down = true }, 6 * time.Second, 2, 0},
 		{"end of outage with a publication", func() {
 			f.platform.down = false
 			f.publish(declare(3, 1, true))
 		}, 4 * time.Second, 3, letterInForce},
-		{"broken publication", func() { f.publish(broken(4)) }, 4 * time.Second, 3, 0},
+		{"broken publication", func() { f.publish(broken(4)) }, 3 * time.Second, 3, 0},
 		{"restart of all", func() {
 			f.publish(declare(5, 1, true))
 			f.restartAll()
@@ -42,7 +42,7 @@
 			f.platform.down = true
 			f.restartAll()
 		}, 6 * time.Second, 0, 0},
-		{"end of that outage", func() { f.platform.down = false }, 6 * time.Second, 5, 0},
+		{"end of that outage", func() { f.platform.down = false }, 5 * time.Second, 5, 0},
 	}
 	for _, e := range events {
 		f.calls = nil
@@ -93,12 +93,6 @@
 	return f
 }
 
-func (f *fleet) restartAll() {
-	for _, p := range f.processes {
-		f.start(p)
-	}
-}
-
 func busiestSecond(calls []time.Time) int {
 	busiest, first := 0, 0
 	for last, at := range calls {
--- a/pkg/usherview/exchange.go
+++ b/pkg/usherview/exchange.go
@@ -176,22 +176,20 @@
 	return effects
 }
 
-// peersToPoll returns up to count peers at random; while starting, those that have not been heard come first.
+// peersToPoll returns up to count peers at random; while starting, such as have not been
+// heard, and one of all.
 func (s *Store) peersToPoll(count int) []string {
 	if !s.machine.Is(Starting) {
 		return s.randomPeers(count)
 	}
-	var unheard, heard []string
-	for _, i := range s.random.Perm(len(s.members)) {
-		name := s.members[i].Name
-		if s.heard[name] {
-			heard = append(heard, name)
-		} else {
-			unheard = append(unheard, name)
+	peers := make([]string, 0, count)
+	start := s.random.IntN(len(s.members))
+	for i := 0; i < len(s.members) && len(peers) < count; i++ {
+		if name := s.members[(start+i)%len(s.members)].Name; !s.heard[name] {
+			peers = append(peers, name)
 		}
 	}
-	peers := append(unheard, heard...)
-	return peers[:min(count, len(peers))]
+	return append(peers, s.randomPeers(1)...)
 }
 
 // randomPeers returns up to count different peers.
--- a/pkg/usherview/explore_test.go
+++ b/pkg/usherview/explore_test.go
@@ -38,9 +38,10 @@
 
 	// mutation takes a mechanism out.
 	mutation struct {
-		newer     func(a, b usherconfig.Version) bool
-		deafStart bool
-		unwatched bool // only the history is checked
+		newer      func(a, b usherconfig.Version) bool
+		deafStart  bool
+		pauseBound time.Duration
+		unwatched  bool // only the history is checked
 	}
 
 	// reading is the input of an operation of a history.
@@ -107,12 +108,13 @@
 		{"lower revisions are accepted", mutation{newer: acceptAny}, "went back"},
 		{"lower revisions, history alone", mutation{newer: acceptAny, unwatched: true}, "registers that only rise"},
 		{"one revision has one version", mutation{newer: acceptHigherRevision}, "has had"},
+		{"pauses are not noticed", mutation{pauseBound: time.Hour}, "woke up"},
 		{"a start asks no peers", mutation{deafStart: true}, "its peers had"},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			for i := range mutantScripts {
-				err := explore(scripts.Example(int(seed)+i), test.mutation)
+				err := explore(scripts.Example(int(seed)*mutantScripts+i), test.mutation)
 				if err != nil && strings.Contains(err.Error(), test.want) {
 					t.Logf("script %d: %s", i, err)
 					return
@@ -130,8 +132,9 @@
 			p.store.SetNewer(m.newer)
 		}
 	})
-	f.deafStart, f.unwatched = m.deafStart, m.unwatched
-	f.loss, f.delay = s.Loss, s.Delay
+	f.deafStart, f.unwatched, f.pauseBound = m.deafStart, m.unwatched, m.pauseBound
+	f.restartAll()
+	f.tick, f.loss, f.delay = 2*tick, s.Loss, s.Delay
 	h := &history{fleet: f, last: map[uint64]usherconfig.Version{}}
 	f.observe = h.observe
 	published := []usherconfig.Snapshot{declare(1, 1, true)}
@@ -191,7 +194,8 @@
 		f.platform.down, f.platform.stale = false, nil
 	case cutLink:
 		if p != q {
-			f.cut[pair(p, q)] = true
+			f.cut[way(p, q)] = true
+			f.cut[way(q, p)] = f.cut[way(q, p)] || d.Weight%2 == 0 // else one way only
 			f.separatePair(p, q)
 		}
 	case healLinks:
--- a/pkg/usherview/fetch.go
+++ b/pkg/usherview/fetch.go
@@ -234,7 +234,7 @@
 // Each reader begins with other shards, so that together they soon have them all.
 func (s *Store) fetchFromPlatform(now time.Time, c *candidate) Effects {
 	lonely := len(c.sources) == 0 && now.Sub(c.firstAt) > s.settings.FetchTimeout
-	if !c.published || !s.reader && !lonely {
+	if !c.published || !s.reader && !lonely || s.budget.TokensAt(now) < 1 {
 		return Effects{}
 	}
 	var effects Effects
--- a/pkg/usherview/fleet_test.go
+++ b/pkg/usherview/fleet_test.go
@@ -51,22 +51,24 @@
 
 	// fleet joins stores by a network that loses, delays, doubles and reorders.
 	fleet struct {
-		now       time.Time
-		random    *rand.Rand
-		platform  platform
-		tick      time.Duration
-		processes []*process
-		byName    map[string]*process
-		events    []event
-		cut       map[[2]string]bool
-		broken    map[[2]string]time.Time // when two processes were last kept apart
-		loss      float64
-		delay     time.Duration
-		calls     []time.Time
-		observe   func(p *process)
-		prepare   func(p *process)
-		unwatched bool // only observe
-		deafStart bool // a starting process knows no members and hears none
+		now        time.Time
+		random     *rand.Rand
+		platform   platform
+		tick       time.Duration
+		processes  []*process
+		byName     map[string]*process
+		events     []event
+		cut        map[[2]string]bool
+		broken     map[[2]string]time.Time // when two processes were last kept apart
+		loss       float64
+		delay      time.Duration
+		calls      []time.Time
+		sent       func(m usherview.Message)
+		observe    func(p *process)
+		prepare    func(p *process)
+		pauseBound time.Duration // 0 for the default
+		unwatched  bool          // only observe
+		deafStart  bool          // a starting process knows no members and hears none
 	}
 )
 
@@ -95,7 +97,7 @@
 		}
 	}
 	p.seed, p.started, p.served, p.version = f.random.Uint64(), f.now, false, usherconfig.Version{}
-	p.store = usherview.New(usherview.Settings{Name: p.name, DataCentre: p.place, Seed: p.seed})
+	p.store = usherview.New(usherview.Settings{Name: p.name, DataCentre: p.place, Seed: p.seed, PauseBound: f.pauseBound})
 	if !f.deafStart {
 		p.store.SetMembers(f.members())
 	}
@@ -105,6 +107,12 @@
 	f.separate(p)
 }
 
+func (f *fleet) restartAll() {
+	for _, p := range f.processes {
+		f.start(p)
+	}
+}
+
 func (f *fleet) members() []usherview.Member {
 	var members []usherview.Member
 	for _, p := range f.processes {
@@ -191,7 +199,7 @@
 
 // joined reports whether two processes run and hear each other.
 func (f *fleet) joined(p, q *process) bool {
-	return !f.cut[pair(p, q)] && !f.now.Before(p.pausedUntil) && !f.now.Before(q.pausedUntil)
+	return !f.cut[way(p, q)] && !f.cut[way(q, p)] && !f.now.Before(p.pausedUntil) && !f.now.Before(q.pausedUntil)
 }
 
 // separate notes that a process was apart from all others, and that no start can count on having heard it.
@@ -231,6 +239,9 @@
 // perform puts a store's effects on the network.
 func (f *fleet) perform(p *process, effects usherview.Effects) {
 	for _, m := range effects.Send {
+		if f.sent != nil {
+			f.sent(m)
+		}
 		f.send(p, m)
 	}
 	for _, r := range effects.Reads {
@@ -249,7 +260,7 @@
 	if f.random.Float64() < f.loss {
 		copies = f.random.IntN(2) * 2 // lost or doubled
 	}
-	if f.cut[pair(p, q)] || f.deafStart && !q.served {
+	if f.cut[way(p, q)] || f.deafStart && !q.served {
 		copies = 0
 	}
 	for range copies {
@@ -301,6 +312,11 @@
 	return highest
 }
 
+// way names the direction from p to q.
+func way(p, q *process) [2]string {
+	return [2]string{p.name, q.name}
+}
+
 func pair(p, q *process) [2]string {
 	return [2]string{min(p.name, q.name), max(p.name, q.name)}
 }
--- a/pkg/usherview/settings.go
+++ b/pkg/usherview/settings.go
@@ -19,6 +19,7 @@
 	SettleTime        time.Duration // after a pause, before an unconfirmed view is used at all
 	EscalateAfter     time.Duration // without news of the platform, after which anyone reads it
 	FetchTimeout      time.Duration // for an answer to a Want or a Read
+	StallTime         time.Duration // without progress, after which a start no longer waits for a version
 	CandidateTimeout  time.Duration // without progress, after which a version is given up
 	CallsPerSecond    float64       // to the platform
 	ReadersPerPlace   int           // readers in each data centre
@@ -42,6 +43,7 @@
 	setDefault(&s.SettleTime, time.Second)
 	setDefault(&s.EscalateAfter, 4*time.Second)
 	setDefault(&s.FetchTimeout, 500*time.Millisecond)
+	setDefault(&s.StallTime, 2*time.Second)
 	setDefault(&s.CandidateTimeout, 5*time.Second)
 	setDefault(&s.CallsPerSecond, 4)
 	setDefault(&s.ReadersPerPlace, 3)
--- a/pkg/usherview/store.go
+++ b/pkg/usherview/store.go
@@ -215,7 +215,7 @@
 // startComplete reports whether a start has heard the platform and several peers and has the highest of what they had,
 // or has waited long enough with what it has.
 func (s *Store) startComplete(now time.Time) bool {
-	if s.startedAt.IsZero() || s.Version().Revision == 0 || len(s.candidates) > 0 {
+	if s.startedAt.IsZero() || s.Version().Revision == 0 || s.isFetching(now) {
 		return false
 	}
 	if s.platformHeard && len(s.heard) >= min(s.settings.StartPeers, len(s.members)) {
@@ -224,6 +224,13 @@
 	return now.Sub(s.startedAt) >= s.settings.StartDeadline
 }
 
+// isFetching reports whether a higher version is under way. One that its source names but does not bring is not.
+func (s *Store) isFetching(now time.Time) bool {
+	return slices.ContainsFunc(s.candidates, func(c *candidate) bool {
+		return now.Sub(c.progressAt) <= s.settings.StallTime
+	})
+}
+
 // confirmed returns who last confirmed the version in force, and when that round trip began.
 func (s *Store) confirmed() (source string, at time.Time) {
 	if s.confirmation.at.Before(s.wokenAt) {
--- a/pkg/usherview/store_test.go
+++ b/pkg/usherview/store_test.go
@@ -101,13 +101,30 @@
 	}
 }
 
+func TestStartDoesNotWaitForWhatIsNeverBrought(t *testing.T) {
+	f := newFleet(seed, 4, nil)
+	f.publish(declare(1, 1, true))
+	mustRun(t, f, 4*time.Second)
+	p := f.processes[0]
+	f.start(p)
+	for range 8 {
+		p.store.Receive(f.now, usherview.Message{From: "p1", To: p.name, Poll: &usherview.Poll{
+			Version: usherconfig.Version{Revision: 1 << 60},
+		}})
+		mustRun(t, f, 500*time.Millisecond)
+	}
+	if state := p.store.State(f.now); state != usherview.Serving {
+		t.Errorf("still %s: %+v", state, p.store.Dump(f.now))
+	}
+}
+
 func TestIsolatedProcessKeepsToItsOwnDataCentre(t *testing.T) {
 	f := newFleet(seed, 3, nil)
 	f.publish(declare(1, 1, true))
 	mustRun(t, f, 4*time.Second)
 	lone := f.processes[0]
 	for _, p := range f.processes[1:] {
-		f.cut[pair(lone, p)] = true
+		f.cut[way(lone, p)], f.cut[way(p, lone)] = true, true
 	}
 	f.platform.down = true
 	mustRun(t, f, 4*time.Second)
@@ -122,6 +139,24 @@
 	}
 }
 
+func TestLinkThatCarriesOneWayConfirmsNothing(t *testing.T) {
+	f := newFleet(seed, 3, nil)
+	f.publish(declare(1, 1, true))
+	mustRun(t, f, 4*time.Second)
+	deaf := f.processes[0]
+	for _, p := range f.processes[1:] {
+		f.cut[way(p, deaf)] = true
+	}
+	f.platform.down = true
+	mustRun(t, f, 4*time.Second)
+	if state := deaf.store.State(f.now); state != usherview.Unconfirmed {
+		t.Errorf("a process that is heard but hears nobody is %s", state)
+	}
+	if state := f.processes[1].store.State(f.now); state != usherview.Serving {
+		t.Errorf("those who hear each other are %s", state)
+	}
+}
+
 func TestPausedProcessAsksAgain(t *testing.T) {
 	f := newFleet(seed, 3, nil)
 	f.publish(declare(1, 1, true))
