--- a/pkg/usherview/fetch.go
+++ b/pkg/usherview/fetch.go
@@ -144,6 +144,7 @@
 	s.noteReturns(now, view.Snapshot())
 	s.view, s.adoptedAt = view, now
 	s.counts.Adopted++
+	s.confirmAhead()
 	s.candidates = slices.DeleteFunc(s.candidates, func(c *candidate) bool { return !s.newer(c.version, s.Version()) })
 	var effects Effects
 	for _, peer := range s.randomPeers(s.settings.SummariesOnChange) {
@@ -162,6 +163,7 @@
 	if len(s.rejected) > s.settings.MaxRejected {
 		s.rejected = slices.Delete(s.rejected, 0, 1)
 	}
+	s.confirmAhead()
 }
 
 func (s *Store) isRejected(version usherconfig.Version) bool {
@@ -232,7 +234,7 @@
 // Each reader begins with other shards, so that together they soon have them all.
 func (s *Store) fetchFromPlatform(now time.Time, c *candidate) Effects {
 	lonely := len(c.sources) == 0 && now.Sub(c.firstAt) > s.settings.FetchTimeout
-	if !c.published || !s.reader && !lonely {
+	if !c.published || !s.reader && !lonely || s.budget.TokensAt(now) < 1 {
 		return Effects{}
 	}
 	var effects Effects
