--- a/cmd/usher-policy/experiment/command.go
+++ b/cmd/usher-policy/experiment/command.go
@@ -19,6 +19,7 @@
 	Limits    []int    `help:"Limits of the sweep for least_outstanding."`
 	Plots     string   `type:"path" help:"Directory for one plot a scenario."`
 	Verbose   bool     `help:"Logs what the JSON lines don't show."`
+	Load      float64  `help:"Load in place of the scenario's."`
 	Without   string   `help:"Part of the policy that usher is run without; only usher runs then."`
 }
 
@@ -42,6 +43,9 @@
 
 func (c *Command) results(s Scenario) []Result {
 	started := time.Now()
+	if c.Load > 0 {
+		s.Load = c.Load
+	}
 	s = Rated(s, c.Seed)
 	var results []Result
 	if c.Without != "" {
