--- a/pkg/usheradmit/scheduler.go
+++ b/pkg/usheradmit/scheduler.go
@@ -31,7 +31,7 @@
 	backfillPatience = 3 * time.Second
 	riskStep         = 0.1
 	riskTolerated    = 0.002 // preemptions a grant that the risk margin settles at
-	riskBelow        = 0.25  // how far the learned margin may go below the set one
+	riskBelow        = 0.0
 	riskAbove        = 1.0
 )
 
