Operators' commands: keys, dump, metrics, locate, send, resume, status, cancel

Cause: operators and the demo need to make keys, look into processes and speak to gateways from scripts. While the first daemon was started with a settings file, it refused every section: ushersetting did not look into embedded structs, so neither daemon could start at all ("unknown section [process]").

Ruled out: listing the common sections again in each daemon's settings; the embedded struct is right, the reader was wrong.

Conclusion: the reader counts embedded sections as the struct's own; usherclient.Follow resumes a broken stream at another gateway and lets each token through once; the commands are built on it.

--- /dev/null
+++ b/cmd/usherctl/operate/caller.go
@@ -0,0 +1,133 @@
+package usheroperation
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"strings"
+
+	"github.com/alecthomas/kong"
+
+	"github.com/samphireusher/samphireusher/service/usherclient"
+)
+
+type (
+	// credentials are those of a workspace.
+	credentials struct {
+		Workspace string `help:"Workspace to speak for." env:"USHER_WORKSPACE" required:""`
+		Key       string `help:"Key of the workspace. Other users of the host may see it here: prefer the environment." env:"USHER_KEY" xor:"key"`
+		KeyFile   string `help:"File with the key of the workspace." env:"USHER_KEY_FILE" type:"path" xor:"key"`
+		JSON      bool   `name:"json" help:"Print JSON instead of text."`
+	}
+
+	locateCommand struct {
+		credentials
+		Address string   `arg:"" help:"Address of any gateway."`
+		Near    []string `help:"Data centres near the caller, the nearest first."`
+	}
+
+	statusCommand struct {
+		credentials
+		Address   string `arg:"" help:"Address of the gateway that the request was sent to."`
+		RequestID string `arg:"" help:"Id of the request."`
+	}
+
+	cancelCommand struct {
+		credentials
+		Address   string `arg:"" help:"Address of the gateway that the request was sent to."`
+		RequestID string `arg:"" help:"Id of the request."`
+	}
+)
+
+func (c *credentials) client() (*usherclient.Client, error) {
+	key := c.Key
+	if c.KeyFile != "" {
+		data, err := os.ReadFile(c.KeyFile)
+		if err != nil {
+			return nil, ErrFile.Wrap(err, "key")
+		}
+		key = strings.TrimSpace(string(data))
+	}
+	if key == "" {
+		return nil, ErrUsage.New("no key: give USHER_KEY, USHER_KEY_FILE, --key or --key-file")
+	}
+	return usherclient.New(c.Workspace, key), nil
+}
+
+// Run prints which gateways to use.
+func (c *locateCommand) Run(k *kong.Context) error {
+	client, err := c.client()
+	if err != nil {
+		return err
+	}
+	ctx, stop := interruptible()
+	defer stop()
+	location, err := client.LocateNear(ctx, c.Address, c.Near)
+	if err != nil {
+		return err
+	}
+	if c.JSON {
+		return printJSON(k.Stdout, location)
+	}
+	for _, address := range location.Addresses {
+		fmt.Fprintln(k.Stdout, address)
+	}
+	return nil
+}
+
+// Run prints how a request ended.
+func (c *statusCommand) Run(k *kong.Context) error {
+	client, err := c.client()
+	if err != nil {
+		return err
+	}
+	ctx, stop := interruptible()
+	defer stop()
+	status, err := client.Status(ctx, c.Address, c.RequestID)
+	if err != nil {
+		return err
+	}
+	if c.JSON {
+		return printJSON(k.Stdout, status)
+	}
+	fmt.Fprintln(k.Stdout, describe(status))
+	if answer := status.Text + string(status.Result); answer != "" {
+		fmt.Fprintln(k.Stdout, answer)
+	}
+	return nil
+}
+
+// Run cancels a request.
+func (c *cancelCommand) Run(k *kong.Context) error {
+	client, err := c.client()
+	if err != nil {
+		return err
+	}
+	ctx, stop := interruptible()
+	defer stop()
+	if err := client.Cancel(ctx, c.Address, c.RequestID); err != nil {
+		return err
+	}
+	if c.JSON {
+		return printJSON(k.Stdout, usherclient.Status{RequestID: c.RequestID, State: "cancelling"})
+	}
+	fmt.Fprintln(k.Stdout, "cancelling")
+	return nil
+}
+
+// describe says in one line how a request ended. The outcome of a request in progress is not known yet and says nothing.
+func describe(status usherclient.Status) string {
+	switch {
+	case status.State != "ended":
+		return status.State
+	case status.Reason != "":
+		return status.Outcome + ": " + status.Reason
+	default:
+		return status.Outcome
+	}
+}
+
+func printJSON(out io.Writer, value any) error {
+	return json.NewEncoder(out).Encode(value)
+}
--- /dev/null
+++ b/cmd/usherctl/operate/doc.go
@@ -0,0 +1,37 @@
+// Package usheroperation has the commands by which operators make keys, look into running processes and speak to
+// gateways as a caller does.
+//
+// # Usage
+//
+//	var line struct {
+//		usheroperation.Commands `embed:""`
+//	}
+//	parsed, err := kong.Must(&line).Parse(os.Args[1:])
+//	if err == nil {
+//		err = parsed.Run()
+//	}
+//	os.Exit(usheroperation.ExitCode(err))
+package usheroperation
+
+import (
+	"context"
+	"os/signal"
+	"syscall"
+)
+
+// Commands are the commands of this package, for embedding into a command line.
+type Commands struct {
+	Keys    keysCommand    `cmd:"" help:"Make the keys and the secret of a fleet."`
+	Dump    dumpCommand    `cmd:"" help:"Print the state of a process."`
+	Metrics metricsCommand `cmd:"" help:"Print the metrics of a process."`
+	Locate  locateCommand  `cmd:"" help:"Ask a gateway which gateways to use, the best first."`
+	Send    sendCommand    `cmd:"" help:"Send a request and print its answer as it comes."`
+	Resume  resumeCommand  `cmd:"" help:"Take up a stream that broke off, at any gateway."`
+	Status  statusCommand  `cmd:"" help:"Ask a gateway how a request ended."`
+	Cancel  cancelCommand  `cmd:"" help:"End a request in progress."`
+}
+
+// interruptible returns a context that ends at SIGINT or SIGTERM.
+func interruptible() (context.Context, context.CancelFunc) {
+	return signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+}
--- /dev/null
+++ b/cmd/usherctl/operate/print.go
@@ -0,0 +1,155 @@
+package usheroperation
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+
+	"github.com/alecthomas/kong"
+
+	"github.com/samphireusher/samphireusher/service/usherclient"
+)
+
+type (
+	// printer prints an answer: text as it comes, JSON at its end, or a JSON line for each event.
+	printer struct {
+		out, notes io.Writer
+		delivery   delivery
+		requestID  string
+		tokens     int
+	}
+
+	startedLine struct {
+		Event     string `json:"event"`
+		RequestID string `json:"request_id"`
+		Handle    string `json:"handle,omitempty"`
+	}
+
+	tokenLine struct {
+		Event string `json:"event"`
+		Index int    `json:"index"`
+		Text  string `json:"text"`
+	}
+
+	resumedLine struct {
+		Event   string `json:"event"`
+		Address string `json:"address"`
+		From    int    `json:"from"`
+	}
+
+	endLine struct {
+		Event     string          `json:"event,omitempty"`
+		RequestID string          `json:"request_id"`
+		Outcome   string          `json:"outcome"`
+		Tokens    int             `json:"tokens"`
+		Finish    string          `json:"finish,omitempty"`
+		Text      string          `json:"text,omitempty"`
+		Result    json.RawMessage `json:"result,omitempty"`
+	}
+
+	refusedLine struct {
+		Event        string `json:"event,omitempty"`
+		RequestID    string `json:"request_id,omitempty"`
+		Outcome      string `json:"outcome"`
+		Reason       string `json:"reason,omitempty"`
+		Message      string `json:"message,omitempty"`
+		RetryAfterMS int64  `json:"retry_after_ms,omitempty"`
+		OtherAddress string `json:"other_address,omitempty"`
+	}
+)
+
+func newPrinter(k *kong.Context, delivery delivery) *printer {
+	return &printer{out: k.Stdout, notes: k.Stderr, delivery: delivery}
+}
+
+func (p *printer) watcher() *usherclient.Watcher {
+	return &usherclient.Watcher{Started: p.started, Token: p.token, Resumed: p.resumed}
+}
+
+func (p *printer) started(requestID, handle string) {
+	p.requestID = requestID
+	if p.delivery.Events {
+		_ = printJSON(p.out, startedLine{"started", requestID, handle})
+	}
+}
+
+// identified shows the id that a request is about to be sent under.
+func (p *printer) identified(requestID string) {
+	p.requestID = requestID
+	switch {
+	case p.delivery.Events:
+		_ = printJSON(p.out, startedLine{Event: "identified", RequestID: requestID})
+	case !p.delivery.JSON:
+		fmt.Fprintf(p.notes, "request id %s\n", requestID)
+	}
+}
+
+func (p *printer) token(index int, text string) {
+	p.tokens++
+	switch {
+	case p.delivery.Events:
+		_ = printJSON(p.out, tokenLine{"token", index, text})
+	case !p.delivery.JSON:
+		fmt.Fprint(p.out, text)
+	}
+}
+
+func (p *printer) resumed(address string, from int) {
+	if p.delivery.Events {
+		_ = printJSON(p.out, resumedLine{"resumed", address, from})
+		return
+	}
+	fmt.Fprintf(p.notes, "\n[resumed at %s from token %d]\n", address, from)
+}
+
+// end prints the end of an answer and returns the error that tells its outcome.
+func (p *printer) end(answer usherclient.Answer, err error) error {
+	if err != nil {
+		return p.refused(ended(err))
+	}
+	if answer.RequestID == "" {
+		answer.RequestID = p.requestID
+	}
+	line := endLine{"", answer.RequestID, answer.Outcome, answer.Tokens, answer.Finish, answer.Text, answer.Result}
+	switch {
+	case p.delivery.Events:
+		line.Event = "end"
+		if p.tokens > 0 {
+			line.Text = ""
+		}
+		return printJSON(p.out, line)
+	case p.delivery.JSON:
+		return printJSON(p.out, line)
+	}
+	if p.tokens > 0 {
+		answer.Text = ""
+	}
+	fmt.Fprintln(p.out, answer.Text+string(answer.Result))
+	fmt.Fprintf(p.notes, "%s: %d tokens, request %s\n", answer.Outcome, answer.Tokens, answer.RequestID)
+	return nil
+}
+
+func (p *printer) refused(err error) error {
+	line := refusedLine{RequestID: p.requestID, Message: err.Error()}
+	var request requestError
+	if errors.As(err, &request) {
+		line.Outcome = request.outcome.String()
+	}
+	var refusal usherclient.Refusal
+	if errors.As(err, &refusal) {
+		line.Reason, line.Message = refusal.Reason, refusal.Message
+		line.RetryAfterMS, line.OtherAddress = refusal.RetryMillis, refusal.OtherAddress
+	}
+	switch {
+	case p.delivery.Events:
+		line.Event = "refused"
+		return errors.Join(err, printJSON(p.out, line))
+	case p.delivery.JSON:
+		return errors.Join(err, printJSON(p.out, line))
+	}
+	if p.tokens > 0 {
+		fmt.Fprintln(p.out)
+	}
+	return err
+}
--- a/pkg/ushersetting/setting.go
+++ b/pkg/ushersetting/setting.go
@@ -1,8 +1,9 @@
 // Package ushersetting reads a process's settings from INI and checks them as a whole before anything starts.
 //
 // A process declares its settings as a struct of sections, each a struct of fields. The tags of a field give its key
-// (ini), its default (default), whether it must be given (required) and its description (usage). Unknown sections and
-// keys are refused, and every fault is reported, not only the first.
+// (ini), its default (default), whether it must be given (required) and its description (usage). Sections of embedded
+// structs count as the struct's own. Unknown sections and keys are refused, and every fault is reported, not only the
+// first.
 //
 // # Usage
 //
@@ -106,14 +107,19 @@
 }
 
 func slotsOf(settings any) []slot {
+	return structSlots(reflect.ValueOf(settings).Elem())
+}
+
+// structSlots returns the slots of a struct of sections, and those of the structs that are embedded in it.
+func structSlots(root reflect.Value) []slot {
 	slots := []slot{}
-	root := reflect.ValueOf(settings).Elem()
 	for i := range root.NumField() {
-		section, ok := root.Type().Field(i).Tag.Lookup("ini")
-		if !ok {
-			continue
+		field := root.Type().Field(i)
+		if section, ok := field.Tag.Lookup("ini"); ok {
+			slots = append(slots, sectionSlots(section, root.Field(i))...)
+		} else if field.Anonymous {
+			slots = append(slots, structSlots(root.Field(i))...)
 		}
-		slots = append(slots, sectionSlots(section, root.Field(i))...)
 	}
 	return slots
 }
--- a/service/usherclient/client.go
+++ b/service/usherclient/client.go
@@ -8,6 +8,7 @@
 //
 //	client := usherclient.New("kochi", key)
 //	answer, err := client.Send(ctx, address, usherclient.Request{Template: "standing", Parameters: parameters}, nil)
+//	answer, err = client.Follow(ctx, location.Addresses, usherclient.Request{Template: "appraisal", Parameters: parameters}, watcher)
 //	var refusal usherclient.Refusal
 //	if errors.As(err, &refusal) && refusal.Outcome == "not_run" {
 //		// safe to send again after refusal.RetryAfter
@@ -18,7 +19,9 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"io"
+	"net"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -33,6 +36,8 @@
 	Errors = errorx.NewNamespace("usher_client")
 	// ErrBroken says that the connection to a gateway failed; what became of a request is not known.
 	ErrBroken = Errors.NewType("broken", errorx.Temporary())
+	// ErrUnreachable says that no connection to a gateway came about, so that nothing was asked of it.
+	ErrUnreachable = ErrBroken.NewSubtype("unreachable")
 	// ErrMalformed says that a gateway sent something unexpected.
 	ErrMalformed = Errors.NewType("malformed")
 )
@@ -97,6 +102,8 @@
 		Started func(requestID, handle string)
 		// Token has one token.
 		Token func(index int, text string)
+		// Resumed says that Follow goes on at another gateway, from the token with index from.
+		Resumed func(address string, from int)
 	}
 
 	minted struct {
@@ -125,21 +132,33 @@
 
 // Locate asks the gateway at address which gateways to use.
 func (c *Client) Locate(ctx context.Context, address string) (Location, error) {
+	return c.LocateNear(ctx, address, nil)
+}
+
+// LocateNear asks the gateway at address which gateways to use for a caller near the data centres, the nearest first.
+func (c *Client) LocateNear(ctx context.Context, address string, dataCentres []string) (Location, error) {
+	path := "/v1/locate"
+	if len(dataCentres) > 0 {
+		path += "?" + url.Values{"near": {strings.Join(dataCentres, ",")}}.Encode()
+	}
 	var location Location
-	return location, c.exchange(ctx, http.MethodGet, address, "/v1/locate", nil, &location)
+	err := c.exchange(ctx, http.MethodGet, address, path, nil, &location)
+	return location, err
 }
 
 // Mint asks for an id under which the gateway runs a request at most once.
 func (c *Client) Mint(ctx context.Context, address, idempotencyKey string) (string, error) {
 	var id minted
 	body := map[string]string{"idempotency_key": idempotencyKey}
-	return id.RequestID, c.exchange(ctx, http.MethodPost, address, "/v1/ids", body, &id)
+	err := c.exchange(ctx, http.MethodPost, address, "/v1/ids", body, &id)
+	return id.RequestID, err
 }
 
 // Status asks how a request ended.
 func (c *Client) Status(ctx context.Context, address, requestID string) (Status, error) {
 	var status Status
-	return status, c.exchange(ctx, http.MethodGet, address, "/v1/requests/"+url.PathEscape(requestID), nil, &status)
+	err := c.exchange(ctx, http.MethodGet, address, "/v1/requests/"+url.PathEscape(requestID), nil, &status)
+	return status, err
 }
 
 // Cancel ends a request in progress.
@@ -176,7 +195,8 @@
 		return readStream(response.Body, watcher)
 	}
 	var answer Answer
-	return answer, decode(response.Body, &answer)
+	err := decode(response.Body, &answer)
+	return answer, err
 }
 
 func (c *Client) exchange(ctx context.Context, method, address, path string, body, answer any) error {
@@ -211,11 +231,19 @@
 	request.Header.Set("Usher-Workspace", c.workspace)
 	response, err := c.http.Do(request)
 	if err != nil {
-		return nil, ErrBroken.Wrap(err, "%s %s", method, address)
+		return nil, brokenBy(err, method, address)
 	}
 	return response, nil
 }
 
+func brokenBy(cause error, method, address string) error {
+	var failed *net.OpError
+	if errors.As(cause, &failed) && failed.Op == "dial" {
+		return ErrUnreachable.Wrap(cause, "%s %s", method, address)
+	}
+	return ErrBroken.Wrap(cause, "%s %s", method, address)
+}
+
 func refusalOf(response *http.Response) error {
 	var refusal Refusal
 	if err := decode(response.Body, &refusal); err != nil {
--- /dev/null
+++ b/service/usherclient/follow.go
@@ -0,0 +1,153 @@
+package usherclient
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/joomcode/errorx"
+)
+
+const (
+	// resumeFor is how long a broken stream is asked for again without a token.
+	resumeFor   = 20 * time.Second
+	resumePause = 200 * time.Millisecond
+	locateLimit = 2 * time.Second
+)
+
+// follower collects one streamed answer over several connections.
+type follower struct {
+	client    *Client
+	watcher   Watcher
+	addresses []string
+	address   string
+	handle    string
+	resuming  bool
+	next      int
+	gap       bool
+	heard     time.Time
+	text      strings.Builder
+}
+
+// Follow sends a request to the first address that can be reached. Where its stream breaks off, it goes on from the next
+// token at another of the addresses, or at one that those name. The watcher sees each token once.
+func (c *Client) Follow(ctx context.Context, addresses []string, request Request, watcher *Watcher) (Answer, error) {
+	f := newFollower(c, addresses, watcher)
+	var answer Answer
+	var err error = ErrUnreachable.New("no address is known")
+	for _, address := range addresses {
+		f.address = address
+		if answer, err = c.Send(ctx, address, request, f.watching()); !errorx.IsOfType(err, ErrUnreachable) {
+			break
+		}
+	}
+	return f.follow(ctx, answer, err)
+}
+
+// FollowHandle resumes the stream of a handle as Follow does, from the token with index from.
+func (c *Client) FollowHandle(ctx context.Context, addresses []string, handle string, from int, watcher *Watcher) (Answer, error) {
+	f := newFollower(c, addresses, watcher)
+	if len(addresses) == 0 {
+		return Answer{}, ErrUnreachable.New("no address is known")
+	}
+	f.address, f.handle, f.next, f.resuming = addresses[0], handle, from, true
+	answer, err := c.Resume(ctx, f.address, handle, from, f.watching())
+	return f.follow(ctx, answer, err)
+}
+
+func newFollower(client *Client, addresses []string, watcher *Watcher) *follower {
+	f := &follower{client: client, addresses: slices.Clone(addresses), heard: time.Now()}
+	if watcher != nil {
+		f.watcher = *watcher
+	}
+	return f
+}
+
+// follow resumes the stream for as long as it breaks off and a gateway may have it.
+func (f *follower) follow(ctx context.Context, answer Answer, err error) (Answer, error) {
+	for f.broken(err) && ctx.Err() == nil && time.Since(f.heard) < resumeFor {
+		f.gap = false
+		f.turn(ctx)
+		if answer, err = f.client.Resume(ctx, f.address, f.handle, f.next, f.watching()); f.broken(err) {
+			pause(ctx, resumePause)
+		}
+	}
+	if err != nil || f.handle == "" {
+		return answer, err
+	}
+	answer.Text = f.text.String()
+	if answer.Tokens != f.next {
+		return answer, ErrMalformed.New("the answer has %d tokens, but %d came", answer.Tokens, f.next)
+	}
+	return answer, nil
+}
+
+// broken reports whether the stream has to be resumed.
+func (f *follower) broken(err error) bool {
+	return f.handle != "" && (f.gap || errorx.IsOfType(err, ErrBroken))
+}
+
+// turn goes on to the next address, after asking the others which gateways there are.
+func (f *follower) turn(ctx context.Context) {
+	for _, address := range slices.Clone(f.addresses) {
+		if address != f.address {
+			f.learn(ctx, address)
+		}
+	}
+	at := slices.Index(f.addresses, f.address)
+	f.address = f.addresses[(at+1)%len(f.addresses)]
+	f.resuming = true
+}
+
+func (f *follower) learn(ctx context.Context, address string) {
+	ctx, cancel := context.WithTimeout(ctx, locateLimit)
+	defer cancel()
+	location, err := f.client.Locate(ctx, address)
+	if err != nil {
+		return
+	}
+	for _, other := range location.Addresses {
+		if !slices.Contains(f.addresses, other) {
+			f.addresses = append(f.addresses, other)
+		}
+	}
+}
+
+// watching returns what sees one connection.
+func (f *follower) watching() *Watcher {
+	return &Watcher{Started: f.started, Token: f.token}
+}
+
+func (f *follower) started(requestID, handle string) {
+	f.handle, f.heard = handle, time.Now()
+	if f.resuming && f.watcher.Resumed != nil {
+		f.watcher.Resumed(f.address, f.next)
+	}
+	if !f.resuming && f.watcher.Started != nil {
+		f.watcher.Started(requestID, handle)
+	}
+}
+
+// token lets the next token through. What is behind a gap comes again with the next connection.
+func (f *follower) token(index int, text string) {
+	if index > f.next {
+		f.gap = true
+	}
+	if index != f.next {
+		return
+	}
+	f.next++
+	f.heard = time.Now()
+	f.text.WriteString(text)
+	if f.watcher.Token != nil {
+		f.watcher.Token(index, text)
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
--- a/service/usherdaemon/setting.go
+++ b/service/usherdaemon/setting.go
@@ -76,14 +76,22 @@
 // Check implements ushersetting.Checker.
 func (s *GatewaySettings) Check() []string {
 	faults := s.Common.Check()
-	for name, n := range map[string]int{"requests": s.Limits.Requests, "body_bytes": s.Limits.BodyBytes, "kept_outcomes": s.Limits.KeptOutcomes} {
-		if n < 1 {
-			faults = append(faults, "limits."+name+" must be at least 1")
+	for _, limit := range []struct {
+		name  string
+		value int
+	}{{"requests", s.Limits.Requests}, {"body_bytes", s.Limits.BodyBytes}, {"kept_outcomes", s.Limits.KeptOutcomes}} {
+		if limit.value < 1 {
+			faults = append(faults, "limits."+limit.name+" must be at least 1")
 		}
 	}
 	return faults
 }
 
+// Check implements ushersetting.Checker.
+func (s *SchedulerSettings) Check() []string {
+	return s.Common.Check()
+}
+
 func (c *Common) files() usherkey.Files {
 	return usherkey.Files{Certificate: c.Keys.Certificate, Key: c.Keys.Key, Authorities: c.Keys.Authorities}
 }
