--- /dev/null
+++ b/_scripts/fleet.sh
@@ -0,0 +1,158 @@
+# Functions that run a fleet of the built programs on loopback. Source it from the root of the repository.
+#
+# It fills DIRECTORY (settings, keys, logs, declarations) and PIDS (name of each running process and its id). A process
+# is ended by its id only.
+
+FLEET_BIN=$PWD/bin
+PLATFORM=127.0.0.1:21000
+DECLARATIONS=_fixtures/declarations/consortium
+HOSTS=(kochi-gateway-1 kochi-gateway-2 kochi-scheduler-1 thrissur-gateway-1 thrissur-gateway-2 thrissur-scheduler-1
+	kozhikode-gateway-1 kozhikode-gateway-2 kozhikode-scheduler-1)
+declare -A PIDS=() ADDRESSES=() ADMINS=()
+
+# milliseconds prints the time since the epoch.
+milliseconds() {
+	echo $((${EPOCHREALTIME/./} / 1000))
+}
+
+# until_true SECONDS COMMAND... repeats the command until it succeeds.
+until_true() {
+	local until=$(($(milliseconds) + $1 * 1000))
+	shift
+	until "$@"; do
+		(($(milliseconds) < until)) || return 1
+		sleep 0.05
+	done
+}
+
+role_of() {
+	local role=${1#*-}
+	echo "${role%-*}"
+}
+
+# prepare makes keys and settings, and a copy of the declarations that may be edited.
+prepare() {
+	local i name
+	DIRECTORY=$(mktemp -d "${TMPDIR:-/tmp}/usher-demo.XXXXXX")
+	mkdir "$DIRECTORY/logs"
+	cp -r "$DECLARATIONS" "$DIRECTORY/declarations"
+	"$FLEET_BIN/usherctl" keys authority --out "$DIRECTORY/keys" >"$DIRECTORY/logs/keys" || return
+	"$FLEET_BIN/usherctl" keys secret --out "$DIRECTORY/keys/fleet.secret" >>"$DIRECTORY/logs/keys" || return
+	for i in "${!HOSTS[@]}"; do
+		name=${HOSTS[i]}
+		ADDRESSES[$name]=127.0.0.1:$((21201 + i))
+		ADMINS[$name]=127.0.0.1:$((21301 + i))
+		"$FLEET_BIN/usherctl" keys issue "$name" --authority "$DIRECTORY/keys" --out "$DIRECTORY/keys" >>"$DIRECTORY/logs/keys" || return
+		write_settings "$name" || return
+	done
+}
+
+write_settings() {
+	local text
+	text=$(<"_fixtures/demo/$(role_of "$1").ini") || return
+	text=${text//@NAME@/$1}
+	text=${text//@DATA_CENTRE@/${1%%-*}}
+	text=${text//@ADDRESS@/${ADDRESSES[$1]}}
+	text=${text//@ADMIN@/${ADMINS[$1]}}
+	text=${text//@PLATFORM@/$PLATFORM}
+	text=${text//@DIRECTORY@/$DIRECTORY}
+	echo "$text" >"$DIRECTORY/$1.ini"
+}
+
+# start NAME PROGRAM ARGUMENTS... starts a process in the background.
+start() {
+	local name=$1 program=$2
+	shift 2
+	"$FLEET_BIN/$program" "$@" >>"$DIRECTORY/logs/$name" 2>&1 &
+	PIDS[$name]=$!
+}
+
+start_standins() {
+	start standins usher-standin all --config _fixtures/demo/standins.ini
+	until_true 10 grep -q '"address":"127.0.0.1:21103"' "$DIRECTORY/logs/standins"
+}
+
+start_host() {
+	start "$1" "usher-$(role_of "$1")" "$DIRECTORY/$1.ini"
+}
+
+# publish_hosts tells the platform which hosts are live.
+publish_hosts() {
+	local name separator='' text='{"hosts":['
+	for name in "${HOSTS[@]}"; do
+		text+="$separator{\"name\":\"$name\",\"address\":\"${ADDRESSES[$name]}\",\"data_centre\":\"${name%%-*}\""
+		text+=",\"role\":\"$(role_of "$name")\",\"state\":\"live\"}"
+		separator=,
+	done
+	echo "$text]}" >"$DIRECTORY/hosts.json"
+	"$FLEET_BIN/usher-standin" hosts "$DIRECTORY/hosts.json" --platform "$PLATFORM" >>"$DIRECTORY/logs/publish" 2>&1
+}
+
+# publish checks, renders and publishes the copy of the declarations, as the operators' pipeline does.
+publish() {
+	local rendered=$DIRECTORY/rendered-$1
+	sed -i "s/^revision = .*/revision = $1/" "$DIRECTORY/declarations/declaration.ini" || return
+	{
+		"$FLEET_BIN/usherctl" check "$DIRECTORY/declarations" &&
+			"$FLEET_BIN/usherctl" render "$DIRECTORY/declarations" --out "$rendered" &&
+			"$FLEET_BIN/usher-standin" publish "$rendered" --platform "$PLATFORM"
+	} >>"$DIRECTORY/logs/publish" 2>&1
+}
+
+# set_in_service SECTION true|false edits the copy of the declarations.
+set_in_service() {
+	sed -i "/^\[$1\]/,/^in_service/s/^in_service = .*/in_service = $2/" "$DIRECTORY/declarations/places.ini"
+}
+
+# revision_of NAME prints the revision in force in a process, by its own dump.
+revision_of() {
+	"$FLEET_BIN/usherctl" dump "${ADMINS[$1]}" 2>>"$DIRECTORY/logs/dump" | sed -n 's/^configuration\.revision = //p'
+}
+
+all_have_revision() {
+	local name
+	for name in "${HOSTS[@]}"; do
+		[[ $(revision_of "$name") == "$1" ]] || return 1
+	done
+}
+
+# serves NAME succeeds once a gateway answers both kinds of requests.
+serves() {
+	local address=${ADDRESSES[$1]}
+	"$FLEET_BIN/usherctl" send "$address" standing -p artisan=Meera >>"$DIRECTORY/logs/ready" 2>&1 &&
+		"$FLEET_BIN/usherctl" send "$address" appraisal -p craft=weave -p entry='a first appraisal, tokens=1' >>"$DIRECTORY/logs/ready" 2>&1
+}
+
+all_serve() {
+	local name
+	for name in "${HOSTS[@]}"; do
+		[[ $name == *-gateway-* ]] || continue
+		until_true 30 serves "$name" || return
+	done
+}
+
+# record PORT prints what the stand-in at a port of loopback saw.
+record() {
+	"$FLEET_BIN/usher-standin" record "127.0.0.1:$1"
+}
+
+# stop_all ends every process that was started, the rest of them after three seconds without mercy.
+stop_all() {
+	local name
+	for name in "${!PIDS[@]}"; do
+		kill "${PIDS[$name]}" 2>/dev/null
+	done
+	until_true 3 none_runs
+	for name in "${!PIDS[@]}"; do
+		kill -KILL "${PIDS[$name]}" 2>/dev/null
+		wait "${PIDS[$name]}" 2>/dev/null
+	done
+}
+
+none_runs() {
+	local name
+	for name in "${!PIDS[@]}"; do
+		kill -0 "${PIDS[$name]}" 2>/dev/null && return 1
+	done
+	return 0
+}
--- a/service/usherdaemon/daemon.go
+++ b/service/usherdaemon/daemon.go
@@ -166,7 +166,7 @@
 	if err != nil {
 		return nil, err
 	}
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout, ErrorLog: slog.NewLogLogger(d.log.Handler(), slog.LevelDebug)}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout, ErrorLog: slog.NewLogLogger(d.log.Handler(), slog.LevelError)}
 	d.duties.Go(func() {
 		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
 			d.log.Error("server ended", "address", address, "error", err)
