--- a/pkg/ushersetting/setting_test.go
+++ b/pkg/ushersetting/setting_test.go
@@ -69,6 +69,26 @@
 	}
 }
 
+// TestEmbeddedSections has a daemon's settings embed those that every daemon has.
+func TestEmbeddedSections(t *testing.T) {
+	var s struct {
+		settings
+		Cell struct {
+			Name string `ini:"name" required:"true"`
+		} `ini:"cell"`
+	}
+	if err := ushersetting.Parse([]byte("[link]\nlisten=127.0.0.1:1\n[cell]\nname=kochi\n"), &s); err != nil {
+		t.Fatal(err)
+	}
+	if !s.Link.Listen.IsValid() || s.Cell.Name != "kochi" || len(ushersetting.Reference(&s)) != 5 {
+		t.Fatalf("settings %+v", s)
+	}
+	err := ushersetting.Parse([]byte("[cell]\nname=kochi\n"), &s)
+	if err == nil || !strings.Contains(err.Error(), "link.listen must be given") {
+		t.Fatalf("error %v", err)
+	}
+}
+
 func FuzzParse(f *testing.F) {
 	for _, seed := range []string{"", "[link]\nlisten=127.0.0.1:1\n", "[link", "a=b", "[limits]\nrequests=1"} {
 		f.Add([]byte(seed))
