--- a/service/usherdaemon/daemon.go
+++ b/service/usherdaemon/daemon.go
@@ -28,6 +28,7 @@
 
 	"github.com/samphireusher/samphireusher/pkg/usherkey"
 	"github.com/samphireusher/samphireusher/pkg/usherlink"
+	"github.com/samphireusher/samphireusher/pkg/ushersetting"
 	"github.com/samphireusher/samphireusher/service/usherfeed"
 )
 
@@ -80,6 +81,9 @@
 	if d.keys, err = usherkey.Load(settings.files()); err != nil {
 		return nil, err
 	}
+	if name := d.keys.Name(); name != settings.Process.Name {
+		return nil, ushersetting.ErrInvalid.New("process.name is %q, but the certificate in keys.certificate is that of %q", settings.Process.Name, name)
+	}
 	if d.node, err = usherlink.Listen(settings.Listen.Address.String(), d.keys, usherlink.HandlerFunc(mux.ServeMessage), d.log); err != nil {
 		return nil, err
 	}
--- a/service/usherdaemon/setting.go
+++ b/service/usherdaemon/setting.go
@@ -71,6 +71,9 @@
 	if c.Listen.Address == c.Listen.Admin {
 		faults = append(faults, "listen.address and listen.admin must differ")
 	}
+	if c.Listen.Address.Addr().IsUnspecified() || c.Listen.Address.Port() == 0 {
+		faults = append(faults, "listen.address must be an IP number and a port that others connect to")
+	}
 	return faults
 }
 
