--- a/Makefile
+++ b/Makefile
@@ -20,5 +20,9 @@
 	go vet $(PACKAGES)
 	go tool staticcheck $(PACKAGES)
 
+# The whole path in separate processes on loopback, each step checked; it builds what it needs.
+demo:
+	@./_scripts/demo.sh
+
 clean:
 	rm -rf bin
--- a/cmd/usherctl/commands/commands.go
+++ b/cmd/usherctl/commands/commands.go
@@ -15,6 +15,8 @@
 
 	"github.com/alecthomas/kong"
 	"github.com/joomcode/errorx"
+
+	usheroperation "github.com/samphireusher/samphireusher/cmd/usherctl/operate"
 )
 
 // Exit codes of usherctl.
@@ -39,6 +41,8 @@
 		JSON   bool          `help:"Print JSON instead of text."`
 		Check  checkCommand  `cmd:"" help:"Report every fault of a declaration with its place."`
 		Render renderCommand `cmd:"" help:"Write the values that a declaration is published as."`
+
+		usheroperation.Commands `embed:""`
 	}
 
 	// Output prints the result of a command.
@@ -71,11 +75,11 @@
 		fmt.Fprintf(stderr, "usherctl: %s\n", err)
 		return ExitUsage
 	}
-	if err := context.Run(Output{writer: stdout, json: c.JSON}); err != nil {
+	if err := context.Run(Output{writer: stdout, json: c.JSON}, usheroperation.Format{JSON: c.JSON}); err != nil {
 		if !errorx.IsOfType(err, ErrFaults) {
 			fmt.Fprintf(stderr, "usherctl: %s\n", err)
 		}
-		return ExitFaults
+		return usheroperation.ExitCode(err)
 	}
 	return ExitOK
 }
--- a/cmd/usherctl/operate/caller.go
+++ b/cmd/usherctl/operate/caller.go
@@ -16,9 +16,8 @@
 	// credentials are those of a workspace.
 	credentials struct {
 		Workspace string `help:"Workspace to speak for." env:"USHER_WORKSPACE" required:""`
-		Key       string `help:"Key of the workspace. Other users of the host may see it here: prefer the environment." env:"USHER_KEY" xor:"key"`
-		KeyFile   string `help:"File with the key of the workspace." env:"USHER_KEY_FILE" type:"path" xor:"key"`
-		JSON      bool   `name:"json" help:"Print JSON instead of text."`
+		Key       string `help:"Key of the workspace. Other users of the host may see it here: prefer the environment." env:"USHER_KEY"`
+		KeyFile   string `help:"File with the key of the workspace; goes before the key." env:"USHER_KEY_FILE" type:"path"`
 	}
 
 	locateCommand struct {
@@ -56,7 +55,7 @@
 }
 
 // Run prints which gateways to use.
-func (c *locateCommand) Run(k *kong.Context) error {
+func (c *locateCommand) Run(k *kong.Context, format Format) error {
 	client, err := c.client()
 	if err != nil {
 		return err
@@ -67,7 +66,7 @@
 	if err != nil {
 		return err
 	}
-	if c.JSON {
+	if format.JSON {
 		return printJSON(k.Stdout, location)
 	}
 	for _, address := range location.Addresses {
@@ -77,7 +76,7 @@
 }
 
 // Run prints how a request ended.
-func (c *statusCommand) Run(k *kong.Context) error {
+func (c *statusCommand) Run(k *kong.Context, format Format) error {
 	client, err := c.client()
 	if err != nil {
 		return err
@@ -88,7 +87,7 @@
 	if err != nil {
 		return err
 	}
-	if c.JSON {
+	if format.JSON {
 		return printJSON(k.Stdout, status)
 	}
 	fmt.Fprintln(k.Stdout, describe(status))
@@ -99,7 +98,7 @@
 }
 
 // Run cancels a request.
-func (c *cancelCommand) Run(k *kong.Context) error {
+func (c *cancelCommand) Run(k *kong.Context, format Format) error {
 	client, err := c.client()
 	if err != nil {
 		return err
@@ -109,7 +108,7 @@
 	if err := client.Cancel(ctx, c.Address, c.RequestID); err != nil {
 		return err
 	}
-	if c.JSON {
+	if format.JSON {
 		return printJSON(k.Stdout, usherclient.Status{RequestID: c.RequestID, State: "cancelling"})
 	}
 	fmt.Fprintln(k.Stdout, "cancelling")
--- a/cmd/usherctl/operate/doc.go
+++ b/cmd/usherctl/operate/doc.go
@@ -4,11 +4,12 @@
 // # Usage
 //
 //	var line struct {
+//		JSON bool
 //		usheroperation.Commands `embed:""`
 //	}
 //	parsed, err := kong.Must(&line).Parse(os.Args[1:])
 //	if err == nil {
-//		err = parsed.Run()
+//		err = parsed.Run(usheroperation.Format{JSON: line.JSON})
 //	}
 //	os.Exit(usheroperation.ExitCode(err))
 package usheroperation
@@ -19,17 +20,25 @@
 	"syscall"
 )
 
-// Commands are the commands of this package, for embedding into a command line.
-type Commands struct {
-	Keys    keysCommand    `cmd:"" help:"Make the keys and the secret of a fleet."`
-	Dump    dumpCommand    `cmd:"" help:"Print the state of a process."`
-	Metrics metricsCommand `cmd:"" help:"Print the metrics of a process."`
-	Locate  locateCommand  `cmd:"" help:"Ask a gateway which gateways to use, the best first."`
-	Send    sendCommand    `cmd:"" help:"Send a request and print its answer as it comes."`
-	Resume  resumeCommand  `cmd:"" help:"Take up a stream that broke off, at any gateway."`
-	Status  statusCommand  `cmd:"" help:"Ask a gateway how a request ended."`
-	Cancel  cancelCommand  `cmd:"" help:"End a request in progress."`
-}
+type (
+	// Format is how commands print what they have to say. It must be bound when a command runs.
+	Format struct {
+		// JSON has them print JSON instead of text.
+		JSON bool
+	}
+
+	// Commands are the commands of this package, for embedding into a command line.
+	Commands struct {
+		Keys    keysCommand    `cmd:"" help:"Make the keys and the secret of a fleet."`
+		Dump    dumpCommand    `cmd:"" help:"Print the state of a process."`
+		Metrics metricsCommand `cmd:"" help:"Print the metrics of a process."`
+		Locate  locateCommand  `cmd:"" help:"Ask a gateway which gateways to use, the best first."`
+		Send    sendCommand    `cmd:"" help:"Send a request and print its answer as it comes."`
+		Resume  resumeCommand  `cmd:"" help:"Take up a stream that broke off, at any gateway."`
+		Status  statusCommand  `cmd:"" help:"Ask a gateway how a request ended."`
+		Cancel  cancelCommand  `cmd:"" help:"End a request in progress."`
+	}
+)
 
 // interruptible returns a context that ends at SIGINT or SIGTERM.
 func interruptible() (context.Context, context.CancelFunc) {
--- a/cmd/usherctl/operate/exit.go
+++ b/cmd/usherctl/operate/exit.go
@@ -41,12 +41,13 @@
 func ExitCode(err error) int {
 	var parse *kong.ParseError
 	var request requestError
+	var typed *errorx.Error
 	switch {
 	case err == nil:
 		return ExitCompleted
 	case errors.As(err, &request):
 		return request.exitCode()
-	case errors.As(err, &parse), errorx.IsOfType(err, ErrUsage):
+	case errors.As(err, &parse), errors.As(err, &typed) && typed.IsOfType(ErrUsage):
 		return ExitUsage
 	default:
 		return ExitFailure
--- a/cmd/usherctl/operate/inspect.go
+++ b/cmd/usherctl/operate/inspect.go
@@ -31,28 +31,27 @@
 	// inspection asks the admin address of a process.
 	inspection struct {
 		Address string `arg:"" help:"Admin address of the process: listen.admin of its settings."`
-		JSON    bool   `name:"json" help:"Print JSON instead of a line for each field."`
 	}
 )
 
 // Run prints a process's state.
-func (c *dumpCommand) Run(k *kong.Context) error {
-	return c.print(k, "/dump")
+func (c *dumpCommand) Run(k *kong.Context, format Format) error {
+	return c.print(k, format, "/dump")
 }
 
 // Run prints a process's metrics.
-func (c *metricsCommand) Run(k *kong.Context) error {
-	return c.print(k, "/metrics")
+func (c *metricsCommand) Run(k *kong.Context, format Format) error {
+	return c.print(k, format, "/metrics")
 }
 
-func (c *inspection) print(k *kong.Context, path string) error {
+func (c *inspection) print(k *kong.Context, format Format, path string) error {
 	ctx, stop := interruptible()
 	defer stop()
 	body, err := c.get(ctx, path)
 	if err != nil {
 		return err
 	}
-	if c.JSON {
+	if format.JSON {
 		_, err := k.Stdout.Write(body)
 		return err
 	}
--- a/cmd/usherctl/operate/print.go
+++ b/cmd/usherctl/operate/print.go
@@ -15,7 +15,8 @@
 	// printer prints an answer: text as it comes, JSON at its end, or a JSON line for each event.
 	printer struct {
 		out, notes io.Writer
-		delivery   delivery
+		format     Format
+		events     bool
 		requestID  string
 		tokens     int
 	}
@@ -59,8 +60,8 @@
 	}
 )
 
-func newPrinter(k *kong.Context, delivery delivery) *printer {
-	return &printer{out: k.Stdout, notes: k.Stderr, delivery: delivery}
+func newPrinter(k *kong.Context, format Format, events bool) *printer {
+	return &printer{out: k.Stdout, notes: k.Stderr, format: format, events: events}
 }
 
 func (p *printer) watcher() *usherclient.Watcher {
@@ -69,7 +70,7 @@
 
 func (p *printer) started(requestID, handle string) {
 	p.requestID = requestID
-	if p.delivery.Events {
+	if p.events {
 		_ = printJSON(p.out, startedLine{"started", requestID, handle})
 	}
 }
@@ -78,9 +79,9 @@
 func (p *printer) identified(requestID string) {
 	p.requestID = requestID
 	switch {
-	case p.delivery.Events:
+	case p.events:
 		_ = printJSON(p.out, startedLine{Event: "identified", RequestID: requestID})
-	case !p.delivery.JSON:
+	case !p.format.JSON:
 		fmt.Fprintf(p.notes, "request id %s\n", requestID)
 	}
 }
@@ -88,15 +89,15 @@
 func (p *printer) token(index int, text string) {
 	p.tokens++
 	switch {
-	case p.delivery.Events:
+	case p.events:
 		_ = printJSON(p.out, tokenLine{"token", index, text})
-	case !p.delivery.JSON:
+	case !p.format.JSON:
 		fmt.Fprint(p.out, text)
 	}
 }
 
 func (p *printer) resumed(address string, from int) {
-	if p.delivery.Events {
+	if p.events {
 		_ = printJSON(p.out, resumedLine{"resumed", address, from})
 		return
 	}
@@ -113,13 +114,13 @@
 	}
 	line := endLine{"", answer.RequestID, answer.Outcome, answer.Tokens, answer.Finish, answer.Text, answer.Result}
 	switch {
-	case p.delivery.Events:
+	case p.events:
 		line.Event = "end"
 		if p.tokens > 0 {
 			line.Text = ""
 		}
 		return printJSON(p.out, line)
-	case p.delivery.JSON:
+	case p.format.JSON:
 		return printJSON(p.out, line)
 	}
 	if p.tokens > 0 {
@@ -142,10 +143,10 @@
 		line.RetryAfterMS, line.OtherAddress = refusal.RetryMillis, refusal.OtherAddress
 	}
 	switch {
-	case p.delivery.Events:
+	case p.events:
 		line.Event = "refused"
 		return errors.Join(err, printJSON(p.out, line))
-	case p.delivery.JSON:
+	case p.format.JSON:
 		return errors.Join(err, printJSON(p.out, line))
 	}
 	if p.tokens > 0 {
--- a/cmd/usherctl/operate/send.go
+++ b/cmd/usherctl/operate/send.go
@@ -49,7 +49,7 @@
 )
 
 // Run sends a request.
-func (c *sendCommand) Run(k *kong.Context) error {
+func (c *sendCommand) Run(k *kong.Context, format Format) error {
 	client, err := c.client()
 	if err != nil {
 		return err
@@ -61,13 +61,13 @@
 	}
 	ctx, stop := interruptible()
 	defer stop()
-	printed := newPrinter(k, c.delivery)
+	printed := newPrinter(k, format, c.Events)
 	answer, err := c.retrying(ctx, client, request, printed)
 	return printed.end(answer, err)
 }
 
 // Run resumes a stream.
-func (c *resumeCommand) Run(k *kong.Context) error {
+func (c *resumeCommand) Run(k *kong.Context, format Format) error {
 	client, err := c.client()
 	if err != nil {
 		return err
@@ -78,7 +78,7 @@
 	defer client.Close()
 	ctx, stop := interruptible()
 	defer stop()
-	printed := newPrinter(k, c.delivery)
+	printed := newPrinter(k, format, c.Events)
 	answer, err := client.FollowHandle(ctx, alternatives(ctx, client, c.Address), c.Handle, c.From, printed.watcher())
 	return printed.end(answer, err)
 }
