Operators' page on running a fleet, compared with the code; a start that waits says so

Cause: operators had no page on starting, stopping, moving data centres, outages and rotations. Since the feed asks peers too, a start without any configuration logged nothing at all and served no dump.

Ruled out: a log line for each failed read; the dump counts those, and a start would print several a second.

--- a/cmd/usherctl/operate/send.go
+++ b/cmd/usherctl/operate/send.go
@@ -37,7 +37,7 @@
 		Once           bool              `help:"Ask for a request id first, under which the request runs at most once."`
 		ID             string            `name:"id" help:"Send under this request id, for instance again."`
 		IdempotencyKey string            `help:"Ids with the same key stand for one request; implies --once."`
-		Retry          time.Duration     `help:"How long to send again what was refused as not run for the moment."`
+		Retry          time.Duration     `help:"How long to send again what was refused as not run for the moment. A given id is refused for good."`
 	}
 
 	resumeCommand struct {
@@ -105,7 +105,7 @@
 	for {
 		answer, err := c.send(ctx, client, request, printed)
 		wait, again := retryAfter(err)
-		if !again || ctx.Err() != nil || time.Now().Add(wait).After(until) {
+		if !again || c.ID != "" || ctx.Err() != nil || time.Now().Add(wait).After(until) {
 			return answer, err
 		}
 		time.Sleep(wait)
--- a/service/usherdaemon/daemon.go
+++ b/service/usherdaemon/daemon.go
@@ -35,6 +35,8 @@
 const (
 	exitFailure       = 1
 	readHeaderTimeout = 10 * time.Second
+	// waitingPeriod is how often a start that waits for a configuration says so.
+	waitingPeriod = 5 * time.Second
 )
 
 type (
@@ -134,10 +136,14 @@
 	defer cancel()
 	started := make(chan error, 1)
 	go func() { started <- d.feed.Start(ctx) }()
+	waiting := time.NewTicker(waitingPeriod)
+	defer waiting.Stop()
 	for {
 		select {
 		case err := <-started:
 			return false, err
+		case <-waiting.C:
+			d.log.Warn("no configuration yet", "platform", d.settings.Platform.Address.String(), "seeds", len(d.settings.Platform.Seeds))
 		case s := <-signals:
 			if s != syscall.SIGHUP {
 				return true, nil
--- /dev/null
+++ b/service/usherdaemon/page_test.go
@@ -0,0 +1,91 @@
+package usherdaemon_test
+
+import (
+	"encoding/json"
+	"io/fs"
+	"os"
+	"path/filepath"
+	"reflect"
+	"regexp"
+	"strings"
+	"testing"
+
+	"github.com/samphireusher/samphireusher/pkg/usherview"
+	"github.com/samphireusher/samphireusher/standin/usherfleet"
+)
+
+// logCall finds the events that are logged at the default level.
+var logCall = regexp.MustCompile(`[lL]og\.(?:Info|Warn|Error)\("([^"]+)"`)
+
+// TestPageExplainsEachLogEvent compares the operators' page with the events in the code of both daemons.
+func TestPageExplainsEachLogEvent(t *testing.T) {
+	page := runningPage(t)
+	found := 0
+	for _, root := range []string{"..", "../../pkg"} {
+		err := filepath.WalkDir(root, func(path string, entry fs.DirEntry, err error) error {
+			if err != nil || entry.IsDir() || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
+				return err
+			}
+			source, err := os.ReadFile(path)
+			for _, match := range logCall.FindAllStringSubmatch(string(source), -1) {
+				found++
+				if !strings.Contains(page, "`"+match[1]+"`") {
+					t.Errorf("the page does not explain %q of %s", match[1], path)
+				}
+			}
+			return err
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+	}
+	if found == 0 {
+		t.Error("no events were found")
+	}
+}
+
+// TestPageExplainsEachDumpField compares the operators' page with the dumps of a running gateway and scheduler.
+func TestPageExplainsEachDumpField(t *testing.T) {
+	page := runningPage(t)
+	fleet, err := usherfleet.Start(t.Context(), usherfleet.Config{Engines: 1, Directory: t.TempDir()})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = fleet.Close() })
+	for _, daemon := range append(fleet.Gateways, fleet.Schedulers...) {
+		data, err := json.Marshal(daemon.Dump(t.Context()))
+		if err != nil {
+			t.Fatal(err)
+		}
+		var fields map[string]json.RawMessage
+		if err := json.Unmarshal(data, &fields); err != nil {
+			t.Fatal(err)
+		}
+		for name := range fields {
+			wantExplained(t, page, name)
+		}
+	}
+	for _, part := range []any{usherview.Dump{}, usherview.Counts{}} {
+		dump := reflect.TypeOf(part)
+		for i := range dump.NumField() {
+			name, _, _ := strings.Cut(dump.Field(i).Tag.Get("json"), ",")
+			wantExplained(t, page, name)
+		}
+	}
+}
+
+func runningPage(t *testing.T) string {
+	t.Helper()
+	page, err := os.ReadFile("../../docs/operators/running.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return string(page)
+}
+
+func wantExplained(t *testing.T, page, name string) {
+	t.Helper()
+	if !strings.Contains(page, "`"+name+"`") {
+		t.Errorf("the page does not explain the field %s", name)
+	}
+}
