--- a/service/usherdaemon/daemon.go
+++ b/service/usherdaemon/daemon.go
@@ -28,12 +28,15 @@
 
 	"github.com/samphireusher/samphireusher/pkg/usherkey"
 	"github.com/samphireusher/samphireusher/pkg/usherlink"
+	"github.com/samphireusher/samphireusher/pkg/ushersetting"
 	"github.com/samphireusher/samphireusher/service/usherfeed"
 )
 
 const (
 	exitFailure       = 1
 	readHeaderTimeout = 10 * time.Second
+	// waitingPeriod is how often a start that waits for a configuration says so.
+	waitingPeriod = 5 * time.Second
 )
 
 type (
@@ -80,6 +83,9 @@
 	if d.keys, err = usherkey.Load(settings.files()); err != nil {
 		return nil, err
 	}
+	if name := d.keys.Name(); name != settings.Process.Name {
+		return nil, ushersetting.ErrInvalid.New("process.name is %q, but the certificate in keys.certificate is that of %q", settings.Process.Name, name)
+	}
 	if d.node, err = usherlink.Listen(settings.Listen.Address.String(), d.keys, usherlink.HandlerFunc(mux.ServeMessage), d.log); err != nil {
 		return nil, err
 	}
@@ -130,10 +136,14 @@
 	defer cancel()
 	started := make(chan error, 1)
 	go func() { started <- d.feed.Start(ctx) }()
+	waiting := time.NewTicker(waitingPeriod)
+	defer waiting.Stop()
 	for {
 		select {
 		case err := <-started:
 			return false, err
+		case <-waiting.C:
+			d.log.Warn("no configuration yet", "platform", d.settings.Platform.Address.String(), "seeds", len(d.settings.Platform.Seeds))
 		case s := <-signals:
 			if s != syscall.SIGHUP {
 				return true, nil
@@ -197,7 +207,7 @@
 	if err != nil {
 		return nil, err
 	}
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout, ErrorLog: slog.NewLogLogger(d.log.Handler(), slog.LevelDebug)}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout, ErrorLog: slog.NewLogLogger(d.log.Handler(), slog.LevelError)}
 	d.duties.Go(func() {
 		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
 			d.log.Error("server ended", "address", address, "error", err)
