--- /dev/null
+++ b/bench/usherload/message.go
@@ -0,0 +1,123 @@
+package usherload
+
+import (
+	"context"
+	"net/netip"
+	"time"
+
+	"github.com/samphireusher/samphireusher/pkg/usherrequest"
+	"github.com/samphireusher/samphireusher/service/ushergrant"
+)
+
+// Kinds of messages.
+const (
+	Acquire   MessageKind = "acquire"
+	Progress  MessageKind = "progress"
+	Finish    MessageKind = "finish"
+	Advertise MessageKind = "advertise"
+)
+
+type (
+	// MessageKind is a kind of message between gateways and schedulers.
+	MessageKind string
+
+	// Messages are messages of one kind and size, sent one after another to each of some processes in turn.
+	Messages struct {
+		Kind MessageKind
+		// Items is how many attempts a progress message has, and how many targets an advertisement.
+		Items int
+		Count int
+		// Every is the time between two messages.
+		Every time.Duration
+	}
+
+	// granter grants every request at once.
+	granter struct{ address netip.AddrPort }
+)
+
+// Send sends messages and returns how many failed.
+func (m Messages) Send(ctx context.Context, link ushergrant.Link, to []string) (failed int) {
+	client := ushergrant.NewClient(link)
+	next := time.Now()
+	for i := range m.Count {
+		if err := m.send(ctx, client, link, to[i%len(to)], uint64(i)); err != nil {
+			failed++
+		}
+		next = next.Add(m.Every)
+		time.Sleep(time.Until(next))
+	}
+	return failed
+}
+
+func (m Messages) send(ctx context.Context, client *ushergrant.Client, link ushergrant.Link, to string, i uint64) error {
+	id := usherrequest.AttemptID{Gateway: Gateway(0), Incarnation: uint64(time.Now().UnixNano()), Counter: 1_000_000 + i}
+	switch m.Kind {
+	case Acquire:
+		_, _, err := client.Acquire(ctx, to, ushergrant.Request{
+			Attempt: id, Service: engines, Template: Template, Workspace: Workspace(0), PromptTokens: 600, MaxTokens: 4000, Priority: 5,
+			CacheKey: id.Incarnation, Fingerprint: id.Incarnation, Revision: 1, Wait: time.Minute,
+		})
+		return err
+	case Finish:
+		return client.Finish(ctx, to, ushergrant.End{Attempt: id, Target: Target(0), MadeTokens: 321, Completed: true})
+	case Progress:
+		return client.Progress(ctx, to, id.Incarnation, m.running(id))
+	default:
+		held := make([]string, m.Items)
+		for i := range held {
+			held[i] = Target(i)
+		}
+		rooms := []ushergrant.Room{{Service: engines, Requests: 100, Waiting: 10}}
+		return ushergrant.Advertise(link, to, ushergrant.Advertisement{Scheduler: Scheduler(0), Revision: 1, Rooms: rooms, Held: held})
+	}
+}
+
+func (m Messages) running(id usherrequest.AttemptID) []ushergrant.Running {
+	running := make([]ushergrant.Running, m.Items)
+	for i := range running {
+		id.Counter++
+		running[i] = ushergrant.Running{
+			Attempt: id, Target: Target(i % 92), Incarnation: id.Incarnation, PromptTokens: 600, MadeTokens: 160 + i,
+			Template: Template, Workspace: Workspace(i),
+		}
+	}
+	return running
+}
+
+// Send sends messages from the peers to the measured process.
+func (s *service) Send(messages Messages, failed *int) error {
+	if len(s.peers.order) == 0 {
+		return errNoPeer
+	}
+	p := s.peers.known[s.peers.order[0]]
+	*failed = messages.Send(context.Background(), p.node, []string{s.peers.toSubject})
+	return nil
+}
+
+// Send has the first peer send messages to the measured process.
+func (l *Load) Send(messages Messages) (int, error) {
+	var failed int
+	err := l.client.Call("Load.Send", messages, &failed)
+	return failed, err
+}
+
+func newGranter(f Fleet) granter {
+	if targets := f.Snapshot().Targets; len(targets) > 0 {
+		return granter{address: targets[0].Address}
+	}
+	return granter{}
+}
+
+// Acquire implements ushergrant.Scheduler.
+func (g granter) Acquire(context.Context, ushergrant.Request) (ushergrant.Grant, error) {
+	return ushergrant.Grant{Target: Target(0), Address: g.address, Incarnation: incarnation, Revision: 1, ValidFor: time.Minute}, nil
+}
+
+// Progress implements ushergrant.Scheduler.
+func (granter) Progress(string, []ushergrant.Running) {}
+
+// Finish implements ushergrant.Scheduler.
+func (granter) Finish(ushergrant.End) {}
+
+// NewGranter returns a scheduler that grants each request the target at address.
+func NewGranter(address netip.AddrPort) ushergrant.Scheduler { return granter{address: address} }
--- /dev/null
+++ b/bench/ushermeasure/message.go
@@ -0,0 +1,95 @@
+package ushermeasure
+
+import (
+	"context"
+	"time"
+
+	"github.com/samphireusher/samphireusher/bench/usherload"
+	"github.com/samphireusher/samphireusher/pkg/usherlink"
+	"github.com/samphireusher/samphireusher/service/ushergrant"
+)
+
+const (
+	messageCount = 400
+	messageEvery = 5 * time.Millisecond
+	connectTime  = 500 * time.Millisecond
+)
+
+// nobody hears advertisements.
+type nobody struct{}
+
+// runMessage measures what one message of a kind costs its sender and its receiver, answer and acknowledgements
+// included.
+func runMessage(plan Plan, write Writer) error {
+	fleet := usherload.Fleet{Schedulers: 1, Gateways: 1, Targets: 1, Workspaces: 1}
+	s, err := newSubject(usherload.Gateway(0), fleet)
+	if err != nil {
+		return err
+	}
+	defer s.close()
+	view, err := s.view(fleet)
+	if err != nil {
+		return err
+	}
+	ushergrant.Register(s.mux, usherload.NewGranter(view.Snapshot().Targets[0].Address))
+	ushergrant.RegisterListener(s.mux, nobody{})
+	messages := usherload.Messages{Kind: usherload.MessageKind(plan.Point.Variant), Items: plan.Point.Items, Count: messageCount, Every: messageEvery}
+	if err := s.connect(messages); err != nil {
+		return err
+	}
+	for repeat := range plan.Repeats {
+		r := recorder{plan: plan, repeat: repeat, write: write}
+		err := s.exchange(r, "sender", func() (int, error) { return messages.Send(context.Background(), s.node, s.peers), nil })
+		if err != nil {
+			return err
+		}
+		if err := s.exchange(r, "receiver", func() (int, error) { return s.load.Send(messages) }); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// connect has both sides dial.
+func (s *subject) connect(messages usherload.Messages) error {
+	messages.Count = 1
+	messages.Send(context.Background(), s.node, s.peers)
+	if _, err := s.load.Send(messages); err != nil {
+		return err
+	}
+	time.Sleep(connectTime)
+	return nil
+}
+
+// exchange measures this process while send runs, less what it uses when idle.
+func (s *subject) exchange(r recorder, side string, send func() (int, error)) error {
+	idle := take()
+	time.Sleep(connectTime)
+	rest, resting, _ := take().since(idle)
+	first, err := s.load.Traffic()
+	if err != nil {
+		return err
+	}
+	before := take()
+	failed, err := send()
+	if err != nil {
+		return err
+	}
+	elapsed, processor, _ := take().since(before)
+	last, err := s.load.Traffic()
+	if err != nil {
+		return err
+	}
+	processor -= time.Duration(float64(resting) * elapsed.Seconds() / rest.Seconds())
+	bytes := last.SentBytes - first.SentBytes + last.ReceivedBytes - first.ReceivedBytes
+	return r.figures(
+		figure{side + "_processor", "us/message", float64(processor.Nanoseconds()) / 1e3 / messageCount},
+		figure{side + "_bytes", "B/message", float64(bytes) / messageCount},
+		figure{side + "_failed", "share", float64(failed) / messageCount},
+	)
+}
+
+// Advertised implements ushergrant.Listener.
+func (nobody) Advertised(ushergrant.Advertisement) {}
+
+var _ ushergrant.Link = (*usherlink.Node)(nil)
