Bench: engines whose reports show them warm, and a profile of a point

Cause: the first runs of the decision with 1,200 targets waited for a minute, since the stub's reports showed four running and none completed, so admission counted every target as cold and full. Ruled out: a fault of the sample of targets, which covers all.

--- a/bench/main.go
+++ b/bench/main.go
@@ -4,6 +4,7 @@
 import (
 	"encoding/json"
 	"os"
+	"runtime/pprof"
 
 	"github.com/alecthomas/kong"
 
@@ -21,6 +22,7 @@
 		Benchmark ushermeasure.Benchmark `arg:"" help:"Name of the benchmark."`
 		Point     string                 `help:"Sizes as a JSON object." default:"{}"`
 		Repeats   int                    `help:"How often the point is measured." default:"3"`
+		Profile   string                 `help:"File for a profile of the processor time." type:"path"`
 	}
 
 	loadCommand struct{}
@@ -38,6 +40,16 @@
 	if err := json.Unmarshal([]byte(c.Point), &plan.Point); err != nil {
 		return err
 	}
+	if c.Profile != "" {
+		file, err := os.Create(c.Profile)
+		if err != nil {
+			return err
+		}
+		if err := pprof.StartCPUProfile(file); err != nil {
+			return err
+		}
+		defer pprof.StopCPUProfile()
+	}
 	out := json.NewEncoder(os.Stdout)
 	return ushermeasure.Run(plan, func(r ushermeasure.Record) error { return out.Encode(r) })
 }
--- a/bench/usherload/peers.go
+++ b/bench/usherload/peers.go
@@ -157,7 +157,7 @@
 func (Reports) Report(context.Context, netip.AddrPort) (ushertarget.Report, error) {
 	age := int64(100)
 	return ushertarget.Report{
-		Incarnation: incarnation, AgeMillis: &age, Running: 4, MemoryUsedTokens: 4000, MemoryTokens: memoryTokens, StepTimeMillis: 12, Warm: true,
+		Incarnation: incarnation, AgeMillis: &age, Running: 4, MemoryUsedTokens: 4000, MemoryTokens: memoryTokens, StepTimeMillis: 12, Completed: 1000, Warm: true,
 	}, nil
 }
 
--- a/bench/ushermeasure/view.go
+++ b/bench/ushermeasure/view.go
@@ -28,7 +28,7 @@
 	first, second := publish(fleet, 0), publish(fleet, 1)
 	changed, changedBytes := second.without(first)
 	for repeat := range plan.Repeats {
-		before, empty := take(), heapBytes()
+		empty := heapBytes()
 		began := time.Now()
 		view, err := usherconfig.Assemble(first.index, clone(first.shards))
 		if err != nil {
@@ -41,7 +41,7 @@
 			}
 		}
 		heap := heapBytes() - empty
-		before = take()
+		before := take()
 		next, err := view.Advance(second.index, changed)
 		if err != nil {
 			return err
