Damaged messages and members named twice; who confirmed is part of the API

Ruled out: refusing such a list of members, since it comes from heartbeats; names are made unique instead.

--- a/pkg/usherview/dump.go
+++ b/pkg/usherview/dump.go
@@ -47,7 +47,7 @@
 // Dump returns the state of the store.
 func (s *Store) Dump(now time.Time) Dump {
 	state := s.State(now)
-	by, at := s.confirmed()
+	by, at := s.Confirmed()
 	dump := Dump{
 		State: state, Version: s.Version().String(), Revision: s.Version().Revision, AdoptedAt: s.adoptedAt,
 		ConfirmedBy: by, ConfirmedAt: at, PlatformVersion: s.platformVersion.String(),
--- a/pkg/usherview/store.go
+++ b/pkg/usherview/store.go
@@ -28,6 +28,7 @@
 	"context"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/looplab/fsm"
@@ -132,10 +133,12 @@
 	}
 }
 
-// SetMembers tells the store which members are heard.
+// SetMembers tells the store which members are heard. It may be among them itself.
 func (s *Store) SetMembers(members []Member) {
 	self := Member{Name: s.settings.Name, DataCentre: s.settings.DataCentre}
 	s.members = slices.DeleteFunc(slices.Clone(members), func(m Member) bool { return m.Name == self.Name })
+	slices.SortFunc(s.members, func(a, b Member) int { return strings.Compare(a.Name, b.Name) })
+	s.members = slices.CompactFunc(s.members, func(a, b Member) bool { return a.Name == b.Name })
 	readers := Readers(append(slices.Clone(s.members), self), self.DataCentre, s.settings.ReadersPerPlace)
 	s.reader = slices.Contains(readers, self.Name)
 }
@@ -190,7 +193,7 @@
 // evaluate moves the life cycle to the state that the time demands.
 func (s *Store) evaluate(now time.Time) {
 	s.noticePause(now)
-	_, confirmedAt := s.confirmed()
+	_, confirmedAt := s.Confirmed()
 	confirmed := !confirmedAt.IsZero() && now.Sub(confirmedAt) <= s.settings.ConfirmBound
 	switch {
 	case s.machine.Is(Starting) && s.startComplete(now):
@@ -231,8 +234,9 @@
 	})
 }
 
-// confirmed returns who last confirmed the version in force, and when that round trip began.
-func (s *Store) confirmed() (source string, at time.Time) {
+// Confirmed returns who last confirmed the version in force, and when that round trip began. A process that has been
+// paused since has no confirmation.
+func (s *Store) Confirmed() (source string, at time.Time) {
 	if s.confirmation.at.Before(s.wokenAt) {
 		return "", time.Time{}
 	}
--- a/pkg/usherview/store_test.go
+++ b/pkg/usherview/store_test.go
@@ -194,7 +194,7 @@
 	for _, e := range late {
 		e.run(f.now)
 	}
-	_, at := p.store.Dump(f.now).ConfirmedBy, p.store.Dump(f.now).ConfirmedAt
+	_, at := p.store.Confirmed()
 	if age := f.now.Sub(at); p.store.State(f.now) == usherview.Serving || age < 3*time.Second {
 		t.Errorf("%d late messages confirmed the view %s ago", len(late), age)
 	}
@@ -229,6 +229,51 @@
 	}
 }
 
+func TestDamagedAndForeignMessagesChangeNothing(t *testing.T) {
+	f := newFleet(seed, 3, nil)
+	f.publish(declare(1, 1, true))
+	mustRun(t, f, 4*time.Second)
+	index, shards := values(declare(2, 1, true))
+	garbage := []byte("garbage")
+	ahead := usherconfig.Version{Revision: 1 << 60}
+	tests := []struct {
+		name    string
+		message usherview.Message
+	}{
+		{"empty", usherview.Message{}},
+		{"index that is none", usherview.Message{Have: &usherview.Have{Version: ahead, Index: garbage}}},
+		{"cut index", usherview.Message{Have: &usherview.Have{Index: index[:len(index)-1]}}},
+		{"shards that nobody wants", usherview.Message{Have: &usherview.Have{Shards: append(shards, garbage, nil)}}},
+		{"want of what is not there", usherview.Message{Want: &usherview.Want{Shards: make([]usherconfig.Digest, 1000)}}},
+		{"summary that was not asked for", usherview.Message{Summary: &usherview.Summary{Echo: 1, Version: ahead}}},
+		{"poll of a foreign version", usherview.Message{Poll: &usherview.Poll{Version: ahead}}},
+	}
+	p := f.processes[0]
+	version := p.store.Version()
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			test.message.From, test.message.To = "p1", p.name
+			f.perform(p, p.store.Receive(f.now, test.message))
+			mustRun(t, f, 6*time.Second)
+			if p.store.Version() != version || p.store.State(f.now) != usherview.Serving {
+				t.Errorf("%+v", p.store.Dump(f.now))
+			}
+		})
+	}
+}
+
+func TestMembersMayBeNamedTwice(t *testing.T) {
+	f := newFleet(seed, 3, nil)
+	for _, p := range f.processes {
+		p.store.SetMembers(append(f.members(), f.members()...))
+	}
+	f.publish(declare(1, 1, true))
+	mustRun(t, f, 4*time.Second)
+	if dump := f.processes[0].store.Dump(f.now); dump.Members != 2 || dump.State != usherview.Serving {
+		t.Errorf("%+v", dump)
+	}
+}
+
 func TestReadersChangeByOne(t *testing.T) {
 	var members []usherview.Member
 	for _, name := range strings.Split("abcdefgh", "") {
