--- a/cmd/usherctl/operate/line_test.go
+++ b/cmd/usherctl/operate/line_test.go
@@ -129,6 +129,7 @@
 func start(t *testing.T, config usherfleet.Config) *usherfleet.Fleet {
 	t.Helper()
 	config.Directory = t.TempDir()
+	config.Loopback = true
 	fleet, err := usherfleet.Start(t.Context(), config)
 	if err != nil {
 		t.Fatal(err)
--- a/service/ushergateway/execution.go
+++ b/service/ushergateway/execution.go
@@ -18,8 +18,9 @@
 	schedulerTries = 4
 	// promptBytesPerToken estimates the length of a prompt in tokens.
 	promptBytesPerToken = 4
-	// maxAttempts bounds the targets that one request is sent to.
+	// maxAttempts bounds the targets that one request is sent to, maxGrants the grants that it may use up.
 	maxAttempts    = 3
+	maxGrants      = 12
 	defaultTimeout = 10 * time.Minute
 
 	// reasonGrantExpired refuses a request whose grants ran out before they could be used.
@@ -39,16 +40,16 @@
 
 	// execution runs one accepted request.
 	execution struct {
-		gateway  *Gateway
-		call     usherconfig.Call
-		id       usherrequest.ID
-		idText   string
-		life     *usherrequest.Life
-		sink     sink
-		avoid    []string
-		attempts int
-		// sent says that an attempt reached a target, so that a further one is a retry.
-		sent     bool
+		gateway *Gateway
+		call    usherconfig.Call
+		id      usherrequest.ID
+		idText  string
+		life    *usherrequest.Life
+		sink    sink
+		avoid   []string
+		// grants counts the grants that were used up, sent the attempts that reached a target.
+		grants   int
+		sent     int
 		isolated bool
 		deadline time.Time
 		progress progress
@@ -196,7 +197,7 @@
 		Fingerprint:  e.call.Fingerprint(),
 		Isolated:     e.isolated,
 		Avoid:        e.avoid,
-		Retry:        e.sent,
+		Retry:        e.sent > 0,
 		Revision:     e.call.Revision,
 		Wait:         e.deadline.Sub(now),
 	}
@@ -221,8 +222,10 @@
 	} else {
 		v = e.generate(ctx, grant)
 	}
-	e.attempts++
-	e.sent = e.sent || !v.unsent
+	e.grants++
+	if !v.unsent {
+		e.sent++
+	}
 	e.settle(ctx, grant, v)
 	if !v.done && v.reason != reasonGrantExpired {
 		e.avoid = append(e.avoid, grant.Target)
@@ -277,7 +280,7 @@
 }
 
 func (e *execution) mayRetry(ctx context.Context) bool {
-	return ctx.Err() == nil && e.life.CanRetry() && e.attempts < maxAttempts
+	return ctx.Err() == nil && e.life.CanRetry() && e.sent < maxAttempts && e.grants < maxGrants
 }
 
 // refuse ends the request; the outcome is what the life cycle knows, the reason what went wrong last.
--- a/service/ushertarget/sending.go
+++ b/service/ushertarget/sending.go
@@ -52,21 +52,25 @@
 			s.refusal = ErrGuard.Wrap(err, "not sent")
 		}
 	})
-	if s.refusal != nil {
-		return s.refusal
-	}
-	s.written.Store(true)
-	return nil
+	return s.refusal
 }
 
 // Write refuses the bytes of a request that its guard forbids.
 func (c *guardedConn) Write(data []byte) (int, error) {
-	if s := c.current.Load(); s != nil {
-		if err := s.allow(c.incarnation); err != nil {
-			return 0, err
-		}
+	s := c.current.Load()
+	if s == nil {
+		return c.Conn.Write(data)
+	}
+	if err := s.allow(c.incarnation); err != nil {
+		return 0, err
+	}
+	// The request counts as written from before the first byte, until it is sure that none went out.
+	first := !s.written.Swap(true)
+	count, err := c.Conn.Write(data)
+	if first && count == 0 && err != nil {
+		s.written.Store(false)
 	}
-	return c.Conn.Write(data)
+	return count, err
 }
 
 func dialGuarded(dial Dial) Dial {
--- a/standin/usherfleet/daemon.go
+++ b/standin/usherfleet/daemon.go
@@ -126,14 +126,14 @@
 	}
 	log := f.config.Log.With("process", host.Name)
 	mux := &usherlink.Mux{}
-	socket, err := f.Network.ListenPacket(host.Address)
+	socket, err := f.sockets.ListenPacket(host.Address)
 	if err != nil {
 		return nil, err
 	}
 	if d.node, err = usherlink.Open(socket, keys, usherlink.HandlerFunc(mux.ServeMessage), log); err != nil {
 		return nil, err
 	}
-	dial := f.Network.Dialer(host.Address.Addr())
+	dial := f.sockets.Dialer(host.Address.Addr())
 	d.targets = ushertarget.NewClientWith(ushertarget.Dial(dial))
 	d.platform = usherfeed.NewPlatformWith(f.platform, usherfeed.Dial(dial))
 	seeds := []netip.AddrPort{}
@@ -171,7 +171,7 @@
 	if !ok {
 		return nil
 	}
-	listener, err := d.fleet.Network.Listen(d.host.Address)
+	listener, err := d.fleet.sockets.Listen(d.host.Address)
 	if err != nil {
 		return err
 	}
--- a/standin/ushernet/network.go
+++ b/standin/ushernet/network.go
@@ -113,6 +113,16 @@
 	n.changed = make(chan struct{})
 }
 
+// Address returns the address of the host with a number, which is its own.
+func (n *Network) Address(number int) netip.AddrPort {
+	const (
+		port    = 7000
+		perByte = 256
+	)
+	ip := [4]byte{127, 1, byte(number / perByte), byte(number % perByte)}
+	return netip.AddrPortFrom(netip.AddrFrom4(ip), port)
+}
+
 // Listen accepts connections at address.
 func (n *Network) Listen(address netip.AddrPort) (net.Listener, error) {
 	const backlog = 1024
