Control messages within the users' budget: compact progress, held targets by key, reports by need, no idle ticks

Ruled out: fewer schedulers a cell alone (progress and reports grow with work, not with members). Change: progress is two small numbers an attempt, grouped by target, without template and workspace, which nobody read; held targets are keys of 4 bytes; advertisements go once a second to the gateways of the cell; warm targets report at most 5 times a second together; the core sleeps until something is due.

--- a/service/ushergateway/dump.go
+++ b/service/ushergateway/dump.go
@@ -24,11 +24,11 @@
 	}
 
 	schedulerDump struct {
-		Name     string   `json:"name"`
-		AgeMS    int64    `json:"age_ms"`
-		Revision uint64   `json:"revision"`
-		Stopping bool     `json:"stopping"`
-		Held     []string `json:"held"`
+		Name     string `json:"name"`
+		AgeMS    int64  `json:"age_ms"`
+		Revision uint64 `json:"revision"`
+		Stopping bool   `json:"stopping"`
+		Held     int    `json:"held"`
 	}
 )
 
@@ -54,7 +54,7 @@
 	dumps := []schedulerDump{}
 	for name, known := range s.known {
 		dumps = append(dumps, schedulerDump{
-			Name: name, AgeMS: now.Sub(known.at).Milliseconds(), Revision: known.Revision, Stopping: known.Stopping, Held: known.Held,
+			Name: name, AgeMS: now.Sub(known.at).Milliseconds(), Revision: known.Revision, Stopping: known.Stopping, Held: len(known.Held),
 		})
 	}
 	return dumps
--- a/service/ushergateway/execution.go
+++ b/service/ushergateway/execution.go
@@ -211,8 +211,7 @@
 		return verdict{reason: usherrequest.ReasonMalformed}
 	}
 	e.progress.start(ushergrant.Running{
-		Attempt: grant.attempt, Target: grant.Target, Incarnation: grant.Incarnation, PromptTokens: e.promptTokens(),
-		Template: e.call.Template.Name, Workspace: e.call.Workspace.Name,
+		Attempt: grant.attempt, Target: grant.Target, Incarnation: grant.Incarnation,
 	})
 	defer e.progress.end()
 	g.suspicion.begin(grant, e.call)
--- a/service/ushergateway/schedulers.go
+++ b/service/ushergateway/schedulers.go
@@ -11,7 +11,7 @@
 )
 
 // freshFor is how long an advertisement counts.
-const freshFor = 3 * time.Second
+const freshFor = 4 * time.Second
 
 type (
 	// schedulers is what a gateway knows of the schedulers from their advertisements.
@@ -91,9 +91,10 @@
 func (s *schedulers) holder(now time.Time, target string, hosts []usherconfig.Host) (string, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	key := ushergrant.KeyOf(target)
 	for _, h := range hosts {
 		known, ok := s.known[h.Name]
-		if ok && now.Sub(known.at) < freshFor && slices.Contains(known.Held, target) {
+		if ok && now.Sub(known.at) < freshFor && slices.Contains(known.Held, key) {
 			return h.Address.String(), true
 		}
 	}
--- a/service/ushergrant/client.go
+++ b/service/ushergrant/client.go
@@ -1,7 +1,10 @@
 package ushergrant
 
 import (
+	"cmp"
 	"context"
+	"encoding/binary"
+	"slices"
 	"time"
 
 	"github.com/samphireusher/samphireusher/pkg/usherlink"
@@ -51,14 +54,27 @@
 
 // Progress tells the scheduler at address all that runs at the targets that it holds.
 func (c *Client) Progress(ctx context.Context, address string, incarnation uint64, running []Running) error {
-	message := progressWire{Incarnation: incarnation, Running: make([]runningWire, 0, len(running))}
-	for _, r := range running {
-		message.Running = append(message.Running, runningWire{
-			Counter: r.Attempt.Counter, Target: r.Target, Incarnation: r.Incarnation,
-			PromptTokens: r.PromptTokens, MadeTokens: r.MadeTokens, Template: r.Template, Workspace: r.Workspace,
-		})
+	return c.link.Call(ctx, address, kindProgress, progressOf(incarnation, running), nil)
+}
+
+// progressOf groups what runs by target, in the order of the attempts, so that counters are small differences.
+func progressOf(incarnation uint64, running []Running) progressWire {
+	sorted := slices.Clone(running)
+	slices.SortFunc(sorted, func(a, b Running) int {
+		return cmp.Or(cmp.Compare(a.Target, b.Target), cmp.Compare(a.Incarnation, b.Incarnation), cmp.Compare(a.Attempt.Counter, b.Attempt.Counter))
+	})
+	message := progressWire{Incarnation: incarnation}
+	last := uint64(0)
+	for i, r := range sorted {
+		if i == 0 || r.Target != sorted[i-1].Target || r.Incarnation != sorted[i-1].Incarnation {
+			message.Targets = append(message.Targets, targetProgressWire{Target: r.Target, Incarnation: r.Incarnation})
+			last = 0
+		}
+		t := &message.Targets[len(message.Targets)-1]
+		t.Attempts = append(t.Attempts, r.Attempt.Counter-last, uint64(r.MadeTokens))
+		last = r.Attempt.Counter
 	}
-	return c.link.Call(ctx, address, kindProgress, message, nil)
+	return message
 }
 
 // Finish tells the scheduler at address how an attempt ended.
@@ -72,7 +88,10 @@
 
 // Advertise tells the gateway at address what the scheduler holds. It may be lost.
 func Advertise(link Link, address string, a Advertisement) error {
-	message := advertisementWire{Revision: a.Revision, Stopping: a.Stopping, Held: a.Held}
+	message := advertisementWire{Revision: a.Revision, Stopping: a.Stopping}
+	for _, key := range a.Held {
+		message.Held = binary.BigEndian.AppendUint32(message.Held, uint32(key))
+	}
 	for _, r := range a.Rooms {
 		message.Rooms = append(message.Rooms, roomWire{Service: r.Service, Requests: r.Requests, Waiting: r.Waiting})
 	}
--- a/service/ushergrant/handler.go
+++ b/service/ushergrant/handler.go
@@ -10,6 +10,9 @@
 	"github.com/samphireusher/samphireusher/pkg/usherrequest"
 )
 
+// maxTokens bounds what a progress message may claim.
+const maxTokens = 1 << 24
+
 type (
 	// Scheduler decides what gateways ask.
 	Scheduler interface {
@@ -84,13 +87,16 @@
 }
 
 func (w progressWire) running(gateway string) []Running {
-	running := make([]Running, 0, len(w.Running))
-	for _, r := range w.Running {
-		running = append(running, Running{
-			Attempt: attempt(gateway, w.Incarnation, r.Counter), Target: r.Target, Incarnation: r.Incarnation,
-			PromptTokens: max(r.PromptTokens, 0), MadeTokens: max(r.MadeTokens, 0),
-			Template: r.Template, Workspace: r.Workspace,
-		})
+	running := []Running{}
+	for _, t := range w.Targets {
+		counter := uint64(0)
+		for pair := t.Attempts; len(pair) > 1; pair = pair[2:] {
+			counter += pair[0]
+			running = append(running, Running{
+				Attempt: attempt(gateway, w.Incarnation, counter), Target: t.Target, Incarnation: t.Incarnation,
+				MadeTokens: int(min(pair[1], maxTokens)),
+			})
+		}
 	}
 	return running
 }
--- a/service/ushergrant/message.go
+++ b/service/ushergrant/message.go
@@ -18,9 +18,11 @@
 package ushergrant
 
 import (
+	"encoding/binary"
 	"net/netip"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/joomcode/errorx"
 
 	"github.com/samphireusher/samphireusher/pkg/usherlink"
@@ -38,6 +40,8 @@
 const (
 	// clockMargin shortens a grant by a fiftieth, for clocks of different rate.
 	clockMargin = 50
+
+	targetKeyBytes = 4
 )
 
 var (
@@ -89,13 +93,10 @@
 
 	// Running is an attempt that a gateway has at a target.
 	Running struct {
-		Attempt      usherrequest.AttemptID
-		Target       string
-		Incarnation  uint64
-		PromptTokens int
-		MadeTokens   int
-		Template     string
-		Workspace    string
+		Attempt     usherrequest.AttemptID
+		Target      string
+		Incarnation uint64
+		MadeTokens  int
 	}
 
 	// End is how an attempt ended.
@@ -119,14 +120,17 @@
 		Waiting int
 	}
 
+	// TargetKey stands for a target in advertisements.
+	TargetKey uint32
+
 	// Advertisement is what a scheduler tells the gateways.
 	Advertisement struct {
 		Scheduler string
 		Revision  uint64
 		Stopping  bool
 		Rooms     []Room
-		// Held names the targets that the scheduler holds.
-		Held []string
+		// Held has the keys of the targets that the scheduler holds; see KeyOf.
+		Held []TargetKey
 	}
 
 	requestWire struct {
@@ -159,20 +163,20 @@
 		Waiting        bool   `cbor:"8,keyasint,omitempty"`
 	}
 
+	// progressWire has what runs by target.
 	progressWire struct {
-		Incarnation uint64        `cbor:"1,keyasint"`
-		Running     []runningWire `cbor:"2,keyasint"`
+		_           struct{} `cbor:",toarray"`
+		Incarnation uint64
+		Targets     []targetProgressWire
 	}
 
-	runningWire struct {
-		_            struct{} `cbor:",toarray"`
-		Counter      uint64
-		Target       string
-		Incarnation  uint64
-		PromptTokens int
-		MadeTokens   int
-		Template     string
-		Workspace    string
+	// targetProgressWire has two numbers for each attempt: its counter, less that of the attempt before, and the tokens
+	// that it has made.
+	targetProgressWire struct {
+		_           struct{} `cbor:",toarray"`
+		Target      string
+		Incarnation uint64
+		Attempts    []uint64
 	}
 
 	finishWire struct {
@@ -189,7 +193,7 @@
 		Revision uint64     `cbor:"1,keyasint"`
 		Stopping bool       `cbor:"2,keyasint,omitempty"`
 		Rooms    []roomWire `cbor:"3,keyasint"`
-		Held     []string   `cbor:"4,keyasint"`
+		Held     []byte     `cbor:"4,keyasint"`
 	}
 
 	roomWire struct {
@@ -256,13 +260,21 @@
 }
 
 func (w advertisementWire) advertisement(scheduler string) Advertisement {
-	a := Advertisement{Scheduler: scheduler, Revision: w.Revision, Stopping: w.Stopping, Held: w.Held}
+	a := Advertisement{Scheduler: scheduler, Revision: w.Revision, Stopping: w.Stopping}
+	for held := w.Held; len(held) >= targetKeyBytes; held = held[targetKeyBytes:] {
+		a.Held = append(a.Held, TargetKey(binary.BigEndian.Uint32(held)))
+	}
 	for _, r := range w.Rooms {
 		a.Rooms = append(a.Rooms, Room{Service: r.Service, Requests: r.Requests, Waiting: r.Waiting})
 	}
 	return a
 }
 
+// KeyOf returns the key of the target called name.
+func KeyOf(name string) TargetKey {
+	return TargetKey(xxhash.Sum64String(name))
+}
+
 func milliseconds(n int64) time.Duration {
 	return max(time.Duration(n)*time.Millisecond, 0)
 }
--- a/service/usherscheduler/core.go
+++ b/service/usherscheduler/core.go
@@ -43,8 +43,10 @@
 		revision   uint64
 		due        due
 		stopping   bool
-		granted    metrics.Counter
-		refused    metrics.Counter
+		// warmPause is the time between two reports of a warm target.
+		warmPause time.Duration
+		granted   metrics.Counter
+		refused   metrics.Counter
 	}
 
 	// service is the admission of one service's targets.
@@ -56,7 +58,8 @@
 	// target is what the edge knows of a target beside the aggregates.
 	target struct {
 		usherconfig.Target
-		asking bool
+		asking  bool
+		askedAt time.Time
 		// own counts the attempts of this scheduler's grants that have not ended.
 		own int
 	}
--- a/service/usherscheduler/duty.go
+++ b/service/usherscheduler/duty.go
@@ -61,11 +61,25 @@
 		c.advertise(now)
 	}
 	if !now.Before(c.due.sweep) {
-		c.due.sweep = now.Add(time.Second)
+		c.due.sweep = now.Add(sweepPeriod)
 		c.sweep(now)
 	}
 }
 
+// next returns when the core has something to do if no event comes before.
+func (c *core) next() time.Time {
+	next := c.due.heartbeat
+	for _, due := range []time.Time{c.due.reports, c.due.advertise, c.due.sweep} {
+		if due.Before(next) {
+			next = due
+		}
+	}
+	if len(c.waiting) > 0 {
+		return time.Time{} // what waits is looked at again after the decision period
+	}
+	return next
+}
+
 func (c *core) sendHeartbeats(now time.Time) {
 	outgoing := c.membership.Heartbeats(now)
 	c.leases.Ballots(now, c.membership.View(now), outgoing)
@@ -76,15 +90,27 @@
 	}
 }
 
-// askReports reads the load of each target on which this scheduler holds a vote.
+// askReports reads the load of each target on which this scheduler holds a vote: often until it is warm, and then as
+// often as the bound on reports allows.
 func (c *core) askReports(ctx context.Context, now time.Time) {
+	held := 0
 	for name, t := range c.targets {
-		if t.asking || c.leases.Budget(now, name).Votes == 0 {
+		budget := c.leases.Budget(now, name)
+		if budget.Votes == 0 {
 			continue
 		}
-		t.asking = true
+		held++
+		pause := reportPeriod
+		if budget.State == usherlease.Warm {
+			pause = max(pause, c.warmPause)
+		}
+		if t.asking || now.Sub(t.askedAt) < pause {
+			continue
+		}
+		t.asking, t.askedAt = true, now
 		go c.askReport(ctx, name, t.Target)
 	}
+	c.warmPause = time.Duration(held) * time.Second / reportsPerSecond
 }
 
 func (c *core) askReport(ctx context.Context, name string, t usherconfig.Target) {
@@ -98,9 +124,12 @@
 	}
 }
 
-// advertise tells the gateways what is held and how much room there is.
+// advertise tells the gateways of the cell what is held and how much room there is.
 func (c *core) advertise(now time.Time) {
-	a := ushergrant.Advertisement{Scheduler: c.options.Name, Revision: c.revision, Stopping: c.stopping, Held: c.leases.Held(now)}
+	a := ushergrant.Advertisement{Scheduler: c.options.Name, Revision: c.revision, Stopping: c.stopping}
+	for _, name := range c.leases.Held(now) {
+		a.Held = append(a.Held, ushergrant.KeyOf(name))
+	}
 	for name, s := range c.services {
 		room := ushergrant.Room{Service: name}
 		for _, t := range s.names {
@@ -118,6 +147,9 @@
 		}
 	}
 	for _, h := range c.options.Config.Hosts(usherconfig.GatewayRole) {
+		if c.options.CellByDataCentre && h.DataCentre != c.options.DataCentre {
+			continue
+		}
 		if err := ushergrant.Advertise(c.options.Link, h.Address.String(), a); err != nil {
 			c.log.Debug("advertisement not sent", "gateway", h.Name, "error", err)
 		}
--- a/service/usherscheduler/scheduler.go
+++ b/service/usherscheduler/scheduler.go
@@ -41,9 +41,13 @@
 	inboxEvents     = 8192
 	decisionPeriod  = 5 * time.Millisecond
 	defaultInterval = time.Second
-	reportPeriod    = 500 * time.Millisecond
-	advertisePeriod = 500 * time.Millisecond
-	catchUpTimeout  = 2 * time.Second
+	advertisePeriod = time.Second
+	sweepPeriod     = time.Second
+	// reportPeriod is the time between load reports of a target that is not warm, and between looks for targets that
+	// are due; reportsPerSecond bounds the reports of warm ones.
+	reportPeriod     = 500 * time.Millisecond
+	reportsPerSecond = 5
+	catchUpTimeout   = 2 * time.Second
 )
 
 var (
@@ -127,11 +131,11 @@
 	registerHeartbeat(mux, s)
 }
 
-// Run decides until ctx ends.
+// Run decides until ctx ends. It sleeps until something is due or an event comes.
 func (s *Scheduler) Run(ctx context.Context) {
 	defer close(s.done)
-	ticker := time.NewTicker(decisionPeriod)
-	defer ticker.Stop()
+	timer := time.NewTimer(0)
+	defer timer.Stop()
 	for {
 		select {
 		case <-ctx.Done():
@@ -139,11 +143,12 @@
 		case e := <-s.inbox.Items():
 			e.apply(s.core, time.Now())
 			s.drain()
-			s.core.decide(time.Now())
-		case now := <-ticker.C:
-			s.core.tick(ctx, now)
-			s.core.decide(now)
+		case <-timer.C:
+			s.core.tick(ctx, time.Now())
 		}
+		now := time.Now()
+		s.core.decide(now)
+		timer.Reset(max(s.core.next().Sub(now), decisionPeriod))
 	}
 }
 
