Workspaces keep to their published rate over all gateways

Cause: quotas were declared and not enforced; per-process limits would multiply the rate by the number of gateways, or refuse a workspace whose callers all use one gateway. Change: pkg/usherquota: a gateway chosen by rendezvous keeps a workspace's account and divides the rate by demand; without an answer the even share holds; demand below an eighth of it is not told, which bounds the excess to an eighth and one burst. Before: no limit. Conclusion: kept; the loss of an account's keeper costs a lopsided workspace most of its rate for up to 3 s.

--- a/service/ushergateway/gateway.go
+++ b/service/ushergateway/gateway.go
@@ -121,6 +121,7 @@
 		takeovers  takeovers
 		once       once
 		suspicion  suspicion
+		quota      quota
 		meters     meters
 		minting    sync.Mutex
 		minter     usherrequest.Minter
@@ -160,9 +161,10 @@
 	g.registerTakeover(mux)
 	mux.Handle(kindForward, g.serveForward)
 	mux.Handle(kindSightings, g.serveSightings)
+	mux.Handle(kindClaims, g.serveClaims)
 }
 
-// Run reports progress to the schedulers and suspicion to the gateways until ctx ends.
+// Run reports progress to the schedulers, and suspicion and demand to the gateways, until ctx ends.
 func (g *Gateway) Run(ctx context.Context) {
 	defer g.requests.Wait()
 	defer g.duties.Wait()
@@ -176,6 +178,7 @@
 		case now := <-ticker.C:
 			g.reportProgress(ctx, now)
 			g.duties.Go(g.spreadSuspicion(ctx).Wait)
+			g.claimShares(ctx)
 		}
 	}
 }
--- /dev/null
+++ b/service/ushergateway/input_test.go
@@ -0,0 +1,129 @@
+package ushergateway_test
+
+import (
+	"errors"
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/samphireusher/samphireusher/service/usherclient"
+	"github.com/samphireusher/samphireusher/standin/usherfleet"
+)
+
+// TestBadInput has each kind of bad request refused with a clear reason, and none of them disturb a good one.
+func TestBadInput(t *testing.T) {
+	inBubble(t, testBadInput)
+}
+
+func testBadInput(t *testing.T) {
+	fleet := start(t, usherfleet.Config{Engines: 1, Services: 1})
+	good := fleet.NewClient()
+	long := appraisal(1)
+	long.Parameters["entry"] = strings.Repeat("x", 20<<10)
+	oversize := appraisal(1)
+	oversize.Parameters["entry"] = strings.Repeat("x", 2<<20)
+	unknown := appraisal(1)
+	unknown.Parameters["colour"] = "red"
+	id := mint(t, good, fleet.Gateways[0].Address(), "")
+	tests := []struct {
+		name    string
+		client  *usherclient.Client
+		request usherclient.Request
+		status  int
+		message string
+	}{
+		{"no such workspace", fleet.NewClientOf("nowhere", "key"), appraisal(1), http.StatusUnauthorized, "key"},
+		{"wrong key", fleet.NewClientOf(usherfleet.Workspace, "wrong"), appraisal(1), http.StatusUnauthorized, "key"},
+		{"no such template", good, usherclient.Request{Template: "nothing"}, http.StatusNotFound, "nothing"},
+		{"missing parameter", good, usherclient.Request{Template: "appraisal"}, http.StatusBadRequest, "entry"},
+		{"unknown parameter", good, unknown, http.StatusBadRequest, "colour"},
+		{"parameter out of bounds", good, long, http.StatusBadRequest, "entry"},
+		{"oversize body", good, oversize, http.StatusBadRequest, "body"},
+		{"no id for what may not be repeated", good, allotment("meera", ""), http.StatusBadRequest, "request_id"},
+		{"forged id", good, allotment("meera", id[:len(id)-4]+"AAAA"), http.StatusBadGateway, "forged"},
+		{"id of another workspace", fleet.NewClientOf(usherfleet.OtherWorkspace, usherfleet.OtherKey), allotment("meera", id), http.StatusBadGateway, "forged"},
+	}
+	for _, test := range tests {
+		step(t, test.name, func(t *testing.T) {
+			_, err := test.client.Send(t.Context(), fleet.Gateways[0].Address(), test.request, nil)
+			var refusal usherclient.Refusal
+			if !errors.As(err, &refusal) || refusal.Status != test.status || !strings.Contains(refusal.Error(), test.message) {
+				t.Errorf("status %d: %v", refusal.Status, err)
+			}
+		})
+	}
+	if got := executions(fleet, "meera"); got != 0 {
+		t.Errorf("ran %d times", got)
+	}
+	if _, err := good.Send(t.Context(), fleet.Gateways[0].Address(), appraisal(1), nil); err != nil {
+		t.Errorf("a good request after them: %v", err)
+	}
+}
+
+// TestWorkspacesAreApart has one workspace try to reach another's request, answer and handle.
+func TestWorkspacesAreApart(t *testing.T) {
+	inBubble(t, testWorkspacesAreApart)
+}
+
+func testWorkspacesAreApart(t *testing.T) {
+	fleet := start(t, usherfleet.Config{Engines: 1})
+	address := fleet.Gateways[0].Address()
+	r := newReader(t, 5)
+	done := make(chan error, 1)
+	go func() {
+		_, err := fleet.NewClient().Send(t.Context(), address, appraisal(100), r.watcher())
+		done <- err
+	}()
+	<-r.reached
+	other := fleet.NewClientOf(usherfleet.OtherWorkspace, usherfleet.OtherKey)
+	_, statusErr := other.Status(t.Context(), address, r.request)
+	_, resumeErr := other.Resume(t.Context(), address, r.handle, 0, nil)
+	for name, err := range map[string]error{"status": statusErr, "cancel": other.Cancel(t.Context(), address, r.request), "resume": resumeErr} {
+		if err == nil {
+			t.Errorf("%s of another workspace's request was answered", name)
+		}
+	}
+	if err := <-done; err != nil || r.next != 100 {
+		t.Errorf("the request ended after %d tokens: %v", r.next, err)
+	}
+}
+
+// TestWorkspaceKeepsToItsRate has one workspace ask for more than its rate through three gateways.
+func TestWorkspaceKeepsToItsRate(t *testing.T) {
+	inBubble(t, testWorkspaceKeepsToItsRate)
+}
+
+func testWorkspaceKeepsToItsRate(t *testing.T) {
+	fleet := start(t, usherfleet.Config{Gateways: 3, Services: 2, Engines: 1})
+	w, _ := fleet.Snapshot().Workspace(usherfleet.Workspace)
+	if err := fleet.Publish(fleet.Snapshot().WithWorkspace(w.WithQuota(6, 6))); err != nil {
+		t.Fatal(err)
+	}
+	eventually(t, inForceBound, "in force", func() bool { return inForce(fleet) })
+	client := fleet.NewClient()
+	const span = 30
+	accepted, quota := 0, 0
+	for i := range span * 10 {
+		request := usherclient.Request{Template: "standing", Parameters: map[string]string{"artisan": fmt.Sprint(i)}}
+		_, err := client.Send(t.Context(), fleet.Gateways[i%10/4].Address(), request, nil)
+		var refusal usherclient.Refusal
+		switch {
+		case err == nil:
+			accepted++
+		case errors.As(err, &refusal) && refusal.Reason == "quota" && refusal.RetryAfter > 0:
+			quota++
+		default:
+			t.Fatal(err)
+		}
+		time.Sleep(time.Second / 10)
+	}
+	if most, least := span*6*9/8+6+6, span*6*8/10; accepted > most || accepted < least || quota == 0 {
+		t.Errorf("accepted %d in %d s at a rate of 6, refused %d", accepted, span, quota)
+	}
+	other := fleet.NewClientOf(usherfleet.OtherWorkspace, usherfleet.OtherKey)
+	if _, err := other.Send(t.Context(), fleet.Gateways[0].Address(), usherclient.Request{Template: "standing", Parameters: map[string]string{"artisan": "x"}}, nil); err != nil {
+		t.Errorf("another workspace: %v", err)
+	}
+}
--- a/service/ushergateway/submit.go
+++ b/service/ushergateway/submit.go
@@ -119,6 +119,9 @@
 	if g.stopping.Load() {
 		return answer{}, g.turnAway(call.Workspace.Name, usherrequest.ReasonStopping)
 	}
+	if err := g.admit(call.Workspace); err != nil {
+		return answer{}, err
+	}
 	if call.Template.KeepAnswer {
 		ctx = context.WithoutCancel(ctx)
 		to = &keepingSink{to: to}
--- a/service/ushergateway/suspicion.go
+++ b/service/ushergateway/suspicion.go
@@ -34,12 +34,7 @@
 	if err != nil {
 		return false, err
 	}
-	names := []string{}
-	for _, host := range g.Config.Hosts(usherconfig.GatewayRole) {
-		if !g.Config.Leaving(host.Name) {
-			names = append(names, host.Name)
-		}
-	}
+	names := g.gatewaysInService()
 	g.suspicion.mu.Lock()
 	judgement := g.suspicion.watch.Judge(time.Now(), fingerprint, names)
 	g.suspicion.mu.Unlock()
