A wait below a millisecond is told as one

Ruled out: the limiter (its wait was right). Conclusion: waits are rounded up, in milliseconds and in seconds.

--- a/service/ushergateway/api.go
+++ b/service/ushergateway/api.go
@@ -117,8 +117,8 @@
 	wire, status := refusalOf(cause)
 	wire.RequestID = requestID
 	if wire.RetryAfterMS > 0 {
-		seconds := (time.Duration(wire.RetryAfterMS)*time.Millisecond + time.Second - 1) / time.Second
-		w.Header().Set("Retry-After", strconv.Itoa(int(seconds)))
+		seconds := roundedUp(time.Duration(wire.RetryAfterMS)*time.Millisecond, time.Second)
+		w.Header().Set("Retry-After", strconv.FormatInt(seconds, 10))
 	}
 	writeJSON(w, status, wire)
 }
@@ -129,7 +129,7 @@
 	if errors.As(cause, &refusal) {
 		wire := refusalWire{
 			Outcome: refusal.Outcome(), Reason: string(refusal.Reason),
-			RetryAfterMS: refusal.RetryAfter.Milliseconds(), OtherAddress: refusal.OtherAddress,
+			RetryAfterMS: roundedUp(refusal.RetryAfter, time.Millisecond), OtherAddress: refusal.OtherAddress,
 		}
 		if refusal.Outcome() == usherrequest.NotRun {
 			return wire, http.StatusServiceUnavailable
@@ -146,6 +146,11 @@
 	return refusalWire{Outcome: usherrequest.Unknown, Reason: "internal", Message: cause.Error()}, http.StatusInternalServerError
 }
 
+// roundedUp returns d in units, rounded up, so that a caller never comes back too early.
+func roundedUp(d, unit time.Duration) int64 {
+	return int64((d + unit - 1) / unit)
+}
+
 func writeJSON(w http.ResponseWriter, status int, value any) {
 	data, err := json.Marshal(value)
 	if err != nil {
