Demo: ends only its own jobs, and shows metrics

Cause: a process id that was waited for could belong to another process by the time of the cleanup.

Ruled out: keeping ids until the end; bash tells which of its jobs still run.

Conclusion: only running jobs of the script are ended.

--- a/_scripts/demo.sh
+++ b/_scripts/demo.sh
@@ -77,16 +77,15 @@
 	say "All of them serve."
 }
 
-# open_stream ADDRESS TOKENS starts an appraisal in the background and sets EVENTS, its file of events, and SENDER, the
-# process that reads it. Its entry holds a word of its own, MARK.
+# open_stream ADDRESS TOKENS starts an appraisal in the background as process "sender" and sets EVENTS, its file of
+# events. Its entry holds a word of its own, MARK.
 open_stream() {
 	((++STREAMS))
 	MARK=entry-$STREAMS
 	EVENTS=$DIRECTORY/logs/stream-$STREAMS
 	"$FLEET_BIN/usherctl" send "$1" appraisal -p craft=weave -p entry="$MARK: a kasavu mundu for appraisal, tokens=$2" \
 		--events --retry 15s >"$EVENTS" 2>&1 &
-	SENDER=$!
-	PIDS[sender-$STREAMS]=$SENDER
+	PIDS[sender]=$!
 }
 
 tokens_in() {
@@ -129,9 +128,9 @@
 	open_stream "$LOCATED" 500
 	until_true 10 has_tokens "$EVENTS" 1 || fail "no first token"
 	first=$(($(milliseconds) - begun))
-	kill -0 "$SENDER" 2>/dev/null || fail "the answer came at once and not token by token"
+	kill -0 "${PIDS[sender]}" 2>/dev/null || fail "the answer came at once and not token by token"
 	! grep -q '"event":"end"' "$EVENTS" || fail "the first token came with the last"
-	wait "$SENDER" || fail "the appraisal was not completed"
+	join sender || fail "the appraisal was not completed"
 	whole "$EVENTS" 500 || fail "the answer is not whole"
 	say "\"$(sed -n 's/^{"event":"token",.*"text":"\(.*\)"}$/\1/p' "$EVENTS" | head -14 | tr -d '\n') ...\""
 	say "The first token was seen after $first ms (with the start of the program that asked), all 500 after" \
@@ -190,7 +189,7 @@
 	"$FLEET_BIN/usherctl" send "$LOCATED" appraisal -p craft=weave -p entry='onam-entry, tokens=3' >>"$DIRECTORY/logs/onam" 2>&1 ||
 		fail "an appraisal after the change was refused"
 	records | grep -o '"prompt":"[^"]*onam-entry' | grep -q 'the Onam fair at Kochi' || fail "the prompt has the old value"
-	wait "$SENDER" || fail "the appraisal in progress was cut off"
+	join sender || fail "the appraisal in progress was cut off"
 	whole "$EVENTS" 400 || fail "the appraisal in progress is not whole"
 	say "In force on all ${#HOSTS[@]} processes by their own dumps $took ms after publishing; the next prompt had the new" \
 		"value, and the appraisal in progress ended whole."
@@ -260,7 +259,7 @@
 	until_true 20 thrissur_works "$begun" || fail "Thrissur had no work after it was returned"
 	say "Returned: its engines have work again after $(($(milliseconds) - begun)) ms."
 	rm "$DIRECTORY/loaded"
-	wait "${PIDS[load]}"
+	join load
 	[[ ! -e $DIRECTORY/load-failures ]] || fail "$(wc -l <"$DIRECTORY/load-failures") appraisals of the load failed"
 	say "No appraisal of the load was refused for good or cut off."
 }
@@ -272,6 +271,10 @@
 	grep -E '^(process|configuration.revision|state\.(cell|confirmed|members\[0\].*|targets\[0\].*)) ' <<<"$dump"
 	(($(grep -c '^state\.members\[[0-9]*\]\.name' <<<"$dump") == 3)) || fail "the dump does not have three schedulers"
 	(($(grep -c '^state\.targets\[[0-9]*\]\.name' <<<"$dump") == 15)) || fail "the dump does not have fifteen targets"
+	dump=$("$FLEET_BIN/usherctl" metrics "${ADMINS[kochi-gateway-2]}") || fail "no metrics"
+	say "and its metrics: usherctl metrics ${ADMINS[kochi-gateway-2]}"
+	grep -E '^gateway\.(accepted|completed|refused)\.count = ' <<<"$dump"
+	(($(sed -n 's/^gateway\.completed\.count = //p' <<<"$dump") > 0)) || fail "nothing was completed"
 }
 
 show_broken_stream() {
@@ -281,8 +284,8 @@
 	open_stream "$address" 600
 	until_true 10 has_tokens "$EVENTS" 100 || fail "no tokens"
 	kill -KILL "${PIDS[kochi-gateway-1]}"
-	wait "${PIDS[kochi-gateway-1]}" 2>/dev/null
-	wait "$SENDER" || fail "the appraisal was not completed: $(tail -1 "$EVENTS")"
+	join kochi-gateway-1 2>/dev/null
+	join sender || fail "the appraisal was not completed: $(tail -1 "$EVENTS")"
 	from=$(sed -n 's/^{"event":"resumed","address":"\([^"]*\)","from":\([0-9]*\)}$/\2 at \1/p' "$EVENTS")
 	[[ -n $from && $from != *"$address" ]] || fail "the stream was not resumed at another gateway"
 	whole "$EVENTS" 600 || fail "a token was lost or doubled"
@@ -298,18 +301,18 @@
 	open_stream "$address" 600
 	until_true 10 has_tokens "$EVENTS" 50 || fail "no tokens"
 	kill -TERM "${PIDS[kochi-gateway-2]}" "${PIDS[kochi-scheduler-1]}"
-	wait "${PIDS[kochi-scheduler-1]}" || fail "the scheduler ended with status $?"
+	join kochi-scheduler-1 || fail "the scheduler ended with status $?"
 	until_true 5 grep -q '"planned stop begins"' "$DIRECTORY/logs/kochi-gateway-2" || fail "the gateway does not stop"
 	refused=$("$FLEET_BIN/usherctl" send "$address" standing -p artisan=Meera --json 2>/dev/null)
 	status=$?
 	[[ $status == 3 && $refused == *'"reason":"stopping"'* ]] || fail "a new request was not refused as not run: $status $refused"
-	kill -0 "$SENDER" 2>/dev/null || fail "the appraisal ended too early for this step to show anything"
+	kill -0 "${PIDS[sender]}" 2>/dev/null || fail "the appraisal ended too early for this step to show anything"
 	"$FLEET_BIN/usherctl" send "$LOCATED" appraisal -p craft=weave -p entry='tokens=5' --retry 15s >>"$DIRECTORY/logs/rest" 2>&1 ||
 		fail "the rest of the fleet does not serve"
-	wait "$SENDER" || fail "the appraisal was cut off"
+	join sender || fail "the appraisal was cut off"
 	whole "$EVENTS" 600 || fail "the appraisal is not whole"
 	! grep -q '"event":"resumed"' "$EVENTS" || fail "the stream was cut and resumed"
-	wait "${PIDS[kochi-gateway-2]}" || fail "the gateway ended with status $?"
+	join kochi-gateway-2 || fail "the gateway ended with status $?"
 	say "The stopping gateway refused a new request as not run and named another; its open stream ended whole, uncut, and" \
 		"then both processes had ended with status 0 while the rest served on."
 }
--- a/_scripts/fleet.sh
+++ b/_scripts/fleet.sh
@@ -1,7 +1,7 @@
 # Functions that run a fleet of the built programs on loopback. Source it from the root of the repository.
 #
-# It fills DIRECTORY (settings, keys, logs, declarations) and PIDS (name of each running process and its id). A process
-# is ended by its id only.
+# It fills DIRECTORY (settings, keys, logs, declarations) and PIDS (the name of each process and its id). Processes are
+# ended by their ids, and only while they are jobs of this shell.
 
 FLEET_BIN=$PWD/bin
 PLATFORM=127.0.0.1:21000
@@ -147,23 +147,24 @@
 	"$FLEET_BIN/usher-standin" record "127.0.0.1:$1"
 }
 
-# stop_all ends every process that was started, the rest of them after three seconds without mercy.
+# join NAME waits for a process and returns its status.
+join() {
+	local pid=${PIDS[$1]}
+	unset "PIDS[$1]"
+	wait "$pid"
+}
+
+# stop_all ends every process that was started and still runs, after three seconds without mercy.
 stop_all() {
-	local name
-	for name in "${!PIDS[@]}"; do
-		kill "${PIDS[$name]}" 2>/dev/null
-	done
+	local pids
+	pids=$(jobs -pr)
+	[[ -z $pids ]] || kill $pids 2>/dev/null
 	until_true 3 none_runs
-	for name in "${!PIDS[@]}"; do
-		kill -KILL "${PIDS[$name]}" 2>/dev/null
-		wait "${PIDS[$name]}" 2>/dev/null
-	done
+	pids=$(jobs -pr)
+	[[ -z $pids ]] || kill -KILL $pids 2>/dev/null
+	wait 2>/dev/null
 }
 
 none_runs() {
-	local name
-	for name in "${!PIDS[@]}"; do
-		kill -0 "${PIDS[$name]}" 2>/dev/null && return 1
-	done
-	return 0
+	[[ -z $(jobs -pr) ]]
 }
