--- a/pkg/usherview/store_test.go
+++ b/pkg/usherview/store_test.go
@@ -101,13 +101,30 @@
 	}
 }
 
+func TestStartDoesNotWaitForWhatIsNeverBrought(t *testing.T) {
+	f := newFleet(seed, 4, nil)
+	f.publish(declare(1, 1, true))
+	mustRun(t, f, 4*time.Second)
+	p := f.processes[0]
+	f.start(p)
+	for range 8 {
+		p.store.Receive(f.now, usherview.Message{From: "p1", To: p.name, Poll: &usherview.Poll{
+			Version: usherconfig.Version{Revision: 1 << 60},
+		}})
+		mustRun(t, f, 500*time.Millisecond)
+	}
+	if state := p.store.State(f.now); state != usherview.Serving {
+		t.Errorf("still %s: %+v", state, p.store.Dump(f.now))
+	}
+}
+
 func TestIsolatedProcessKeepsToItsOwnDataCentre(t *testing.T) {
 	f := newFleet(seed, 3, nil)
 	f.publish(declare(1, 1, true))
 	mustRun(t, f, 4*time.Second)
 	lone := f.processes[0]
 	for _, p := range f.processes[1:] {
-		f.cut[pair(lone, p)] = true
+		f.cut[way(lone, p)], f.cut[way(p, lone)] = true, true
 	}
 	f.platform.down = true
 	mustRun(t, f, 4*time.Second)
@@ -122,6 +139,24 @@
 	}
 }
 
+func TestLinkThatCarriesOneWayConfirmsNothing(t *testing.T) {
+	f := newFleet(seed, 3, nil)
+	f.publish(declare(1, 1, true))
+	mustRun(t, f, 4*time.Second)
+	deaf := f.processes[0]
+	for _, p := range f.processes[1:] {
+		f.cut[way(p, deaf)] = true
+	}
+	f.platform.down = true
+	mustRun(t, f, 4*time.Second)
+	if state := deaf.store.State(f.now); state != usherview.Unconfirmed {
+		t.Errorf("a process that is heard but hears nobody is %s", state)
+	}
+	if state := f.processes[1].store.State(f.now); state != usherview.Serving {
+		t.Errorf("those who hear each other are %s", state)
+	}
+}
+
 func TestPausedProcessAsksAgain(t *testing.T) {
 	f := newFleet(seed, 3, nil)
 	f.publish(declare(1, 1, true))
@@ -159,7 +194,7 @@
 	for _, e := range late {
 		e.run(f.now)
 	}
-	_, at := p.store.Dump(f.now).ConfirmedBy, p.store.Dump(f.now).ConfirmedAt
+	_, at := p.store.Confirmed()
 	if age := f.now.Sub(at); p.store.State(f.now) == usherview.Serving || age < 3*time.Second {
 		t.Errorf("%d late messages confirmed the view %s ago", len(late), age)
 	}
@@ -194,6 +229,51 @@
 	}
 }
 
+func TestDamagedAndForeignMessagesChangeNothing(t *testing.T) {
+	f := newFleet(seed, 3, nil)
+	f.publish(declare(1, 1, true))
+	mustRun(t, f, 4*time.Second)
+	index, shards := values(declare(2, 1, true))
+	garbage := []byte("garbage")
+	ahead := usherconfig.Version{Revision: 1 << 60}
+	tests := []struct {
+		name    string
+		message usherview.Message
+	}{
+		{"empty", usherview.Message{}},
+		{"index that is none", usherview.Message{Have: &usherview.Have{Version: ahead, Index: garbage}}},
+		{"cut index", usherview.Message{Have: &usherview.Have{Index: index[:len(index)-1]}}},
+		{"shards that nobody wants", usherview.Message{Have: &usherview.Have{Shards: append(shards, garbage, nil)}}},
+		{"want of what is not there", usherview.Message{Want: &usherview.Want{Shards: make([]usherconfig.Digest, 1000)}}},
+		{"summary that was not asked for", usherview.Message{Summary: &usherview.Summary{Echo: 1, Version: ahead}}},
+		{"poll of a foreign version", usherview.Message{Poll: &usherview.Poll{Version: ahead}}},
+	}
+	p := f.processes[0]
+	version := p.store.Version()
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			test.message.From, test.message.To = "p1", p.name
+			f.perform(p, p.store.Receive(f.now, test.message))
+			mustRun(t, f, 6*time.Second)
+			if p.store.Version() != version || p.store.State(f.now) != usherview.Serving {
+				t.Errorf("%+v", p.store.Dump(f.now))
+			}
+		})
+	}
+}
+
+func TestMembersMayBeNamedTwice(t *testing.T) {
+	f := newFleet(seed, 3, nil)
+	for _, p := range f.processes {
+		p.store.SetMembers(append(f.members(), f.members()...))
+	}
+	f.publish(declare(1, 1, true))
+	mustRun(t, f, 4*time.Second)
+	if dump := f.processes[0].store.Dump(f.now); dump.Members != 2 || dump.State != usherview.Serving {
+		t.Errorf("%+v", dump)
+	}
+}
+
 func TestReadersChangeByOne(t *testing.T) {
 	var members []usherview.Member
 	for _, name := range strings.Split("abcdefgh", "") {
--- a/service/usherclient/client.go
+++ b/service/usherclient/client.go
@@ -43,6 +43,9 @@
 )
 
 type (
+	// Dial opens a connection to a gateway.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+
 	// Client speaks for one workspace.
 	Client struct {
 		workspace string
@@ -116,6 +119,11 @@
 	return &Client{workspace: workspace, key: key, http: &http.Client{Transport: &http.Transport{}}}
 }
 
+// NewWith returns a client of a workspace whose connections dial opens.
+func NewWith(workspace, key string, dial Dial) *Client {
+	return &Client{workspace: workspace, key: key, http: &http.Client{Transport: &http.Transport{DialContext: dial}}}
+}
+
 // Error implements error.
 func (r Refusal) Error() string {
 	text := r.Outcome + ": " + r.Reason
