--- a/service/ushergateway/path_test.go
+++ b/service/ushergateway/path_test.go
@@ -59,3 +59,15 @@
 		t.Fatal(err)
 	}
 }
+
+// TestOtherCellsAreAsked has the only engine in a data centre, and so a cell, other than the gateway's.
+func TestOtherCellsAreAsked(t *testing.T) {
+	inBubble(t, testOtherCellsAreAsked)
+}
+
+func testOtherCellsAreAsked(t *testing.T) {
+	fleet := start(t, usherfleet.Config{DataCentres: 2, Gateways: 2, Schedulers: 6, Engines: 1, EnginesIn: "thrissur", Cells: true})
+	if _, err := fleet.NewClient().Send(t.Context(), fleet.Gateways[0].Address(), appraisal(5), nil); err != nil {
+		t.Fatal(err)
+	}
+}
--- a/service/ushergateway/schedulers.go
+++ b/service/ushergateway/schedulers.go
@@ -10,8 +10,12 @@
 	"github.com/samphireusher/samphireusher/service/ushergrant"
 )
 
-// freshFor is how long an advertisement counts.
-const freshFor = 4 * time.Second
+const (
+	// freshFor is how long an advertisement counts.
+	freshFor = 4 * time.Second
+	// localTries is how many schedulers of the own cell are asked before those of other cells.
+	localTries = 2
+)
 
 type (
 	// schedulers is what a gateway knows of the schedulers from their advertisements.
@@ -44,19 +48,28 @@
 }
 
 // choose returns the scheduler to ask for a grant of service: the one of two drawn at random that has more room. Those
-// that were tried are left out; without a fresh advertisement any host will do.
+// that were tried are left out. Schedulers of other cells do not advertise here; they are asked once two of this cell
+// have been, or if none of this cell has a vote.
 func (s *schedulers) choose(now time.Time, service string, hosts []usherconfig.Host, tried []string) (usherconfig.Host, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	usable := slices.DeleteFunc(slices.Clone(hosts), func(h usherconfig.Host) bool {
-		return slices.Contains(tried, h.Name) || s.stopping(now, h.Name)
-	})
-	holding := slices.DeleteFunc(slices.Clone(usable), func(h usherconfig.Host) bool {
-		_, ok := s.room(now, h.Name, service)
-		return !ok
-	})
-	if len(holding) > 0 {
-		usable = holding
+	usable, advertising, silent := []usherconfig.Host{}, []usherconfig.Host{}, []usherconfig.Host{}
+	for _, h := range hosts {
+		if slices.Contains(tried, h.Name) || s.stopping(now, h.Name) {
+			continue
+		}
+		usable = append(usable, h)
+		if _, ok := s.room(now, h.Name, service); ok {
+			advertising = append(advertising, h)
+		} else if !s.fresh(now, h.Name) {
+			silent = append(silent, h)
+		}
+	}
+	switch {
+	case len(advertising) > 0 && len(tried) < localTries:
+		usable = advertising
+	case len(silent) > 0:
+		usable = silent
 	}
 	if len(usable) == 0 {
 		return usherconfig.Host{}, false
@@ -127,6 +140,11 @@
 	return 0, false
 }
 
+func (s *schedulers) fresh(now time.Time, name string) bool {
+	known, ok := s.known[name]
+	return ok && now.Sub(known.at) < freshFor
+}
+
 func (s *schedulers) stopping(now time.Time, name string) bool {
 	known, ok := s.known[name]
 	return ok && known.Stopping && now.Sub(known.at) < freshFor
--- a/standin/usherfleet/fleet.go
+++ b/standin/usherfleet/fleet.go
@@ -15,6 +15,7 @@
 package usherfleet
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -59,6 +60,10 @@
 		Schedulers  int
 		Engines     int
 		Services    int
+		// Cells makes the schedulers of each data centre a cell.
+		Cells bool
+		// EnginesIn names the one data centre that all engines are in; empty deals them in turn.
+		EnginesIn string
 		// Engine sets what every engine stand-in is.
 		Engine usherengine.Config
 		// Bearable is the load that a cold engine bears; zero counts as one.
@@ -237,6 +242,7 @@
 	}
 	if service == "appraiser" {
 		t.MemoryTokens = 60_000
+		t.DataCentre = cmp.Or(f.config.EnginesIn, t.DataCentre)
 	}
 	return t
 }
