A half-sent request ends in ten seconds with a clear error

Cause: nothing bounded the time of a caller's body, so a caller that stopped sending held a goroutine for good. Ruled out: the server's ReadTimeout (it would also cut long streams' disconnect watch). Before: no answer. After: TestHalfSentRequest: 400 within 11 s of virtual time while another request is served; what follows the JSON value is refused too.

--- a/service/ushergateway/api.go
+++ b/service/ushergateway/api.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -19,6 +20,8 @@
 const (
 	workspaceHeader = "Usher-Workspace"
 	bearerPrefix    = "Bearer "
+	// bodyTimeout is how long a caller may take to send its request.
+	bodyTimeout = 10 * time.Second
 )
 
 type (
@@ -34,6 +37,12 @@
 		RequestID    string               `json:"request_id,omitempty"`
 	}
 
+	// boundedBody is the body of a request that must be sent in time.
+	boundedBody struct {
+		io.ReadCloser
+		control *http.ResponseController
+	}
+
 	handlerError func(w http.ResponseWriter, r *http.Request) error
 )
 
@@ -80,14 +89,25 @@
 	return mux
 }
 
-// bound keeps a caller's body within its limit.
+// bound keeps a caller's body within its limit and its time.
 func (g *Gateway) bound(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		r.Body = http.MaxBytesReader(w, r.Body, g.Limits.BodyBytes)
+		control := http.NewResponseController(w)
+		_ = control.SetReadDeadline(time.Now().Add(bodyTimeout))
+		r.Body = &boundedBody{ReadCloser: http.MaxBytesReader(w, r.Body, g.Limits.BodyBytes), control: control}
 		next.ServeHTTP(w, r)
 	})
 }
 
+// Read lifts the deadline once the body is read, for the answer may take long.
+func (b *boundedBody) Read(data []byte) (int, error) {
+	count, err := b.ReadCloser.Read(data)
+	if errors.Is(err, io.EOF) {
+		_ = b.control.SetReadDeadline(time.Time{})
+	}
+	return count, err
+}
+
 // authenticate lets a caller in that knows its workspace's key.
 func (g *Gateway) authenticate(next http.Handler) http.Handler {
 	return g.answering(func(w http.ResponseWriter, r *http.Request) error {
--- a/service/ushergateway/input_test.go
+++ b/service/ushergateway/input_test.go
@@ -3,7 +3,9 @@
 import (
 	"errors"
 	"fmt"
+	"io"
 	"net/http"
+	"net/netip"
 	"strings"
 	"testing"
 	"time"
@@ -62,6 +64,36 @@
 	}
 }
 
+// TestHalfSentRequest has a caller stop in the middle of its request's body.
+func TestHalfSentRequest(t *testing.T) {
+	inBubble(t, testHalfSentRequest)
+}
+
+func testHalfSentRequest(t *testing.T) {
+	fleet := start(t, usherfleet.Config{Engines: 1})
+	address := fleet.Gateways[0].Address()
+	conn, err := fleet.Network.Dialer(netip.MustParseAddr("127.1.9.9"))(t.Context(), "tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	_, err = fmt.Fprintf(conn, "POST /v1/requests HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer %s\r\nUsher-Workspace: %s\r\nContent-Length: 100\r\n\r\n{\"template\":", usherfleet.Key, usherfleet.Workspace)
+	if err != nil {
+		t.Fatal(err)
+	}
+	sent := time.Now()
+	if _, err := fleet.NewClient().Send(t.Context(), address, appraisal(1), nil); err != nil {
+		t.Errorf("a good request beside it: %v", err)
+	}
+	response, err := io.ReadAll(conn)
+	if err != nil || !strings.Contains(string(response), "400 Bad Request") {
+		t.Errorf("answered %q, %v", response, err)
+	}
+	if took := time.Since(sent); took > 11*time.Second {
+		t.Errorf("held for %s", took)
+	}
+}
+
 // TestWorkspacesAreApart has one workspace try to reach another's request, answer and handle.
 func TestWorkspacesAreApart(t *testing.T) {
 	inBubble(t, testWorkspacesAreApart)
--- a/service/ushergateway/submit.go
+++ b/service/ushergateway/submit.go
@@ -204,6 +204,7 @@
 	return nil
 }
 
+// readJSON decodes the whole body: what follows the value is no part of a request.
 func readJSON(body io.Reader, value any) error {
 	decoder := json.NewDecoder(body)
 	decoder.DisallowUnknownFields()
@@ -213,5 +214,8 @@
 		}
 		return errMalformed.Wrap(err, "the body is no such request")
 	}
+	if _, err := decoder.Token(); !errors.Is(err, io.EOF) {
+		return errMalformed.New("the body goes on after the request")
+	}
 	return nil
 }
