Orders to engines: model, adapters and role as declared

Ruled out: orders at once on a change (a load makes an engine cold and cuts what runs); so an engine drains first, a quarter of the held ones at a time. Change: pkg/usherorder decides from the declaration, what the engine says it has, and the votes held; the revision is the fencing number. Services declare model, adapters and loads_per_minute, targets a role. The rate is split evenly over all schedulers. Before: nothing. The stand-in engines do not fetch from the weight store, so its rate is only seen in the orders.

--- a/pkg/usherconfig/check.go
+++ b/pkg/usherconfig/check.go
@@ -89,6 +89,8 @@
 	for _, s := range c.snapshot.Services {
 		c.begin(serviceSection, s.Name)
 		c.require(s.Kind == EngineService || s.Kind == PlainService, "kind", "must be engine or plain")
+		c.require(s.Kind == EngineService || s.Model == "" && len(s.Adapters) == 0, "model", "a plain service loads nothing")
+		c.require(s.Model == "" || s.LoadsPerMinute > 0, "loads_per_minute", "must be above 0 for a service with a model")
 	}
 	for _, d := range c.snapshot.DataCentres {
 		c.begin(dataCentreSection, d.Name)
--- a/pkg/usherconfig/encode.go
+++ b/pkg/usherconfig/encode.go
@@ -17,8 +17,11 @@
 	}
 
 	serviceWire struct {
-		Name string      `cbor:"1,keyasint"`
-		Kind ServiceKind `cbor:"2,keyasint"`
+		Name           string      `cbor:"1,keyasint"`
+		Kind           ServiceKind `cbor:"2,keyasint"`
+		Model          string      `cbor:"3,keyasint,omitempty"`
+		Adapters       []string    `cbor:"4,keyasint,omitempty"`
+		LoadsPerMinute int         `cbor:"5,keyasint,omitempty"`
 	}
 
 	targetWire struct {
@@ -31,6 +34,7 @@
 		MemoryTokens       int            `cbor:"7,keyasint,omitempty"`
 		MaxWarmConcurrency int            `cbor:"8,keyasint"`
 		InService          bool           `cbor:"9,keyasint,omitempty"`
+		Role               string         `cbor:"10,keyasint,omitempty"`
 	}
 
 	dataCentreWire struct {
--- a/pkg/usherconfig/keys.go
+++ b/pkg/usherconfig/keys.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/hex"
 	"errors"
-	"fmt"
 	"net/netip"
 	"strconv"
 	"strings"
@@ -63,6 +62,9 @@
 	}
 	serviceKeys = []key[Service]{
 		{"kind", true, word(func(s *Service) *ServiceKind { return &s.Kind })},
+		{"model", false, word(func(s *Service) *string { return &s.Model })},
+		{"adapters", false, func(s *Service, text string) error { return setList(&s.Adapters, text) }},
+		{"loads_per_minute", false, integer(func(s *Service) *int { return &s.LoadsPerMinute })},
 	}
 	targetKeys = []key[Target]{
 		{"address", true, address(func(t *Target) *netip.AddrPort { return &t.Address })},
@@ -73,6 +75,7 @@
 		{"memory_tokens", false, integer(func(t *Target) *int { return &t.MemoryTokens })},
 		{"max_warm_concurrency", true, integer(func(t *Target) *int { return &t.MaxWarmConcurrency })},
 		{"in_service", true, boolean(func(t *Target) *bool { return &t.InService })},
+		{"role", false, word(func(t *Target) *string { return &t.Role })},
 	}
 	dataCentreKeys = []key[DataCentre]{
 		{"region", true, word(func(d *DataCentre) *string { return &d.Region })},
@@ -197,12 +200,16 @@
 }
 
 func setEnumValues(p *Parameter, text string) error {
-	for _, value := range strings.Split(text, ",") {
+	return setList(&p.Values, text)
+}
+
+func setList(list *[]string, text string) error {
+	for value := range strings.SplitSeq(text, ",") {
 		value = strings.TrimSpace(value)
 		if value == "" {
-			return fmt.Errorf("must be values joined by commas")
+			return errors.New("must be values joined by commas")
 		}
-		p.Values = append(p.Values, value)
+		*list = append(*list, value)
 	}
 	return nil
 }
--- a/pkg/usherconfig/model.go
+++ b/pkg/usherconfig/model.go
@@ -69,6 +69,11 @@
 	Service struct {
 		Name string
 		Kind ServiceKind
+		// Model and Adapters are what the service's engines are ordered to load; an empty model orders nothing.
+		Model    string
+		Adapters []string
+		// LoadsPerMinute bounds the orders to load, of all schedulers together, for the weight store's sake.
+		LoadsPerMinute int
 	}
 
 	// Target is one replica of a service.
@@ -82,6 +87,7 @@
 		MemoryTokens       int
 		MaxWarmConcurrency int
 		InService          bool
+		Role               string // what the engine is ordered to be; empty orders nothing
 	}
 
 	// DataCentre is a place that operators take out of service as one.
@@ -150,6 +156,12 @@
 	return s
 }
 
+// WithModel returns a copy of s whose engines are ordered to load model and adapters.
+func (s Service) WithModel(model string, adapters ...string) Service {
+	s.Model, s.Adapters = model, adapters
+	return s
+}
+
 // WithAddress returns a copy of t with the address set.
 func (t Target) WithAddress(address netip.AddrPort) Target {
 	t.Address = address
--- a/service/ushergateway/move_test.go
+++ b/service/ushergateway/move_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -270,3 +271,30 @@
 		return err == nil
 	})
 }
+
+// TestEnginesAreOrderedAsDeclared publishes another model while a load runs: every engine loads it, one after the other,
+// and nothing is cut off.
+func TestEnginesAreOrderedAsDeclared(t *testing.T) {
+	inBubble(t, testEnginesAreOrderedAsDeclared)
+}
+
+func testEnginesAreOrderedAsDeclared(t *testing.T) {
+	fleet := start(t, usherfleet.Config{Gateways: 2, Schedulers: 3, Engines: 4, Bearable: 8})
+	l := startLoad(t, fleet, 4)
+	service, _ := fleet.Snapshot().Service("appraiser")
+	service.LoadsPerMinute = 60
+	if err := fleet.Publish(fleet.Snapshot().WithService(service.WithModel("appraiser-2", "weave"))); err != nil {
+		t.Fatal(err)
+	}
+	eventually(t, 3*time.Minute, "every engine has the model", func() bool {
+		for _, engine := range fleet.Engines {
+			if model, adapters := engine.Loaded(); model != "appraiser-2" || !slices.Contains(adapters, "weave") {
+				return false
+			}
+		}
+		return true
+	})
+	if outcomes := l.end(); outcomes["completed"] == 0 || outcomes["ran_in_part"]+outcomes["unknown"]+outcomes["broken"] > 0 {
+		t.Errorf("outcomes %v", outcomes)
+	}
+}
--- a/service/usherscheduler/core.go
+++ b/service/usherscheduler/core.go
@@ -10,6 +10,7 @@
 	"github.com/samphireusher/samphireusher/pkg/usherconfig"
 	"github.com/samphireusher/samphireusher/pkg/usherlease"
 	"github.com/samphireusher/samphireusher/pkg/ushermember"
+	"github.com/samphireusher/samphireusher/pkg/usherorder"
 	"github.com/samphireusher/samphireusher/pkg/usherrequest"
 	"github.com/samphireusher/samphireusher/pkg/usherring"
 	"github.com/samphireusher/samphireusher/service/ushergrant"
@@ -36,13 +37,16 @@
 		inbox      *usherring.Ring[event]
 		membership *ushermember.Membership
 		leases     *usherlease.Leases
-		services   map[string]*service
-		targets    map[string]*target
-		waiting    map[string]*pending
-		running    map[string]*running
-		revision   uint64
-		due        due
-		stopping   bool
+		orders     usherorder.Orders
+		// ordering names the targets for which something is declared that takes orders.
+		ordering map[string]bool
+		services map[string]*service
+		targets  map[string]*target
+		waiting  map[string]*pending
+		running  map[string]*running
+		revision uint64
+		due      due
+		stopping bool
 		// warmPause is the time between two reports of a warm target.
 		warmPause time.Duration
 		granted   metrics.Counter
@@ -60,6 +64,10 @@
 		usherconfig.Target
 		asking  bool
 		askedAt time.Time
+		// reported is how many requests the target had by its last load report.
+		reported   int
+		observing  bool
+		observedAt time.Time
 		// own counts the attempts of this scheduler's grants that have not ended.
 		own int
 	}
@@ -94,7 +102,7 @@
 
 	// due is when each periodic duty comes next.
 	due struct {
-		heartbeat, reports, advertise, sweep time.Time
+		heartbeat, reports, advertise, sweep, orders time.Time
 	}
 )
 
@@ -125,6 +133,7 @@
 	snapshot := c.options.Config.Snapshot()
 	c.membership.SetList(now, ushermember.NewList(revision, c.members()))
 	c.setTargets(snapshot)
+	c.declareOrders(now, snapshot)
 	c.revision = revision
 }
 
@@ -203,7 +212,7 @@
 		budget := c.leases.Budget(now, name)
 		s.admit.SetTarget(usheradmit.Target{
 			ID: name, DataCentre: t.DataCentre, MemoryTokens: c.memory(t), Limit: t.own + budget.Room,
-			InService: budget.Room > 0 && c.options.Config.Eligible(now, name),
+			InService: budget.Room > 0 && c.options.Config.Eligible(now, name) && !c.orders.Draining(name),
 		})
 	}
 }
--- a/service/usherscheduler/duty.go
+++ b/service/usherscheduler/duty.go
@@ -64,12 +64,16 @@
 		c.due.sweep = now.Add(sweepPeriod)
 		c.sweep(now)
 	}
+	if !now.Before(c.due.orders) {
+		c.due.orders = now.Add(orderPeriod)
+		c.giveOrders(ctx, now)
+	}
 }
 
 // next returns when the core has something to do if no event comes before.
 func (c *core) next() time.Time {
 	next := c.due.heartbeat
-	for _, due := range []time.Time{c.due.reports, c.due.advertise, c.due.sweep} {
+	for _, due := range []time.Time{c.due.reports, c.due.advertise, c.due.sweep, c.due.orders} {
 		if due.Before(next) {
 			next = due
 		}
--- a/service/usherscheduler/event.go
+++ b/service/usherscheduler/event.go
@@ -159,6 +159,7 @@
 		c.log.Debug("no load report", "target", e.target, "error", e.err)
 		return
 	}
+	t.reported = e.report.Running + e.report.Waiting
 	age := c.options.ReportLag
 	if e.report.AgeMillis != nil {
 		age = time.Duration(*e.report.AgeMillis) * time.Millisecond
--- a/service/usherscheduler/scheduler.go
+++ b/service/usherscheduler/scheduler.go
@@ -31,6 +31,7 @@
 	"github.com/samphireusher/samphireusher/pkg/usherlease"
 	"github.com/samphireusher/samphireusher/pkg/usherlink"
 	"github.com/samphireusher/samphireusher/pkg/ushermember"
+	"github.com/samphireusher/samphireusher/pkg/usherorder"
 	"github.com/samphireusher/samphireusher/pkg/usherrequest"
 	"github.com/samphireusher/samphireusher/pkg/usherring"
 	"github.com/samphireusher/samphireusher/service/ushergrant"
@@ -71,9 +72,11 @@
 		CatchUp(ctx context.Context, revision uint64, address string) error
 	}
 
-	// Reports reads targets' load reports; *ushertarget.Client is one.
+	// Reports reads what targets say about themselves, and gives them orders; *ushertarget.Client is one.
 	Reports interface {
 		Report(ctx context.Context, target netip.AddrPort) (ushertarget.Report, error)
+		Orders(ctx context.Context, target netip.AddrPort) (usherorder.Observed, error)
+		Order(ctx context.Context, target netip.AddrPort, order usherorder.Order) error
 	}
 
 	// Options are what a scheduler is made of.
--- a/standin/usherengine/orders.go
+++ b/standin/usherengine/orders.go
@@ -112,3 +112,10 @@
 	o.Orders = slices.Clone(o.Orders)
 	return o
 }
+
+// Loaded returns the model and the adapters that the engine has.
+func (e *Engine) Loaded() (model string, adapters []string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.state.orders.Model, slices.Clone(e.state.orders.Adapters)
+}
