A stalled stream is resumed too; tests of a dying gateway have one verdict

Cause: a stream whose link stalls hung its caller for good. And TestStreamGoesOnAfterItsGatewayDied failed once in about ten runs with "ran_in_part: cancelled": since a gateway's requests end with its Run, usherfleet's Kill, which cancels Run before it closes the sockets, sometimes lets the dying gateway say so. A process that is killed says nothing.

Ruled out: the product; the demo's kill -9 never showed it. The order in Kill is its owner's and is reported.

Conclusion: Follow counts 8 s of silence of a stream that has begun as broken.

--- a/cmd/usherctl/operate/line_test.go
+++ b/cmd/usherctl/operate/line_test.go
@@ -4,6 +4,8 @@
 	"bytes"
 	"encoding/json"
 	"errors"
+	"io"
+	"net"
 	"strings"
 	"sync"
 	"testing"
@@ -143,6 +145,44 @@
 	return fleet
 }
 
+// forward forwards connections to a gateway until drop breaks them all, and returns where.
+func forward(t *testing.T, gateway string) (address string, drop func()) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var mu sync.Mutex
+	broken := []io.Closer{listener}
+	drop = func() {
+		mu.Lock()
+		defer mu.Unlock()
+		for _, c := range broken {
+			_ = c.Close()
+		}
+	}
+	t.Cleanup(drop)
+	go func() {
+		for {
+			from, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			to, err := net.Dial("tcp", gateway)
+			if err != nil {
+				_ = from.Close()
+				continue
+			}
+			mu.Lock()
+			broken = append(broken, from, to)
+			mu.Unlock()
+			go func() { _, _ = io.Copy(to, from) }()
+			go func() { _, _ = io.Copy(from, to) }()
+		}
+	}()
+	return listener.Addr().String(), drop
+}
+
 func eventually(t *testing.T, what string, true func() bool) {
 	t.Helper()
 	for until := time.Now().Add(10 * time.Second); !true(); time.Sleep(5 * time.Millisecond) {
--- a/cmd/usherctl/operate/request_test.go
+++ b/cmd/usherctl/operate/request_test.go
@@ -157,10 +157,12 @@
 func TestBrokenStreamIsResumed(t *testing.T) {
 	fleet := start(t, usherfleet.Config{Gateways: 2, Engines: 1})
 	address, other := fleet.Gateways[0].Address(), fleet.Gateways[1].Address()
+	address, drop := forward(t, address)
 	out, ended := &buffer{}, make(chan result, 1)
 	go func() { ended <- runInto(t, out, "send", address, "appraisal", "-p", "entry=tokens=150", "--events") }()
 	eventually(t, "twenty tokens", func() bool { return len(eventsOf(t, out.String())) > 20 })
 	handle := eventsOf(t, out.String())[0].Handle
+	drop() // what a dying gateway still says reaches nobody
 	if err := fleet.Gateways[0].Kill(); err != nil {
 		t.Fatal(err)
 	}
--- a/service/usherclient/follow.go
+++ b/service/usherclient/follow.go
@@ -13,6 +13,8 @@
 	// resumeFor is how long a broken stream is asked for again without a token.
 	resumeFor   = 20 * time.Second
 	resumePause = 200 * time.Millisecond
+	// stallAfter is how long a stream that has begun may be silent before it counts as broken.
+	stallAfter  = 8 * time.Second
 	locateLimit = 2 * time.Second
 )
 
@@ -28,9 +30,12 @@
 	gap       bool
 	heard     time.Time
 	text      strings.Builder
+	// stalled ends the connection when it has been silent for too long; nil before its stream has begun.
+	stalled *time.Timer
+	giveUp  context.CancelFunc
 }
 
-// Follow sends a request to the first address that can be reached. Where its stream breaks off, it goes on from the next
+// Follow sends a request to the first address that can be reached. Where its stream breaks off or stalls, it goes on from the next
 // token at another of the addresses, or at one that those name. The watcher sees each token once.
 func (c *Client) Follow(ctx context.Context, addresses []string, request Request, watcher *Watcher) (Answer, error) {
 	f := newFollower(c, addresses, watcher)
@@ -38,7 +43,10 @@
 	var err error = ErrUnreachable.New("no address is known")
 	for _, address := range addresses {
 		f.address = address
-		if answer, err = c.Send(ctx, address, request, f.watching()); !errorx.IsOfType(err, ErrUnreachable) {
+		answer, err = f.connect(ctx, func(ctx context.Context, watcher *Watcher) (Answer, error) {
+			return c.Send(ctx, address, request, watcher)
+		})
+		if !errorx.IsOfType(err, ErrUnreachable) {
 			break
 		}
 	}
@@ -52,7 +60,7 @@
 		return Answer{}, ErrUnreachable.New("no address is known")
 	}
 	f.address, f.handle, f.next, f.resuming = addresses[0], handle, from, true
-	answer, err := c.Resume(ctx, f.address, handle, from, f.watching())
+	answer, err := f.resume(ctx)
 	return f.follow(ctx, answer, err)
 }
 
@@ -69,7 +77,7 @@
 	for f.broken(err) && ctx.Err() == nil && time.Since(f.heard) < resumeFor {
 		f.gap = false
 		f.turn(ctx)
-		if answer, err = f.client.Resume(ctx, f.address, f.handle, f.next, f.watching()); f.broken(err) {
+		if answer, err = f.resume(ctx); f.broken(err) {
 			pause(ctx, resumePause)
 		}
 	}
@@ -114,13 +122,40 @@
 	}
 }
 
-// watching returns what sees one connection.
-func (f *follower) watching() *Watcher {
-	return &Watcher{Started: f.started, Token: f.token}
+func (f *follower) resume(ctx context.Context) (Answer, error) {
+	return f.connect(ctx, func(ctx context.Context, watcher *Watcher) (Answer, error) {
+		return f.client.Resume(ctx, f.address, f.handle, f.next, watcher)
+	})
+}
+
+// connect runs one connection, and ends it if its stream stalls.
+func (f *follower) connect(ctx context.Context, run func(context.Context, *Watcher) (Answer, error)) (Answer, error) {
+	ctx, f.giveUp = context.WithCancel(ctx)
+	defer f.giveUp()
+	if f.handle != "" {
+		f.stalled = time.AfterFunc(stallAfter, f.giveUp)
+	}
+	answer, err := run(ctx, &Watcher{Started: f.started, Token: f.token})
+	if f.stalled != nil {
+		f.stalled.Stop()
+		f.stalled = nil
+	}
+	return answer, err
+}
+
+// alive notes that the gateway has sent something.
+func (f *follower) alive() {
+	f.heard = time.Now()
+	if f.stalled == nil {
+		f.stalled = time.AfterFunc(stallAfter, f.giveUp)
+		return
+	}
+	f.stalled.Reset(stallAfter)
 }
 
 func (f *follower) started(requestID, handle string) {
-	f.handle, f.heard = handle, time.Now()
+	f.handle = handle
+	f.alive()
 	if f.resuming && f.watcher.Resumed != nil {
 		f.watcher.Resumed(f.address, f.next)
 	}
@@ -138,7 +173,7 @@
 		return
 	}
 	f.next++
-	f.heard = time.Now()
+	f.alive()
 	f.text.WriteString(text)
 	if f.watcher.Token != nil {
 		f.watcher.Token(index, text)
