Callers may speak TLS; gateways measure tokens

Cause: workspace keys crossed the network in the clear; three of the gateway's metrics were registered and never fed. Ruled out: the fleet's own mutual TLS for callers (they have no certificate of the fleet). Before: plain HTTP only.

--- a/cmd/usherctl/operate/caller.go
+++ b/cmd/usherctl/operate/caller.go
@@ -1,6 +1,7 @@
 package usheroperation
 
 import (
+	"crypto/tls"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -9,15 +10,17 @@
 
 	"github.com/alecthomas/kong"
 
+	"github.com/samphireusher/samphireusher/pkg/usherkey"
 	"github.com/samphireusher/samphireusher/service/usherclient"
 )
 
 type (
 	// credentials are those of a workspace.
 	credentials struct {
-		Workspace string `help:"Workspace to speak for." env:"USHER_WORKSPACE" required:""`
-		Key       string `help:"Key of the workspace. Other users of the host may see it here: prefer the environment." env:"USHER_KEY"`
-		KeyFile   string `help:"File with the key of the workspace; goes before the key." env:"USHER_KEY_FILE" type:"path"`
+		Workspace   string `help:"Workspace to speak for." env:"USHER_WORKSPACE" required:""`
+		Key         string `help:"Key of the workspace. Other users of the host may see it here: prefer the environment." env:"USHER_KEY"`
+		KeyFile     string `help:"File with the key of the workspace; goes before the key." env:"USHER_KEY_FILE" type:"path"`
+		Authorities string `help:"File with the authorities of the gateways' certificates; TLS is spoken if it is given." env:"USHER_AUTHORITIES" type:"path"`
 	}
 
 	locateCommand struct {
@@ -51,7 +54,15 @@
 	if key == "" {
 		return nil, ErrUsage.New("no key: give USHER_KEY, USHER_KEY_FILE, --key or --key-file")
 	}
-	return usherclient.New(c.Workspace, key), nil
+	client := usherclient.New(c.Workspace, key)
+	if c.Authorities == "" {
+		return client, nil
+	}
+	pool, err := usherkey.Pool(c.Authorities)
+	if err != nil {
+		return nil, err
+	}
+	return client.WithTLS(&tls.Config{MinVersion: tls.VersionTLS13, RootCAs: pool, ServerName: usherkey.FleetName}), nil
 }
 
 // Run prints which gateways to use.
--- a/pkg/usherkey/key.go
+++ b/pkg/usherkey/key.go
@@ -87,13 +87,9 @@
 	if err != nil {
 		return ErrFile.Wrap(err, "certificate %s with key %s", r.files.Certificate, r.files.Key)
 	}
-	data, err := os.ReadFile(r.files.Authorities)
+	pool, err := Pool(r.files.Authorities)
 	if err != nil {
-		return ErrFile.Wrap(err, "authorities %s", r.files.Authorities)
-	}
-	pool := x509.NewCertPool()
-	if !pool.AppendCertsFromPEM(data) {
-		return ErrFile.New("authorities %s: no certificate in PEM", r.files.Authorities)
+		return err
 	}
 	r.current.Store(&keys{certificate: certificate, authorities: pool})
 	return nil
@@ -133,6 +129,19 @@
 	}
 }
 
+// Pool reads the authorities in a file.
+func Pool(path string) (*x509.CertPool, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, ErrFile.Wrap(err, "authorities %s", path)
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(data) {
+		return nil, ErrFile.New("authorities %s: no certificate in PEM", path)
+	}
+	return pool, nil
+}
+
 // NewAuthority makes a certificate that signs the fleet's processes.
 func NewAuthority(now time.Time, validity time.Duration) (Pair, error) {
 	template := &x509.Certificate{
--- a/service/usherclient/client.go
+++ b/service/usherclient/client.go
@@ -18,6 +18,7 @@
 import (
 	"bytes"
 	"context"
+	"crypto/tls"
 	"encoding/json"
 	"errors"
 	"io"
@@ -50,6 +51,7 @@
 	Client struct {
 		workspace string
 		key       string
+		scheme    string
 		http      *http.Client
 	}
 
@@ -116,12 +118,18 @@
 
 // New returns a client of a workspace.
 func New(workspace, key string) *Client {
-	return &Client{workspace: workspace, key: key, http: &http.Client{Transport: &http.Transport{}}}
+	return &Client{workspace: workspace, key: key, scheme: "http", http: &http.Client{Transport: &http.Transport{}}}
 }
 
 // NewWith returns a client of a workspace whose connections dial opens.
 func NewWith(workspace, key string, dial Dial) *Client {
-	return &Client{workspace: workspace, key: key, http: &http.Client{Transport: &http.Transport{DialContext: dial}}}
+	return &Client{workspace: workspace, key: key, scheme: "http", http: &http.Client{Transport: &http.Transport{DialContext: dial}}}
+}
+
+// WithTLS returns a client that speaks TLS and checks gateways' certificates as config says.
+func (c *Client) WithTLS(config *tls.Config) *Client {
+	transport := &http.Transport{TLSClientConfig: config}
+	return &Client{workspace: c.workspace, key: c.key, scheme: "https", http: &http.Client{Transport: transport}}
 }
 
 // Error implements error.
@@ -230,7 +238,7 @@
 			return nil, ErrMalformed.Wrap(err, "request")
 		}
 	}
-	request, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, bytes.NewReader(data))
+	request, err := http.NewRequestWithContext(ctx, method, c.scheme+"://"+address+path, bytes.NewReader(data))
 	if err != nil {
 		return nil, ErrMalformed.Wrap(err, "request")
 	}
--- a/service/usherdaemon/daemon.go
+++ b/service/usherdaemon/daemon.go
@@ -12,6 +12,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
 	"fmt"
 	"log/slog"
@@ -45,11 +46,13 @@
 		settings *Common
 		log      *slog.Logger
 		keys     *usherkey.Ring
-		node     *usherlink.Node
-		mux      *usherlink.Mux
-		feed     *usherfeed.Feed
-		metrics  metrics.Registry
-		duties   sync.WaitGroup
+		// callers is what gateways show to callers; nil for plain HTTP.
+		callers *usherkey.Certificate
+		node    *usherlink.Node
+		mux     *usherlink.Mux
+		feed    *usherfeed.Feed
+		metrics metrics.Registry
+		duties  sync.WaitGroup
 	}
 
 	// part is the product code that a daemon runs.
@@ -163,7 +166,7 @@
 				d.log.Info("planned stop begins")
 				return
 			}
-			if err := d.keys.Reload(); err != nil {
+			if err := d.reload(); err != nil {
 				d.log.Error("keys not reloaded; the old ones stay in force", "error", err)
 				continue
 			}
@@ -172,6 +175,14 @@
 	}
 }
 
+// reload loads the process's keys anew.
+func (d *daemon) reload() error {
+	if d.callers == nil {
+		return d.keys.Reload()
+	}
+	return errors.Join(d.keys.Reload(), d.callers.Reload())
+}
+
 // stop lets what is in progress end, then closes the servers.
 func (d *daemon) stop(ctx context.Context, p part, servers []*http.Server) error {
 	ctx, cancel := context.WithTimeout(ctx, d.settings.Stop.Timeout)
@@ -187,7 +198,7 @@
 
 func (d *daemon) listen(p part, callers http.Handler) ([]*http.Server, error) {
 	servers := []*http.Server{}
-	admin, err := d.listenHTTP(d.settings.Listen.Admin.String(), d.adminRoutes(p))
+	admin, err := d.listenHTTP(d.settings.Listen.Admin.String(), nil, d.adminRoutes(p))
 	if err != nil {
 		return nil, err
 	}
@@ -195,18 +206,21 @@
 	if callers == nil {
 		return servers, nil
 	}
-	server, err := d.listenHTTP(d.settings.Listen.Address.String(), callers)
+	server, err := d.listenHTTP(d.settings.Listen.Address.String(), d.callers, callers)
 	if err != nil {
 		return nil, errors.Join(err, admin.Close())
 	}
 	return append([]*http.Server{server}, servers...), nil
 }
 
-func (d *daemon) listenHTTP(address string, handler http.Handler) (*http.Server, error) {
+func (d *daemon) listenHTTP(address string, certificate *usherkey.Certificate, handler http.Handler) (*http.Server, error) {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, err
 	}
+	if certificate != nil {
+		listener = tls.NewListener(listener, certificate.TLS())
+	}
 	server := &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout, ErrorLog: slog.NewLogLogger(d.log.Handler(), slog.LevelError)}
 	d.duties.Go(func() {
 		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
--- a/service/usherdaemon/run.go
+++ b/service/usherdaemon/run.go
@@ -6,6 +6,7 @@
 	"os"
 	"time"
 
+	"github.com/samphireusher/samphireusher/pkg/usherkey"
 	"github.com/samphireusher/samphireusher/pkg/usherlink"
 	"github.com/samphireusher/samphireusher/pkg/usherrequest"
 	"github.com/samphireusher/samphireusher/pkg/ushersetting"
@@ -30,6 +31,11 @@
 	if err != nil {
 		return err
 	}
+	if settings.Callers.Certificate != "" {
+		if d.callers, err = usherkey.LoadCertificate(settings.Callers.Certificate, settings.Callers.Key); err != nil {
+			return err
+		}
+	}
 	gateway, err := ushergateway.New(ushergateway.Options{
 		Name: settings.Process.Name, DataCentre: settings.Process.DataCentre, Address: settings.Listen.Address,
 		Incarnation: incarnation(), Keyring: keyring, Config: d.feed, Grants: ushergrant.NewClient(d.node),
--- a/service/usherdaemon/setting.go
+++ b/service/usherdaemon/setting.go
@@ -44,6 +44,10 @@
 			Current  string `ini:"current" required:"true" usage:"file with the fleet secret that signs request ids and handles"`
 			Accepted string `ini:"accepted" usage:"file with another fleet secret that is accepted too, while secrets rotate"`
 		} `ini:"secret"`
+		Callers struct {
+			Certificate string `ini:"certificate" usage:"file with the certificate shown to callers in PEM; without it callers speak plain HTTP"`
+			Key         string `ini:"key" usage:"file with its private key in PEM"`
+		} `ini:"callers"`
 		Limits struct {
 			Requests     int `ini:"requests" default:"20000" usage:"most requests in progress"`
 			BodyBytes    int `ini:"body_bytes" default:"1048576" usage:"largest body of a caller's request in bytes"`
--- a/service/ushergateway/generate.go
+++ b/service/ushergateway/generate.go
@@ -38,6 +38,8 @@
 	stream *ushertarget.Stream
 	source usherrelay.Source
 	finish string
+	// lastAt is when the last token came, begunAt when the generation was asked for.
+	lastAt, begunAt time.Time
 }
 
 // callPlain runs the request at a plain service.
@@ -55,7 +57,7 @@
 
 // generate runs the request at an engine and relays its tokens.
 func (e *execution) generate(ctx context.Context, grant granted) verdict {
-	g := &generation{execution: e, grant: grant, id: grant.attempt.String(), relay: e.newRelay()}
+	g := &generation{execution: e, grant: grant, id: grant.attempt.String(), relay: e.newRelay(), begunAt: time.Now()}
 	order := ushertarget.Generation{
 		ID: g.id, Prompt: e.call.Prompt, MaxTokens: e.call.Template.MaxOutputTokens,
 		Priority: e.call.Template.Priority, Isolated: e.isolated, CacheKey: e.call.Template.Name,
@@ -126,6 +128,7 @@
 		}
 	}
 	g.progress.made(g.relay.NextIndex())
+	g.measure()
 	for {
 		token, ok := g.relay.Next()
 		if !ok {
@@ -140,6 +143,21 @@
 	}
 }
 
+// measure notes the time to the first token and of one gap in eight, so that the hot path stays cheap.
+func (g *generation) measure() {
+	const oneIn = 8
+	meters := &g.gateway.meters
+	meters.tokens.Inc(1)
+	switch made := g.relay.NextIndex(); {
+	case made == 1 && !g.begunAt.IsZero():
+		meters.firstToken.Update(time.Since(g.begunAt).Microseconds())
+	case made%oneIn == 0:
+		g.lastAt = time.Now()
+	case made%oneIn == 1 && !g.lastAt.IsZero():
+		meters.betweenTokens.Update(time.Since(g.lastAt).Microseconds())
+	}
+}
+
 func (g *generation) releaseOne(token usherrelay.Token) error {
 	if g.call.Template.Delivery == usherconfig.StreamDelivery {
 		if err := g.life.Release(); err != nil {
