Keep a list change safe for members that skip a list

Ruled out: skipped revision numbers as the sign (published revisions needn't be consecutive); abstaining at each change (no votes until all have seen it). Now only members of all lists that may be in force vote, one without contact to most others counts as newly listed, a list settles by fresh confirmations only, and a minority's share ends before others can have settled. Conclusion: holds where a list is seen by all within half of SettleAfter.

--- a/pkg/ushermember/membership.go
+++ b/pkg/ushermember/membership.go
@@ -30,9 +30,9 @@
 	defaultInterval     = time.Second
 	defaultSuspectAfter = 2500 * time.Millisecond
 	defaultDeadAfter    = 4 * time.Second
-	defaultSettleAfter  = 5 * time.Second
+	defaultSettleAfter  = 8 * time.Second
 	sentTimes           = 64
-	clockMargin         = 0.1 // fraction by which two clocks may differ over SettleAfter, with room
+	contactFraction     = 0.45 // of SettleAfter: half of it, with room for clock rates
 )
 
 var (
@@ -58,7 +58,7 @@
 		// PauseAfter is the time between two ticks from which the process counts as paused.
 		PauseAfter time.Duration
 		// SettleAfter is how long all members must have confirmed a list before older ones are forgotten. It must
-		// not be shorter than the longest lease.
+		// be longer than a lease and than twice the time in which all members see a published list.
 		SettleAfter time.Duration
 		// ListLag is the longest time in which the platform shows a change of the list to each process that runs.
 		// Zero means that there is no bound: then a list settles only when all its members have confirmed it.
@@ -83,8 +83,9 @@
 		formerMax int    // the largest list that may still be in force elsewhere
 		adopted   uint64 // the revision and time at which the voters last changed
 		adoptedAt time.Time
-		agreedAt  time.Time // since when all members have confirmed the list
-		former    map[Key]bool
+		agreedAt  time.Time    // since when all members have confirmed the list
+		former    map[Key]bool // members of older lists only
+		voters    []Key        // members of all lists that may be in force
 	}
 
 	peer struct {
--- a/pkg/ushermember/settle.go
+++ b/pkg/ushermember/settle.go
@@ -5,23 +5,26 @@
 	"time"
 )
 
-// replaceVoters starts the time in which two lists count as in force.
+// replaceVoters starts the time in which two lists count as in force. In that time only members of both vote. A member
+// that had lost contact to most others counts as newly listed: it may have been off a list that it never saw.
 func (m *Membership) replaceVoters(now time.Time, list List) {
-	m.formerMax = max(m.formerMax, m.list.Len())
-	m.settled = false
-	m.agreedAt = time.Time{}
-	m.adopted, m.adoptedAt = list.revision, now
+	if !m.list.Contains(m.key) || now.After(m.currentUntil()) {
+		m.newcomer = true
+	}
 	for _, key := range m.list.keys {
 		if !list.Contains(key) && key != m.key {
 			m.former[key] = true
 		}
 	}
-	for _, key := range list.keys {
-		delete(m.former, key)
-	}
-	if !m.list.Contains(m.key) {
-		m.newcomer = true
+	if m.list.Len() > 0 {
+		m.formerMax = max(m.formerMax, m.list.Len())
+		m.voters = slices.DeleteFunc(slices.Clone(m.voters), func(key Key) bool { return !list.Contains(key) })
+	} else {
+		m.voters = list.keys
 	}
+	m.settled = false
+	m.agreedAt = time.Time{}
+	m.adopted, m.adoptedAt = list.revision, now
 }
 
 // settle forgets older lists once every member of the list in force has confirmed it for long enough.
@@ -46,22 +49,22 @@
 	m.settled = true
 	m.newcomer = false
 	m.formerMax = 0
+	m.voters = m.list.keys
 	clear(m.former)
 }
 
-// agreed reports whether no process can have an older list in force: all listed members have confirmed this one and
-// no removed member is heard with an older one, or the platform's bound on late lists has passed.
+// agreed reports whether no process can have an older list in force: all listed members are confirming this one,
+// no removed member was heard with an older one and none with a newer, or the bound on late lists has passed.
 func (m *Membership) agreed(now time.Time) bool {
 	if m.options.ListLag > 0 && now.Sub(m.adoptedAt) >= m.options.ListLag {
 		return true
 	}
-	for key := range m.former {
-		if p := m.peers[key]; p != nil && p.revision < m.adopted {
+	for key, p := range m.peers {
+		if m.former[key] && p.revision < m.adopted || p.revision > m.list.revision {
 			return false
 		}
-	}
-	for _, key := range m.list.keys {
-		if p := m.peers[key]; p != nil && !p.confirms(m.list.digest, m.adopted) {
+		fresh := now.Sub(p.heardAt) <= m.options.DeadAfter
+		if m.list.Contains(key) && !(fresh && p.confirms(m.list.digest, m.adopted)) {
 			return false
 		}
 	}
@@ -98,8 +101,8 @@
 	m.confirmed = 2*count > m.list.Len()
 }
 
-// currentUntil returns until when the list counts as current: as long after a majority had it in force as others
-// take to forget it. From then on this member may have been taken off a newer list without knowing.
+// currentUntil returns until when the list counts as current: for less time after a majority had it in force than
+// others take to forget it. From then on this member may have been taken off a newer list without knowing.
 func (m *Membership) currentUntil() time.Time {
 	var times []time.Time
 	for _, key := range m.list.keys {
@@ -115,5 +118,5 @@
 	case others == 0:
 		return m.lastTick.Add(m.options.SettleAfter)
 	}
-	return times[others-1].Add(time.Duration(float64(m.options.SettleAfter) * (1 - clockMargin)))
+	return times[others-1].Add(time.Duration(float64(m.options.SettleAfter) * contactFraction))
 }
--- a/pkg/ushermember/view.go
+++ b/pkg/ushermember/view.go
@@ -1,6 +1,7 @@
 package ushermember
 
 import (
+	"slices"
 	"time"
 )
 
@@ -15,6 +16,8 @@
 		// Candidates are the members that may be lent votes, sorted as the list is; this member is one of them
 		// unless it leaves.
 		Candidates []Key
+		// Voters are the members whose votes count; newly listed ones do once the list has settled.
+		Voters []Key
 		// Total is the number of votes that budgets divide by.
 		Total int
 		// Abstain tells that this member may not lend its votes yet.
@@ -54,7 +57,7 @@
 	v := View{
 		Cell: m.options.Cell, Self: m.key, Incarnation: m.options.Incarnation, Revision: m.list.revision,
 		Total: m.total(), Abstain: m.newcomer || !m.list.Contains(m.key),
-		Confirmed: m.confirmed && now.Sub(m.lastTick) <= m.options.PauseAfter, Settled: m.settled, CurrentUntil: m.currentUntil(),
+		Confirmed: m.confirmed && now.Sub(m.lastTick) <= m.options.PauseAfter, Settled: m.settled, Voters: m.voters, CurrentUntil: m.currentUntil(),
 		Members: make([]MemberView, 0, m.list.Len()), Candidates: make([]Key, 0, m.list.Len()),
 	}
 	for i, key := range m.list.keys {
@@ -83,14 +86,9 @@
 	return digestOf(v.Candidates)
 }
 
-// Lists reports whether the member is on the list in force.
-func (v View) Lists(key Key) bool {
-	for i := range v.Members {
-		if v.Members[i].Key == key {
-			return true
-		}
-	}
-	return false
+// Counts reports whether votes of the member count: it is on all lists that may be in force.
+func (v View) Counts(key Key) bool {
+	return slices.Contains(v.Voters, key)
 }
 
 // Summary returns what other cells are told.
