Let a cell that has just started settle without a dead host

Cause: a list settled only when every member confirmed it, so a cell restarted as a whole with one dead host still listed would never have lent a vote. Ruled out: a bound in time alone; it would also overlook a silent member that has an older list in force. Heartbeats now say whether the sender has known another list; silent members are overlooked only where nobody heard has. Before: no vote with a dead host listed. Conclusion: a cell in which somebody knew another list still waits.

--- a/pkg/ushermember/exchange.go
+++ b/pkg/ushermember/exchange.go
@@ -15,6 +15,7 @@
 		Revision:    m.list.revision,
 		Total:       m.total(),
 		Settled:     m.settled,
+		Fresh:       m.fresh(),
 		Leaving:     m.leaving,
 	}
 	candidates := m.list.encode(m.candidate)
@@ -54,7 +55,7 @@
 		*p = peer{member: p.member, state: Unknown, incarnation: h.Incarnation}
 	}
 	p.sequence, p.heardAt = h.Sequence, now
-	p.list, p.revision, p.settled, p.total = h.List, h.Revision, h.Settled, h.Total
+	p.list, p.revision, p.fresh, p.total = h.List, h.Revision, h.Fresh, h.Total
 	candidates, heard := h.CandidateKeys, h.HeardKeys
 	if h.List == m.list.digest && len(h.CandidateKeys)+len(h.HeardKeys) == 0 {
 		candidates, heard = m.list.decode(h.Candidates), m.list.decode(h.Heard)
--- a/pkg/ushermember/heartbeat.go
+++ b/pkg/ushermember/heartbeat.go
@@ -6,6 +6,7 @@
 	// Heartbeat is the datagram that one member sends to another. The QUIC edge encodes it by cbor.
 	//
 	// Sets of members are bitmaps over the sender's list when the receiver has confirmed that list, else keys.
+	// Settled and Fresh tell whether the sender knows that no other list is in force, or has never known another.
 	// It carries no clock: Echo names the last heartbeat that the sender had from the receiver.
 	Heartbeat struct {
 		Cell          string `cbor:"1,keyasint"`
@@ -23,6 +24,7 @@
 		Settled       bool   `cbor:"13,keyasint,omitempty"`
 		Leaving       bool   `cbor:"14,keyasint,omitempty"`
 		Ballot        Ballot `cbor:"15,keyasint,omitzero"`
+		Fresh         bool   `cbor:"16,keyasint,omitempty"`
 	}
 
 	// Echo names a heartbeat of the receiver.
--- a/pkg/ushermember/membership.go
+++ b/pkg/ushermember/membership.go
@@ -31,6 +31,7 @@
 	defaultSuspectAfter = 2500 * time.Millisecond
 	defaultDeadAfter    = 4 * time.Second
 	defaultSettleAfter  = 8 * time.Second
+	defaultBootstrap    = 15 * time.Second
 	sentTimes           = 64
 	contactFraction     = 0.45 // of SettleAfter: half of it, with room for clock rates
 )
@@ -60,9 +61,8 @@
 		// SettleAfter is how long all members must have confirmed a list before older ones are forgotten. It must
 		// be longer than a lease and than twice the time in which all members see a published list.
 		SettleAfter time.Duration
-		// ListLag is the longest time in which the platform shows a change of the list to each process that runs.
-		// Zero means that there is no bound: then a list settles only when all its members have confirmed it.
-		ListLag time.Duration
+		// Bootstrap is how long a cell that has just started waits for listed members that aren't heard.
+		Bootstrap time.Duration
 	}
 
 	// Membership is one member's knowledge of its cell. It isn't safe for concurrent use.
@@ -98,7 +98,7 @@
 		echoed      uint64
 		list        uint64
 		revision    uint64
-		settled     bool
+		fresh       bool
 		total       int
 		heard       []Key
 	}
@@ -121,6 +121,9 @@
 	if options.SettleAfter == 0 {
 		options.SettleAfter = defaultSettleAfter
 	}
+	if options.Bootstrap == 0 {
+		options.Bootstrap = defaultBootstrap
+	}
 	return &Membership{
 		options:   options,
 		key:       KeyOf(options.ID),
--- a/pkg/ushermember/membership_test.go
+++ b/pkg/ushermember/membership_test.go
@@ -179,6 +179,21 @@
 	}
 }
 
+func TestDeadHostKeepsOnlyAnOldCellWaiting(t *testing.T) {
+	for name, told := range map[string]bool{"all have just started": false, "some knew another list": true} {
+		published := list(2, "a", "b", "c", "d")
+		n := newNet(published)
+		if told {
+			n.start("a", 1, list(1, "a", "b", "c"))
+			n.members["a"].SetList(n.now, published)
+		}
+		delete(n.members, "d")
+		if n.rounds(40); n.members["b"].View(n.now).Abstain != told {
+			t.Errorf("%s: the others abstain: %v, want %v", name, !told, told)
+		}
+	}
+}
+
 func TestReceiveRefuses(t *testing.T) {
 	n := newNet(list(1, "a", "b"))
 	n.rounds(2)
--- a/pkg/ushermember/settle.go
+++ b/pkg/ushermember/settle.go
@@ -53,22 +53,35 @@
 	clear(m.former)
 }
 
-// agreed reports whether no process can have an older list in force: all listed members are confirming this one,
-// no removed member was heard with an older one and none with a newer, or the bound on late lists has passed.
+// agreed reports whether no process can have another list in force: all listed members are confirming this one, no
+// removed member was heard with an older one and none with a newer. Silent members are overlooked only where nobody
+// who is heard knows of another list, so that a dead host doesn't keep a whole cell that has just started waiting.
 func (m *Membership) agreed(now time.Time) bool {
-	if m.options.ListLag > 0 && now.Sub(m.adoptedAt) >= m.options.ListLag {
-		return true
-	}
+	heard, silent, fresh := 1, 0, m.fresh()
 	for key, p := range m.peers {
 		if m.former[key] && p.revision < m.adopted || p.revision > m.list.revision {
 			return false
 		}
-		fresh := now.Sub(p.heardAt) <= m.options.DeadAfter
-		if m.list.Contains(key) && !(fresh && p.confirms(m.list.digest, m.adopted)) {
+		switch {
+		case !m.list.Contains(key):
+		case now.Sub(p.heardAt) > m.options.DeadAfter:
+			silent++
+		case !p.confirms(m.list.digest, m.adopted):
 			return false
+		default:
+			heard++
+			fresh = fresh && p.fresh
 		}
 	}
-	return true
+	if silent == 0 {
+		return true
+	}
+	return fresh && 2*heard > m.list.Len() && now.Sub(m.adoptedAt) >= m.options.Bootstrap
+}
+
+// fresh reports whether this process has known no list but the one in force.
+func (m *Membership) fresh() bool {
+	return m.formerMax == 0 && !m.settled
 }
 
 func (p *peer) confirms(digest, revision uint64) bool {
