--- a/pkg/usherlease/rendezvous.go
+++ b/pkg/usherlease/rendezvous.go
@@ -14,7 +14,7 @@
 
 // assign returns the assignment of the targets to the candidates.
 func (l *Leases) assign(candidates []ushermember.Key) *assignment {
-	digest := ushermember.View{}.WithCandidates(candidates).Digest()
+	digest := ushermember.DigestOf(candidates)
 	if a, ok := l.assignments.Get(digest); ok {
 		return a
 	}
--- a/pkg/ushermember/list.go
+++ b/pkg/ushermember/list.go
@@ -48,13 +48,7 @@
 	for i, m := range sorted {
 		keys[i] = m.Key()
 	}
-	return List{revision: revision, members: sorted, keys: keys, digest: digestOf(keys)}
-}
-
-// WithRevision returns the same members under another revision.
-func (l List) WithRevision(revision uint64) List {
-	l.revision = revision
-	return l
+	return List{revision: revision, members: sorted, keys: keys, digest: DigestOf(keys)}
 }
 
 // Revision returns the revision under which the list was published.
@@ -94,8 +88,8 @@
 	return keys
 }
 
-// digestOf hashes keys in their order.
-func digestOf(keys []Key) uint64 {
+// DigestOf identifies keys in their order.
+func DigestOf(keys []Key) uint64 {
 	var d xxhash.Digest
 	d.Reset()
 	var buf [8]byte
--- a/pkg/ushermember/view.go
+++ b/pkg/ushermember/view.go
@@ -75,15 +75,9 @@
 	return v
 }
 
-// WithCandidates returns the view with other candidates.
-func (v View) WithCandidates(candidates []Key) View {
-	v.Candidates = candidates
-	return v
-}
-
 // Digest identifies the candidates of the view.
 func (v View) Digest() uint64 {
-	return digestOf(v.Candidates)
+	return DigestOf(v.Candidates)
 }
 
 // Counts reports whether votes of the member count: it is on all lists that may be in force.
