Keep every heartbeat within a datagram

Cause: with lists and targets that differ at once a heartbeat of 27 members could have grown over 1,200 bytes: two sets of keys and 960 B of names. Ruled out: splitting a ballot over datagrams; the names rotate by round. Conclusion: the set of heard members is sent only between equal lists.

--- a/pkg/usherlease/bench_test.go
+++ b/pkg/usherlease/bench_test.go
@@ -24,10 +24,7 @@
 }
 
 func benchmarkRound(b *testing.B, members, targets int) {
-	var many []usherlease.Target
-	for i := range targets {
-		many = append(many, usherlease.Target{ID: fmt.Sprintf("appraiser-%04d", i), Cold: 2, Full: 32})
-	}
+	many := manyTargets(targets)
 	before := heapBytes()
 	c := newCell(members, many)
 	c.settle()
@@ -69,6 +66,13 @@
 	b.ReportMetric(largest(3), "B/unlike")
 }
 
+func manyTargets(count int) (many []usherlease.Target) {
+	for i := range count {
+		many = append(many, usherlease.Target{ID: fmt.Sprintf("appraiser-%04d", i), Cold: 2, Full: 32})
+	}
+	return many
+}
+
 func heapBytes() uint64 {
 	runtime.GC()
 	var stats runtime.MemStats
--- a/pkg/usherlease/leases_test.go
+++ b/pkg/usherlease/leases_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/samphireusher/samphireusher/pkg/usherlease"
 	"github.com/samphireusher/samphireusher/pkg/ushermember"
 )
@@ -24,6 +25,7 @@
 type cell struct {
 	now        time.Time
 	ids        []string
+	list       ushermember.List
 	schedulers map[ushermember.Key]*scheduler
 	wire       func(ushermember.Heartbeat) ushermember.Heartbeat // may be nil
 }
@@ -34,12 +36,13 @@
 	for i := range members {
 		list = append(list, ushermember.Member{ID: fmt.Sprintf("kochi-%d", i)})
 	}
+	c.list = ushermember.NewList(1, list)
 	for _, m := range list {
 		s := &scheduler{
 			members: ushermember.New(c.now, ushermember.Options{Cell: "kochi", ID: m.ID, Incarnation: memberIncarnation}),
 			leases:  usherlease.New(c.now, usherlease.Options{}),
 		}
-		s.members.SetList(c.now, ushermember.NewList(1, list))
+		s.members.SetList(c.now, c.list)
 		s.leases.SetTargets(targets)
 		c.schedulers[m.Key()] = s
 		c.ids = append(c.ids, m.ID)
@@ -111,7 +114,7 @@
 	return granted
 }
 
-// takeover lets a scheduler go, stopping it or not, and returns the next holder and how many rounds pass until another holds the target.
+// takeover lets a scheduler go, stopping it or not. It returns the next holder and how many rounds pass until then.
 func (c *cell) takeover(t *testing.T, gone *scheduler, target string, stops bool) (*scheduler, int) {
 	t.Helper()
 	for key, s := range c.schedulers {
@@ -271,6 +274,38 @@
 	}
 }
 
+func TestHeartbeatFitsDatagram(t *testing.T) {
+	const datagram = 1200
+	c := newCell(27, manyTargets(1200))
+	c.settle()
+	largest := 0
+	c.wire = func(h ushermember.Heartbeat) ushermember.Heartbeat {
+		encoded, err := cbor.Marshal(h)
+		if err != nil {
+			t.Fatal(err)
+		}
+		largest = max(largest, len(encoded))
+		return h
+	}
+	for i, id := range c.ids { // half know another list and another set of targets
+		if s := c.at(id); i%2 == 0 {
+			list := append(c.list.Members(), ushermember.Member{ID: "kochi-new"})
+			s.members.SetList(c.now, ushermember.NewList(2, list))
+			s.leases.SetTargets(manyTargets(1199))
+		}
+	}
+	for range 4 {
+		c.round()
+	}
+	c.ids = c.ids[:3] // few are left, so each lends many targets to each
+	for range 12 {
+		c.round()
+	}
+	if t.Logf("at most %d bytes", largest); largest > datagram {
+		t.Errorf("a heartbeat of %d bytes", largest)
+	}
+}
+
 func TestValidity(t *testing.T) {
 	asked := time.Unix(0, 0)
 	v := usherlease.NewValidity(asked, time.Second)
--- a/pkg/usherlease/lender.go
+++ b/pkg/usherlease/lender.go
@@ -12,7 +12,7 @@
 	lentShift     = 64 - 8*lentBytes
 	withheldBytes = 2 // a hash that names a withheld target; sharing it withholds one vote too many
 	withheldShift = 64 - 8*withheldBytes
-	ballotBytes   = 960 // the most that a ballot adds to a datagram
+	ballotBytes   = 720 // the most that a ballot adds to a datagram
 )
 
 type (
--- a/pkg/ushermember/exchange.go
+++ b/pkg/ushermember/exchange.go
@@ -33,7 +33,7 @@
 		if p.list == m.list.digest {
 			h.Heard, h.Candidates = heard, candidates
 		} else {
-			h.HeardKeys, h.CandidateKeys = m.list.decode(heard), m.list.decode(candidates)
+			h.CandidateKeys = m.list.decode(candidates)
 		}
 		outgoing = append(outgoing, Outgoing{
 			To: m.list.members[i], Key: key, Incarnation: p.incarnation, EchoReceivedAt: p.heardAt, Heartbeat: h,
@@ -56,8 +56,8 @@
 	}
 	p.sequence, p.heardAt = h.Sequence, now
 	p.list, p.revision, p.fresh, p.total = h.List, h.Revision, h.Fresh, h.Total
-	candidates, heard := h.CandidateKeys, h.HeardKeys
-	if h.List == m.list.digest && len(h.CandidateKeys)+len(h.HeardKeys) == 0 {
+	candidates, heard := h.CandidateKeys, h.CandidateKeys
+	if h.List == m.list.digest && len(h.CandidateKeys) == 0 {
 		candidates, heard = m.list.decode(h.Candidates), m.list.decode(h.Heard)
 	}
 	p.heard = heard
--- a/pkg/ushermember/heartbeat.go
+++ b/pkg/ushermember/heartbeat.go
@@ -5,7 +5,8 @@
 type (
 	// Heartbeat is the datagram that one member sends to another. The QUIC edge encodes it by cbor.
 	//
-	// Sets of members are bitmaps over the sender's list when the receiver has confirmed that list, else keys.
+	// Sets of members are bitmaps over the sender's list when the receiver has confirmed that list. Else only the
+	// candidates are sent, as keys.
 	// Settled and Fresh tell whether the sender knows that no other list is in force, or has never known another.
 	// It carries no clock: Echo names the last heartbeat that the sender had from the receiver.
 	Heartbeat struct {
@@ -19,7 +20,6 @@
 		Total         int    `cbor:"8,keyasint"`
 		Heard         []byte `cbor:"9,keyasint,omitempty"`
 		Candidates    []byte `cbor:"10,keyasint,omitempty"`
-		HeardKeys     []Key  `cbor:"11,keyasint,omitempty"`
 		CandidateKeys []Key  `cbor:"12,keyasint,omitempty"`
 		Settled       bool   `cbor:"13,keyasint,omitempty"`
 		Leaving       bool   `cbor:"14,keyasint,omitempty"`
