--- a/_scripts/fleet.sh
+++ b/_scripts/fleet.sh
@@ -5,6 +5,7 @@
 
 FLEET_BIN=$PWD/bin
 PLATFORM=127.0.0.1:21000
+SEEDS="127.0.0.1:21201, 127.0.0.1:21204, 127.0.0.1:21207"
 DECLARATIONS=_fixtures/declarations/consortium
 HOSTS=(kochi-gateway-1 kochi-gateway-2 kochi-scheduler-1 thrissur-gateway-1 thrissur-gateway-2 thrissur-scheduler-1
 	kozhikode-gateway-1 kozhikode-gateway-2 kozhikode-scheduler-1)
@@ -55,6 +56,7 @@
 	text=${text//@ADDRESS@/${ADDRESSES[$1]}}
 	text=${text//@ADMIN@/${ADMINS[$1]}}
 	text=${text//@PLATFORM@/$PLATFORM}
+	text=${text//@SEEDS@/$SEEDS}
 	text=${text//@DIRECTORY@/$DIRECTORY}
 	echo "$text" >"$DIRECTORY/$1.ini"
 }
