--- a/Makefile
+++ b/Makefile
@@ -20,5 +20,10 @@
 	go vet $(PACKAGES)
 	go tool staticcheck $(PACKAGES)
 
+# Measures the scheduler's policy in virtual time; USHER_SEED chooses the seed.
+policy: build
+	@mkdir -p docs/plots
+	./bin/usher-policy --plots docs/plots
+
 clean:
 	rm -rf bin
--- a/cmd/usher-policy/experiment/simulation.go
+++ b/cmd/usher-policy/experiment/simulation.go
@@ -18,6 +18,8 @@
 	restartTime     = 2 * time.Second
 	noticeDelay     = time.Second // until a published change reaches a scheduler
 	randomStream    = 1
+	learnedAtStart  = 2_000 // generations of each kind whose length a scheduler knows at the start
+	completedBefore = 1_000 // generations of an engine that is warm at the start
 	gateways        = 9
 )
 
@@ -86,7 +88,7 @@
 	}
 	for i := range s.Engines {
 		sim.engines = append(sim.engines, &engine{
-			Engine: ushermodel.New(ushermodel.Options{}), id: strconv.Itoa(i), index: i,
+			Engine: ushermodel.New(ushermodel.Options{Completed: completedBefore}), id: strconv.Itoa(i), index: i,
 		})
 		sim.publish(i, true)
 	}
@@ -112,6 +114,17 @@
 // schedule sets up what happens by itself.
 func (sim *simulation) schedule() {
 	s := &sim.scenario
+	for range learnedAtStart {
+		for _, a := range []arrival{s.draw(sim.random, 0), s.drawContinued(sim.random), drawLookup(sim.random)} {
+			for _, scheduler := range sim.schedulers {
+				scheduler.Learn(strconv.Itoa(a.workspace), a.template.name, a.output)
+			}
+		}
+	}
+	running := s.runningAtStart()
+	for i := range running {
+		sim.after(time.Second+startInterval*time.Duration(i)/time.Duration(running), func() { sim.accept(s.drawContinued(sim.random)) })
+	}
 	sim.arrive()
 	sim.every(tickInterval, sim.tick)
 	sim.every(progressInterval, sim.progress)
--- a/pkg/usheradmit/placement.go
+++ b/pkg/usheradmit/placement.go
@@ -9,8 +9,9 @@
 )
 
 const (
-	sampleBase        = 12 // targets looked at however many there are
-	curveLife         = 100 * time.Millisecond
+	sampleAll         = 12 // targets that are all looked at
+	sampleExtra       = 4  // targets looked at beyond the logarithm of their number
+	curveLife         = 250 * time.Millisecond
 	shapeSmoothing    = 0.02
 	maxPrefixes       = 4_096
 	targetsPerPrefix  = 4
@@ -105,7 +106,7 @@
 		if n == 0 {
 			return
 		}
-		count := min(n, sampleBase+bits.Len(uint(n)))
+		count := min(n, max(sampleAll, sampleExtra+bits.Len(uint(n))))
 		offset := p.random.IntN(n)
 		stride := n / count
 		for i := range count {
--- a/pkg/usheradmit/scheduler.go
+++ b/pkg/usheradmit/scheduler.go
@@ -208,6 +208,11 @@
 	s.queue.correct(a.request, float64(tokens)-a.expected)
 }
 
+// Learn takes in the length of a finished generation that this scheduler did not run, from a peer or an earlier run.
+func (s *Scheduler) Learn(workspace, template string, tokens int) {
+	s.lengths.End(workspace, template, 0, tokens)
+}
+
 // Report takes in a load report of a target.
 func (s *Scheduler) Report(now time.Time, target string, report LoadReport) {
 	t, known := s.placement.byID[target]
--- a/standin/ushermodel/options.go
+++ b/standin/ushermodel/options.go
@@ -39,6 +39,7 @@
 	ColdSlowdown   int           // factor of the step time of a cold engine
 	WarmTokens     int           // tokens after which a cold engine is warm
 	RetainFinished int           // finished generations that Lookup still knows
+	Completed      uint64        // generations that an engine that starts warm has completed before
 }
 
 func (o Options) withDefaults() Options {
