--- a/cmd/usher-policy/experiment/command.go
+++ b/cmd/usher-policy/experiment/command.go
@@ -20,7 +20,7 @@
 	Plots     string   `type:"path" help:"Directory for one plot a scenario."`
 	Verbose   bool     `help:"Logs what the JSON lines don't show."`
 	Load      float64  `help:"Load in place of the scenario's."`
-	Without   string   `help:"Part of the policy that usher is run without; only usher runs then."`
+	Without   []string `help:"Parts of the policy that usher is run without, one at a time; only usher runs then."`
 
 	bestLimits map[string]int // by scenario, at the fleet that was measured first
 }
@@ -40,7 +40,7 @@
 					return err
 				}
 			}
-			if c.Plots != "" && engines <= largeFleet {
+			if c.Plots != "" && engines <= largeFleet && len(c.Without) == 0 {
 				if err := Draw(c.Plots, results); err != nil {
 					return err
 				}
@@ -56,10 +56,8 @@
 		s.Load = c.Load
 	}
 	s = Rated(s, c.Seed)
-	var results []Result
-	if c.Without != "" {
-		results = []Result{Play(s, PolicyUsher, 0, c.Seed, usheradmit.Options{Without: Part(c.Without)})}
-	} else {
+	results := c.ablation(s)
+	if len(results) == 0 {
 		results = Compare(s, c.Seed, c.limits(s))
 		c.bestLimits[s.Name] = results[0].Limit
 	}
@@ -80,3 +78,13 @@
 	}
 	return c.Limits
 }
+
+// ablation runs usher without each part that was named.
+func (c *Command) ablation(s Scenario) []Result {
+	results := make([]Result, len(c.Without))
+	parallel(len(results), func(i int) {
+		results[i] = Play(s, PolicyUsher, 0, c.Seed, usheradmit.Options{Without: Part(c.Without[i])})
+		results[i].Policy += "_without_" + c.Without[i]
+	})
+	return results
+}
--- a/cmd/usher-policy/experiment/scenario.go
+++ b/cmd/usher-policy/experiment/scenario.go
@@ -88,10 +88,14 @@
 
 // Scenarios returns the scenarios at a number of engines, in the order of their weight.
 func Scenarios(engines int) []Scenario {
-	base := Scenario{Engines: engines, Warmup: 90 * time.Second, Duration: 300 * time.Second, ReportLag: reportLag}
 	if engines > largeFleet {
-		base.Warmup, base.Duration = 8*time.Second, 12*time.Second
+		return scenarios(engines, 8*time.Second, 12*time.Second)
 	}
+	return scenarios(engines, 90*time.Second, 300*time.Second)
+}
+
+func scenarios(engines int, warmup, duration time.Duration) []Scenario {
+	base := Scenario{Engines: engines, Warmup: warmup, Duration: duration, ReportLag: reportLag}
 	end := base.Warmup + base.Duration
 	with := func(name string, load float64, change func(*Scenario)) Scenario {
 		s := base
@@ -203,3 +207,14 @@
 
 // dataCentreOf returns the data centre of an engine.
 func dataCentreOf(engine int) string { return fmt.Sprintf("dc%d", engine%dataCentres) }
+
+// Short returns the scenario with other times of warming up and measuring; what happens in it keeps its place.
+func (s Scenario) Short(warmup, duration time.Duration) Scenario {
+	for _, other := range scenarios(s.Engines, warmup, duration) {
+		if other.Name == s.Name {
+			other.Rate = s.Rate
+			return other
+		}
+	}
+	return s
+}
--- a/pkg/usheradmit/budget.go
+++ b/pkg/usheradmit/budget.go
@@ -9,12 +9,12 @@
 
 const (
 	retryHalfLife = 10 * time.Second
-	retryMinimum  = 1.0 // retries that are allowed when there is no traffic to take a share of
+	retryMinimum  = 1.5 // allows one retry each half-life when there is hardly any traffic to take a share of
 	quotaBurst    = time.Second
 )
 
 type (
-	// RetryBudget bounds retries to a share of the traffic. The zero value allows only the rare single retry; set Share.
+	// RetryBudget bounds retries to a share of the traffic. The zero value allows a single retry now and then; set Share.
 	RetryBudget struct {
 		Share float64
 
--- a/pkg/usheradmit/placement.go
+++ b/pkg/usheradmit/placement.go
@@ -55,6 +55,9 @@
 	p.sequences = make(map[string]uint64)
 	p.prefixes, _ = lru.New[uint64, []prefixPlace](maxPrefixes) // fails only for a size below one
 	p.random = rand.New(rand.NewPCG(seed, seed))
+	for i := range p.shape.mean {
+		p.shape.mean[i] = 1 // until learned otherwise, what others hold stays
+	}
 }
 
 func (p *Placement) add(t *targetView) {
