--- a/pkg/usheradmit/admission.go
+++ b/pkg/usheradmit/admission.go
@@ -64,16 +64,26 @@
 	return a
 }
 
-// add counts one generation n times.
-func (a *Admission) add(c *curve, d demand, n float64) {
+// add counts one generation.
+func (a *Admission) add(c *curve, d *demand) {
+	end, certain := d.end()
+	scale := 1 / max(d.lengths.reach(d.made), math.SmallestNonzeroFloat32)
 	for i, ahead := range a.horizons {
-		chance := d.survival(ahead)
+		made := d.made + ahead
+		if made >= end {
+			break
+		}
+		chance := 1.0
+		if !certain {
+			chance = d.lengths.reach(made) * scale
+		}
 		if chance < negligible {
 			break
 		}
-		tokens := float64(d.prompt + d.made + ahead)
-		c.mean[i] += n * chance * tokens
-		c.variance[i] += n * chance * (1 - chance) * tokens * tokens
+		tokens := float64(d.prompt + made)
+		held := chance * tokens
+		c.mean[i] += held
+		c.variance[i] += (1 - chance) * held * tokens
 		c.peak = max(c.peak, c.mean[i])
 	}
 }
@@ -95,13 +105,13 @@
 	return time.Duration(step * slowdown)
 }
 
-func (d *demand) survival(ahead int) float64 {
-	made := d.made + ahead
+// end returns the length that the generation does not reach, and whether that is its length for certain.
+func (d *demand) end() (int, bool) {
 	switch {
-	case d.known > 0 && made >= d.known, d.longest > 0 && made >= d.longest:
-		return 0
 	case d.known > 0:
-		return 1
+		return d.known, true
+	case d.longest > 0:
+		return d.longest, false
 	}
-	return d.lengths.Survival(d.made, ahead)
+	return math.MaxInt, false
 }
--- a/pkg/usheradmit/lengths.go
+++ b/pkg/usheradmit/lengths.go
@@ -13,6 +13,7 @@
 	bucketsPerOctave = 8
 	octaves          = 13
 	bucketCount      = linearBuckets + octaves*bucketsPerOctave
+	longestTracked   = linearBuckets << octaves
 
 	fastHalfLife    = 20 * time.Second
 	slowHalfLife    = 15 * time.Minute
@@ -28,6 +29,8 @@
 	maxWorkspaces   = 256
 )
 
+var bucketStarts = starts()
+
 type (
 	// Lengths learns how long the generations of each template run, and those of large workspaces by themselves.
 	// It estimates the hazard, the chance to end in each range of lengths, from finished generations and from those that
@@ -47,6 +50,7 @@
 		refreshed   time.Time
 		hazard      [bucketCount]float64
 		survival    [bucketCount + 1]float64 // chance to reach the start of each bucket
+		decline     [bucketCount]float64     // of the chance, for each token in a bucket
 		expectation float64
 	}
 
@@ -127,11 +131,10 @@
 // Mean returns the expected length.
 func (d *Distribution) Mean() float64 { return d.expectation }
 
+// reach returns the chance that a generation makes so many tokens.
 func (d *Distribution) reach(tokens int) float64 {
 	b := bucketOf(tokens)
-	start, end := bucketStart(b), bucketStart(b+1)
-	share := min(float64(tokens-start)/float64(end-start), 1)
-	return d.survival[b] + share*(d.survival[b+1]-d.survival[b])
+	return d.survival[b] - d.decline[b]*float64(min(tokens, longestTracked)-bucketStarts[b])
 }
 
 func (d *Distribution) learn(from, to int, ended bool) {
@@ -173,7 +176,8 @@
 		}
 		d.hazard[b] = min(max(hazard, minHazard), maxHazard)
 		d.survival[b+1] = d.survival[b] * (1 - d.hazard[b])
-		width := float64(bucketStart(b+1) - bucketStart(b))
+		width := float64(bucketStarts[b+1] - bucketStarts[b])
+		d.decline[b] = (d.survival[b] - d.survival[b+1]) / width
 		d.expectation += width * (d.survival[b] + d.survival[b+1]) / 2
 	}
 }
@@ -225,10 +229,15 @@
 	return min(linearBuckets+octave*bucketsPerOctave+within, bucketCount-1)
 }
 
-func bucketStart(bucket int) int {
-	if bucket < linearBuckets {
-		return bucket
+// starts returns the first length of each bucket, and of the one after the last.
+func starts() [bucketCount + 1]int {
+	var table [bucketCount + 1]int
+	for b := range table {
+		table[b] = b
+		if b >= linearBuckets {
+			octave, within := (b-linearBuckets)/bucketsPerOctave, (b-linearBuckets)%bucketsPerOctave
+			table[b] = (bucketsPerOctave + within) << (octave + 1)
+		}
 	}
-	octave, within := (bucket-linearBuckets)/bucketsPerOctave, (bucket-linearBuckets)%bucketsPerOctave
-	return (bucketsPerOctave + within) << (octave + 1)
+	return table
 }
--- a/pkg/usheradmit/placement.go
+++ b/pkg/usheradmit/placement.go
@@ -164,7 +164,8 @@
 	t.dirty, t.curveAt = false, now
 	t.curve = curve{}
 	for _, a := range t.attempts {
-		o.Admission.add(&t.curve, a.demand(now), 1)
+		d := a.demand(now)
+		o.Admission.add(&t.curve, &d)
 	}
 	if held := t.curve.mean[0]; held > 0 {
 		for i := range o.Admission.horizons {
--- a/pkg/usheradmit/scheduler.go
+++ b/pkg/usheradmit/scheduler.go
@@ -259,7 +259,7 @@
 	lengths := s.lengths.Of(now, r.Workspace, r.Template)
 	var extra curve
 	d := demand{prompt: r.PromptTokens, longest: r.LongestReply, known: r.KnownReply, lengths: lengths}
-	s.options.Admission.add(&extra, d, 1)
+	s.options.Admission.add(&extra, &d)
 	t := s.placement.choose(now, &s.options, r, &extra, s.risk)
 	if t == nil {
 		return nil
@@ -325,10 +325,8 @@
 func (a *attempt) demand(now time.Time) demand {
 	r := a.request
 	d := demand{prompt: r.PromptTokens, made: a.madeAt(now), longest: r.LongestReply, known: r.KnownReply, lengths: a.lengths}
-	for _, end := range []int{d.longest, d.known} {
-		if end > 0 {
-			d.made = min(d.made, end-1)
-		}
+	if end, _ := d.end(); d.made >= end {
+		d.made = end - 1
 	}
 	return d
 }
