Targets of unknown memory, plain services, prompts larger than a target; the simulation in three files

Cause: a target without a known memory had no bound but its lease, and an unlimited one none at all; a prompt larger than the memory was sent, refused and suspended the target for a second. After: unknown memory is bounded by the lease, or by four generations; a prompt that never fits waits out its time as not run.

--- a/cmd/usher-policy/experiment/doc.go
+++ b/cmd/usher-policy/experiment/doc.go
@@ -6,9 +6,12 @@
 //
 // # Usage
 //
-//	for _, scenario := range usherexperiment.Scenarios(usherexperiment.SizeToday) {
-//		for _, result := range usherexperiment.Compare(scenario, seed) {
-//			json.NewEncoder(os.Stdout).Encode(result)
+//	for _, scenario := range usherexperiment.Scenarios(12) {
+//		scenario = usherexperiment.Rated(scenario, seed)
+//		for _, result := range usherexperiment.Compare(scenario, seed, nil) {
+//			if err := json.NewEncoder(os.Stdout).Encode(result); err != nil {
+//				return err
+//			}
 //		}
 //	}
 package usherexperiment
--- a/cmd/usher-policy/experiment/result.go
+++ b/cmd/usher-policy/experiment/result.go
@@ -10,6 +10,7 @@
 	stepTarget     = 36 * time.Millisecond
 	longestMeasure = int64(10 * time.Minute / time.Microsecond)
 	digits         = 3
+	windowInterval = 10 * time.Second // of the series
 )
 
 type (
@@ -36,7 +37,6 @@
 		Retries    int       `json:"-"`
 		Offered    int       `json:"-"`
 		WorstShare float64   `json:"-"` // of a modest workspace: served of asked
-		Series     []float64 `json:"-"` // tokens each second
 		ITLSeries  []float64 `json:"-"` // 95th percentile between tokens of each ten seconds, in ms
 		PreemptAt  []int     `json:"-"` // preemptions in each ten seconds
 	}
@@ -51,17 +51,10 @@
 		stall             time.Duration
 		asked, started    [workspaces]float64
 		result            Result
-		second            int
-		secondTokens      int
 		windowPreemptions int
 	}
 )
 
-const (
-	seriesInterval = time.Second
-	windowInterval = 10 * time.Second
-)
-
 func newMeter(s *Scenario) *meter {
 	histogram := func() *hdrhistogram.Histogram { return hdrhistogram.New(1, longestMeasure, digits) }
 	return &meter{
@@ -89,7 +82,6 @@
 // made notes count tokens.
 func (m *meter) made(at time.Duration, count int) {
 	m.roll(at)
-	m.secondTokens += count
 	if m.measures(at) {
 		m.tokens += count
 	}
@@ -112,11 +104,6 @@
 		m.windowPreemptions = 0
 		m.windowEnd += windowInterval
 	}
-	for at >= time.Duration(m.second+1)*seriesInterval {
-		m.result.Series = append(m.result.Series, float64(m.secondTokens))
-		m.secondTokens = 0
-		m.second++
-	}
 }
 
 // finish returns what was measured.
--- a/cmd/usher-policy/experiment/scenario.go
+++ b/cmd/usher-policy/experiment/scenario.go
@@ -9,19 +9,19 @@
 )
 
 const (
-	longestReply     = 16_000
-	shortestPrompt   = 300
-	longestPrompt    = 1_200
-	prefixes         = 40
-	prefixShare      = 0.5
-	workspaces       = 10
-	dataCentres      = 3
-	linkDelay        = 2 * time.Millisecond
-	reportInterval   = 500 * time.Millisecond
-	reportLag        = 250 * time.Millisecond
-	progressInterval = 500 * time.Millisecond
-	followed         = time.Minute // until a shift of lengths must be followed
-	lookupShare      = 12.0        // lookups a second for each twelve engines
+	longestReply      = 16_000
+	shortestPrompt    = 300
+	longestPrompt     = 1_200
+	prefixesPerTwelve = 40 // prompt prefixes for each twelve engines
+	prefixShare       = 0.5
+	workspaces        = 10
+	dataCentres       = 3
+	linkDelay         = 2 * time.Millisecond
+	reportInterval    = 500 * time.Millisecond
+	reportLag         = 250 * time.Millisecond
+	progressInterval  = 500 * time.Millisecond
+	followed          = time.Minute // until a shift of lengths must be followed
+	lookupShare       = 12.0        // lookups a second for each twelve engines
 )
 
 type (
@@ -148,7 +148,7 @@
 	}
 	a.output = a.template.draw(random, shift)
 	if random.Float64() < prefixShare {
-		a.prefix = 1 + uint64(random.IntN(prefixes))
+		a.prefix = 1 + uint64(random.IntN(max(prefixesPerTwelve*s.Engines/12, 1)))
 	}
 	return a
 }
--- a/pkg/usheradmit/placement.go
+++ b/pkg/usheradmit/placement.go
@@ -123,7 +123,13 @@
 // score returns the share of the memory that a target would keep free with the request, and whether it may take it.
 func (p *Placement) score(now time.Time, o *Options, t *targetView, r Request, extra *curve, risk float64) (float64, bool) {
 	own := len(t.attempts)
-	if t.Limit != Unlimited && own >= t.Limit || !o.Without.Warmth && t.cold() && own+t.othersNow(o) >= o.ColdLimit {
+	if t.Limit != Unlimited && own >= t.Limit {
+		return 0, false
+	}
+	if t.MemoryTokens == 0 { // a plain service, or an engine that has not said what it bears
+		return -float64(own), t.Limit != Unlimited || own < o.ColdLimit
+	}
+	if !o.Without.Warmth && t.cold() && own+t.othersNow(o) >= o.ColdLimit || r.PromptTokens >= t.MemoryTokens {
 		return 0, false
 	}
 	p.update(now, o, t)
--- a/pkg/usheradmit/scheduler.go
+++ b/pkg/usheradmit/scheduler.go
@@ -239,6 +239,7 @@
 		t.Target = target
 		s.placement.add(t)
 	}
+	target.MemoryTokens = orDefault(target.MemoryTokens, t.MemoryTokens)
 	t.Target = target
 }
 
--- a/pkg/usheradmit/scheduler_test.go
+++ b/pkg/usheradmit/scheduler_test.go
@@ -48,6 +48,11 @@
 		{"no lease", func(t *usheradmit.Target, _ *usheradmit.LoadReport) { t.Limit = 0 }, 0},
 		{"lease of three", func(t *usheradmit.Target, _ *usheradmit.LoadReport) { t.Limit = 3 }, 3},
 		{"out of service", func(t *usheradmit.Target, _ *usheradmit.LoadReport) { t.InService = false }, 0},
+		{"plain service with a lease of three", func(t *usheradmit.Target, r *usheradmit.LoadReport) {
+			t.Limit, t.MemoryTokens, r.MemoryTokens = 3, 0, 0
+		}, 3},
+		{"unknown memory", func(t *usheradmit.Target, r *usheradmit.LoadReport) { t.MemoryTokens, r.MemoryTokens = 0, 0 }, 4},
+		{"memory smaller than a prompt", func(t *usheradmit.Target, r *usheradmit.LoadReport) { t.MemoryTokens, r.MemoryTokens = 500, 500 }, 0},
 		{"cold", func(_ *usheradmit.Target, r *usheradmit.LoadReport) { r.Completed = 0 }, 4},
 		{"others' load leaves no room", func(_ *usheradmit.Target, r *usheradmit.LoadReport) { r.Running, r.MemoryUsed = 40, 59_000 }, 0},
 	}
--- a/pkg/usheradmit/target.go
+++ b/pkg/usheradmit/target.go
@@ -29,7 +29,7 @@
 	Target struct {
 		ID           string
 		DataCentre   string
-		MemoryTokens int
+		MemoryTokens int  // zero if it is not known, or for a plain service
 		Limit        int  // most generations of this scheduler on it, or Unlimited
 		InService    bool // false: takes no new work
 		Light        bool // kept light for interactive kinds while there are any
