--- a/Makefile
+++ b/Makefile
@@ -26,5 +26,10 @@
 demo:
 	@./_scripts/demo.sh
 
+# Measures the scheduler's policy in virtual time; USHER_SEED chooses the seed.
+policy: build
+	@mkdir -p docs/plots
+	./bin/usher-policy --plots docs/plots
+
 clean:
 	rm -rf bin
--- a/cmd/usher-policy/experiment/command.go
+++ b/cmd/usher-policy/experiment/command.go
@@ -20,22 +20,31 @@
 	Plots     string   `type:"path" help:"Directory for one plot a scenario."`
 	Verbose   bool     `help:"Logs what the JSON lines don't show."`
 	Load      float64  `help:"Load in place of the scenario's."`
-	Without   string   `help:"Part of the policy that usher is run without; only usher runs then."`
+	Without   []string `help:"Parts of the policy that usher is run without, one at a time; only usher runs then."`
+
+	bestLimits map[string]int // by scenario, at the fleet that was measured first
 }
 
 // Run measures and prints one JSON line a scenario and policy.
 func (c *Command) Run(out io.Writer) error {
 	encoder := json.NewEncoder(out)
+	c.bestLimits = make(map[string]int)
 	for _, engines := range c.Engines {
 		for _, s := range Scenarios(engines) {
 			if len(c.Scenarios) > 0 && !slices.Contains(c.Scenarios, s.Name) {
 				continue
 			}
-			for _, r := range c.results(s) {
+			results := c.results(s)
+			for _, r := range results {
 				if err := encoder.Encode(r); err != nil {
 					return err
 				}
 			}
+			if c.Plots != "" && engines <= largeFleet && len(c.Without) == 0 {
+				if err := Draw(c.Plots, results); err != nil {
+					return err
+				}
+			}
 		}
 	}
 	return nil
@@ -47,11 +56,10 @@
 		s.Load = c.Load
 	}
 	s = Rated(s, c.Seed)
-	var results []Result
-	if c.Without != "" {
-		results = []Result{Play(s, PolicyUsher, 0, c.Seed, usheradmit.Options{Without: Part(c.Without)})}
-	} else {
-		results = Compare(s, c.Seed, c.Limits)
+	results := c.ablation(s)
+	if len(results) == 0 {
+		results = Compare(s, c.Seed, c.limits(s))
+		c.bestLimits[s.Name] = results[0].Limit
 	}
 	if c.Verbose {
 		log := slog.New(slog.NewJSONHandler(os.Stderr, nil))
@@ -62,3 +70,21 @@
 	}
 	return results
 }
+
+// limits returns the limits to sweep. A large fleet is given the limit that was best at a small one.
+func (c *Command) limits(s Scenario) []int {
+	if limit, known := c.bestLimits[s.Name]; known && s.Engines > largeFleet {
+		return []int{limit}
+	}
+	return c.Limits
+}
+
+// ablation runs usher without each part that was named.
+func (c *Command) ablation(s Scenario) []Result {
+	results := make([]Result, len(c.Without))
+	parallel(len(results), func(i int) {
+		results[i] = Play(s, PolicyUsher, 0, c.Seed, usheradmit.Options{Without: Part(c.Without[i])})
+		results[i].Policy += "_without_" + c.Without[i]
+	})
+	return results
+}
--- a/pkg/usheradmit/scheduler.go
+++ b/pkg/usheradmit/scheduler.go
@@ -208,6 +208,11 @@
 	s.queue.correct(a.request, float64(tokens)-a.expected)
 }
 
+// Learn takes in the length of a finished generation that this scheduler did not run, from a peer or an earlier run.
+func (s *Scheduler) Learn(workspace, template string, tokens int) {
+	s.lengths.End(workspace, template, 0, tokens)
+}
+
 // Report takes in a load report of a target.
 func (s *Scheduler) Report(now time.Time, target string, report LoadReport) {
 	t, known := s.placement.byID[target]
@@ -234,6 +239,7 @@
 		t.Target = target
 		s.placement.add(t)
 	}
+	target.MemoryTokens = orDefault(target.MemoryTokens, t.MemoryTokens)
 	t.Target = target
 }
 
@@ -254,7 +260,7 @@
 	lengths := s.lengths.Of(now, r.Workspace, r.Template)
 	var extra curve
 	d := demand{prompt: r.PromptTokens, longest: r.LongestReply, known: r.KnownReply, lengths: lengths}
-	s.options.Admission.add(&extra, d, 1)
+	s.options.Admission.add(&extra, &d)
 	t := s.placement.choose(now, &s.options, r, &extra, s.risk)
 	if t == nil {
 		return nil
@@ -320,10 +326,8 @@
 func (a *attempt) demand(now time.Time) demand {
 	r := a.request
 	d := demand{prompt: r.PromptTokens, made: a.madeAt(now), longest: r.LongestReply, known: r.KnownReply, lengths: a.lengths}
-	for _, end := range []int{d.longest, d.known} {
-		if end > 0 {
-			d.made = min(d.made, end-1)
-		}
+	if end, _ := d.end(); d.made >= end {
+		d.made = end - 1
 	}
 	return d
 }
