Relay of a token without reflection and without an allocation

Cause: of the time of a token through the gateway half went into encoding/json (pprof: 0.89 s of 1.75 s in Stream.decode), with five allocations; setting the write deadline for each token took 3%. Events of one generation differ only in index and text, so the stream keeps how its events begin and decodes the rest alone; whatever does not match takes the general decoder as before. Ruled out: another JSON library (none in the module list); a hand-written decoder of any object, which would be a further parser. The write syscall is the same as the copy's.

--- a/service/ushergateway/sink.go
+++ b/service/ushergateway/sink.go
@@ -12,8 +12,12 @@
 	"github.com/samphireusher/samphireusher/pkg/usherrequest"
 )
 
-// writeTimeout is how long a caller may take to read before it counts as gone.
-const writeTimeout = 30 * time.Second
+const (
+	// writeTimeout is how long a caller may take to read before it counts as gone.
+	writeTimeout = 30 * time.Second
+	// extendAfter is the time between two settings of a connection's deadline.
+	extendAfter = time.Second
+)
 
 type (
 	// endingSink is a sink that also takes the end.
@@ -29,6 +33,8 @@
 		requestID string
 		begun     bool
 		buffer    []byte
+		// extended is when the connection's deadline was last set.
+		extended time.Time
 	}
 
 	// collector keeps the text of an answer.
@@ -157,7 +163,10 @@
 }
 
 func (s *eventSink) flush() error {
-	_ = s.control.SetWriteDeadline(time.Now().Add(writeTimeout))
+	if now := time.Now(); now.Sub(s.extended) >= extendAfter {
+		s.extended = now
+		_ = s.control.SetWriteDeadline(now.Add(writeTimeout))
+	}
 	if _, err := s.w.Write(s.buffer); err != nil {
 		return err
 	}
--- a/service/ushertarget/stream.go
+++ b/service/ushertarget/stream.go
@@ -10,6 +10,8 @@
 const (
 	maxEventBytes = 64 << 10
 	readBytes     = 4 << 10
+	// maxIndexDigits is how many decimal digits of an index surely fit an int.
+	maxIndexDigits = 18
 )
 
 var (
@@ -17,6 +19,8 @@
 	dataPrefix  = []byte("data:")
 	tokenName   = []byte("token")
 	endName     = []byte("end")
+	indexField  = []byte(`"index":`)
+	textField   = []byte(`,"text":`)
 )
 
 type (
@@ -37,10 +41,12 @@
 		// Incarnation is the target's, as it gave it before the first event.
 		Incarnation uint64
 
-		body    io.ReadCloser
-		lines   *bufio.Scanner
-		wire    eventWire
-		name    []byte
+		body  io.ReadCloser
+		lines *bufio.Scanner
+		wire  eventWire
+		name  []byte
+		// head is how the token events of this generation begin, up to the index.
+		head    []byte
 		current Event
 	}
 
@@ -93,6 +99,9 @@
 	if !isEnd && !bytes.Equal(s.name, tokenName) {
 		return false, nil
 	}
+	if !isEnd && s.decodeNext(data) {
+		return true, nil
+	}
 	s.wire = eventWire{Text: s.wire.Text[:0]}
 	if err := json.Unmarshal(data, &s.wire); err != nil {
 		return false, ErrMalformed.Wrap(err, "event %s", s.name)
@@ -101,5 +110,56 @@
 		Generation: s.wire.Generation, Incarnation: s.wire.Incarnation, Index: s.wire.Index,
 		Text: s.wire.Text, End: isEnd, Tokens: s.wire.Tokens, Finish: s.wire.Finish,
 	}
+	s.learn(data, isEnd)
 	return true, nil
 }
+
+// learn keeps how data begins, if it is a token event of the usual form.
+func (s *Stream) learn(data []byte, isEnd bool) {
+	s.head = s.head[:0]
+	if i := bytes.Index(data, indexField); i >= 0 && !isEnd {
+		s.head = append(s.head, data[:i+len(indexField)]...)
+	}
+	if !s.decodeNext(data) {
+		s.head = s.head[:0]
+	}
+}
+
+// decodeNext fills current from a token event that differs from the one before only in its index and text, and reports
+// whether data is one. It spares the hot path the general decoder, which has to take whatever else a target sends.
+func (s *Stream) decodeNext(data []byte) bool {
+	rest, found := bytes.CutPrefix(data, s.head)
+	if !found || len(s.head) == 0 {
+		return false
+	}
+	digits, text, found := bytes.Cut(rest, textField)
+	if !found {
+		return false
+	}
+	index, ok := decimal(digits)
+	if text, found = bytes.CutSuffix(text, []byte("}")); !ok || !found || !isString(text) {
+		return false
+	}
+	s.current.Index, s.current.Text = index, text
+	return true
+}
+
+// decimal returns the value of a JSON number without sign, fraction and exponent.
+func decimal(digits []byte) (int, bool) {
+	if len(digits) == 0 || len(digits) > maxIndexDigits || len(digits) > 1 && digits[0] == '0' {
+		return 0, false
+	}
+	n := 0
+	for _, d := range digits {
+		if d < '0' || d > '9' {
+			return 0, false
+		}
+		n = n*10 + int(d-'0')
+	}
+	return n, true
+}
+
+// isString reports whether text is one string in JSON.
+func isString(text []byte) bool {
+	return len(text) > 1 && text[0] == '"' && json.Valid(text)
+}
