--- a/service/usherdaemon/setting.go
+++ b/service/usherdaemon/setting.go
@@ -26,7 +26,8 @@
 			Authorities string `ini:"authorities" required:"true" usage:"file with the certificates of the fleet's authorities in PEM"`
 		} `ini:"keys"`
 		Platform struct {
-			Address netip.AddrPort `ini:"address" required:"true" usage:"IP number and port of the configuration service"`
+			Address netip.AddrPort   `ini:"address" required:"true" usage:"IP number and port of the configuration service"`
+			Seeds   []netip.AddrPort `ini:"seeds" usage:"addresses of processes to ask for a configuration at a start"`
 		} `ini:"platform"`
 		Log struct {
 			Level string `ini:"level" default:"info" usage:"debug, info, warn or error"`
@@ -70,20 +71,31 @@
 	if c.Listen.Address == c.Listen.Admin {
 		faults = append(faults, "listen.address and listen.admin must differ")
 	}
+	if c.Listen.Address.Addr().IsUnspecified() || c.Listen.Address.Port() == 0 {
+		faults = append(faults, "listen.address must be an IP number and a port that others connect to")
+	}
 	return faults
 }
 
 // Check implements ushersetting.Checker.
 func (s *GatewaySettings) Check() []string {
 	faults := s.Common.Check()
-	for name, n := range map[string]int{"requests": s.Limits.Requests, "body_bytes": s.Limits.BodyBytes, "kept_outcomes": s.Limits.KeptOutcomes} {
-		if n < 1 {
-			faults = append(faults, "limits."+name+" must be at least 1")
+	for _, limit := range []struct {
+		name  string
+		value int
+	}{{"requests", s.Limits.Requests}, {"body_bytes", s.Limits.BodyBytes}, {"kept_outcomes", s.Limits.KeptOutcomes}} {
+		if limit.value < 1 {
+			faults = append(faults, "limits."+limit.name+" must be at least 1")
 		}
 	}
 	return faults
 }
 
+// Check implements ushersetting.Checker.
+func (s *SchedulerSettings) Check() []string {
+	return s.Common.Check()
+}
+
 func (c *Common) files() usherkey.Files {
 	return usherkey.Files{Certificate: c.Keys.Certificate, Key: c.Keys.Key, Authorities: c.Keys.Authorities}
 }
--- a/service/ushergateway/generate.go
+++ b/service/ushergateway/generate.go
@@ -159,7 +159,9 @@
 	if !errors.Is(cause, io.EOF) {
 		g.gateway.Log.Info("resuming generation", "request", g.idText, "target", g.grant.Target, "index", step.From, "error", cause)
 	}
-	_ = g.stream.Close()
+	if g.stream != nil {
+		_ = g.stream.Close()
+	}
 	for until := time.Now().Add(resumeFor); time.Now().Before(until) && ctx.Err() == nil; pause(ctx, resumePause) {
 		stream, err := g.gateway.Targets.Resume(ctx, g.grant.Address, g.id, step.From)
 		if errorx.IsOfType(err, ushertarget.ErrUnknownGeneration) {
@@ -192,11 +194,11 @@
 }
 
 func (g *generation) cancelAfter(wait time.Duration) {
-	time.Sleep(wait)
+	pause(g.gateway.life, wait)
 	if g.gateway.takeovers.has(g.id) {
 		return
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), cancelTimeout)
+	ctx, cancel := context.WithTimeout(g.gateway.life, cancelTimeout)
 	defer cancel()
 	if err := g.gateway.Targets.Cancel(ctx, g.grant.Address, g.id); err != nil {
 		g.gateway.Log.Debug("generation not cancelled", "request", g.idText, "error", err)
--- a/service/ushertarget/target.go
+++ b/service/ushertarget/target.go
@@ -40,6 +40,7 @@
 	maxAnswerBytes  = 1 << 20
 
 	incarnationHeader = "Usher-Incarnation"
+	reportPath        = "/v1/report"
 )
 
 var (
@@ -63,8 +64,12 @@
 		http *http.Client
 	}
 
-	// Guard is asked when the connection stands and before anything is written.
-	Guard func() error
+	// Dial opens a connection to a target.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+
+	// Guard is asked when the connection stands and before anything is written. It learns which incarnation of the
+	// target is at the other end.
+	Guard func(incarnation uint64) error
 
 	// Evidence is what is known of one sending.
 	Evidence struct {
@@ -106,7 +111,8 @@
 		Preemptions      int     `json:"preemptions"`
 		Completed        int     `json:"completed"`
 		Model            string  `json:"model"`
-		Warm             bool    `json:"warm"`
+		// Warm is whether the target bears its full load, by its own account; nil where it does not say.
+		Warm *bool `json:"warm"`
 	}
 
 	callAnswer struct {
@@ -123,13 +129,23 @@
 // NewClient returns a client that keeps idle connections to targets, so that a grant is rarely spent on connecting.
 func NewClient() *Client {
 	dialer := &net.Dialer{Timeout: dialTimeout}
+	return NewClientWith(dialer.DialContext)
+}
+
+// NewClientWith returns a client whose connections dial opens.
+func NewClientWith(dial Dial) *Client {
 	return &Client{http: &http.Client{Transport: &http.Transport{
-		DialContext:         dialGuarded(dialer),
+		DialContext:         dialGuarded(dial),
 		MaxIdleConnsPerHost: idleConnections,
 		DisableCompression:  true,
 	}}}
 }
 
+// Close drops idle connections.
+func (c *Client) Close() {
+	c.http.CloseIdleConnections()
+}
+
 // Generate starts a generation. The evidence counts where err is not nil.
 func (c *Client) Generate(ctx context.Context, target netip.AddrPort, g Generation, guard Guard) (*Stream, Evidence, error) {
 	response, evidence, err := c.post(ctx, address(target, "/v1/generations"), g, guard)
@@ -165,7 +181,7 @@
 
 // Report reads an engine's load report.
 func (c *Client) Report(ctx context.Context, target netip.AddrPort) (Report, error) {
-	response, err := c.get(ctx, address(target, "/v1/report"))
+	response, err := c.get(ctx, address(target, reportPath))
 	if err != nil {
 		return Report{}, err
 	}
--- a/standin/usherfleet/daemon.go
+++ b/standin/usherfleet/daemon.go
@@ -3,8 +3,8 @@
 import (
 	"context"
 	"errors"
-	"net"
 	"net/http"
+	"net/netip"
 	"sync"
 	"time"
 
@@ -21,15 +21,17 @@
 type (
 	// Daemon is a gateway or scheduler that runs in this process.
 	Daemon struct {
-		host   usherconfig.Host
-		fleet  *Fleet
-		feed   *usherfeed.Feed
-		node   *usherlink.Node
-		part   part
-		server *http.Server
-		cancel context.CancelFunc
-		duties sync.WaitGroup
-		once   sync.Once
+		host     usherconfig.Host
+		fleet    *Fleet
+		feed     *usherfeed.Feed
+		targets  *ushertarget.Client
+		platform *usherfeed.Platform
+		node     *usherlink.Node
+		part     part
+		server   *http.Server
+		cancel   context.CancelFunc
+		duties   sync.WaitGroup
+		once     sync.Once
 	}
 
 	part interface {
@@ -78,6 +80,8 @@
 		}
 		err = errors.Join(err, d.node.Close())
 		d.duties.Wait()
+		d.targets.Close()
+		d.platform.Close()
 	})
 	return err
 }
@@ -104,6 +108,8 @@
 	if err != nil {
 		return err
 	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	if host.Role == usherconfig.GatewayRole {
 		f.Gateways = append(f.Gateways, d)
 	} else {
@@ -120,13 +126,27 @@
 	}
 	log := f.config.Log.With("process", host.Name)
 	mux := &usherlink.Mux{}
-	if d.node, err = usherlink.Listen(d.Address(), keys, usherlink.HandlerFunc(mux.ServeMessage), log); err != nil {
+	socket, err := f.Network.ListenPacket(host.Address)
+	if err != nil {
 		return nil, err
 	}
-	d.feed = usherfeed.New(usherfeed.NewPlatform(f.platform), log)
-	if err := d.feed.Start(ctx); err != nil {
+	if d.node, err = usherlink.Open(socket, keys, usherlink.HandlerFunc(mux.ServeMessage), log); err != nil {
 		return nil, err
 	}
+	dial := f.Network.Dialer(host.Address.Addr())
+	d.targets = ushertarget.NewClientWith(ushertarget.Dial(dial))
+	d.platform = usherfeed.NewPlatformWith(f.platform, usherfeed.Dial(dial))
+	seeds := []netip.AddrPort{}
+	for _, h := range f.snapshot.Hosts {
+		if h.Name != host.Name {
+			seeds = append(seeds, h.Address)
+		}
+	}
+	d.feed = usherfeed.New(usherfeed.Options{
+		Address: host.Address, DataCentre: host.DataCentre, Platform: d.platform, Link: d.node,
+		Log: log, Seeds: seeds, Seed: uint64(time.Now().UnixNano()),
+	})
+	d.feed.Register(mux)
 	if host.Role == usherconfig.GatewayRole {
 		err = d.asGateway(mux)
 	} else {
@@ -138,8 +158,26 @@
 	running, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	d.cancel = cancel
 	d.duties.Go(func() { d.feed.Run(running) })
+	if err := d.feed.Start(ctx); err != nil {
+		return nil, errors.Join(err, d.Kill())
+	}
 	d.duties.Go(func() { d.part.Run(running) })
-	return d, nil
+	return d, d.listen()
+}
+
+// listen serves callers, once a configuration is in force.
+func (d *Daemon) listen() error {
+	gateway, ok := d.part.(*ushergateway.Gateway)
+	if !ok {
+		return nil
+	}
+	listener, err := d.fleet.Network.Listen(d.host.Address)
+	if err != nil {
+		return err
+	}
+	d.server = &http.Server{Handler: gateway.Routes(), ReadHeaderTimeout: time.Minute}
+	d.duties.Go(func() { _ = d.server.Serve(listener) })
+	return nil
 }
 
 func (d *Daemon) asGateway(mux *usherlink.Mux) error {
@@ -149,7 +187,7 @@
 	}
 	gateway, err := ushergateway.New(ushergateway.Options{
 		Name: d.host.Name, DataCentre: d.host.DataCentre, Address: d.host.Address, Incarnation: uint64(time.Now().UnixNano()),
-		Keyring: keyring, Config: d.feed, Grants: ushergrant.NewClient(d.node), Targets: ushertarget.NewClient(),
+		Keyring: keyring, Config: d.feed, Grants: ushergrant.NewClient(d.node), Targets: d.targets,
 		Link: d.node, Log: d.fleet.config.Log.With("process", d.host.Name),
 	})
 	if err != nil {
@@ -157,19 +195,13 @@
 	}
 	gateway.Register(mux)
 	d.part = gateway
-	listener, err := net.Listen("tcp", d.Address())
-	if err != nil {
-		return err
-	}
-	d.server = &http.Server{Handler: gateway.Routes(), ReadHeaderTimeout: time.Minute}
-	d.duties.Go(func() { _ = d.server.Serve(listener) })
 	return nil
 }
 
 func (d *Daemon) asScheduler(mux *usherlink.Mux) error {
 	scheduler, err := usherscheduler.New(usherscheduler.Options{
 		Name: d.host.Name, DataCentre: d.host.DataCentre, Incarnation: uint64(time.Now().UnixNano()), ReportLag: time.Second,
-		Lease: d.fleet.config.Lease, Member: d.fleet.config.Member, Config: d.feed, Reports: ushertarget.NewClient(), Link: d.node, Log: d.fleet.config.Log.With("process", d.host.Name),
+		Lease: d.fleet.config.Lease, Member: d.fleet.config.Member, Config: d.feed, Reports: d.targets, Link: d.node, Log: d.fleet.config.Log.With("process", d.host.Name),
 	})
 	if err != nil {
 		return err
