Bench: feeds, plans, checks of bounds, and the account of capacity from records

Cause: CAPACITY.md has to be made again from records by a script, and the configuration now spreads between peers. Ruled out: figures written into the page by hand.

--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # Every target works on a fresh machine that has Go, a C compiler and make.
-MODULES := pkg service standin cmd/usher-gateway cmd/usher-policy cmd/usher-scheduler cmd/usher-standin cmd/usherctl
+MODULES := bench pkg service standin cmd/usher-gateway cmd/usher-policy cmd/usher-scheduler cmd/usher-standin cmd/usherctl
 PACKAGES := $(MODULES:%=./%/...)
 PROGRAMS := usher-gateway usher-policy usher-scheduler usher-standin usherctl
 export GOWORK := $(CURDIR)/go.work
@@ -26,5 +26,13 @@
 demo:
 	@./_scripts/demo.sh
 
+# Measures what has a regression bound, in less than five minutes; fails if a bound is broken.
+bench:
+	@./_scripts/bench.sh
+
+# Makes docs/CAPACITY.md again from the records in docs/data.
+capacity:
+	@./_scripts/capacity.sh
+
 clean:
 	rm -rf bin
--- /dev/null
+++ b/_scripts/capacity.sh
@@ -0,0 +1,9 @@
+#!/bin/sh
+# Makes docs/CAPACITY.md again from the committed records. To measure anew first:
+# bin/usher-bench run --plan full >docs/data/bench.jsonl, and describe the machine in docs/data/machine.md.
+set -eu
+cd "$(dirname "$0")/.."
+mkdir -p bin
+go build -o bin/usher-bench ./bench
+bin/usher-bench capacity docs/data/bench.jsonl --notes docs/data/machine.md >bin/CAPACITY.md
+mv bin/CAPACITY.md docs/CAPACITY.md
--- a/bench/main.go
+++ b/bench/main.go
@@ -3,19 +3,28 @@
 
 import (
 	"encoding/json"
+	"errors"
+	"fmt"
 	"os"
+	"os/exec"
 	"runtime/pprof"
+	"strconv"
+	"time"
 
 	"github.com/alecthomas/kong"
 
 	"github.com/samphireusher/samphireusher/bench/usherload"
 	"github.com/samphireusher/samphireusher/bench/ushermeasure"
+	"github.com/samphireusher/samphireusher/bench/usherreport"
 )
 
 type (
 	commands struct {
-		Point pointCommand `cmd:"" help:"Measure one point of one benchmark in this process."`
-		Load  loadCommand  `cmd:"" hidden:""`
+		Point    pointCommand    `cmd:"" help:"Measure one point of one benchmark in this process."`
+		Run      runCommand      `cmd:"" help:"Measure the points of a plan, each in a process of its own, one after another."`
+		Check    checkCommand    `cmd:"" help:"Check records against their bounds."`
+		Capacity capacityCommand `cmd:"" help:"Write the account of capacity from records."`
+		Load     loadCommand     `cmd:"" hidden:""`
 	}
 
 	pointCommand struct {
@@ -25,6 +34,19 @@
 		Profile   string                 `help:"File for a profile of the processor time." type:"path"`
 	}
 
+	runCommand struct {
+		Plan string `help:"quick: those with a bound; full: those that the capacity account needs." enum:"quick,full" default:"quick"`
+	}
+
+	checkCommand struct {
+		Records string `arg:"" help:"File of records as JSON lines." type:"existingfile"`
+	}
+
+	capacityCommand struct {
+		Records string `arg:"" help:"File of records as JSON lines." type:"existingfile"`
+		Notes   string `help:"File that describes the machine and the run." type:"existingfile" required:""`
+	}
+
 	loadCommand struct{}
 )
 
@@ -54,6 +76,63 @@
 	return ushermeasure.Run(plan, func(r ushermeasure.Record) error { return out.Encode(r) })
 }
 
+// Run measures the plan's points. A point that fails is told and does not stop the others.
+func (c *runCommand) Run() error {
+	program, err := os.Executable()
+	if err != nil {
+		return err
+	}
+	plans := ushermeasure.Quick()
+	if c.Plan == "full" {
+		plans = ushermeasure.Full()
+	}
+	failures := []error{}
+	for _, plan := range plans {
+		point, err := json.Marshal(plan.Point)
+		if err != nil {
+			return err
+		}
+		fmt.Fprintf(os.Stderr, "%s %s %s\n", time.Now().Format(time.TimeOnly), plan.Benchmark, point)
+		command := exec.Command(program, "point", string(plan.Benchmark), "--point", string(point), "--repeats", strconv.Itoa(plan.Repeats))
+		command.Stdout, command.Stderr = os.Stdout, os.Stderr
+		if err := command.Run(); err != nil {
+			failures = append(failures, fmt.Errorf("%s %s: %w", plan.Benchmark, point, err))
+		}
+	}
+	return errors.Join(failures...)
+}
+
+// Run fails if a bound is broken.
+func (c *checkCommand) Run() error {
+	data, err := read(c.Records)
+	if err != nil {
+		return err
+	}
+	return data.Check(os.Stdout)
+}
+
+// Run writes the page.
+func (c *capacityCommand) Run() error {
+	data, err := read(c.Records)
+	if err != nil {
+		return err
+	}
+	notes, err := os.ReadFile(c.Notes)
+	if err != nil {
+		return err
+	}
+	return data.Capacity(os.Stdout, string(notes))
+}
+
+func read(path string) (usherreport.Data, error) {
+	file, err := os.Open(path)
+	if err != nil {
+		return nil, err
+	}
+	defer file.Close()
+	return usherreport.Read(file)
+}
+
 // Run serves the measured process.
 func (*loadCommand) Run() error {
 	return usherload.Serve()
--- a/bench/usherload/fleet.go
+++ b/bench/usherload/fleet.go
@@ -130,7 +130,7 @@
 }
 
 // CatchUp has nothing to wait for.
-func (v View) CatchUp(context.Context, uint64) error { return nil }
+func (v View) CatchUp(context.Context, uint64, string) error { return nil }
 
 func host(name string, role usherconfig.Role, address netip.Addr, i int) usherconfig.Host {
 	return usherconfig.Host{Name: name, Address: netip.AddrPortFrom(address, uint16(portBase+i)), DataCentre: DataCentre, Role: role, InService: true}
--- a/bench/usherload/forward.go
+++ b/bench/usherload/forward.go
@@ -29,8 +29,9 @@
 	forwarder struct {
 		socket *net.UDPConn
 		to     netip.AddrPort
-		// there and back count the two directions.
+		// there and back count the two directions, of one sender if only is set.
 		there, back func(bytes int)
+		only        netip.AddrPort
 
 		mu   sync.Mutex
 		ways map[netip.AddrPort]*net.UDPConn
@@ -56,6 +57,11 @@
 
 // forward starts a forwarder to an address and returns its own.
 func forward(to string, there, back func(bytes int)) (string, error) {
+	return forwardOnly(netip.AddrPort{}, to, there, back)
+}
+
+// forwardOnly starts a forwarder that counts what one sender sends and receives.
+func forwardOnly(only netip.AddrPort, to string, there, back func(bytes int)) (string, error) {
 	target, err := netip.ParseAddrPort(to)
 	if err != nil {
 		return "", err
@@ -64,7 +70,7 @@
 	if err != nil {
 		return "", err
 	}
-	f := &forwarder{socket: socket, to: target, there: there, back: back, ways: map[netip.AddrPort]*net.UDPConn{}}
+	f := &forwarder{socket: socket, to: target, there: there, back: back, only: only, ways: map[netip.AddrPort]*net.UDPConn{}}
 	go f.run()
 	return socket.LocalAddr().String(), nil
 }
@@ -80,7 +86,9 @@
 		if err != nil {
 			continue
 		}
-		f.there(n)
+		if f.counts(from) {
+			f.there(n)
+		}
 		_, _ = way.Write(data[:n])
 	}
 }
@@ -108,7 +116,13 @@
 		if err != nil {
 			return
 		}
-		f.back(n)
+		if f.counts(to) {
+			f.back(n)
+		}
 		_, _ = f.socket.WriteToUDPAddrPort(data[:n], to)
 	}
 }
+
+func (f *forwarder) counts(sender netip.AddrPort) bool {
+	return !f.only.IsValid() || f.only == sender
+}
--- a/bench/usherload/load.go
+++ b/bench/usherload/load.go
@@ -25,6 +25,7 @@
 	"net/rpc/jsonrpc"
 	"os"
 	"os/exec"
+	"time"
 )
 
 // Command is the argument that makes the program a load process.
@@ -43,6 +44,7 @@
 	// service answers the measured process.
 	service struct {
 		peers *peers
+		feeds *feeds
 	}
 
 	stdio struct {
@@ -110,6 +112,27 @@
 	return addresses, err
 }
 
+// Feeds starts a platform and the feeds of other daemons.
+func (l *Load) Feeds(config Feeds) (Following, error) {
+	var following Following
+	err := l.client.Call("Load.Feeds", config, &following)
+	return following, err
+}
+
+// Publish publishes a change and returns how long it took until it was in force in all other feeds.
+func (l *Load) Publish() (time.Duration, error) {
+	var took time.Duration
+	err := l.client.Call("Load.Publish", Nothing{}, &took)
+	return took, err
+}
+
+// Calls returns how often the platform has been called.
+func (l *Load) Calls() (int, error) {
+	var calls int
+	err := l.client.Call("Load.Calls", Nothing{}, &calls)
+	return calls, err
+}
+
 // Traffic returns what has crossed between the measured process and the peers.
 func (l *Load) Traffic() (Traffic, error) {
 	var traffic Traffic
--- a/bench/usherload/message.go
+++ b/bench/usherload/message.go
@@ -53,7 +53,7 @@
 	id := usherrequest.AttemptID{Gateway: Gateway(0), Incarnation: uint64(time.Now().UnixNano()), Counter: 1_000_000 + i}
 	switch m.Kind {
 	case Acquire:
-		_, _, err := client.Acquire(ctx, to, ushergrant.Request{
+		_, err := client.Acquire(ctx, to, ushergrant.Request{
 			Attempt: id, Service: engines, Template: Template, Workspace: Workspace(0), PromptTokens: 600, MaxTokens: 4000, Priority: 5,
 			CacheKey: id.Incarnation, Fingerprint: id.Incarnation, Revision: 1, Wait: time.Minute,
 		})
--- a/bench/usherload/peers.go
+++ b/bench/usherload/peers.go
@@ -92,6 +92,10 @@
 
 // Traffic returns what has crossed so far.
 func (s *service) Traffic(_ Nothing, traffic *Traffic) error {
+	if s.feeds != nil {
+		*traffic = s.feeds.meter.traffic()
+		return nil
+	}
 	*traffic = s.peers.meter.traffic()
 	return nil
 }
@@ -155,9 +159,9 @@
 
 // Report implements usherscheduler.Reports.
 func (Reports) Report(context.Context, netip.AddrPort) (ushertarget.Report, error) {
-	age := int64(100)
+	age, warm := int64(100), true
 	return ushertarget.Report{
-		Incarnation: incarnation, AgeMillis: &age, Running: 4, MemoryUsedTokens: 4000, MemoryTokens: memoryTokens, StepTimeMillis: 12, Completed: 1000, Warm: true,
+		Incarnation: incarnation, AgeMillis: &age, Running: 4, MemoryUsedTokens: 4000, MemoryTokens: memoryTokens, StepTimeMillis: 12, Completed: 1000, Warm: &warm,
 	}, nil
 }
 
--- /dev/null
+++ b/bench/ushermeasure/plan.go
@@ -0,0 +1,54 @@
+package ushermeasure
+
+// Quick are the points with a regression bound. They take less than five minutes.
+func Quick() []Plan {
+	return []Plan{
+		{Relay, Point{Variant: Fast, Streams: 2}, 9},
+		{Relay, Point{Variant: Paced, Streams: 200}, 2},
+		{Latency, Point{Variant: Paced, Streams: 1000}, 3},
+		{Decision, Point{Targets: 12}, 2},
+		{Decision, Point{Targets: 1200}, 2},
+		{Member, Point{Peers: 8, Targets: 92, Workspaces: 47_000}, 2},
+		{Adverts, Point{Gateways: 18, Targets: 92, Workspaces: 10}, 1},
+		{Message, Point{Variant: "progress", Items: 50}, 1},
+		{Report, Point{}, 3},
+		{View, Point{Workspaces: 47_000}, 3},
+		{Feed, Point{Peers: 26, Targets: 1200, Workspaces: 47_000}, 2},
+	}
+}
+
+// Full are the points that the capacity account needs.
+func Full() []Plan {
+	const repeats = 3
+	plans := []Plan{
+		{Relay, Point{Variant: Fast, Streams: 2}, 9},
+		{Relay, Point{Variant: Paced, Streams: 200}, repeats},
+		{Latency, Point{Variant: Paced, Streams: 1000}, repeats},
+		{Report, Point{}, repeats},
+		{Message, Point{Variant: "acquire"}, repeats},
+		{Message, Point{Variant: "finish"}, repeats},
+	}
+	for _, targets := range []int{12, 100, 1200} {
+		plans = append(plans, Plan{Decision, Point{Targets: targets}, repeats}, Plan{Member, Point{Peers: 9, Targets: targets, Workspaces: 10}, repeats})
+	}
+	for _, peers := range []int{27, 90} {
+		plans = append(plans, Plan{Member, Point{Peers: peers, Targets: 12, Workspaces: 10}, repeats})
+	}
+	for _, workspaces := range []int{10, 1000, 47_000} {
+		plans = append(plans, Plan{View, Point{Workspaces: workspaces}, repeats})
+	}
+	for _, items := range []int{10, 100, 400, 1000} {
+		plans = append(plans, Plan{Message, Point{Variant: "progress", Items: items}, repeats})
+	}
+	for _, items := range []int{1, 12, 50} {
+		plans = append(plans, Plan{Message, Point{Variant: "advertise", Items: items}, repeats})
+	}
+	for _, gateways := range []int{9, 27, 90} {
+		plans = append(plans, Plan{Adverts, Point{Gateways: gateways, Targets: 12, Workspaces: 10}, 2})
+	}
+	plans = append(plans, Plan{Adverts, Point{Gateways: 9, Targets: 100, Workspaces: 10}, 1})
+	for _, peers := range []int{9, 27, 90} {
+		plans = append(plans, Plan{Feed, Point{Peers: peers, Targets: 92, Workspaces: 10}, 2})
+	}
+	return append(plans, Plan{Feed, Point{Peers: 26, Targets: 1200, Workspaces: 47_000}, 2})
+}
--- a/bench/ushermeasure/record.go
+++ b/bench/ushermeasure/record.go
@@ -23,6 +23,7 @@
 	Message  Benchmark = "message"
 	Report   Benchmark = "report"
 	View     Benchmark = "view"
+	Feed     Benchmark = "feed"
 )
 
 type (
@@ -74,7 +75,7 @@
 func Run(plan Plan, write Writer) error {
 	run, ok := map[Benchmark]func(Plan, Writer) error{
 		Relay: runRelay, Latency: runLatency, Decision: runDecision, Member: runMember, Adverts: runMember, Message: runMessage,
-		Report: runReport, View: runView,
+		Report: runReport, View: runView, Feed: runFeed,
 	}[plan.Benchmark]
 	if !ok {
 		return fmt.Errorf("%w: %s", errBenchmark, plan.Benchmark)
--- a/bench/ushermeasure/relay.go
+++ b/bench/ushermeasure/relay.go
@@ -231,9 +231,8 @@
 }
 
 // Acquire implements ushergateway.Grants.
-func (g grants) Acquire(ctx context.Context, _ string, request ushergrant.Request) (ushergrant.Grant, time.Time, error) {
-	grant, err := g.Scheduler.Acquire(ctx, request)
-	return grant, time.Now(), err
+func (g grants) Acquire(ctx context.Context, _ string, request ushergrant.Request) (ushergrant.Grant, error) {
+	return g.Scheduler.Acquire(ctx, request)
 }
 
 // Progress implements ushergateway.Grants.
--- a/bench/ushermeasure/subject.go
+++ b/bench/ushermeasure/subject.go
@@ -48,11 +48,7 @@
 	if err != nil {
 		return nil, err
 	}
-	keys, err := usherload.NewKeys(authority, s.directory, name)
-	if err != nil {
-		return nil, err
-	}
-	if s.node, err = usherlink.Listen("127.0.0.1:0", keys, usherlink.HandlerFunc(s.mux.ServeMessage), slog.New(slog.DiscardHandler)); err != nil {
+	if err := s.listen(authority); err != nil {
 		return nil, err
 	}
 	if s.load, err = usherload.Start(); err != nil {
@@ -62,6 +58,16 @@
 	return s, err
 }
 
+// listen opens the node.
+func (s *subject) listen(authority usherkey.Pair) error {
+	keys, err := usherload.NewKeys(authority, s.directory, s.name)
+	if err != nil {
+		return err
+	}
+	s.node, err = usherlink.Listen("127.0.0.1:0", keys, usherlink.HandlerFunc(s.mux.ServeMessage), slog.New(slog.DiscardHandler))
+	return err
+}
+
 // close ends the node and the load process.
 func (s *subject) close() error {
 	return errors.Join(s.node.Close(), s.load.Close(), os.RemoveAll(s.directory))
