--- a/bench/ushermeasure/plan.go
+++ b/bench/ushermeasure/plan.go
@@ -14,6 +14,7 @@
 		{Report, Point{}, 3},
 		{View, Point{Workspaces: 47_000}, 3},
 		{Feed, Point{Peers: 26, Targets: 1200, Workspaces: 47_000}, 2},
+		{Fleet, Point{}, 1},
 	}
 }
 
@@ -50,5 +51,9 @@
 	for _, peers := range []int{9, 27, 90} {
 		plans = append(plans, Plan{Feed, Point{Peers: peers, Targets: 92, Workspaces: 10}, 2})
 	}
-	return append(plans, Plan{Feed, Point{Peers: 26, Targets: 1200, Workspaces: 47_000}, 2})
+	return append(plans,
+		Plan{Member, Point{Peers: 8, Targets: 92, Workspaces: 47_000}, repeats},
+		Plan{Feed, Point{Peers: 26, Targets: 1200, Workspaces: 47_000}, 2},
+		Plan{Fleet, Point{}, repeats},
+	)
 }
--- a/bench/ushermeasure/record.go
+++ b/bench/ushermeasure/record.go
@@ -24,6 +24,7 @@
 	Report   Benchmark = "report"
 	View     Benchmark = "view"
 	Feed     Benchmark = "feed"
+	Fleet    Benchmark = "fleet"
 )
 
 type (
@@ -75,7 +76,7 @@
 func Run(plan Plan, write Writer) error {
 	run, ok := map[Benchmark]func(Plan, Writer) error{
 		Relay: runRelay, Latency: runLatency, Decision: runDecision, Member: runMember, Adverts: runMember, Message: runMessage,
-		Report: runReport, View: runView, Feed: runFeed,
+		Report: runReport, View: runView, Feed: runFeed, Fleet: runFleet,
 	}[plan.Benchmark]
 	if !ok {
 		return fmt.Errorf("%w: %s", errBenchmark, plan.Benchmark)
--- a/bench/usherreport/check.go
+++ b/bench/usherreport/check.go
@@ -82,6 +82,8 @@
 		one("change in force on 27 feeds", "s", changeTarget, series{m.Feed, "change_in_force", "", largest}),
 		one("feed at rest", "core", processorTarget, series{m.Feed, "processor", "", largest}),
 		traffic("traffic of a feed at rest", m.Feed),
+		one("data centre out, until it gets nothing", "s", changeTarget, series{m.Fleet, "out_until_nothing", "", nil}),
+		one("takeover of a dead scheduler's targets", "s", changeTarget, series{m.Fleet, "takeover", "", nil}),
 	}
 }
 
