--- a/standin/usherfleet/fleet.go
+++ b/standin/usherfleet/fleet.go
@@ -15,6 +15,7 @@
 package usherfleet
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -59,6 +60,10 @@
 		Schedulers  int
 		Engines     int
 		Services    int
+		// Cells makes the schedulers of each data centre a cell.
+		Cells bool
+		// EnginesIn names the one data centre that all engines are in; empty deals them in turn.
+		EnginesIn string
 		// Engine sets what every engine stand-in is.
 		Engine usherengine.Config
 		// Bearable is the load that a cold engine bears; zero counts as one.
@@ -73,7 +78,9 @@
 		Directory string
 		// Network sets what the network does.
 		Network ushernet.Options
-		Log     *slog.Logger
+		// Loopback puts the fleet on real sockets, for callers that are processes of their own; then Network stays unused.
+		Loopback bool
+		Log      *slog.Logger
 	}
 
 	// Fleet is a running fleet.
@@ -85,6 +92,7 @@
 		Gateways   []*Daemon
 		Schedulers []*Daemon
 
+		sockets   sockets
 		mu        sync.Mutex // guards the lists of daemons while they start
 		config    Config
 		authority usherkey.Pair
@@ -106,6 +114,10 @@
 		return nil, err
 	}
 	f.Network = ushernet.New(f.config.Network)
+	f.sockets = f.Network
+	if f.config.Loopback {
+		f.sockets = loopback{}
+	}
 	f.Platform = usherplatform.New(usherplatform.Config{HostLag: time.Millisecond})
 	if f.platform, err = f.serve(f.Platform); err != nil {
 		return nil, err
@@ -230,6 +242,7 @@
 	}
 	if service == "appraiser" {
 		t.MemoryTokens = 60_000
+		t.DataCentre = cmp.Or(f.config.EnginesIn, t.DataCentre)
 	}
 	return t
 }
@@ -248,7 +261,7 @@
 func (f *Fleet) NewClientOf(workspace, key string) *usherclient.Client {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	client := usherclient.NewWith(workspace, key, usherclient.Dial(f.Network.Dialer(f.nextAddress().Addr())))
+	client := usherclient.NewWith(workspace, key, usherclient.Dial(f.sockets.Dialer(f.nextAddress().Addr())))
 	f.callers = append(f.callers, client)
 	return client
 }
@@ -256,7 +269,7 @@
 // serve serves handler at a new address.
 func (f *Fleet) serve(handler http.Handler) (netip.AddrPort, error) {
 	address := f.newAddress()
-	listener, err := f.Network.Listen(address)
+	listener, err := f.sockets.Listen(address)
 	if err != nil {
 		return netip.AddrPort{}, err
 	}
@@ -274,14 +287,8 @@
 
 // nextAddress returns the address of one more host. The caller holds the lock.
 func (f *Fleet) nextAddress() netip.AddrPort {
-	const (
-		port    = 7000
-		network = 0x7f01
-		perByte = 256
-	)
 	f.addresses++
-	ip := [4]byte{network >> 8, network & 0xff, byte(f.addresses / perByte), byte(f.addresses % perByte)}
-	return netip.AddrPortFrom(netip.AddrFrom4(ip), port)
+	return f.sockets.Address(f.addresses)
 }
 
 // keysOf writes the keys of the daemon called name.
