--- a/bench/ushermeasure/plan.go
+++ b/bench/ushermeasure/plan.go
@@ -54,6 +54,9 @@
 	for _, peers := range []int{9, 27, 90} {
 		plans = append(plans, Plan{Feed, Point{Peers: peers, Targets: 92, Workspaces: 10}, pairs})
 	}
+	for _, streams := range []int{100, 400, 1000} {
+		plans = append(plans, Plan{Streams, Point{Variant: Paced, Streams: streams}, pairs})
+	}
 	return append(plans,
 		Plan{Member, Point{Peers: 8, Targets: 92, Workspaces: 47_000}, repeats},
 		Plan{Feed, Point{Peers: 26, Targets: 1200, Workspaces: 47_000}, pairs},
--- a/bench/ushermeasure/record.go
+++ b/bench/ushermeasure/record.go
@@ -25,6 +25,7 @@
 	View     Benchmark = "view"
 	Feed     Benchmark = "feed"
 	Fleet    Benchmark = "fleet"
+	Streams  Benchmark = "streams"
 )
 
 type (
@@ -76,7 +77,7 @@
 func Run(plan Plan, write Writer) error {
 	run, ok := map[Benchmark]func(Plan, Writer) error{
 		Relay: runRelay, Latency: runLatency, Decision: runDecision, Member: runMember, Adverts: runMember, Message: runMessage,
-		Report: runReport, View: runView, Feed: runFeed, Fleet: runFleet,
+		Report: runReport, View: runView, Feed: runFeed, Fleet: runFleet, Streams: runStreams,
 	}[plan.Benchmark]
 	if !ok {
 		return fmt.Errorf("%w: %s", errBenchmark, plan.Benchmark)
--- a/bench/ushermeasure/relay.go
+++ b/bench/ushermeasure/relay.go
@@ -29,6 +29,8 @@
 	fastTokens  = 20_000
 	pacedTokens = 150
 	copyBytes   = 4 << 10
+	// streamsWarmUp is a time at which all paced streams run.
+	streamsWarmUp = 3 * time.Second
 )
 
 type (
@@ -107,6 +109,36 @@
 	return nil
 }
 
+// runStreams measures the memory of a gateway while streams run.
+func runStreams(plan Plan, write Writer) error {
+	w, err := openWays(plan.Point)
+	if err != nil {
+		return err
+	}
+	defer w.load.Close()
+	for repeat := range plan.Repeats {
+		ended := make(chan error, 1)
+		go func() {
+			_, err := w.load.Call(w.gatewayCalls(plan.Point))
+			ended <- err
+		}()
+		time.Sleep(streamsWarmUp)
+		heap := heapBytes()
+		rss, err := resident()
+		if err != nil {
+			return err
+		}
+		if err := <-ended; err != nil {
+			return err
+		}
+		r := recorder{plan: plan, repeat: repeat, write: write}
+		if err := r.figures(figure{"heap", "MB", heap / 1e6}, figure{"resident", "MB", rss / 1e6}); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 func openWays(point Point) (*ways, error) {
 	w := &ways{tokens: fastTokens}
 	engine := usherload.Engine{}
