--- a/bench/usherload/peers.go
+++ b/bench/usherload/peers.go
@@ -12,6 +12,7 @@
 	"github.com/samphireusher/samphireusher/pkg/usherconfig"
 	"github.com/samphireusher/samphireusher/pkg/usherkey"
 	"github.com/samphireusher/samphireusher/pkg/usherlink"
+	"github.com/samphireusher/samphireusher/pkg/usherorder"
 	"github.com/samphireusher/samphireusher/service/ushergrant"
 	"github.com/samphireusher/samphireusher/service/usherscheduler"
 	"github.com/samphireusher/samphireusher/service/ushertarget"
@@ -165,6 +166,14 @@
 	}, nil
 }
 
+// Orders implements usherscheduler.Reports.
+func (Reports) Orders(context.Context, netip.AddrPort) (usherorder.Observed, error) {
+	return usherorder.Observed{}, nil
+}
+
+// Order implements usherscheduler.Reports.
+func (Reports) Order(context.Context, netip.AddrPort, usherorder.Order) error { return nil }
+
 // Advertised implements ushergrant.Listener.
 func (listener) Advertised(ushergrant.Advertisement) {}
 
