--- a/bench/usherreport/capacity.go
+++ b/bench/usherreport/capacity.go
@@ -331,10 +331,16 @@
 		return kilo(a.median(series{m.View, "change_bytes", "", func(p m.Point) bool { return p.Workspaces == letterWorkspaces }}).Value)
 	case "progress_bytes":
 		return number(a.byItems("progress", "sender_bytes").Slope)
-	case "idle":
-		return percent(a.byPeers("processor").Intercept)
-	case "advert_bytes":
-		return number(a.traffic(a.byGateways).Slope)
+	case "progress_call":
+		return number(a.byItems("progress", "receiver_bytes").Intercept)
+	case "progress_time":
+		return number(a.byItems("progress", "receiver_processor").Intercept)
+	case "decision_slope":
+		return number(a.fit(series{m.Decision, "processor", "", nil}, targets).Slope)
+	case "takeover":
+		return number(a.median(series{m.Fleet, "takeover", "", nil}).Value)
+	case "out":
+		return number(a.median(series{m.Fleet, "out_until_nothing", "", nil}).Value)
 	case "peers":
 		return number(bytesTarget / a.traffic(a.byPeers).Slope)
 	default:
