--- a/bench/usherload/peers.go
+++ b/bench/usherload/peers.go
@@ -12,6 +12,7 @@
 	"github.com/samphireusher/samphireusher/pkg/usherconfig"
 	"github.com/samphireusher/samphireusher/pkg/usherkey"
 	"github.com/samphireusher/samphireusher/pkg/usherlink"
+	"github.com/samphireusher/samphireusher/pkg/usherorder"
 	"github.com/samphireusher/samphireusher/service/ushergrant"
 	"github.com/samphireusher/samphireusher/service/usherscheduler"
 	"github.com/samphireusher/samphireusher/service/ushertarget"
@@ -92,6 +93,10 @@
 
 // Traffic returns what has crossed so far.
 func (s *service) Traffic(_ Nothing, traffic *Traffic) error {
+	if s.feeds != nil {
+		*traffic = s.feeds.meter.traffic()
+		return nil
+	}
 	*traffic = s.peers.meter.traffic()
 	return nil
 }
@@ -155,12 +160,20 @@
 
 // Report implements usherscheduler.Reports.
 func (Reports) Report(context.Context, netip.AddrPort) (ushertarget.Report, error) {
-	age := int64(100)
+	age, warm := int64(100), true
 	return ushertarget.Report{
-		Incarnation: incarnation, AgeMillis: &age, Running: 4, MemoryUsedTokens: 4000, MemoryTokens: memoryTokens, StepTimeMillis: 12, Completed: 1000, Warm: true,
+		Incarnation: incarnation, AgeMillis: &age, Running: 4, MemoryUsedTokens: 4000, MemoryTokens: memoryTokens, StepTimeMillis: 12, Completed: 1000, Warm: &warm,
 	}, nil
 }
 
+// Orders implements usherscheduler.Reports.
+func (Reports) Orders(context.Context, netip.AddrPort) (usherorder.Observed, error) {
+	return usherorder.Observed{}, nil
+}
+
+// Order implements usherscheduler.Reports.
+func (Reports) Order(context.Context, netip.AddrPort, usherorder.Order) error { return nil }
+
 // Advertised implements ushergrant.Listener.
 func (listener) Advertised(ushergrant.Advertisement) {}
 
