--- a/_scripts/fleet.sh
+++ b/_scripts/fleet.sh
@@ -97,23 +97,12 @@
 	sed -i "s/^revision = .*/revision = $1/" "$DIRECTORY/declarations/declaration.ini" || return
 	{
 		"$FLEET_BIN/usherctl" check "$DIRECTORY/declarations" &&
-			"$FLEET_BIN/usherctl" render "$DIRECTORY/declarations" --out "$rendered" >"$rendered.keys" &&
-			write_manifest "$rendered" &&
+			"$FLEET_BIN/usherctl" render "$DIRECTORY/declarations" --out "$rendered" &&
 			PUBLISHED=$(milliseconds) &&
 			"$FLEET_BIN/usher-standin" publish "$rendered" --platform "$PLATFORM"
 	} >>"$DIRECTORY/logs/publish" 2>&1
 }
 
-# write_manifest lists the rendered values for the stand-in's publish, in the order in which render printed them.
-write_manifest() {
-	local separator='' text='[' key
-	while read -r key; do
-		text+="$separator{\"key\":\"$key\",\"file\":\"$key\"}"
-		separator=,
-	done < <(sed -n 's/^[+ ] \(usher[^ ]*\) .*/\1/p' "$1.keys")
-	echo "$text]" >"$1/manifest.json"
-}
-
 # set_in_service SECTION true|false edits the copy of the declarations.
 set_in_service() {
 	sed -i "/^\[$1\]/,/^in_service/s/^in_service = .*/in_service = $2/" "$DIRECTORY/declarations/places.ini"
--- a/cmd/usherctl/commands/render.go
+++ b/cmd/usherctl/commands/render.go
@@ -1,6 +1,7 @@
 package usherctlcommand
 
 import (
+	"encoding/json"
 	"fmt"
 	"io"
 	"os"
@@ -10,6 +11,9 @@
 )
 
 const (
+	// manifestName is the file that lists the values of one revision in the order in which they are to be published.
+	manifestName = "manifest.json"
+
 	directoryMode = 0o755
 	fileMode      = 0o644
 )
@@ -27,6 +31,12 @@
 		Values   []renderValue `json:"values"` // in the order in which they are to be published
 	}
 
+	// manifestEntry names the key and the file of one value.
+	manifestEntry struct {
+		Key  string `json:"key"`
+		File string `json:"file"`
+	}
+
 	// renderValue describes one value.
 	renderValue struct {
 		Key    string `json:"key"`
@@ -53,9 +63,28 @@
 			Key: value.Key, Bytes: len(value.Data), Digest: digest, New: written,
 		})
 	}
+	if err := c.writeManifest(rendered); err != nil {
+		return err
+	}
 	return output.Print(rendered)
 }
 
+// writeManifest lists the values for the pipeline that publishes them.
+func (c renderCommand) writeManifest(rendered renderResult) error {
+	entries := []manifestEntry{}
+	for _, value := range rendered.Values {
+		entries = append(entries, manifestEntry{Key: value.Key, File: value.Key})
+	}
+	data, err := json.MarshalIndent(entries, "", "  ")
+	if err != nil {
+		return ErrFile.Wrap(err, "manifest")
+	}
+	if err := os.WriteFile(filepath.Join(c.Out, manifestName), append(data, '\n'), fileMode); err != nil {
+		return ErrFile.Wrap(err, "cannot write the manifest")
+	}
+	return nil
+}
+
 // write writes one value and reports whether it differs from what was there.
 func (c renderCommand) write(value usherconfig.Value) (bool, error) {
 	path := filepath.Join(c.Out, filepath.FromSlash(value.Key))
--- a/cmd/usherctl/operate/send.go
+++ b/cmd/usherctl/operate/send.go
@@ -16,10 +16,10 @@
 const (
 	// fileMark begins the value of a parameter that stands in a file.
 	fileMark = "@"
-	// mintHint is what a gateway names when a template needs a request id.
-	mintHint     = "/v1/ids"
-	locateLimit  = 2 * time.Second
-	defaultRetry = 500 * time.Millisecond
+	// needsIDReason is the reason of a gateway whose template needs a request id.
+	needsIDReason = "needs_request_id"
+	locateLimit   = 2 * time.Second
+	defaultRetry  = 500 * time.Millisecond
 )
 
 type (
@@ -142,7 +142,7 @@
 // needsID reports whether a gateway wants the request under an id. It has run nothing.
 func needsID(err error) bool {
 	var refusal usherclient.Refusal
-	return errors.As(err, &refusal) && refusal.Status == http.StatusBadRequest && strings.Contains(refusal.Message, mintHint)
+	return errors.As(err, &refusal) && refusal.Reason == needsIDReason
 }
 
 // retryAfter reports whether the request was refused, as not run, for a reason that passes.
--- a/service/usherdaemon/setting.go
+++ b/service/usherdaemon/setting.go
@@ -33,7 +33,7 @@
 			Level string `ini:"level" default:"info" usage:"debug, info, warn or error"`
 		} `ini:"log"`
 		Stop struct {
-			Timeout time.Duration `ini:"timeout" default:"15m" usage:"longest time that a planned stop waits for requests in progress"`
+			Timeout time.Duration `ini:"timeout" default:"30m" usage:"longest time that a planned stop waits for requests in progress"`
 		} `ini:"stop"`
 	}
 
--- a/service/usherfeed/feed.go
+++ b/service/usherfeed/feed.go
@@ -68,6 +68,7 @@
 		cancel  context.CancelFunc
 		duties  sync.WaitGroup
 		view    atomic.Pointer[usherconfig.View]
+		outage  atomic.Bool
 
 		// mu guards the store and what belongs to its decisions.
 		mu    sync.Mutex
@@ -178,12 +179,20 @@
 
 func (f *Feed) read(r usherview.Read) {
 	data, err := f.options.Platform.Value(f.ctx, r.Key)
-	if err != nil {
-		f.options.Log.Debug("platform not read", "key", r.Key, "error", err)
-	}
+	f.notePlatform(r.Key, err)
 	f.step(func(s *usherview.Store) usherview.Effects { return s.ReadDone(time.Now(), r.ID, data, err) })
 }
 
+// notePlatform logs when the platform stops answering and when it answers again, and nothing in between.
+func (f *Feed) notePlatform(key string, err error) {
+	switch {
+	case err != nil && !f.outage.Swap(true):
+		f.options.Log.Warn("configuration service does not answer; what is in force stays", "key", key, "error", err)
+	case err == nil && f.outage.Swap(false):
+		f.options.Log.Info("configuration service answers again")
+	}
+}
+
 // State returns whether the feed is starting, serving or unconfirmed.
 func (f *Feed) State() string {
 	f.mu.Lock()
--- a/service/ushergateway/api.go
+++ b/service/ushergateway/api.go
@@ -50,6 +50,7 @@
 	errMalformed       = Errors.NewType("malformed")
 	errUnauthenticated = Errors.NewType("unauthenticated")
 	errNotFound        = Errors.NewType("not_found")
+	errNeedsID         = Errors.NewType("needs_request_id")
 
 	// statusOf maps the types of errors that callers see; what is not here is an internal error.
 	statusOf = []struct {
@@ -57,6 +58,7 @@
 		status int
 	}{
 		{errMalformed, http.StatusBadRequest},
+		{errNeedsID, http.StatusBadRequest},
 		{errUnauthenticated, http.StatusUnauthorized},
 		{errNotFound, http.StatusNotFound},
 		{usherconfig.ErrNoTemplate, http.StatusNotFound},
--- a/service/ushergateway/dump.go
+++ b/service/ushergateway/dump.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"slices"
+	"strings"
 	"time"
 )
 
@@ -57,5 +59,6 @@
 			Name: name, AgeMS: now.Sub(known.at).Milliseconds(), Revision: known.Revision, Stopping: known.Stopping, Held: len(known.Held),
 		})
 	}
+	slices.SortFunc(dumps, func(a, b schedulerDump) int { return strings.Compare(a.Name, b.Name) })
 	return dumps
 }
--- a/service/ushergateway/execution.go
+++ b/service/ushergateway/execution.go
@@ -305,6 +305,12 @@
 	return refusal.WithRetryAfter(retryAfter)
 }
 
+// target returns where the last attempt went; it is empty if there was none.
+func (e *execution) target() string {
+	running, _ := e.progress.read()
+	return running.Target
+}
+
 // finish tells the scheduler how the attempt ended.
 func (e *execution) finish(grant granted, v verdict) {
 	running, _ := e.progress.read()
--- a/service/ushergateway/submit.go
+++ b/service/ushergateway/submit.go
@@ -95,7 +95,7 @@
 // serveOnce runs a request that may not run twice, under the id that its caller was given before.
 func (g *Gateway) serveOnce(w http.ResponseWriter, r *http.Request, call usherconfig.Call, text string) error {
 	if text == "" {
-		return errMalformed.New("template %s is not idempotent: ask POST /v1/ids for a request_id first", call.Template.Name)
+		return errNeedsID.New("template %s is not idempotent: ask POST /v1/ids for a request_id first", call.Template.Name)
 	}
 	id, err := g.Keyring.ParseID(call.Workspace.Name, text)
 	if err != nil {
@@ -160,7 +160,7 @@
 	}
 	g.outcomes.keep(e.idText, end)
 	g.Log.Info("request ended", "request", e.idText, "workspace", end.Workspace, "template", e.call.Template.Name,
-		"revision", e.call.Revision, "outcome", end.Outcome.String(), "reason", end.Reason, "tokens", result.Tokens)
+		"revision", e.call.Revision, "target", e.target(), "outcome", end.Outcome.String(), "reason", end.Reason, "tokens", result.Tokens)
 }
 
 // turnAway refuses a request of which nothing was run, and names another gateway.
--- a/service/usherscheduler/core.go
+++ b/service/usherscheduler/core.go
@@ -211,21 +211,12 @@
 		t := c.targets[name]
 		budget := c.leases.Budget(now, name)
 		s.admit.SetTarget(usheradmit.Target{
-			ID: name, DataCentre: t.DataCentre, MemoryTokens: c.memory(t), Limit: t.own + budget.Room,
+			ID: name, DataCentre: t.DataCentre, MemoryTokens: t.MemoryTokens, Limit: t.own + budget.Room,
 			InService: budget.Room > 0 && c.options.Config.Eligible(now, name) && !c.orders.Draining(name),
 		})
 	}
 }
 
-// memory is what admission packs into. A plain service has none: only its limit counts.
-func (c *core) memory(t *target) int {
-	const unbounded = 1 << 30
-	if t.MemoryTokens > 0 {
-		return t.MemoryTokens
-	}
-	return unbounded
-}
-
 // grant gives the target that admission chose to a request. If its gateway is between two askings, the target waits.
 func (c *core) grant(now time.Time, s *service, a usheradmit.Assignment) {
 	p := c.waiting[a.Request.Attempt]
--- a/service/usherscheduler/dump.go
+++ b/service/usherscheduler/dump.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"slices"
+	"strings"
 	"time"
 )
 
@@ -73,5 +75,6 @@
 			Votes: b.Votes, Total: b.Total, Bearable: b.Bearable, Used: b.Used, Room: b.Room,
 		})
 	}
+	slices.SortFunc(d.Targets, func(a, b targetDump) int { return strings.Compare(a.Name, b.Name) })
 	e.reply <- d
 }
--- a/service/ushertarget/target_test.go
+++ b/service/ushertarget/target_test.go
@@ -130,9 +130,7 @@
 }
 
 func TestEvidence(t *testing.T) {
-	closed := httptest.NewServer(nil)
-	unreachable := netip.MustParseAddrPort(closed.Listener.Addr().String())
-	closed.Close()
+	unreachable := netip.MustParseAddrPort("127.0.0.1:1")
 	refusing := serve(t, func(w http.ResponseWriter, _ *http.Request) {
 		w.WriteHeader(http.StatusTooManyRequests)
 		fmt.Fprint(w, `{"error":"overloaded","not_run":true}`)
--- a/standin/usherfleet/daemon.go
+++ b/standin/usherfleet/daemon.go
@@ -74,11 +74,12 @@
 func (d *Daemon) Kill() error {
 	var err error
 	d.once.Do(func() {
-		d.cancel()
+		// The sockets go first: a host that is lost says nothing more.
 		if d.server != nil {
 			err = d.server.Close()
 		}
 		err = errors.Join(err, d.node.Close())
+		d.cancel()
 		d.duties.Wait()
 		d.targets.Close()
 		d.platform.Close()
