--- a/Makefile
+++ b/Makefile
@@ -26,6 +26,11 @@
 demo:
 	@./_scripts/demo.sh
 
+# Measures the scheduler's policy in virtual time; USHER_SEED chooses the seed.
+policy: build
+	@mkdir -p docs/plots
+	./bin/usher-policy --plots docs/plots
+
 # Measures what has a regression bound; fails if a bound is broken.
 bench:
 	@./_scripts/bench.sh
--- a/pkg/usheradmit/placement.go
+++ b/pkg/usheradmit/placement.go
@@ -9,8 +9,9 @@
 )
 
 const (
-	sampleBase        = 12 // targets looked at however many there are
-	curveLife         = 100 * time.Millisecond
+	sampleAll         = 12 // targets that are all looked at
+	sampleExtra       = 4  // targets looked at beyond the logarithm of their number
+	curveLife         = 250 * time.Millisecond
 	shapeSmoothing    = 0.02
 	maxPrefixes       = 4_096
 	targetsPerPrefix  = 4
@@ -54,6 +55,9 @@
 	p.sequences = make(map[string]uint64)
 	p.prefixes, _ = lru.New[uint64, []prefixPlace](maxPrefixes) // fails only for a size below one
 	p.random = rand.New(rand.NewPCG(seed, seed))
+	for i := range p.shape.mean {
+		p.shape.mean[i] = 1 // until learned otherwise, what others hold stays
+	}
 }
 
 func (p *Placement) add(t *targetView) {
@@ -105,7 +109,7 @@
 		if n == 0 {
 			return
 		}
-		count := min(n, sampleBase+bits.Len(uint(n)))
+		count := min(n, max(sampleAll, sampleExtra+bits.Len(uint(n))))
 		offset := p.random.IntN(n)
 		stride := n / count
 		for i := range count {
@@ -119,7 +123,13 @@
 // score returns the share of the memory that a target would keep free with the request, and whether it may take it.
 func (p *Placement) score(now time.Time, o *Options, t *targetView, r Request, extra *curve, risk float64) (float64, bool) {
 	own := len(t.attempts)
-	if t.Limit != Unlimited && own >= t.Limit || !o.Without.Warmth && t.cold() && own+t.othersNow(o) >= o.ColdLimit {
+	if t.Limit != Unlimited && own >= t.Limit {
+		return 0, false
+	}
+	if t.MemoryTokens == 0 { // a plain service, or an engine that has not said what it bears
+		return -float64(own), t.Limit != Unlimited || own < o.ColdLimit
+	}
+	if !o.Without.Warmth && t.cold() && own+t.othersNow(o) >= o.ColdLimit || r.PromptTokens >= t.MemoryTokens {
 		return 0, false
 	}
 	p.update(now, o, t)
@@ -160,7 +170,8 @@
 	t.dirty, t.curveAt = false, now
 	t.curve = curve{}
 	for _, a := range t.attempts {
-		o.Admission.add(&t.curve, a.demand(now), 1)
+		d := a.demand(now)
+		o.Admission.add(&t.curve, &d)
 	}
 	if held := t.curve.mean[0]; held > 0 {
 		for i := range o.Admission.horizons {
--- a/pkg/ushermember/exchange.go
+++ b/pkg/ushermember/exchange.go
@@ -15,6 +15,7 @@
 		Revision:    m.list.revision,
 		Total:       m.total(),
 		Settled:     m.settled,
+		Fresh:       m.fresh(),
 		Leaving:     m.leaving,
 	}
 	candidates := m.list.encode(m.candidate)
@@ -32,7 +33,7 @@
 		if p.list == m.list.digest {
 			h.Heard, h.Candidates = heard, candidates
 		} else {
-			h.HeardKeys, h.CandidateKeys = m.list.decode(heard), m.list.decode(candidates)
+			h.CandidateKeys = m.list.decode(candidates)
 		}
 		outgoing = append(outgoing, Outgoing{
 			To: m.list.members[i], Key: key, Incarnation: p.incarnation, EchoReceivedAt: p.heardAt, Heartbeat: h,
@@ -54,9 +55,9 @@
 		*p = peer{member: p.member, state: Unknown, incarnation: h.Incarnation}
 	}
 	p.sequence, p.heardAt = h.Sequence, now
-	p.list, p.revision, p.settled, p.total = h.List, h.Revision, h.Settled, h.Total
-	candidates, heard := h.CandidateKeys, h.HeardKeys
-	if h.List == m.list.digest && len(h.CandidateKeys)+len(h.HeardKeys) == 0 {
+	p.list, p.revision, p.fresh, p.total = h.List, h.Revision, h.Fresh, h.Total
+	candidates, heard := h.CandidateKeys, h.CandidateKeys
+	if h.List == m.list.digest && len(h.CandidateKeys) == 0 {
 		candidates, heard = m.list.decode(h.Candidates), m.list.decode(h.Heard)
 	}
 	p.heard = heard
