--- a/Makefile
+++ b/Makefile
@@ -31,7 +31,7 @@
 	@mkdir -p docs/plots
 	./bin/usher-policy --plots docs/plots
 
-# Measures what has a regression bound, in less than five minutes; fails if a bound is broken.
+# Measures what has a regression bound; fails if a bound is broken.
 bench:
 	@./_scripts/bench.sh
 
