--- a/pkg/usherlink/node_test.go
+++ b/pkg/usherlink/node_test.go
@@ -196,3 +196,24 @@
 		}
 	})
 }
+
+// A process listens before all its parts have added their kinds, and peers that knew it before send at once.
+func TestMuxTakesKindsWhileMessagesCome(t *testing.T) {
+	const messages = 1000
+	mux := &usherlink.Mux{}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for range messages {
+			_, _ = mux.ServeMessage(t.Context(), usherlink.Peer{}, "late", usherlink.Payload{})
+		}
+	}()
+	for i := range messages {
+		mux.Handle(strings.Repeat("k", 1+i%9), nil)
+	}
+	mux.Handle("late", func(context.Context, usherlink.Peer, usherlink.Payload) (any, error) { return nil, nil })
+	<-done
+	if _, err := mux.ServeMessage(t.Context(), usherlink.Peer{}, "late", usherlink.Payload{}); err != nil {
+		t.Error(err)
+	}
+}
