Proof: a checker of histories and rounds of random failures in virtual time

Cause: the nine promises had tests of their own, but nothing that mixes failures over a mixed load and judges only by what callers and targets saw.

proof/usherhistory records callers' tokens, answers and refusals, and reads the stand-ins' records: tokens once and in order from one generation, own answer, not_run, at most once (also by a porcupine model for each id), cold targets, closed targets, an end for each request, planned stops, and a porcupine register for the configuration of each gateway. The rounds kill, restart, cut, split with overlap, pause, stop, race operators, crash engines and switch the faults of all stand-ins. usherfleet's network can isolate a host, and a refused dial is a net.OpError as on real sockets, so that clients take it as unreachable.

--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # Every target works on a fresh machine that has Go, a C compiler and make.
-MODULES := pkg service standin cmd/usher-gateway cmd/usher-policy cmd/usher-scheduler cmd/usher-standin cmd/usherctl
+MODULES := pkg service standin proof cmd/usher-gateway cmd/usher-policy cmd/usher-scheduler cmd/usher-standin cmd/usherctl
 PACKAGES := $(MODULES:%=./%/...)
 PROGRAMS := usher-gateway usher-policy usher-scheduler usher-standin usherctl
 export GOWORK := $(CURDIR)/go.work
--- /dev/null
+++ b/proof/usherhistory/caller.go
@@ -0,0 +1,69 @@
+package usherhistory
+
+import (
+	"context"
+	"errors"
+	"strings"
+	"time"
+
+	"github.com/joomcode/errorx"
+
+	"github.com/samphireusher/samphireusher/service/usherclient"
+)
+
+// Caller sends requests and records what it saw.
+type Caller struct {
+	History *History
+	Client  *usherclient.Client
+}
+
+// Stream asks for a generation at the first address. Where its stream breaks off, it goes on at the other addresses by its
+// handle.
+func (c Caller) Stream(ctx context.Context, addresses []string, mark string, request usherclient.Request) Answer {
+	seen := Answer{Mark: mark, Gateway: addresses[0], Generation: true, Sent: time.Now()}
+	handle := ""
+	watcher := &usherclient.Watcher{
+		Started: func(requestID, given string) { seen.RequestID, handle = requestID, given },
+		Token:   func(index int, text string) { seen.Tokens = append(seen.Tokens, Token{index, text}) },
+		Resumed: func(string, int) { seen.Resumed++ },
+	}
+	answer, err := c.Client.Send(ctx, addresses[0], request, watcher)
+	if others := addresses[1:]; len(others) > 0 && handle != "" && errorx.IsOfType(err, usherclient.ErrBroken) {
+		seen.Broke = time.Now()
+		answer, err = c.Client.FollowHandle(ctx, others, handle, len(seen.Tokens), watcher)
+		answer.Text = textOf(seen.Tokens)
+	}
+	return c.add(seen, answer, err)
+}
+
+func textOf(tokens []Token) string {
+	text := strings.Builder{}
+	for _, token := range tokens {
+		text.WriteString(token.Text)
+	}
+	return text.String()
+}
+
+// Call asks for a call of a plain service. With a RequestID in the request the call may not run twice.
+func (c Caller) Call(ctx context.Context, address, mark string, request usherclient.Request) Answer {
+	seen := Answer{Mark: mark, Gateway: address, Once: request.RequestID != "", RequestID: request.RequestID, Sent: time.Now()}
+	answer, err := c.Client.Send(ctx, address, request, nil)
+	return c.add(seen, answer, err)
+}
+
+func (c Caller) add(seen Answer, answer usherclient.Answer, err error) Answer {
+	seen.Ended = time.Now()
+	seen.Text, seen.Result, seen.Outcome = answer.Text, answer.Result, answer.Outcome
+	if err != nil {
+		seen.Outcome, seen.Error = Broken, err.Error()
+	}
+	if errorx.IsOfType(err, usherclient.ErrUnreachable) && seen.Broke.IsZero() {
+		seen.Outcome = Unreachable
+	}
+	var refusal usherclient.Refusal
+	if errors.As(err, &refusal) {
+		seen.Outcome, seen.Reason = refusal.Outcome, refusal.Reason
+	}
+	c.History.Add(seen)
+	return seen
+}
--- /dev/null
+++ b/proof/usherhistory/check.go
@@ -0,0 +1,260 @@
+package usherhistory
+
+import (
+	"bytes"
+	"cmp"
+	"fmt"
+	"math"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/samphireusher/samphireusher/standin/usherengine"
+)
+
+type (
+	// Violation is one promise that the history shows broken.
+	Violation struct {
+		Promise string
+		Text    string
+	}
+
+	// start is one start of a generation at an engine.
+	start struct {
+		engine *Engine
+		usherengine.GenerationRecord
+	}
+
+	// index finds what targets ran by the mark of a request.
+	index struct {
+		starts map[string][]start
+		calls  map[string]int
+	}
+
+	checker struct {
+		Evidence
+		index      index
+		sendings   map[string][]time.Time
+		violations []Violation
+	}
+)
+
+// Check returns every violation that the history shows.
+func (e Evidence) Check() []Violation {
+	c := &checker{Evidence: e, index: e.newIndex(), sendings: map[string][]time.Time{}}
+	for _, a := range e.Answers {
+		c.sendings[a.Mark] = append(c.sendings[a.Mark], a.Sent)
+	}
+	for _, a := range e.Answers {
+		c.checkAnswer(a)
+	}
+	c.checkAtMostOnce()
+	c.checkCold()
+	c.checkClosed()
+	c.checkConfiguration()
+	c.checkLedger()
+	return c.violations
+}
+
+// String returns the violation as one line.
+func (v Violation) String() string {
+	return v.Promise + ": " + v.Text
+}
+
+func (c *checker) violated(promise, format string, arguments ...any) {
+	c.violations = append(c.violations, Violation{promise, fmt.Sprintf(format, arguments...)})
+}
+
+// newIndex reads the targets' records once. A mark is ended by a comma in a prompt, and is a whole parameter of a call.
+func (e Evidence) newIndex() index {
+	x := index{starts: map[string][]start{}, calls: map[string]int{}}
+	for i := range e.Engines {
+		for _, g := range e.Engines[i].Record.Generations {
+			mark := markIn(g.Prompt)
+			x.starts[mark] = append(x.starts[mark], start{&e.Engines[i], g})
+		}
+	}
+	for _, s := range e.Services {
+		for _, o := range s.Record.Operations {
+			x.calls[markIn(string(o.Parameters))] += o.Executions
+		}
+	}
+	return x
+}
+
+// markIn returns the mark that a text has, from "mark-" to the first byte that is no part of it.
+func markIn(text string) string {
+	at := strings.Index(text, "mark-")
+	if at < 0 {
+		return ""
+	}
+	mark := text[at:]
+	if end := strings.IndexAny(mark, ",\"\n "); end >= 0 {
+		mark = mark[:end]
+	}
+	return mark
+}
+
+// ran returns how often the request of a ran: a call at any time, for its sendings have one id. A generation that is sent
+// again is a new request, which runs from its sending to the next one.
+func (c *checker) ran(a Answer) int {
+	if !a.Generation {
+		return c.index.calls[a.Mark]
+	}
+	return len(c.startsOf(a))
+}
+
+// startsOf returns the starts of the generation that a asked for, the first one first.
+func (c *checker) startsOf(a Answer) []start {
+	next := int64(math.MaxInt64)
+	for _, other := range c.sendings[a.Mark] {
+		if other.After(a.Sent) {
+			next = min(next, other.UnixMilli())
+		}
+	}
+	own := []start{}
+	for _, s := range c.index.starts[a.Mark] {
+		if s.StartedAtMS >= a.Sent.UnixMilli() && s.StartedAtMS < next {
+			own = append(own, s)
+		}
+	}
+	slices.SortFunc(own, byStart)
+	return own
+}
+
+func (c *checker) checkAnswer(a Answer) {
+	c.checkTokens(a)
+	switch a.Outcome {
+	case Completed:
+		c.checkOwn(a)
+	case NotRun:
+		if n := c.ran(a); n > 0 {
+			c.violated("not run", "%s was refused by %s as not run (%s), but ran %d times", a.Mark, a.Gateway, a.Reason, n)
+		}
+		if len(a.Tokens) > 0 {
+			c.violated("not run", "%s was refused as not run after %d tokens", a.Mark, len(a.Tokens))
+		}
+	case RanInPart, Unknown:
+	case Unreachable:
+		if !c.died(a) && !within(c.Stops, a) {
+			c.violated("reachable", "%s could not reach %s, which runs: %s", a.Mark, a.Gateway, a.Error)
+		}
+	default:
+		c.checkBroken(a)
+	}
+	if !a.Broke.IsZero() && !c.died(a) {
+		c.violated("planned stop", "the stream of %s broke off at %s, which had not died", a.Mark, a.Gateway)
+	}
+}
+
+// checkBroken allows an end without a word only where the gateway died.
+func (c *checker) checkBroken(a Answer) {
+	if a.Outcome != Broken {
+		c.violated("one answer or refusal", "%s ended as %q", a.Mark, a.Outcome)
+	}
+	if !c.died(a) {
+		c.violated("one answer or refusal", "%s ended without an answer at %s, which had not died: %s", a.Mark, a.Gateway, a.Error)
+	}
+}
+
+func (c *checker) died(a Answer) bool {
+	return within(c.Deaths, a)
+}
+
+func within(spans []Span, a Answer) bool {
+	return slices.ContainsFunc(spans, func(s Span) bool { return s.Name == a.Gateway && s.covers(a.Sent, a.Ended) })
+}
+
+// checkTokens wants tokens without a gap or repeat, and all from one generation of the request's own.
+func (c *checker) checkTokens(a Answer) {
+	for i, token := range a.Tokens {
+		if token.Index != i {
+			c.violated("tokens once and in order", "%s: token %d came where %d was due", a.Mark, token.Index, i)
+			return
+		}
+	}
+	if len(a.Tokens) == 0 {
+		return
+	}
+	if !slices.ContainsFunc(c.index.starts[a.Mark], func(s start) bool { return s.begins(a.Tokens) }) {
+		c.violated("single generation", "%s: no generation of its own begins with its %d tokens", a.Mark, len(a.Tokens))
+	}
+}
+
+func (s start) begins(tokens []Token) bool {
+	made, _ := s.engine.Config.Answer(s.GenerationID, s.Prompt, 0)
+	if len(tokens) > len(made) {
+		return false
+	}
+	for i, token := range tokens {
+		if token.Text != made[i] {
+			return false
+		}
+	}
+	return true
+}
+
+func (s start) whole(text string) bool {
+	made, _ := s.engine.Config.Answer(s.GenerationID, s.Prompt, 0)
+	return strings.Join(made, "") == text
+}
+
+// checkOwn wants a whole answer to be that of a finished generation, or of a call, of the request's own.
+func (c *checker) checkOwn(a Answer) {
+	if !a.Generation {
+		if !bytes.Contains(a.Result, []byte(`"`+a.Mark+`"`)) {
+			c.violated("own answer", "%s was answered with %s", a.Mark, a.Result)
+		}
+		return
+	}
+	if !slices.ContainsFunc(c.index.starts[a.Mark], func(s start) bool { return s.Finished && s.whole(a.Text) }) {
+		c.violated("own answer", "%s: its text of %d tokens is not that of a finished generation of its own", a.Mark, len(a.Tokens))
+	}
+}
+
+func (c *checker) checkAtMostOnce() {
+	once := map[string]bool{}
+	for _, a := range c.Answers {
+		if a.Once {
+			once[a.Mark] = true
+		}
+	}
+	for mark, n := range c.index.calls {
+		if once[mark] && n > 1 {
+			c.violated("at most once", "%s ran %d times", mark, n)
+		}
+	}
+}
+
+func (c *checker) checkCold() {
+	for _, e := range c.Engines {
+		if peak := e.Record.PeakRunningCold; !e.Chilled && peak > e.Bears {
+			c.violated("cold target", "%s bears %d while cold and had %d", e.Name, e.Bears, peak)
+		}
+		for _, d := range e.Record.Deaths {
+			if !e.Chilled && d.Reason == "cold_overload" {
+				c.violated("cold target", "%s died of its load while cold", e.Name)
+			}
+		}
+	}
+}
+
+func (c *checker) checkClosed() {
+	for _, e := range c.Engines {
+		for _, span := range c.Closed {
+			if span.Name != e.Name {
+				continue
+			}
+			for _, g := range e.Record.Generations {
+				if at := time.UnixMilli(g.StartedAtMS); span.covers(at, at) {
+					c.violated("out of service", "%s began %s %s after it should have had nothing new", e.Name, g.GenerationID, at.Sub(span.From))
+				}
+			}
+		}
+	}
+}
+
+// byStart orders starts by time.
+func byStart(a, b start) int {
+	return cmp.Compare(a.StartedAtMS, b.StartedAtMS)
+}
--- a/standin/ushernet/network.go
+++ b/standin/ushernet/network.go
@@ -60,6 +60,7 @@
 		listeners map[netip.AddrPort]*listener
 		sockets   map[netip.AddrPort]*socket
 		cuts      map[link]bool
+		isolated  map[netip.Addr]bool
 		changed   chan struct{}
 		nextPort  uint16
 	}
@@ -82,6 +83,7 @@
 		listeners: map[netip.AddrPort]*listener{},
 		sockets:   map[netip.AddrPort]*socket{},
 		cuts:      map[link]bool{},
+		isolated:  map[netip.Addr]bool{},
 		changed:   make(chan struct{}),
 		nextPort:  firstEphemeralPort,
 	}
@@ -104,15 +106,50 @@
 	}
 }
 
-// Heal mends all links.
+// Mend mends the link from one host to the other.
+func (n *Network) Mend(from, to netip.Addr) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	delete(n.cuts, link{from, to})
+	n.wake()
+}
+
+// Isolate cuts a host off from all others, as when it is paused: what is on its way stays there until Rejoin, packets
+// are lost.
+func (n *Network) Isolate(host netip.Addr) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.isolated[host] = true
+}
+
+// Rejoin ends what Isolate began; single cuts stay.
+func (n *Network) Rejoin(host netip.Addr) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	delete(n.isolated, host)
+	n.wake()
+}
+
+// Heal mends all links and rejoins all hosts.
 func (n *Network) Heal() {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	clear(n.cuts)
+	clear(n.isolated)
+	n.wake()
+}
+
+// wake tells those that wait for a link to look again. The caller holds the lock.
+func (n *Network) wake() {
 	close(n.changed)
 	n.changed = make(chan struct{})
 }
 
+// cut reports whether a link is cut. The caller holds the lock.
+func (n *Network) cut(l link) bool {
+	return n.cuts[l] || n.isolated[l.from] || n.isolated[l.to]
+}
+
 // Address returns the address of the host with a number, which is its own.
 func (n *Network) Address(number int) netip.AddrPort {
 	const (
@@ -153,10 +190,10 @@
 	return func(ctx context.Context, _, address string) (net.Conn, error) {
 		to, err := netip.ParseAddrPort(address)
 		if err != nil {
-			return nil, ErrRefused.Wrap(err, "dial %q", address)
+			return nil, refused(ErrRefused.Wrap(err, "dial %q", address))
 		}
 		if err := n.reach(ctx, from, to.Addr()); err != nil {
-			return nil, err
+			return nil, refused(err)
 		}
 		n.mu.Lock()
 		l := n.listeners[to]
@@ -165,17 +202,22 @@
 		accepted := l != nil && l.offer(far)
 		n.mu.Unlock()
 		if !accepted {
-			return nil, ErrRefused.New("nobody listens at %s", to)
+			return nil, refused(ErrRefused.New("nobody listens at %s", to))
 		}
 		return near, nil
 	}
 }
 
+// refused returns the error that a net.Dialer returns where no connection came about.
+func refused(cause error) error {
+	return &net.OpError{Op: "dial", Net: "tcp", Err: cause}
+}
+
 // reach waits for one round trip between two hosts.
 func (n *Network) reach(ctx context.Context, a, b netip.Addr) error {
 	for {
 		n.mu.Lock()
-		open := !n.cuts[link{a, b}] && !n.cuts[link{b, a}]
+		open := !n.cut(link{a, b}) && !n.cut(link{b, a})
 		changed := n.changed
 		n.mu.Unlock()
 		if open {
@@ -199,14 +241,14 @@
 func (n *Network) state(l link) (cut bool, changed <-chan struct{}) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.cuts[l], n.changed
+	return n.cut(l), n.changed
 }
 
 // deliver hands a packet to its socket, which shows it after the latency, unless the link is cut or loses it.
 func (n *Network) deliver(p packet, to netip.AddrPort) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if n.cuts[link{p.from.Addr(), to.Addr()}] || n.options.Loss > 0 && n.random.Float64() < n.options.Loss {
+	if n.cut(link{p.from.Addr(), to.Addr()}) || n.options.Loss > 0 && n.random.Float64() < n.options.Loss {
 		return
 	}
 	if s := n.sockets[to]; s != nil {
