--- a/proof/failures_test.go
+++ b/proof/failures_test.go
@@ -133,10 +133,12 @@
 }
 
 func (f *failures) kill() {
-	h := f.choose()
-	if h == nil {
-		return
+	if h := f.choose(); h != nil {
+		f.killHost(h)
 	}
+}
+
+func (f *failures) killHost(h *host) {
 	f.logf("kill %s", h.daemon.Name())
 	h.down, h.since = true, time.Now()
 	if h.gateway {
@@ -271,7 +273,7 @@
 	}
 }
 
-// pause cuts a daemon off from everything for longer than its leases, then lets it go on with its old view.
+// pause stops a daemon's traffic for longer than its leases, then lets it go on with its old view and what waited for it.
 func (f *failures) pause() {
 	h := f.choose()
 	if h == nil {
@@ -279,9 +281,9 @@
 	}
 	length := time.Duration(500+f.random.IntN(5000)) * time.Millisecond
 	f.logf("pause %s for %s", h.daemon.Name(), length)
-	f.fleet.Network.Isolate(addressOf(h.daemon))
+	f.fleet.Network.Pause(addressOf(h.daemon))
 	time.Sleep(length)
-	f.fleet.Network.Rejoin(addressOf(h.daemon))
+	f.fleet.Network.Resume(addressOf(h.daemon))
 }
 
 func (f *failures) setPlatform() {
@@ -357,7 +359,7 @@
 	if length > inForce {
 		for _, target := range f.fleet.Snapshot().Targets {
 			if target.DataCentre == name {
-				f.evidence.Closed = append(f.evidence.Closed, usherhistory.Span{Name: target.Name, From: out.Add(inForce), Until: time.Now()})
+				f.closed(target.Name, out, time.Now())
 			}
 		}
 	}
@@ -369,37 +371,23 @@
 func (f *failures) leaving() {
 	f.publishable()
 	target := f.fleet.Snapshot().Targets[f.random.IntN(len(f.fleet.Engines))]
-	hosts := []usherplatform.Host{}
-	for _, h := range f.fleet.Snapshot().Hosts {
-		hosts = append(hosts, usherplatform.Host{
-			Name: h.Name, Address: h.Address.String(), DataCentre: h.DataCentre, Role: string(h.Role), State: usherplatform.StateLive,
-		})
-	}
-	leaving := append(hosts[:len(hosts):len(hosts)], usherplatform.Host{
-		Name: target.Name, Address: target.Address.String(), DataCentre: target.DataCentre,
-		Role: usherplatform.RoleTarget, State: usherplatform.StateLeaving,
-	})
 	f.logf("leaving %s", target.Name)
 	shown := time.Now()
-	f.setHosts(leaving)
+	f.showLeaving(target.Name)
 	time.Sleep(inForce + time.Duration(f.random.IntN(4000))*time.Millisecond)
-	f.evidence.Closed = append(f.evidence.Closed, usherhistory.Span{Name: target.Name, From: shown.Add(inForce), Until: time.Now()})
-	f.setHosts(hosts)
+	f.closed(target.Name, shown, time.Now())
+	f.showLeaving()
 	f.published = time.Now()
 }
 
-func (f *failures) setHosts(hosts []usherplatform.Host) {
-	if _, err := f.fleet.Platform.SetHosts(hosts); err != nil {
-		f.t.Error(err)
-	}
-}
-
 // stop begins a planned stop.
 func (f *failures) stop() {
-	h := f.choose()
-	if h == nil {
-		return
+	if h := f.choose(); h != nil {
+		f.stopHost(h)
 	}
+}
+
+func (f *failures) stopHost(h *host) {
 	f.logf("planned stop of %s", h.daemon.Name())
 	h.stopping = make(chan error, 1)
 	go func() {
--- a/proof/fleet_test.go
+++ b/proof/fleet_test.go
@@ -15,6 +15,7 @@
 	"github.com/samphireusher/samphireusher/standin/usherengine"
 	"github.com/samphireusher/samphireusher/standin/usherfleet"
 	"github.com/samphireusher/samphireusher/standin/ushermodel"
+	"github.com/samphireusher/samphireusher/standin/usherplatform"
 )
 
 const (
@@ -41,7 +42,9 @@
 	t.Helper()
 	config.Directory = t.TempDir()
 	config.Bearable = coldBears
-	config.Engine.Options = ushermodel.Options{Cold: true, ColdBears: coldBears, ColdFatal: coldBears, WarmTokens: 200}
+	if config.Engine.Options == (ushermodel.Options{}) {
+		config.Engine.Options = ushermodel.Options{Cold: true, ColdBears: coldBears, ColdFatal: coldBears, WarmTokens: 200}
+	}
 	if os.Getenv("USHER_LOG") != "" {
 		config.Log = slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: slog.LevelDebug}))
 	}
@@ -86,6 +89,32 @@
 	w.publish(w.fleet.Snapshot().WithDataCentre(d.WithInService(inService)))
 }
 
+// showLeaving has the platform show these targets as leaving, and all daemons as live.
+func (w *world) showLeaving(targets ...string) {
+	w.t.Helper()
+	hosts := []usherplatform.Host{}
+	for _, h := range w.fleet.Snapshot().Hosts {
+		hosts = append(hosts, usherplatform.Host{
+			Name: h.Name, Address: h.Address.String(), DataCentre: h.DataCentre, Role: string(h.Role), State: usherplatform.StateLive,
+		})
+	}
+	for _, name := range targets {
+		target, _ := w.fleet.Snapshot().Target(name)
+		hosts = append(hosts, usherplatform.Host{
+			Name: name, Address: target.Address.String(), DataCentre: target.DataCentre,
+			Role: usherplatform.RoleTarget, State: usherplatform.StateLeaving,
+		})
+	}
+	if _, err := w.fleet.Platform.SetHosts(hosts); err != nil {
+		w.t.Error(err)
+	}
+}
+
+// closed notes that a target may have begun nothing new from the bound after it was shown out until a time.
+func (w *world) closed(target string, shown, until time.Time) {
+	w.evidence.Closed = append(w.evidence.Closed, usherhistory.Span{Name: target, From: shown.Add(inForce), Until: until})
+}
+
 // caller returns a caller of the fleet's first workspace.
 func (w *world) caller() usherhistory.Caller {
 	return usherhistory.Caller{History: w.history, Client: w.fleet.NewClient()}
--- a/proof/load_test.go
+++ b/proof/load_test.go
@@ -9,16 +9,28 @@
 	"time"
 
 	"github.com/samphireusher/samphireusher/proof/usherhistory"
+	"github.com/samphireusher/samphireusher/service/usherclient"
 	"github.com/samphireusher/samphireusher/standin/usherfleet"
 )
 
 // callerPatience is longer than any timeout of a template: a request that is still open then hangs.
 const callerPatience = 3 * time.Minute
 
+// maxTokens is the longest answer of a load.
+const maxTokens = 120
+
 type (
-	// load is callers of two workspaces that send every kind of work to every gateway until it ends.
+	// work makes a request of each kind.
+	work struct {
+		stream, whole func(mark string, tokens int) usherclient.Request
+		lookup        func(mark string) usherclient.Request
+		once          func(mark, id string) usherclient.Request
+	}
+
+	// load is callers that send every kind of work to every gateway until it ends.
 	load struct {
-		world   *world
+		work
+		history *usherhistory.History
 		marks   atomic.Uint64
 		cancel  context.CancelFunc
 		callers sync.WaitGroup
@@ -33,21 +45,26 @@
 	}
 )
 
-func startLoad(w *world, callers int, seed uint64) *load {
-	ctx, cancel := context.WithCancel(w.t.Context())
-	l := &load{world: w, cancel: cancel}
-	clients := []usherhistory.Caller{
-		w.caller(), {History: w.history, Client: w.fleet.NewClientOf(usherfleet.OtherWorkspace, usherfleet.OtherKey)},
-	}
+// startLoad starts callers, which are dealt to the clients in turn.
+func startLoad(ctx context.Context, l *load, gateways []string, clients []*usherclient.Client, callers int, seed uint64) *load {
+	ctx, l.cancel = context.WithCancel(ctx)
 	for i := range callers {
 		c := &loadCaller{
-			Caller: clients[i%len(clients)], load: l, random: rand.New(rand.NewPCG(seed, uint64(i+1))), gateways: w.gateways(),
+			Caller: usherhistory.Caller{History: l.history, Client: clients[i%len(clients)]}, load: l,
+			random: rand.New(rand.NewPCG(seed, uint64(i+1))), gateways: gateways,
 		}
 		l.callers.Go(func() { c.run(ctx) })
 	}
 	return l
 }
 
+// startLoad starts callers of two workspaces.
+func (w *world) startLoad(callers int, seed uint64) *load {
+	l := &load{history: w.history, work: work{stream: appraisal, whole: plan, lookup: standing, once: allotment}}
+	clients := []*usherclient.Client{w.fleet.NewClient(), w.fleet.NewClientOf(usherfleet.OtherWorkspace, usherfleet.OtherKey)}
+	return startLoad(w.t.Context(), l, w.gateways(), clients, callers, seed)
+}
+
 // end waits until every request has ended.
 func (l *load) end() {
 	l.cancel()
@@ -72,14 +89,14 @@
 	mark := c.load.mark()
 	from := c.random.IntN(len(c.gateways))
 	addresses := append(append([]string{}, c.gateways[from:]...), c.gateways[:from]...)
-	tokens := 1 + c.random.IntN(120)
+	tokens := 1 + c.random.IntN(maxTokens)
 	switch kind := c.random.IntN(100); {
 	case kind < 45:
-		c.Stream(ctx, addresses, mark, appraisal(mark, tokens))
+		c.Stream(ctx, addresses, mark, c.load.stream(mark, tokens))
 	case kind < 60:
-		c.Stream(ctx, addresses[:1], mark, plan(mark, tokens))
+		c.Stream(ctx, addresses[:1], mark, c.load.whole(mark, tokens))
 	case kind < 75:
-		c.Call(ctx, addresses[0], mark, standing(mark))
+		c.Call(ctx, addresses[0], mark, c.load.lookup(mark))
 	default:
 		c.allot(ctx, addresses, mark)
 	}
@@ -94,12 +111,12 @@
 	sendings := sync.WaitGroup{}
 	for range 1 + c.random.IntN(3) {
 		address := addresses[c.random.IntN(min(2, len(addresses)))]
-		sendings.Go(func() { c.Call(ctx, address, mark, allotment(mark, id)) })
+		sendings.Go(func() { c.Call(ctx, address, mark, c.load.once(mark, id)) })
 		time.Sleep(time.Duration(1+c.random.IntN(30)) * time.Millisecond)
 	}
 	sendings.Wait()
 	if c.random.IntN(3) == 0 {
 		time.Sleep(time.Duration(1+c.random.IntN(3000)) * time.Millisecond)
-		c.Call(ctx, addresses[c.random.IntN(len(addresses))], mark, allotment(mark, id))
+		c.Call(ctx, addresses[c.random.IntN(len(addresses))], mark, c.load.once(mark, id))
 	}
 }
--- a/proof/random_test.go
+++ b/proof/random_test.go
@@ -34,7 +34,7 @@
 func testRandomFailures(t *testing.T, seed uint64) {
 	w := newWorld(t, usherfleet.Config{DataCentres: 3, Gateways: 4, Schedulers: 5, Engines: 4, Services: 3})
 	setEngines(w.fleet, usherengine.Faults{Poison: true})
-	l := startLoad(w, roundCallers, seed)
+	l := w.startLoad(roundCallers, seed)
 	time.Sleep(5 * time.Second)
 	f := newFailures(w, l, seed)
 	f.run(roundLength)
--- a/standin/ushernet/network.go
+++ b/standin/ushernet/network.go
@@ -28,6 +28,9 @@
 // DefaultLatency is the time that everything takes one way where Options do not say.
 const DefaultLatency = 500 * time.Microsecond
 
+// heldPackets is what the socket of a paused host holds, about as many as a kernel does by default.
+const heldPackets = 256
+
 var (
 	// Errors is the namespace of this package's errors.
 	Errors = errorx.NewNamespace("usher_net")
@@ -60,7 +63,8 @@
 		listeners map[netip.AddrPort]*listener
 		sockets   map[netip.AddrPort]*socket
 		cuts      map[link]bool
-		isolated  map[netip.Addr]bool
+		paused    map[netip.Addr]bool
+		held      map[netip.AddrPort][]packet
 		changed   chan struct{}
 		nextPort  uint16
 	}
@@ -83,7 +87,8 @@
 		listeners: map[netip.AddrPort]*listener{},
 		sockets:   map[netip.AddrPort]*socket{},
 		cuts:      map[link]bool{},
-		isolated:  map[netip.Addr]bool{},
+		paused:    map[netip.Addr]bool{},
+		held:      map[netip.AddrPort][]packet{},
 		changed:   make(chan struct{}),
 		nextPort:  firstEphemeralPort,
 	}
@@ -114,28 +119,44 @@
 	n.wake()
 }
 
-// Isolate cuts a host off from all others, as when it is paused: what is on its way stays there until Rejoin, packets
-// are lost.
-func (n *Network) Isolate(host netip.Addr) {
+// Pause lets nothing leave a host, as when its process is paused. What is sent there waits in its sockets and connections
+// until Resume, up to what those hold.
+func (n *Network) Pause(host netip.Addr) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.isolated[host] = true
+	n.paused[host] = true
 }
 
-// Rejoin ends what Isolate began; single cuts stay.
-func (n *Network) Rejoin(host netip.Addr) {
+// Resume ends what Pause began; single cuts stay.
+func (n *Network) Resume(host netip.Addr) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	delete(n.isolated, host)
+	n.resume(host)
 	n.wake()
 }
 
-// Heal mends all links and rejoins all hosts.
+// resume hands a host the packets that waited for it. The caller holds the lock.
+func (n *Network) resume(host netip.Addr) {
+	delete(n.paused, host)
+	for to, packets := range n.held {
+		if to.Addr() != host {
+			continue
+		}
+		for _, p := range packets {
+			n.arrive(p, to)
+		}
+		delete(n.held, to)
+	}
+}
+
+// Heal mends all links and lets all hosts go on.
 func (n *Network) Heal() {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	clear(n.cuts)
-	clear(n.isolated)
+	for host := range n.paused {
+		n.resume(host)
+	}
 	n.wake()
 }
 
@@ -147,7 +168,7 @@
 
 // cut reports whether a link is cut. The caller holds the lock.
 func (n *Network) cut(l link) bool {
-	return n.cuts[l] || n.isolated[l.from] || n.isolated[l.to]
+	return n.cuts[l] || n.paused[l.from] || n.paused[l.to]
 }
 
 // Address returns the address of the host with a number, which is its own.
@@ -244,13 +265,26 @@
 	return n.cut(l), n.changed
 }
 
-// deliver hands a packet to its socket, which shows it after the latency, unless the link is cut or loses it.
+// deliver hands a packet to its socket, which shows it after the latency, unless the link is cut or loses it, or its
+// host is paused.
 func (n *Network) deliver(p packet, to netip.AddrPort) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if n.cut(link{p.from.Addr(), to.Addr()}) || n.options.Loss > 0 && n.random.Float64() < n.options.Loss {
+	l := link{p.from.Addr(), to.Addr()}
+	if n.cuts[l] || n.paused[l.from] || n.options.Loss > 0 && n.random.Float64() < n.options.Loss {
+		return
+	}
+	if !n.paused[l.to] {
+		n.arrive(p, to)
 		return
 	}
+	if len(n.held[to]) < heldPackets {
+		n.held[to] = append(n.held[to], p)
+	}
+}
+
+// arrive hands a packet to its socket. The caller holds the lock.
+func (n *Network) arrive(p packet, to netip.AddrPort) {
 	if s := n.sockets[to]; s != nil {
 		p.at = time.Now().Add(n.options.Latency)
 		s.receive(p)
