--- a/service/ushergateway/api.go
+++ b/service/ushergateway/api.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -19,6 +20,8 @@
 const (
 	workspaceHeader = "Usher-Workspace"
 	bearerPrefix    = "Bearer "
+	// bodyTimeout is how long a caller may take to send its request.
+	bodyTimeout = 10 * time.Second
 )
 
 type (
@@ -34,6 +37,12 @@
 		RequestID    string               `json:"request_id,omitempty"`
 	}
 
+	// boundedBody is the body of a request that must be sent in time.
+	boundedBody struct {
+		io.ReadCloser
+		control *http.ResponseController
+	}
+
 	handlerError func(w http.ResponseWriter, r *http.Request) error
 )
 
@@ -80,14 +89,25 @@
 	return mux
 }
 
-// bound keeps a caller's body within its limit.
+// bound keeps a caller's body within its limit and its time.
 func (g *Gateway) bound(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		r.Body = http.MaxBytesReader(w, r.Body, g.Limits.BodyBytes)
+		control := http.NewResponseController(w)
+		_ = control.SetReadDeadline(time.Now().Add(bodyTimeout))
+		r.Body = &boundedBody{ReadCloser: http.MaxBytesReader(w, r.Body, g.Limits.BodyBytes), control: control}
 		next.ServeHTTP(w, r)
 	})
 }
 
+// Read lifts the deadline once the body is read, for the answer may take long.
+func (b *boundedBody) Read(data []byte) (int, error) {
+	count, err := b.ReadCloser.Read(data)
+	if errors.Is(err, io.EOF) {
+		_ = b.control.SetReadDeadline(time.Time{})
+	}
+	return count, err
+}
+
 // authenticate lets a caller in that knows its workspace's key.
 func (g *Gateway) authenticate(next http.Handler) http.Handler {
 	return g.answering(func(w http.ResponseWriter, r *http.Request) error {
@@ -117,8 +137,8 @@
 	wire, status := refusalOf(cause)
 	wire.RequestID = requestID
 	if wire.RetryAfterMS > 0 {
-		seconds := (time.Duration(wire.RetryAfterMS)*time.Millisecond + time.Second - 1) / time.Second
-		w.Header().Set("Retry-After", strconv.Itoa(int(seconds)))
+		seconds := roundedUp(time.Duration(wire.RetryAfterMS)*time.Millisecond, time.Second)
+		w.Header().Set("Retry-After", strconv.FormatInt(seconds, 10))
 	}
 	writeJSON(w, status, wire)
 }
@@ -129,7 +149,7 @@
 	if errors.As(cause, &refusal) {
 		wire := refusalWire{
 			Outcome: refusal.Outcome(), Reason: string(refusal.Reason),
-			RetryAfterMS: refusal.RetryAfter.Milliseconds(), OtherAddress: refusal.OtherAddress,
+			RetryAfterMS: roundedUp(refusal.RetryAfter, time.Millisecond), OtherAddress: refusal.OtherAddress,
 		}
 		if refusal.Outcome() == usherrequest.NotRun {
 			return wire, http.StatusServiceUnavailable
@@ -146,6 +166,11 @@
 	return refusalWire{Outcome: usherrequest.Unknown, Reason: "internal", Message: cause.Error()}, http.StatusInternalServerError
 }
 
+// roundedUp returns d in units, rounded up, so that a caller never comes back too early.
+func roundedUp(d, unit time.Duration) int64 {
+	return int64((d + unit - 1) / unit)
+}
+
 func writeJSON(w http.ResponseWriter, status int, value any) {
 	data, err := json.Marshal(value)
 	if err != nil {
--- a/service/usherscheduler/scheduler.go
+++ b/service/usherscheduler/scheduler.go
@@ -31,6 +31,7 @@
 	"github.com/samphireusher/samphireusher/pkg/usherlease"
 	"github.com/samphireusher/samphireusher/pkg/usherlink"
 	"github.com/samphireusher/samphireusher/pkg/ushermember"
+	"github.com/samphireusher/samphireusher/pkg/usherorder"
 	"github.com/samphireusher/samphireusher/pkg/usherrequest"
 	"github.com/samphireusher/samphireusher/pkg/usherring"
 	"github.com/samphireusher/samphireusher/service/ushergrant"
@@ -41,9 +42,13 @@
 	inboxEvents     = 8192
 	decisionPeriod  = 5 * time.Millisecond
 	defaultInterval = time.Second
-	reportPeriod    = 500 * time.Millisecond
-	advertisePeriod = 500 * time.Millisecond
-	catchUpTimeout  = 2 * time.Second
+	advertisePeriod = time.Second
+	sweepPeriod     = time.Second
+	// reportPeriod is the time between load reports of a target that is not warm, and between looks for targets that
+	// are due; reportsPerSecond bounds the reports of warm ones.
+	reportPeriod     = 500 * time.Millisecond
+	reportsPerSecond = 5
+	catchUpTimeout   = 2 * time.Second
 )
 
 var (
@@ -67,9 +72,11 @@
 		CatchUp(ctx context.Context, revision uint64, address string) error
 	}
 
-	// Reports reads targets' load reports; *ushertarget.Client is one.
+	// Reports reads what targets say about themselves, and gives them orders; *ushertarget.Client is one.
 	Reports interface {
 		Report(ctx context.Context, target netip.AddrPort) (ushertarget.Report, error)
+		Orders(ctx context.Context, target netip.AddrPort) (usherorder.Observed, error)
+		Order(ctx context.Context, target netip.AddrPort, order usherorder.Order) error
 	}
 
 	// Options are what a scheduler is made of.
@@ -127,11 +134,11 @@
 	registerHeartbeat(mux, s)
 }
 
-// Run decides until ctx ends.
+// Run decides until ctx ends. It sleeps until something is due or an event comes.
 func (s *Scheduler) Run(ctx context.Context) {
 	defer close(s.done)
-	ticker := time.NewTicker(decisionPeriod)
-	defer ticker.Stop()
+	timer := time.NewTimer(0)
+	defer timer.Stop()
 	for {
 		select {
 		case <-ctx.Done():
@@ -139,11 +146,12 @@
 		case e := <-s.inbox.Items():
 			e.apply(s.core, time.Now())
 			s.drain()
-			s.core.decide(time.Now())
-		case now := <-ticker.C:
-			s.core.tick(ctx, now)
-			s.core.decide(now)
+		case <-timer.C:
+			s.core.tick(ctx, time.Now())
 		}
+		now := time.Now()
+		s.core.decide(now)
+		timer.Reset(max(s.core.next().Sub(now), decisionPeriod))
 	}
 }
 
