A process that closes its link tells its peers

Cause: Node.Close closed the connections that it had dialled and, with the transport, silently dropped those that peers had dialled. Peers went on sending into them for the idle timeout of 6 s, also when the process was back at its address after 0.2 s. Forwarded requests that may not run twice ended as unknown (gateway_gone) though nothing had failed; posts and grants to the process were lost.

Conclusion: each connection is closed with an error code before the transport goes. A killed process tells nobody; its peers still wait 6 s, see docs/PROOFS.md.

--- a/pkg/usherlink/node.go
+++ b/pkg/usherlink/node.go
@@ -35,6 +35,8 @@
 	idleTimeout      = 6 * time.Second
 	handshakeTimeout = 2 * time.Second
 	maxStreams       = 4096
+	// closing tells peers why a connection ends.
+	closing = "closing"
 )
 
 type (
@@ -121,7 +123,7 @@
 	return n.listener.Addr().String()
 }
 
-// Close ends all connections and waits until no handler runs.
+// Close tells the peers of all connections that they end, and waits until no handler runs.
 func (n *Node) Close() error {
 	n.cancel()
 	err := n.listener.Close()
@@ -130,15 +132,15 @@
 		select {
 		case <-l.ready:
 			if l.conn != nil {
-				_ = l.conn.CloseWithError(0, "closing")
+				_ = l.conn.CloseWithError(0, closing)
 			}
 		default:
 		}
 		delete(n.links, address)
 	}
 	n.mu.Unlock()
-	_ = n.transport.Close()
 	n.duties.Wait()
+	_ = n.transport.Close()
 	_ = n.transport.Conn.Close()
 	return err
 }
@@ -159,6 +161,7 @@
 	for {
 		stream, err := conn.AcceptStream(n.ctx)
 		if err != nil {
+			_ = conn.CloseWithError(0, closing) // so that the peer doesn't send into silence until its idle timeout
 			return
 		}
 		n.duties.Go(func() { n.serveStream(stream, from) })
--- a/pkg/usherlink/node_test.go
+++ b/pkg/usherlink/node_test.go
@@ -217,3 +217,27 @@
 		t.Error(err)
 	}
 }
+
+// A process that closes its link tells its peers, so that they reach the next process at its address at once.
+func TestPeersLearnOfTheEndOfALink(t *testing.T) {
+	authority := newAuthority(t)
+	dir := t.TempDir()
+	first := listen(t, newRing(t, dir, "first", authority, authority))
+	second := listen(t, newRing(t, dir, "second", authority, authority))
+	if _, err := call(t, first, second, "before"); err != nil {
+		t.Fatal(err)
+	}
+	address := second.Address()
+	if err := second.Close(); err != nil {
+		t.Fatal(err)
+	}
+	next, err := usherlink.Listen(address, newRing(t, dir, "next", authority, authority), echo, slog.New(slog.DiscardHandler))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = next.Close() })
+	time.Sleep(100 * time.Millisecond)
+	if answer, err := call(t, first, next, "after"); err != nil {
+		t.Errorf("%q, %v", answer, err)
+	}
+}
