News of leaving hosts reaches everybody, whole and in time

Cause, three parts of service/usherfeed/hosts.go: 1. The names told to peers were cut off after 24, silently, and peers took the cut list as the newest. With 28 targets leaving, appraiser-25 to 28 went on getting new work. 2. The three readers of a data centre each read the list every 6 s. They were to take turns but have no clock in common, so the gap was up to 6 s, and longer with one of them paused: more than the 4 s that are promised. 3. The age of a peer's news counted from its arrival, so that news that was long under way looked fresh.

Ruled out: that grants of schedulers with an old view did it (with 1 and 2 mended nothing begins late).

Part 3 taken out alone, TestLeavingTargetAfterLateWake passes too: no test here shows it; it is mended as pkg/usherview does it, by the time at which the peer was asked.

Conclusion: all names are told, by a stream where they don't fit a datagram; each reader reads every 2 s, 3 calls in 2 s for a data centre in place of 1; the age counts from the poll. More than 24 leaving hosts cost each answer to a poll a stream: not measured.

--- a/service/usherfeed/feed.go
+++ b/service/usherfeed/feed.go
@@ -153,7 +153,7 @@
 		}
 	}
 	self := f.options.Address.String()
-	f.hosts.readers = turns(self, f.options.DataCentre, local)
+	f.hosts.reader = readsHosts(self, f.options.DataCentre, local)
 	f.store.SetMembers(append(local, nearest(self, remote, remotePeers)...))
 }
 
--- a/service/usherfeed/hosts.go
+++ b/service/usherfeed/hosts.go
@@ -12,10 +12,13 @@
 )
 
 const (
-	// hostsPeriod is how often the list of hosts is read in a data centre, by its readers in turn.
+	// hostsPeriod is how often each reader of a data centre reads the list of hosts. Readers don't take turns: they have no
+	// clock in common, and one of them may be gone.
 	hostsPeriod = 2 * time.Second
-	// maxLeaving bounds the names in a message.
-	maxLeaving = 24
+	// postedLeaving is how many names of leaving hosts fit a datagram beside the rest of a message.
+	postedLeaving = 24
+	// pollMemory is how long the answer to a poll counts.
+	pollMemory = 10 * time.Second
 )
 
 type (
@@ -26,11 +29,13 @@
 		takenAt time.Time
 		due     time.Time
 		reading bool
-		// readers is how many processes of the data centre read the list in turn; zero if this one does not.
-		readers int
+		// reader says that this process is one of its data centre's readers.
+		reader bool
+		// polls are the times at which peers were asked, by sequence number.
+		polls map[uint64]time.Time
 	}
 
-	// hostsNews tells peers which hosts are leaving, and how old that is.
+	// hostsNews tells peers all hosts that are leaving, and how old that is.
 	hostsNews struct {
 		_         struct{} `cbor:",toarray"`
 		AgeMillis int64
@@ -38,13 +43,13 @@
 	}
 )
 
-// refreshHosts reads the list if this process is one of its data centre's readers and it is its turn.
+// refreshHosts reads the list if this process is one of its data centre's readers and a reading is due.
 func (f *Feed) refreshHosts(now time.Time) {
 	f.mu.Lock()
-	due := f.hosts.readers > 0 && !f.hosts.reading && !now.Before(f.hosts.due)
+	due := f.hosts.reader && !f.hosts.reading && !now.Before(f.hosts.due)
 	if due {
 		f.hosts.reading = true
-		f.hosts.due = now.Add(hostsPeriod * time.Duration(f.hosts.readers))
+		f.hosts.due = now.Add(hostsPeriod)
 	}
 	f.mu.Unlock()
 	if due {
@@ -78,20 +83,39 @@
 		return nil
 	}
 	names := slices.Sorted(maps.Keys(f.hosts.leaving))
-	return &hostsNews{AgeMillis: now.Sub(f.hosts.takenAt).Milliseconds(), Leaving: names[:min(len(names), maxLeaving)]}
+	return &hostsNews{AgeMillis: (now.Sub(f.hosts.takenAt) + time.Millisecond).Milliseconds(), Leaving: names}
 }
 
-func (f *Feed) hearHosts(now time.Time, news hostsNews) {
+// notePoll remembers when a peer was asked.
+func (f *Feed) notePoll(now time.Time, sequence uint64) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if news.AgeMillis < 0 {
+	for old, at := range f.hosts.polls {
+		if now.Sub(at) > pollMemory {
+			delete(f.hosts.polls, old)
+		}
+	}
+	if f.hosts.polls == nil {
+		f.hosts.polls = map[uint64]time.Time{}
+	}
+	f.hosts.polls[sequence] = now
+}
+
+// hearHosts takes the news that came with the answer to a poll. Their age counts from the poll and not from now: the
+// answer may have been long under way, or this process may have been paused.
+func (f *Feed) hearHosts(sequence uint64, news hostsNews) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	asked, known := f.hosts.polls[sequence]
+	if !known || news.AgeMillis < 0 {
 		return
 	}
+	delete(f.hosts.polls, sequence)
 	leaving := map[string]bool{}
 	for _, name := range news.Leaving {
 		leaving[name] = true
 	}
-	f.hosts.adopt(now.Add(-time.Duration(news.AgeMillis)*time.Millisecond), leaving)
+	f.hosts.adopt(asked.Add(-time.Duration(news.AgeMillis)*time.Millisecond), leaving)
 }
 
 // adopt takes a list that is newer than the one known.
@@ -101,15 +125,11 @@
 	}
 }
 
-// turns returns how many processes of a data centre read the list in turn, or zero if the one at self does not.
-func turns(self, dataCentre string, members []usherview.Member) int {
+// readsHosts reports whether the process at self is one of its data centre's readers.
+func readsHosts(self, dataCentre string, members []usherview.Member) bool {
 	here := append(slices.Clone(members), usherview.Member{Name: self, DataCentre: dataCentre})
 	slices.SortFunc(here, func(a, b usherview.Member) int { return cmp.Compare(a.Name, b.Name) })
-	readers := usherview.Readers(slices.Compact(here), dataCentre, readersPerPlace)
-	if !slices.Contains(readers, self) {
-		return 0
-	}
-	return len(readers)
+	return slices.Contains(usherview.Readers(slices.Compact(here), dataCentre, readersPerPlace), self)
 }
 
 // nearest returns the count members that are first by rendezvous hash for name.
--- a/service/usherfeed/message.go
+++ b/service/usherfeed/message.go
@@ -67,8 +67,8 @@
 		if err := body.Decode(&wire); err != nil {
 			return nil, err
 		}
-		if wire.Hosts != nil {
-			f.hearHosts(time.Now(), *wire.Hosts)
+		if wire.Hosts != nil && wire.Summary != nil {
+			f.hearHosts(wire.Summary.Echo, *wire.Hosts)
 		}
 		f.step(func(s *usherview.Store) usherview.Effects { return s.Receive(time.Now(), wire.message()) })
 		return nil, nil
@@ -81,7 +81,10 @@
 	if m.Summary != nil {
 		wire.Hosts = f.hostsNews(time.Now())
 	}
-	if m.Have == nil && (m.Want == nil || len(m.Want.Shards) <= postedShards) {
+	if m.Poll != nil {
+		f.notePoll(time.Now(), m.Poll.Sequence)
+	}
+	if wire.fitsDatagram() {
 		if err := f.options.Link.Post(m.To, kindView, wire); err != nil {
 			f.options.Log.Debug("message not sent", "peer", m.To, "error", err)
 		}
@@ -96,6 +99,12 @@
 	})
 }
 
+// fitsDatagram reports whether the message may be posted.
+func (w messageWire) fitsDatagram() bool {
+	return w.Have == nil && (w.Want == nil || len(w.Want.Shards) <= postedShards) &&
+		(w.Hosts == nil || len(w.Hosts.Leaving) <= postedLeaving)
+}
+
 func wireOf(m usherview.Message) messageWire {
 	wire := messageWire{From: m.From}
 	switch {
