--- a/pkg/usherlink/node_test.go
+++ b/pkg/usherlink/node_test.go
@@ -196,3 +196,48 @@
 		}
 	})
 }
+
+// A process listens before all its parts have added their kinds, and peers that knew it before send at once.
+func TestMuxTakesKindsWhileMessagesCome(t *testing.T) {
+	const messages = 1000
+	mux := &usherlink.Mux{}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for range messages {
+			_, _ = mux.ServeMessage(t.Context(), usherlink.Peer{}, "late", usherlink.Payload{})
+		}
+	}()
+	for i := range messages {
+		mux.Handle(strings.Repeat("k", 1+i%9), nil)
+	}
+	mux.Handle("late", func(context.Context, usherlink.Peer, usherlink.Payload) (any, error) { return nil, nil })
+	<-done
+	if _, err := mux.ServeMessage(t.Context(), usherlink.Peer{}, "late", usherlink.Payload{}); err != nil {
+		t.Error(err)
+	}
+}
+
+// A process that closes its link tells its peers, so that they reach the next process at its address at once.
+func TestPeersLearnOfTheEndOfALink(t *testing.T) {
+	authority := newAuthority(t)
+	dir := t.TempDir()
+	first := listen(t, newRing(t, dir, "first", authority, authority))
+	second := listen(t, newRing(t, dir, "second", authority, authority))
+	if _, err := call(t, first, second, "before"); err != nil {
+		t.Fatal(err)
+	}
+	address := second.Address()
+	if err := second.Close(); err != nil {
+		t.Fatal(err)
+	}
+	next, err := usherlink.Listen(address, newRing(t, dir, "next", authority, authority), echo, slog.New(slog.DiscardHandler))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = next.Close() })
+	time.Sleep(100 * time.Millisecond)
+	if answer, err := call(t, first, next, "after"); err != nil {
+		t.Errorf("%q, %v", answer, err)
+	}
+}
--- a/standin/ushernet/network.go
+++ b/standin/ushernet/network.go
@@ -28,6 +28,9 @@
 // DefaultLatency is the time that everything takes one way where Options do not say.
 const DefaultLatency = 500 * time.Microsecond
 
+// heldPackets is what the socket of a paused host holds, about as many as a kernel does by default.
+const heldPackets = 256
+
 var (
 	// Errors is the namespace of this package's errors.
 	Errors = errorx.NewNamespace("usher_net")
@@ -60,6 +63,8 @@
 		listeners map[netip.AddrPort]*listener
 		sockets   map[netip.AddrPort]*socket
 		cuts      map[link]bool
+		paused    map[netip.Addr]bool
+		held      map[netip.AddrPort][]packet
 		changed   chan struct{}
 		nextPort  uint16
 	}
@@ -82,6 +87,8 @@
 		listeners: map[netip.AddrPort]*listener{},
 		sockets:   map[netip.AddrPort]*socket{},
 		cuts:      map[link]bool{},
+		paused:    map[netip.Addr]bool{},
+		held:      map[netip.AddrPort][]packet{},
 		changed:   make(chan struct{}),
 		nextPort:  firstEphemeralPort,
 	}
@@ -104,15 +111,66 @@
 	}
 }
 
-// Heal mends all links.
+// Mend mends the link from one host to the other.
+func (n *Network) Mend(from, to netip.Addr) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	delete(n.cuts, link{from, to})
+	n.wake()
+}
+
+// Pause lets nothing leave a host, as when its process is paused. What is sent there waits in its sockets and connections
+// until Resume, up to what those hold.
+func (n *Network) Pause(host netip.Addr) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.paused[host] = true
+}
+
+// Resume ends what Pause began; single cuts stay.
+func (n *Network) Resume(host netip.Addr) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.resume(host)
+	n.wake()
+}
+
+// resume hands a host the packets that waited for it. The caller holds the lock.
+func (n *Network) resume(host netip.Addr) {
+	delete(n.paused, host)
+	for to, packets := range n.held {
+		if to.Addr() != host {
+			continue
+		}
+		for _, p := range packets {
+			n.arrive(p, to)
+		}
+		delete(n.held, to)
+	}
+}
+
+// Heal mends all links and lets all hosts go on.
 func (n *Network) Heal() {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	clear(n.cuts)
+	for host := range n.paused {
+		n.resume(host)
+	}
+	n.wake()
+}
+
+// wake tells those that wait for a link to look again. The caller holds the lock.
+func (n *Network) wake() {
 	close(n.changed)
 	n.changed = make(chan struct{})
 }
 
+// cut reports whether a link is cut. The caller holds the lock.
+func (n *Network) cut(l link) bool {
+	return n.cuts[l] || n.paused[l.from] || n.paused[l.to]
+}
+
 // Address returns the address of the host with a number, which is its own.
 func (n *Network) Address(number int) netip.AddrPort {
 	const (
@@ -153,10 +211,10 @@
 	return func(ctx context.Context, _, address string) (net.Conn, error) {
 		to, err := netip.ParseAddrPort(address)
 		if err != nil {
-			return nil, ErrRefused.Wrap(err, "dial %q", address)
+			return nil, refused(ErrRefused.Wrap(err, "dial %q", address))
 		}
 		if err := n.reach(ctx, from, to.Addr()); err != nil {
-			return nil, err
+			return nil, refused(err)
 		}
 		n.mu.Lock()
 		l := n.listeners[to]
@@ -165,17 +223,22 @@
 		accepted := l != nil && l.offer(far)
 		n.mu.Unlock()
 		if !accepted {
-			return nil, ErrRefused.New("nobody listens at %s", to)
+			return nil, refused(ErrRefused.New("nobody listens at %s", to))
 		}
 		return near, nil
 	}
 }
 
+// refused returns the error that a net.Dialer returns where no connection came about.
+func refused(cause error) error {
+	return &net.OpError{Op: "dial", Net: "tcp", Err: cause}
+}
+
 // reach waits for one round trip between two hosts.
 func (n *Network) reach(ctx context.Context, a, b netip.Addr) error {
 	for {
 		n.mu.Lock()
-		open := !n.cuts[link{a, b}] && !n.cuts[link{b, a}]
+		open := !n.cut(link{a, b}) && !n.cut(link{b, a})
 		changed := n.changed
 		n.mu.Unlock()
 		if open {
@@ -199,16 +262,29 @@
 func (n *Network) state(l link) (cut bool, changed <-chan struct{}) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.cuts[l], n.changed
+	return n.cut(l), n.changed
 }
 
-// deliver hands a packet to its socket, which shows it after the latency, unless the link is cut or loses it.
+// deliver hands a packet to its socket, which shows it after the latency, unless the link is cut or loses it, or its
+// host is paused.
 func (n *Network) deliver(p packet, to netip.AddrPort) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if n.cuts[link{p.from.Addr(), to.Addr()}] || n.options.Loss > 0 && n.random.Float64() < n.options.Loss {
+	l := link{p.from.Addr(), to.Addr()}
+	if n.cuts[l] || n.paused[l.from] || n.options.Loss > 0 && n.random.Float64() < n.options.Loss {
+		return
+	}
+	if !n.paused[l.to] {
+		n.arrive(p, to)
 		return
 	}
+	if len(n.held[to]) < heldPackets {
+		n.held[to] = append(n.held[to], p)
+	}
+}
+
+// arrive hands a packet to its socket. The caller holds the lock.
+func (n *Network) arrive(p packet, to netip.AddrPort) {
 	if s := n.sockets[to]; s != nil {
 		p.at = time.Now().Add(n.options.Latency)
 		s.receive(p)
