One connection serves both ways, and a restarted peer is found by its own

Ruled out: keep-alives (a packet each way for every pair, for nothing); stateless resets (the restarted process has another key). Change: an accepted connection takes the place of the one to that peer, a call without an answer drops its connection, and idle connections live 30 s.

--- a/pkg/usherlink/call.go
+++ b/pkg/usherlink/call.go
@@ -39,9 +39,7 @@
 	}
 	reply, err := readFrame(stream)
 	if err != nil {
-		if conn.Context().Err() != nil {
-			n.forget(address, conn)
-		}
+		n.forget(address, conn) // the peer may have been restarted, and know nothing of the connection
 		return ErrUnanswered.Wrap(err, "answer of %s to %s", address, kind)
 	}
 	_, body, err := DecodeEnvelope(reply)
--- a/pkg/usherlink/node.go
+++ b/pkg/usherlink/node.go
@@ -31,8 +31,9 @@
 )
 
 const (
-	protocol         = "samphireusher/1"
-	idleTimeout      = 6 * time.Second
+	protocol = "samphireusher/1"
+	// idleTimeout is longer than the time after which a feed polls the same peer again, so that it finds the connection.
+	idleTimeout      = 30 * time.Second
 	handshakeTimeout = 2 * time.Second
 	maxStreams       = 4096
 	// closing tells peers why a connection ends.
@@ -151,10 +152,23 @@
 		if err != nil {
 			return
 		}
+		n.adopt(conn)
 		n.duties.Go(func() { n.serve(conn) })
 	}
 }
 
+// adopt uses a connection that a peer opened for messages to it as well. It takes the place of an older one: a peer
+// that was restarted no longer knows the connection from before.
+func (n *Node) adopt(conn *quic.Conn) {
+	l := &link{ready: make(chan struct{}), conn: conn}
+	close(l.ready)
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.ctx.Err() == nil {
+		n.links[conn.RemoteAddr().String()] = l
+	}
+}
+
 func (n *Node) serve(conn *quic.Conn) {
 	from := peerOf(conn)
 	n.duties.Go(func() { n.serveDatagrams(conn, from) })
--- a/pkg/usherlink/node_test.go
+++ b/pkg/usherlink/node_test.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"log/slog"
+	"net"
 	"os"
 	"path/filepath"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -181,6 +183,53 @@
 	}
 }
 
+// TestRestartedPeerIsFoundByItsOwnConnection has a peer end without a word and come back at the same address: what it
+// sends first opens the way back to it.
+func TestRestartedPeerIsFoundByItsOwnConnection(t *testing.T) {
+	dir, authority := t.TempDir(), newAuthority(t)
+	a := listen(t, newRing(t, dir, "gateway_1", authority, authority))
+	ring := newRing(t, dir, "scheduler_1", authority, authority)
+	socket, err := net.ListenPacket("udp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	mute := &mutable{PacketConn: socket}
+	b, err := usherlink.Open(mute, ring, echo, slog.New(slog.DiscardHandler))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := call(t, a, b, "before"); err != nil {
+		t.Fatal(err)
+	}
+	address := b.Address()
+	mute.silent.Store(true)
+	_ = b.Close()
+	restarted, err := usherlink.Listen(address, ring, echo, slog.New(slog.DiscardHandler))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer restarted.Close()
+	if _, err := call(t, restarted, a, "I am back"); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := call(t, a, restarted, "after"); err != nil {
+		t.Fatalf("the way back: %v", err)
+	}
+}
+
+// mutable is a socket whose packets can be lost from one moment on.
+type mutable struct {
+	net.PacketConn
+	silent atomic.Bool
+}
+
+func (m *mutable) WriteTo(data []byte, to net.Addr) (int, error) {
+	if m.silent.Load() {
+		return len(data), nil
+	}
+	return m.PacketConn.WriteTo(data, to)
+}
+
 func FuzzDecodeEnvelope(f *testing.F) {
 	good, err := usherlink.Encode([]any{usherlink.Version, "echo", text{Text: "x"}, ""})
 	if err != nil {
