--- a/Makefile
+++ b/Makefile
@@ -26,5 +26,10 @@
 demo:
 	@./_scripts/demo.sh
 
+# Promises under failure: more rounds in virtual time (USHER_SEED, USHER_ROUNDS), then the built programs.
+proof: build
+	USHER_ROUNDS=$${USHER_ROUNDS:-20} go test -race -timeout 60m -parallel 4 -v ./proof/...
+	go test -timeout 20m -tags processes -run TestProcesses -v ./proof
+
 clean:
 	rm -rf bin
--- a/proof/promise_test.go
+++ b/proof/promise_test.go
@@ -257,6 +257,10 @@
 				s.SetFaults(faults)
 				f.fleet.Engines[j].SetFaults(usherengine.Faults{Refuse: i == 0, Die: (i+j)%3 == 1, RestartAfterMS: 300})
 			}
+			if faults.Refuse {
+				mark := f.load.mark()
+				f.caller().Call(f.t.Context(), f.gateways()[0], mark, standing(mark))
+			}
 			time.Sleep(2 * time.Second)
 		}
 		f.saw("refusal as not run", f.history.Outcomes()[usherhistory.NotRun] > 0)
@@ -311,7 +315,8 @@
 	prove(t, fleetOfThree, func(f *failures) {
 		f.publishRule()
 		time.Sleep(inForce)
-		f.setPlatformFaults(usherplatform.Faults{Stale: true, StaleVersion: 1})
+		f.setPlatformFaults(usherplatform.Faults{Stale: true, StaleVersion: 2})
+		time.Sleep(inForce)
 		f.killHost(f.gatewayHosts()[0])
 		f.start(f.gatewayHosts()[0])
 		f.setPlatformFaults(usherplatform.Faults{Down: true})
