A resend that no longer resolves is not called not_run

Cause: serveSubmit resolved a request before it looked at its id, so that a resend was refused as not_run with the template's error (missing_parameter, no_template) though the request had run before operators changed the template.

Ruled out: the ledger; it was never asked. Taking Ledger.Refuse was ruled out: it gives up all unused older ids for one caller's typing error.

Conclusion: the template's error is given only for an id that the ledger has not seen; otherwise the outcome is unknown (conflict).

--- a/service/ushergateway/once.go
+++ b/service/ushergateway/once.go
@@ -98,6 +98,13 @@
 	return decision, done, nil
 }
 
+// known tells what the ledger knows of id, without starting or awaiting it.
+func (o *once) known(id usherrequest.ID) (usherledger.Decision, error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.ledger.Lookup(time.Now(), id)
+}
+
 func (o *once) stop() {
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -137,6 +144,26 @@
 	}
 }
 
+// serveUnresolved answers a request with an id that does not resolve. It may have run before its template or the settings of
+// its workspace changed, so cause, which says that it has not, is given only for an id that the ledger has not seen.
+func (g *Gateway) serveUnresolved(w http.ResponseWriter, workspace, text string, cause error) error {
+	id, err := g.Keyring.ParseID(workspace, text)
+	if err != nil {
+		writeRefusal(w, text, usherledger.Unproven(err))
+		return nil
+	}
+	decision, err := g.once.known(id)
+	switch {
+	case err != nil:
+		writeRefusal(w, text, err)
+	case decision.Action == usherledger.Unseen:
+		return cause
+	default: // a kept outcome may be that of another content, which can't be compared with this one
+		writeRefusal(w, text, usherrequest.ReceivedRefusal(usherrequest.Unknown, usherrequest.ReasonConflict))
+	}
+	return nil
+}
+
 // runHere runs the request although its caller may go away: the ledger needs the outcome.
 func (g *Gateway) runHere(ctx context.Context, call usherconfig.Call, id usherrequest.ID, text string, to sink) (usherledger.Result, error) {
 	call.Template.KeepAnswer = true
--- a/service/ushergateway/submit.go
+++ b/service/ushergateway/submit.go
@@ -67,6 +67,9 @@
 		return err
 	}
 	call, err := g.Config.Resolve(callerOf(r), wire.Template, argumentsOf(wire.Parameters))
+	if err != nil && wire.RequestID != "" {
+		return g.serveUnresolved(w, callerOf(r), wire.RequestID, err)
+	}
 	if err != nil {
 		return err
 	}
