Idle connections end after six seconds again

Both directions of polling now keep one connection, so by arithmetic a sixth of the polls finds none, not counted yet. Conclusion: 6 s is kept as the bound on silence.

--- a/pkg/usherlink/node.go
+++ b/pkg/usherlink/node.go
@@ -32,8 +32,9 @@
 
 const (
 	protocol = "samphireusher/1"
-	// idleTimeout is longer than the time after which a feed polls the same peer again, so that it finds the connection.
-	idleTimeout      = 30 * time.Second
+	// idleTimeout is also how long a call waits for a peer that cannot be heard. Feeds poll a peer about as often, in either
+	// direction, so that most polls find a connection.
+	idleTimeout      = 6 * time.Second
 	handshakeTimeout = 2 * time.Second
 	maxStreams       = 4096
 	// closing tells peers why a connection ends.
