An engine that is ordered to load counts as cold at once; evidence is final

Cause: TestEnginesAreOrderedAsDeclared ended two streams in part in one of two runs: after an order to load, grants went by the warm limit until the next report said cold, up to 2 s later, and the engine fell over; a limit could also be 100 ms late to see that an engine drains. Ruled out as the cause: a write after its evidence was read (the transport waits for its writer; the evidence now seals the sending all the same).

--- a/pkg/usherlease/load.go
+++ b/pkg/usherlease/load.go
@@ -53,6 +53,14 @@
 	return nil
 }
 
+// Chill takes a target back to the start, because something was done to it that makes it cold: its reports will say so
+// later than the next grant.
+func (l *Leases) Chill(id string) {
+	if t := l.byID[id]; t != nil {
+		t.ramp.chill(l.ramps, t.Target)
+	}
+}
+
 // gained reports whether a report asked for at askedAt is the first that counts for some vote.
 func (l *Leases) gained(now time.Time, t *target, askedAt time.Time) bool {
 	for _, v := range t.votes {
--- a/service/ushergateway/api.go
+++ b/service/ushergateway/api.go
@@ -94,6 +94,9 @@
 // bound keeps a caller's body within its limit and its time.
 func (g *Gateway) bound(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if g.stopping.Load() {
+			w.Header().Set("Connection", "close") // so that no caller sends on a connection that is about to end
+		}
 		control := http.NewResponseController(w)
 		_ = control.SetReadDeadline(time.Now().Add(bodyTimeout))
 		r.Body = &boundedBody{ReadCloser: http.MaxBytesReader(w, r.Body, g.Limits.BodyBytes), control: control}
--- a/service/usherscheduler/order.go
+++ b/service/usherscheduler/order.go
@@ -75,8 +75,18 @@
 		t.observing, t.observedAt = true, now
 		go c.observe(ctx, name, t.Target)
 	}
-	for _, order := range c.orders.Due(now, func(name string) usherorder.Standing { return c.standing(now, name) }) {
+	due := c.orders.Due(now, func(name string) usherorder.Standing { return c.standing(now, name) })
+	for name := range c.ordering {
+		if t := c.targets[name]; t != nil {
+			c.limit(now, name, t) // before the next grant: what drains gets no more work
+		}
+	}
+	for _, order := range due {
 		t := c.targets[order.Target]
+		if order.Action != usherorder.LoadAdapter {
+			c.leases.Chill(order.Target)
+		}
+		c.touched[order.Target] = true
 		c.log.Info("order", "target", order.Target, "action", string(order.Action), "name", order.Name, "revision", order.Fence)
 		go c.sendOrder(ctx, t.Target, order)
 	}
--- a/service/ushertarget/sending.go
+++ b/service/ushertarget/sending.go
@@ -19,7 +19,7 @@
 		guard   Guard
 		asked   sync.Once
 		refusal error
-		written atomic.Bool
+		state   atomic.Int32
 	}
 
 	// guardedConn is a connection whose writes the current request's guard allows. HTTP/1.1 serves one request at a
@@ -34,6 +34,13 @@
 	}
 )
 
+// States of a sending. It leaves unwritten once: when its first byte may go out, or when its evidence is taken.
+const (
+	unwritten int32 = iota
+	written
+	sealed
+)
+
 // newSending returns the watch of a request and the context under which the request is to be made.
 func newSending(ctx context.Context, guard Guard) (*sending, context.Context) {
 	s := &sending{guard: guard}
@@ -64,15 +71,23 @@
 	if err := s.allow(c.incarnation); err != nil {
 		return 0, err
 	}
-	// The request counts as written from before the first byte, until it is sure that none went out.
-	first := !s.written.Swap(true)
+	first := s.state.CompareAndSwap(unwritten, written)
+	if s.state.Load() == sealed {
+		return 0, ErrGuard.New("given up before its first byte")
+	}
 	count, err := c.Conn.Write(data)
 	if first && count == 0 && err != nil {
-		s.written.Store(false)
+		s.state.Store(sealed) // none went out, and none will
 	}
 	return count, err
 }
 
+// evidence returns whether the request may have been written. Once it says no, the request never will be: the
+// transport may still be about to write when its caller has given up.
+func (s *sending) evidence() bool {
+	return !s.state.CompareAndSwap(unwritten, sealed) && s.state.Load() == written
+}
+
 func dialGuarded(dial Dial) Dial {
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
 		conn, err := dial(ctx, network, address)
--- a/service/ushertarget/target.go
+++ b/service/ushertarget/target.go
@@ -224,7 +224,7 @@
 	request.Header.Set("Content-Type", "application/json")
 	response, err := c.http.Do(request)
 	if err != nil {
-		return nil, Evidence{Written: sending.written.Load()}, sendError(err)
+		return nil, Evidence{Written: sending.evidence()}, sendError(err)
 	}
 	if response.StatusCode != http.StatusOK {
 		return nil, refused(response), ErrRefused.New("target answered %s", response.Status)
--- a/service/ushertarget/target_test.go
+++ b/service/ushertarget/target_test.go
@@ -1,6 +1,7 @@
 package ushertarget_test
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -10,6 +11,7 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/joomcode/errorx"
 
@@ -129,6 +131,30 @@
 	}
 }
 
+// TestGivenUpRequestIsTold has the guard hold up the first byte until the caller has given up: whatever the transport
+// does then, a request that ran is never told as not written.
+func TestGivenUpRequestIsTold(t *testing.T) {
+	var served atomic.Int64
+	target := serve(t, func(w http.ResponseWriter, _ *http.Request) {
+		served.Add(1)
+		fmt.Fprint(w, `{"call_id":"c"}`)
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	slow := func(uint64) error {
+		cancel()
+		time.Sleep(50 * time.Millisecond)
+		return nil
+	}
+	_, evidence, err := ushertarget.NewClient().Call(ctx, target, ushertarget.Call{ID: "c"}, slow)
+	if err == nil {
+		t.Fatal("a call was answered after its caller had given up")
+	}
+	time.Sleep(50 * time.Millisecond)
+	if served.Load() > 0 && !evidence.Written {
+		t.Fatal("a request ran whose caller was told that nothing was written")
+	}
+}
+
 func TestEvidence(t *testing.T) {
 	unreachable := netip.MustParseAddrPort("127.0.0.1:1")
 	refusing := serve(t, func(w http.ResponseWriter, _ *http.Request) {
