A stand-in's idle connections end with its life

The stand-ins dropped open requests at a death but kept idle connections, so a request could reach the next incarnation over a connection on which the one before had told itself; a process's connections end with it, and the product's rule rests on that. Conclusion: the fault was the stand-in's; targets behind a proxy that keeps connections over a restart are outside of what is proved.

--- a/standin/internal/usherlife/life.go
+++ b/standin/internal/usherlife/life.go
@@ -10,6 +10,7 @@
 import (
 	"context"
 	"net/http"
+	"net/netip"
 	"strconv"
 	"sync"
 	"time"
@@ -33,6 +34,8 @@
 		life        *Life
 		frozenUntil time.Time
 		delay       time.Duration
+		// conns has the incarnation that each connection, by its remote address, was opened to.
+		conns map[string]int64
 	}
 
 	lifeKey struct{}
@@ -124,7 +127,7 @@
 func (g *Gate) Middleware(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		life, alive := g.Current()
-		if !alive {
+		if !alive || !g.belongs(r.RemoteAddr, life) {
 			panic(http.ErrAbortHandler)
 		}
 		ctx, cancel := context.WithCancel(context.WithValue(r.Context(), lifeKey{}, life))
@@ -141,6 +144,26 @@
 	})
 }
 
+// belongs reports whether a connection was opened in this life: a process's connections end with it, idle ones too.
+// A pipe has no address to tell it by.
+func (g *Gate) belongs(conn string, life *Life) bool {
+	if _, err := netip.ParseAddrPort(conn); err != nil {
+		return true
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.conns == nil {
+		g.conns = map[string]int64{}
+	}
+	opened, known := g.conns[conn]
+	if known && opened != life.Incarnation {
+		delete(g.conns, conn)
+		return false
+	}
+	g.conns[conn] = life.Incarnation
+	return true
+}
+
 // FromContext returns the life that took the request of ctx.
 func FromContext(ctx context.Context) *Life {
 	life, _ := ctx.Value(lifeKey{}).(*Life)
