The orders' test tells what engines know of unfinished generations

Cause: its known red failure shows a stream that stalls, not where. After: the engines' records are logged when it fails.

--- a/service/ushergateway/move_test.go
+++ b/service/ushergateway/move_test.go
@@ -296,5 +296,20 @@
 	})
 	if outcomes := l.end(); outcomes["completed"] == 0 || outcomes["ran_in_part"]+outcomes["unknown"]+outcomes["broken"] > 0 {
 		t.Errorf("outcomes %v", outcomes)
+		logUnfinished(t, fleet)
+	}
+}
+
+// logUnfinished tells what the engines know of generations that did not end.
+func logUnfinished(t *testing.T, fleet *usherfleet.Fleet) {
+	t.Helper()
+	for i, engine := range fleet.Engines {
+		record := engine.Record()
+		for _, g := range record.Generations {
+			if !g.Finished {
+				t.Logf("engine %d: %+v", i, g)
+			}
+		}
+		t.Logf("engine %d died: %+v", i, record.Deaths)
 	}
 }
