A request does not wait where its only target is one that it avoids; a dying stand-in closes its idle connections

Cause of the known red TestEnginesAreOrderedAsDeclared: an engine that loads refuses with 503; the request then avoided it, queued at the scheduler that held only that engine, and waited there for its whole 60 s (it was granted 0.2 s before its deadline, by the engine's record). Ruled out: a stall of the engine, the relay or the network (the generation started at 67.4 s of virtual time). Change: only targets that lost a request are avoided; a scheduler that holds no other refuses at once; where there is no other target the avoided one is asked after all; stand-ins close every connection when they die.

--- a/service/ushergateway/execution.go
+++ b/service/ushergateway/execution.go
@@ -138,6 +138,15 @@
 // acquire asks one scheduler after another for a grant. Each scheduler is asked for an attempt of its own, so that a grant
 // whose answer was lost is never mistaken for another.
 func (e *execution) acquire(ctx context.Context) (granted, error) {
+	grant, err := e.acquireAny(ctx)
+	if err == nil || len(e.avoid) == 0 || ctx.Err() != nil {
+		return grant, err
+	}
+	e.avoid = nil // where there is no other target, one that lost the request before is better than none
+	return e.acquireAny(ctx)
+}
+
+func (e *execution) acquireAny(ctx context.Context) (granted, error) {
 	g := e.gateway
 	tried := []string{}
 	last := error(usherrequest.Refuse(usherrequest.Evidence{}, usherrequest.ReasonOverloaded))
@@ -226,7 +235,7 @@
 		e.sent++
 	}
 	e.settle(ctx, grant, v)
-	if !v.done && v.reason != reasonGrantExpired {
+	if !v.done && !v.unsent {
 		e.avoid = append(e.avoid, grant.Target)
 	}
 	e.finish(grant, v)
--- a/service/usherscheduler/event.go
+++ b/service/usherscheduler/event.go
@@ -62,7 +62,7 @@
 		e.reply <- reply{err: usherrequest.Refuse(usherrequest.Evidence{}, ReasonUnconfirmed).WithRetryAfter(c.options.Member.Interval)}
 		return
 	}
-	if !c.holdsAny(now, r.Service) {
+	if !c.holdsAny(now, r) {
 		e.reply <- reply{err: usherrequest.Refuse(usherrequest.Evidence{}, usherrequest.ReasonNotHere).WithRetryAfter(c.options.Member.Interval)}
 		return
 	}
@@ -74,11 +74,13 @@
 	c.waiting[attempt] = &pending{asking: e.asking, arrived: now}
 }
 
-// holdsAny reports whether this scheduler holds a vote on any target of the service; without one nothing that waits
-// here would ever be granted.
-func (c *core) holdsAny(now time.Time, service string) bool {
-	s := c.services[service]
-	return s != nil && slices.ContainsFunc(s.names, func(name string) bool { return c.leases.Budget(now, name).Votes > 0 })
+// holdsAny reports whether this scheduler holds a vote on a target that the request may go to; without one the request
+// would wait here for nothing.
+func (c *core) holdsAny(now time.Time, r ushergrant.Request) bool {
+	s := c.services[r.Service]
+	return s != nil && slices.ContainsFunc(s.names, func(name string) bool {
+		return !slices.Contains(r.Avoid, name) && c.leases.Budget(now, name).Votes > 0
+	})
 }
 
 // admission is the request as admission sees it.
--- a/standin/internal/usherlife/life.go
+++ b/standin/internal/usherlife/life.go
@@ -9,8 +9,8 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
-	"net/netip"
 	"strconv"
 	"sync"
 	"time"
@@ -34,11 +34,12 @@
 		life        *Life
 		frozenUntil time.Time
 		delay       time.Duration
-		// conns has the incarnation that each connection, by its remote address, was opened to.
-		conns map[string]int64
+		// conns has the incarnation that each connection was opened to.
+		conns map[net.Conn]int64
 	}
 
 	lifeKey struct{}
+	connKey struct{}
 )
 
 // NewGate returns the gate of a target that starts now with the given incarnation; zero counts as one.
@@ -77,6 +78,7 @@
 		return false
 	}
 	g.life.end()
+	g.closeConns()
 	g.life = newLife(g.life.Incarnation+1, now.Add(restartAfter))
 	g.frozenUntil = time.Time{}
 	return true
@@ -127,7 +129,7 @@
 func (g *Gate) Middleware(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		life, alive := g.Current()
-		if !alive || !g.belongs(r.RemoteAddr, life) {
+		if !alive || !g.belongs(r, life) {
 			panic(http.ErrAbortHandler)
 		}
 		ctx, cancel := context.WithCancel(context.WithValue(r.Context(), lifeKey{}, life))
@@ -144,26 +146,39 @@
 	})
 }
 
-// belongs reports whether a connection was opened in this life: a process's connections end with it, idle ones too.
-// A pipe has no address to tell it by.
-func (g *Gate) belongs(conn string, life *Life) bool {
-	if _, err := netip.ParseAddrPort(conn); err != nil {
+// ConnContext is for http.Server: it lets a gate close the connections of a process that dies, idle ones too.
+func ConnContext(ctx context.Context, conn net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, conn)
+}
+
+// belongs notes a connection and reports whether it was opened in this life. A server without ConnContext has none to
+// tell.
+func (g *Gate) belongs(r *http.Request, life *Life) bool {
+	conn, ok := r.Context().Value(connKey{}).(net.Conn)
+	if !ok {
 		return true
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if g.conns == nil {
-		g.conns = map[string]int64{}
+		g.conns = map[net.Conn]int64{}
 	}
 	opened, known := g.conns[conn]
 	if known && opened != life.Incarnation {
-		delete(g.conns, conn)
 		return false
 	}
 	g.conns[conn] = life.Incarnation
 	return true
 }
 
+// closeConns ends the connections of the life that has ended. The caller holds the lock.
+func (g *Gate) closeConns() {
+	for conn := range g.conns {
+		_ = conn.Close()
+	}
+	clear(g.conns)
+}
+
 // FromContext returns the life that took the request of ctx.
 func FromContext(ctx context.Context) *Life {
 	life, _ := ctx.Value(lifeKey{}).(*Life)
--- a/standin/usherfleet/fleet.go
+++ b/standin/usherfleet/fleet.go
@@ -34,6 +34,7 @@
 	"github.com/samphireusher/samphireusher/pkg/usherlease"
 	"github.com/samphireusher/samphireusher/pkg/ushermember"
 	"github.com/samphireusher/samphireusher/service/usherclient"
+	"github.com/samphireusher/samphireusher/standin/internal/usherlife"
 	"github.com/samphireusher/samphireusher/standin/usherengine"
 	"github.com/samphireusher/samphireusher/standin/ushernet"
 	"github.com/samphireusher/samphireusher/standin/usherplain"
@@ -273,7 +274,7 @@
 	if err != nil {
 		return netip.AddrPort{}, err
 	}
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: time.Minute}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: time.Minute, ConnContext: usherlife.ConnContext}
 	f.servers = append(f.servers, server)
 	f.duties.Go(func() { _ = server.Serve(listener) })
 	return address, nil
--- a/standin/usherserver/server.go
+++ b/standin/usherserver/server.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/joomcode/errorx"
+
+	"github.com/samphireusher/samphireusher/standin/internal/usherlife"
 )
 
 const (
@@ -74,6 +76,7 @@
 		http: &http.Server{
 			Handler:           handler,
 			ReadHeaderTimeout: readHeaderTimeout,
+			ConnContext:       usherlife.ConnContext,
 			ErrorLog:          slog.NewLogLogger(log.Handler(), slog.LevelWarn),
 		},
 	}, nil
