--- a/service/usherclient/follow_test.go
+++ b/service/usherclient/follow_test.go
@@ -34,13 +34,20 @@
 func gateway(t *testing.T, scripts ...script) (string, *[]string) {
 	t.Helper()
 	asked := &[]string{}
-	serve := func(w http.ResponseWriter, r *http.Request) {
-		*asked = append(*asked, r.URL.Query().Get("from"))
+	var mu sync.Mutex // a caller that gives up may have the next request served beside the last
+	next := func(from string) script {
+		mu.Lock()
+		defer mu.Unlock()
+		*asked = append(*asked, from)
 		if len(scripts) == 0 {
 			panic(http.ErrAbortHandler)
 		}
 		s := scripts[0]
 		scripts = scripts[1:]
+		return s
+	}
+	serve := func(w http.ResponseWriter, r *http.Request) {
+		s := next(r.URL.Query().Get("from"))
 		w.Header().Set("Content-Type", "text/event-stream")
 		fmt.Fprint(w, "event: started\ndata: {\"request_id\":\"r1\",\"handle\":\"h1\"}\n\n")
 		for _, index := range s.tokens {
