--- a/bench/ushermeasure/decision.go
+++ b/bench/ushermeasure/decision.go
@@ -14,7 +14,7 @@
 const (
 	decisionCount = 2000
 	// decisionWarmUp is longer than the time for which a started scheduler lends nothing.
-	decisionWarmUp = 7 * time.Second
+	decisionWarmUp = 11 * time.Second
 )
 
 // silence is a link to nobody.
