--- /dev/null
+++ b/pkg/ushercluster/cluster.go
@@ -0,0 +1,240 @@
+// Package ushercluster tells one host which other hosts there are.
+//
+// Hosts find each other through a few seed addresses and then by gossip: each sends a Report to some others several
+// times a second, and a report names further hosts with the age at which they were last heard of. Nothing is agreed on;
+// a host that is not heard of for a while counts as gone, and one that says it stops is passed over at once. Hosts that
+// are gone are still tried now and then, so that the parts of a split fleet find each other again.
+//
+// A Cluster does no I/O and reads no clock. It is not safe for concurrent use.
+//
+// # Usage
+//
+//	c := ushercluster.New(self, seeds, random)
+//	for _, to := range c.Recipients(now) {
+//		send(to, c.Report(now))
+//	}
+//	c.Receive(now, report)
+//	for _, m := range c.Alive(now) {
+//		...
+//	}
+package ushercluster
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"strings"
+	"time"
+)
+
+const (
+	// Starting hosts do not take requests yet.
+	Starting State = iota
+	// Serving hosts take requests.
+	Serving
+	// Stopping hosts finish what they have.
+	Stopping
+
+	// Interval is the time between two reports of a host to the same peer in a small fleet. It bounds how old the
+	// loads of other hosts are.
+	Interval = 250 * time.Millisecond
+	// Silence is how long a host is not heard of before it counts as gone: four reports, so that single lost datagrams
+	// do not remove it.
+	Silence = 4*Interval + Interval/2
+	// forget is how long a host that is gone is still tried.
+	forget = 2 * time.Minute
+	// retryInterval is the time between tries to reach a host that is gone or a seed that never answered.
+	retryInterval = time.Second
+	// fanout bounds the recipients of one round, so that the traffic of a host does not grow with the fleet.
+	fanout = 10
+	// maxSightings bounds the further hosts named in a report, so that it fits a datagram.
+	maxSightings = 8
+	// sharersFloor is how many hosts are assumed to share limits until a peer was heard.
+	sharersFloor = 9
+	// sharersMemory is how long the largest number of hosts seen counts for shares of limits.
+	sharersMemory = time.Minute
+)
+
+type (
+	// State tells whether a host takes requests.
+	State uint8
+
+	// Member is what a host says of itself.
+	Member struct {
+		Name       string `cbor:"1,keyasint"`
+		DataCentre string `cbor:"2,keyasint"`
+		// Address is where its peers reach it.
+		Address netip.AddrPort `cbor:"3,keyasint"`
+		// Callers is where callers reach it.
+		Callers netip.AddrPort `cbor:"4,keyasint"`
+		// Incarnation rises with each start.
+		Incarnation int64 `cbor:"5,keyasint"`
+		State       State `cbor:"6,keyasint"`
+	}
+
+	// Sighting names a host that the sender of a report heard of.
+	Sighting struct {
+		Member Member        `cbor:"1,keyasint"`
+		Age    time.Duration `cbor:"2,keyasint"`
+	}
+
+	// Report is what a host tells its peers about hosts.
+	Report struct {
+		From      Member     `cbor:"1,keyasint"`
+		Sightings []Sighting `cbor:"2,keyasint"`
+	}
+
+	// Cluster is one host's view of all hosts.
+	Cluster struct {
+		self    Member
+		seeds   []netip.AddrPort
+		random  *rand.Rand
+		members map[string]*member
+		tried   map[netip.AddrPort]time.Time
+		// most is the largest number of hosts seen lately, self included.
+		most   int
+		mostAt time.Time
+		heard  bool
+	}
+
+	member struct {
+		Member
+		heard time.Time
+	}
+)
+
+// New returns the view of a host that has heard of no other.
+func New(self Member, seeds []netip.AddrPort, random *rand.Rand) *Cluster {
+	return &Cluster{self: self, seeds: seeds, random: random, members: map[string]*member{}, tried: map[netip.AddrPort]time.Time{}}
+}
+
+// Self returns what this host says of itself.
+func (c *Cluster) Self() Member { return c.self }
+
+// SetState changes what this host says of itself.
+func (c *Cluster) SetState(s State) { c.self.State = s }
+
+// SetSeeds replaces the seed addresses.
+func (c *Cluster) SetSeeds(seeds []netip.AddrPort) { c.seeds = seeds }
+
+// Receive takes in a report and returns the hosts that are new or changed their state.
+func (c *Cluster) Receive(now time.Time, r Report) []Member {
+	var changed []Member
+	if c.learn(now, r.From, now, true) {
+		changed = append(changed, r.From)
+	}
+	for _, s := range r.Sightings {
+		if s.Age >= 0 && s.Age < Silence && c.learn(now, s.Member, now.Add(-s.Age), false) {
+			changed = append(changed, s.Member)
+		}
+	}
+	return changed
+}
+
+// learn takes in what a host says of itself, directly or by way of a peer. Incarnations come from clocks that may have
+// been set back, so a direct report always names the present one; a sighting with a lower one is older.
+func (c *Cluster) learn(now time.Time, m Member, heard time.Time, direct bool) bool {
+	if m.Name == c.self.Name || m.Name == "" {
+		return false
+	}
+	c.heard = true
+	old, known := c.members[m.Name]
+	if known && m.Incarnation == old.Incarnation && m.State < old.State {
+		return false
+	}
+	if known && m.Incarnation < old.Incarnation && !direct {
+		return false
+	}
+	changed := !known || old.Incarnation != m.Incarnation || old.State != m.State || now.Sub(old.heard) > Silence
+	if known && old.heard.After(heard) {
+		heard = old.heard
+	}
+	c.members[m.Name] = &member{Member: m, heard: heard}
+	return changed
+}
+
+// Alive returns the hosts heard of lately, without this one, sorted by name.
+func (c *Cluster) Alive(now time.Time) []Member {
+	var alive []Member
+	for _, m := range c.members {
+		if now.Sub(m.heard) <= Silence {
+			alive = append(alive, m.Member)
+		}
+	}
+	slices.SortFunc(alive, func(a, b Member) int { return strings.Compare(a.Name, b.Name) })
+	return alive
+}
+
+// Report returns what this host tells its peers.
+func (c *Cluster) Report(now time.Time) Report {
+	r := Report{From: c.self}
+	alive := make([]*member, 0, len(c.members))
+	for _, m := range c.members {
+		if now.Sub(m.heard) <= Silence {
+			alive = append(alive, m)
+		}
+	}
+	// The random order gives each host its turn; the sort before makes it depend on the seed only.
+	slices.SortFunc(alive, func(a, b *member) int { return strings.Compare(a.Name, b.Name) })
+	c.random.Shuffle(len(alive), func(i, j int) { alive[i], alive[j] = alive[j], alive[i] })
+	for _, m := range alive[:min(len(alive), maxSightings)] {
+		r.Sightings = append(r.Sightings, Sighting{Member: m.Member, Age: now.Sub(m.heard)})
+	}
+	return r
+}
+
+// Recipients returns the addresses to which this host reports now; call it each Interval.
+func (c *Cluster) Recipients(now time.Time) []netip.AddrPort {
+	var to []netip.AddrPort
+	known := map[netip.AddrPort]bool{c.self.Address: true}
+	for _, m := range c.members {
+		switch silent := now.Sub(m.heard); {
+		case silent <= Silence:
+			to = append(to, m.Address)
+		case silent > forget:
+			delete(c.members, m.Name)
+			continue
+		case c.due(now, m.Address):
+			to = append(to, m.Address)
+		}
+		known[m.Address] = true
+	}
+	slices.SortFunc(to, compareAddresses)
+	c.random.Shuffle(len(to), func(i, j int) { to[i], to[j] = to[j], to[i] })
+	to = to[:min(len(to), fanout)]
+	for _, seed := range c.seeds {
+		if !known[seed] && c.due(now, seed) {
+			to = append(to, seed)
+		}
+	}
+	return to
+}
+
+// due tells whether an address that does not answer may be tried again.
+func (c *Cluster) due(now time.Time, address netip.AddrPort) bool {
+	if at, tried := c.tried[address]; tried && now.Sub(at) < retryInterval && c.heard {
+		return false
+	}
+	c.tried[address] = now
+	return true
+}
+
+// Sharers returns how many hosts divide a limit. It falls only slowly: a host that hears nobody is cut off, and the
+// others go on.
+func (c *Cluster) Sharers(now time.Time) int {
+	if !c.heard {
+		return sharersFloor
+	}
+	if n := 1 + len(c.Alive(now)); n >= c.most || now.Sub(c.mostAt) > sharersMemory {
+		c.most, c.mostAt = n, now
+	}
+	return c.most
+}
+
+func compareAddresses(a, b netip.AddrPort) int {
+	if n := a.Addr().Compare(b.Addr()); n != 0 {
+		return n
+	}
+	return cmp.Compare(a.Port(), b.Port())
+}
--- /dev/null
+++ b/pkg/usherpool/pool.go
@@ -0,0 +1,311 @@
+// Package usherpool decides which target a request is sent to.
+//
+// A Pool holds what one host knows of every target: the published entry, what this host and its peers have running
+// there, and how its answers have been lately. Choices are made for one request at a time by expected delay: the work
+// that is ahead of it, memory that would run short, recent failures, distance. Targets that are leaving, evacuated or
+// of another service are never chosen, and cold targets get at most this host's part of what they tolerate.
+//
+// A Pool does no I/O and reads no clock. It is not safe for concurrent use.
+//
+// # Usage
+//
+//	pool := usherpool.New(usherpool.Options{DataCentre: "kochi", Random: random})
+//	pool.Update(now, targets, evacuated, table, hosts)
+//	choice, err := pool.Choose(now, usherpool.Request{Service: "appraiser", PromptTokens: 3000, OutputTokens: 900})
+//	if err != nil {
+//		return err // ErrNone, ErrCold, ErrFull
+//	}
+//	pool.Add(choice.Target.ID, usherpool.Load{Streams: 1, Tokens: 3900})
+//	pool.Observe(now, choice.Target.ID, usherpool.Answered)
+package usherpool
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/joomcode/errorx"
+
+	"github.com/samphireusher/samphireusher/pkg/ushercatalog"
+	"github.com/samphireusher/samphireusher/pkg/usherroute"
+)
+
+const (
+	// loadLifetime is how long a peer's loads count after it was last heard: several of its reports, each of which may
+	// be lost on the way.
+	loadLifetime = 2 * time.Second
+	// prefillTokensPerMs is the rate at which engines read prompts, from the users' sheets.
+	prefillTokensPerMs = 14
+	// streamCost is how much a running stream delays another one at the same engine, over its first second.
+	streamCost = 25 * time.Millisecond
+	// callCost is the service time of one call at a plain service, from the users' sheets.
+	callCost = 15 * time.Millisecond
+	// distanceCost prefers targets of the host's own data centre where nothing else differs.
+	distanceCost = 4 * time.Millisecond
+	// shortageCost is the delay of a request whose memory does not fit: a preempted request is read in again.
+	shortageCost = 2 * time.Second
+	// memoryShare is the part of an engine's memory that is filled before it counts as short. The rest is room for
+	// lengths beyond their estimates.
+	memoryShare = 0.92
+	// failureCost is the delay that a request meets at a target that always fails.
+	failureCost = 2 * time.Second
+)
+
+var (
+	// Errors is the namespace of this package's errors.
+	Errors = errorx.NewNamespace("usher_pool").ApplyModifiers(errorx.TypeModifierOmitStackTrace)
+	// ErrNone is the type of errors where no target of the service accepts work.
+	ErrNone = Errors.NewType("none")
+	// ErrCold is the type of errors where targets are cold and have had this host's part of what they tolerate.
+	ErrCold = Errors.NewType("cold")
+	// ErrFull is the type of errors where every target has all places taken.
+	ErrFull = Errors.NewType("full")
+)
+
+type (
+	// Options are fixed for the life of a pool.
+	Options struct {
+		// DataCentre is where this host is.
+		DataCentre string
+		Random     *rand.Rand
+	}
+
+	// Request is what is known of a request before it is sent.
+	Request struct {
+		Service string
+		// PromptTokens and OutputTokens are zero for plain calls. OutputTokens is an estimate.
+		PromptTokens int
+		OutputTokens int
+		// Copy asks for a place for a copy of a run's memory, not for work.
+		Copy bool
+		// Exclude names targets that are not to be chosen.
+		Exclude []string
+	}
+
+	// Choice is the target chosen, with the inputs that decided it.
+	Choice struct {
+		Target ushercatalog.Target
+		// Learned is when this host learned the target's entry.
+		Learned time.Time
+		Delay   time.Duration
+		// Load is what was known to run there, at all hosts.
+		Load Load
+	}
+
+	// Load is work at a target.
+	Load struct {
+		// Calls are requests of plain services.
+		Calls int `cbor:"1,keyasint,omitempty"`
+		// Streams are running generations.
+		Streams int `cbor:"2,keyasint,omitempty"`
+		// Tokens are the memory of running generations at their expected end.
+		Tokens int `cbor:"3,keyasint,omitempty"`
+		// Prefill are prompt tokens that are not read yet.
+		Prefill int `cbor:"4,keyasint,omitempty"`
+		// Copies and CopyTokens are copies of other targets' generations.
+		Copies     int `cbor:"5,keyasint,omitempty"`
+		CopyTokens int `cbor:"6,keyasint,omitempty"`
+	}
+
+	// Pool is what one host knows of all targets.
+	Pool struct {
+		options Options
+		targets map[string]*target
+		table   *usherroute.Table
+		peers   map[string]peerLoads
+		hosts   int
+	}
+
+	target struct {
+		entry     ushercatalog.Target
+		learned   time.Time
+		coldUntil time.Time
+		// open says that new work may be sent.
+		open      bool
+		evacuated bool
+		own       Load
+		cold      bucket
+		health    health
+	}
+
+	peerLoads struct {
+		loads map[string]Load
+		heard time.Time
+	}
+)
+
+// New returns a pool that knows no target.
+func New(options Options) *Pool {
+	return &Pool{options: options, targets: map[string]*target{}, peers: map[string]peerLoads{}, hosts: 1}
+}
+
+// Update takes in the published targets, the evacuated data centres and the declarations. Hosts is how many hosts share
+// what cold targets tolerate. Targets that are no longer published get no new work, and are forgotten once this host
+// has nothing running there.
+func (p *Pool) Update(now time.Time, published []ushercatalog.Known, evacuated func(dataCentre string) bool, table *usherroute.Table, hosts int) {
+	p.table, p.hosts = table, max(hosts, 1)
+	for _, t := range p.targets {
+		t.open = false
+	}
+	for _, k := range published {
+		entry := *k.Target
+		t, known := p.targets[entry.ID]
+		if !known || t.entry.Incarnation != entry.Incarnation || t.entry.Address != entry.Address {
+			t = &target{cold: newBucket(now, p.options.Random.Float64())}
+			p.targets[entry.ID] = t
+		}
+		if !t.learned.Equal(k.Learned) {
+			t.coldUntil = k.Learned.Add(entry.Cold)
+		}
+		t.entry, t.learned = entry, k.Learned
+		t.evacuated = evacuated(entry.DataCentre)
+		t.open = !entry.Leaving && !t.evacuated
+	}
+	for id, t := range p.targets {
+		if !t.open && t.own == (Load{}) && !slices.ContainsFunc(published, func(k ushercatalog.Known) bool { return k.Target.ID == id }) {
+			delete(p.targets, id)
+		}
+	}
+}
+
+// Accepts tells whether a target may be sent new work.
+func (p *Pool) Accepts(id string) bool {
+	t, known := p.targets[id]
+	return known && t.open
+}
+
+// Address returns the published address of a target that is still known.
+func (p *Pool) Target(id string) (ushercatalog.Target, bool) {
+	t, known := p.targets[id]
+	if !known {
+		return ushercatalog.Target{}, false
+	}
+	return t.entry, true
+}
+
+// Choose returns the target with the least expected delay for r. It counts as a send to a cold target.
+func (p *Pool) Choose(now time.Time, r Request) (Choice, error) {
+	var best *target
+	var choice Choice
+	reason := ErrNone
+	for _, t := range p.targets {
+		if t.entry.Service != r.Service || !t.open || slices.Contains(r.Exclude, t.entry.ID) || t.health.blocked(now) {
+			continue
+		}
+		if !r.Copy && p.isCold(now, t) && !t.cold.ready(now, p.coldRate(t)) {
+			reason = ErrCold
+			continue
+		}
+		load := p.load(now, t)
+		if p.full(t, r, load) {
+			reason = ErrFull
+			continue
+		}
+		delay := p.delay(now, t, r, load)
+		if best == nil || delay < choice.Delay {
+			best, choice = t, Choice{Target: t.entry, Learned: t.learned, Delay: delay, Load: load}
+		}
+	}
+	if best == nil {
+		return Choice{}, reason.New("no target of service %q accepts the request", r.Service)
+	}
+	if !r.Copy && p.isCold(now, best) {
+		best.cold.take()
+	}
+	return choice, nil
+}
+
+// Add adds work of this host to a target; the parts of l are negative at its end.
+func (p *Pool) Add(id string, l Load) {
+	if t, known := p.targets[id]; known {
+		t.own = t.own.plus(l)
+	}
+}
+
+// Own returns what this host has running, by target.
+func (p *Pool) Own() map[string]Load {
+	loads := map[string]Load{}
+	for id, t := range p.targets {
+		if t.own != (Load{}) {
+			loads[id] = t.own
+		}
+	}
+	return loads
+}
+
+// Report takes in what a peer has running.
+func (p *Pool) Report(now time.Time, peer string, loads map[string]Load) {
+	p.peers[peer] = peerLoads{loads: loads, heard: now}
+}
+
+// load sums up what all hosts have at a target.
+func (p *Pool) load(now time.Time, t *target) Load {
+	sum := t.own
+	for name, peer := range p.peers {
+		if now.Sub(peer.heard) > loadLifetime {
+			delete(p.peers, name)
+			continue
+		}
+		sum = sum.plus(peer.loads[t.entry.ID])
+	}
+	return sum
+}
+
+// full tells whether a target has no place left for r.
+func (p *Pool) full(t *target, r Request, load Load) bool {
+	if r.PromptTokens == 0 || t.entry.Slots == 0 {
+		return false
+	}
+	return r.Copy && load.Streams+load.Copies >= t.entry.Slots
+}
+
+// delay estimates how long r would wait at t before its first result.
+func (p *Pool) delay(now time.Time, t *target, r Request, load Load) time.Duration {
+	delay := time.Duration(t.health.failureRate(now) * float64(failureCost))
+	if t.entry.DataCentre != p.options.DataCentre {
+		delay += distanceCost
+	}
+	// Breaks ties between equal targets, so that hosts with one view do not all choose the same.
+	delay += time.Duration(p.options.Random.Float64() * float64(time.Millisecond))
+	if r.PromptTokens == 0 {
+		return delay + time.Duration(load.Calls)*callCost/time.Duration(max(t.entry.Slots, 1))
+	}
+	tokens := r.PromptTokens + r.OutputTokens
+	delay += time.Duration(load.Prefill/prefillTokensPerMs) * time.Millisecond
+	delay += time.Duration(load.Streams)*streamCost + time.Duration(load.Copies)*streamCost/4
+	if room := p.memory(t); room > 0 {
+		used := float64(load.Tokens+load.CopyTokens+tokens) / float64(room)
+		delay += time.Duration(used * float64(100*time.Millisecond))
+		if used > 1 {
+			delay += time.Duration((used - 1) * float64(shortageCost))
+		}
+	}
+	return delay
+}
+
+// memory returns how many tokens an engine holds before it counts as short.
+func (p *Pool) memory(t *target) int {
+	if s, ok := p.service(t.entry.Service); ok && s.Engine != nil {
+		return int(memoryShare * float64(s.Engine.MemoryTokens))
+	}
+	return 0
+}
+
+func (p *Pool) service(name string) (usherroute.Service, bool) {
+	if p.table == nil {
+		return usherroute.Service{}, false
+	}
+	return p.table.Service(name)
+}
+
+func (l Load) plus(o Load) Load {
+	return Load{
+		Calls: l.Calls + o.Calls, Streams: l.Streams + o.Streams, Tokens: l.Tokens + o.Tokens, Prefill: l.Prefill + o.Prefill,
+		Copies: l.Copies + o.Copies, CopyTokens: l.CopyTokens + o.CopyTokens,
+	}
+}
+
+// Negated returns the load that takes l away.
+func (l Load) Negated() Load {
+	return Load{Calls: -l.Calls, Streams: -l.Streams, Tokens: -l.Tokens, Prefill: -l.Prefill, Copies: -l.Copies, CopyTokens: -l.CopyTokens}
+}
--- /dev/null
+++ b/pkg/usherpool/summary.go
@@ -0,0 +1,37 @@
+package usherpool
+
+import (
+	"slices"
+	"strings"
+	"time"
+)
+
+// Summary is what a pool knows of a target, for operators.
+type Summary struct {
+	ID          string `json:"id"`
+	Service     string `json:"service"`
+	Address     string `json:"address"`
+	DataCentre  string `json:"data_centre"`
+	Accepts     bool   `json:"accepts"`
+	Evacuated   bool   `json:"evacuated"`
+	Cold        bool   `json:"cold"`
+	Blocked     bool   `json:"blocked"`
+	FailureRate string `json:"failure_rate"`
+	Own         Load   `json:"own"`
+	All         Load   `json:"all"`
+	AgeMs       int64  `json:"age_ms"`
+}
+
+// Summaries describes every target, sorted by id.
+func (p *Pool) Summaries(now time.Time) []Summary {
+	summaries := make([]Summary, 0, len(p.targets))
+	for id, t := range p.targets {
+		summaries = append(summaries, Summary{
+			ID: id, Service: t.entry.Service, Address: t.entry.Address.String(), DataCentre: t.entry.DataCentre, Accepts: t.open,
+			Evacuated: t.evacuated, Cold: p.isCold(now, t), Blocked: t.health.blocked(now), FailureRate: percent(t.health.failureRate(now)),
+			Own: t.own, All: p.load(now, t), AgeMs: now.Sub(t.learned).Milliseconds(),
+		})
+	}
+	slices.SortFunc(summaries, func(a, b Summary) int { return strings.Compare(a.ID, b.ID) })
+	return summaries
+}
--- /dev/null
+++ b/pkg/usherroute/table.go
@@ -0,0 +1,223 @@
+// Package usherroute decides which route and which workspace a call belongs to.
+//
+// A Table holds one version of what operators declare: routes by host and path prefix, services, workspaces with their
+// keys, and limits on what callers send. Tables are immutable; a newer one replaces an older one as a whole, so a call
+// is handled by one version from its first byte to its last.
+//
+// # Usage
+//
+//	table := usherroute.NewTable(version, routes, services, workspaces, limits)
+//	route, err := table.Route("fair.example", "/appraisals/7")
+//	if err != nil {
+//		return err // ErrNoRoute
+//	}
+//	workspace, err := table.Authenticate(route, key)
+package usherroute
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/joomcode/errorx"
+)
+
+const (
+	// Idempotent calls may run more than once.
+	Idempotent Kind = iota
+	// Once is the kind of calls that run at most once.
+	Once
+	// Stream is the kind of calls whose answer is a series of events. They run at most once unless Route.Resumable.
+	Stream
+)
+
+var (
+	// Errors is the namespace of this package's errors.
+	Errors = errorx.NewNamespace("usher_route").ApplyModifiers(errorx.TypeModifierOmitStackTrace)
+	// ErrNoRoute is the type of errors on calls that match no route.
+	ErrNoRoute = Errors.NewType("no_route")
+	// ErrUnknownKey is the type of errors on calls whose key belongs to no workspace.
+	ErrUnknownKey = Errors.NewType("unknown_key")
+)
+
+type (
+	// Kind tells how often a call may run.
+	Kind uint8
+
+	// Route is what operators declare for the calls under one prefix of one host's paths.
+	Route struct {
+		Name   string `cbor:"1,keyasint"`
+		Host   string `cbor:"2,keyasint"`
+		Prefix string `cbor:"3,keyasint"`
+		Kind   Kind   `cbor:"4,keyasint"`
+		// Timeout bounds how long a caller is kept waiting; zero bounds nothing.
+		Timeout time.Duration `cbor:"5,keyasint"`
+		// Objective is the latency objective: to the first event for streams, to the answer for others.
+		Objective time.Duration `cbor:"6,keyasint"`
+		// MaxPause is the longest pause between events that meets the objective.
+		MaxPause time.Duration `cbor:"7,keyasint"`
+		// Priority ranks the call; zero is the most urgent.
+		Priority int `cbor:"8,keyasint"`
+		// MaxTargets is how many targets one attempt of a caller may be sent to.
+		MaxTargets int `cbor:"9,keyasint"`
+		// Public routes need no key.
+		Public bool `cbor:"10,keyasint"`
+		// Resumable streams may be continued by another run after the last event that was received.
+		Resumable bool `cbor:"11,keyasint"`
+		// Shares divide the calls among services.
+		Shares []Share `cbor:"12,keyasint"`
+	}
+
+	// Share is a service's part of a route's calls.
+	Share struct {
+		Service string  `cbor:"1,keyasint"`
+		Weight  float64 `cbor:"2,keyasint"`
+	}
+
+	// Service is a group of interchangeable targets.
+	Service struct {
+		Name string `cbor:"1,keyasint"`
+		// ColdRate is how many requests a second a cold target tolerates; zero bounds nothing.
+		ColdRate float64 `cbor:"2,keyasint"`
+		// MaxConnections bounds the connections to one target from all callers together.
+		MaxConnections int `cbor:"3,keyasint"`
+		// HealthPath is where a target answers whether it is healthy.
+		HealthPath string `cbor:"5,keyasint,omitempty"`
+		// Engine describes the targets if they are model engines.
+		Engine *Engine `cbor:"4,keyasint,omitempty"`
+	}
+
+	// Engine describes model engines that batch continuously.
+	Engine struct {
+		Slots        int `cbor:"1,keyasint"`
+		MemoryTokens int `cbor:"2,keyasint"`
+		// EventTokens is how many tokens one event of a stream holds.
+		EventTokens int `cbor:"3,keyasint"`
+		// Backups tells whether a run's memory can be copied to another engine while it grows.
+		Backups bool `cbor:"4,keyasint"`
+		// Moves tells whether a run's memory can be copied to another engine on demand.
+		Moves bool `cbor:"5,keyasint"`
+		// CopyLifetime is how long a copy is kept after its last part arrived.
+		CopyLifetime time.Duration `cbor:"6,keyasint"`
+	}
+
+	// Workspace is a customer with keys of its own.
+	Workspace struct {
+		Name string   `cbor:"1,keyasint"`
+		Keys []string `cbor:"2,keyasint"`
+		// Priority goes before that of the route, if set.
+		Priority *int `cbor:"3,keyasint,omitempty"`
+	}
+
+	// Limits bound what callers may send. Zero values bound nothing.
+	Limits struct {
+		HeaderBytes   int           `cbor:"1,keyasint"`
+		BodyBytes     int64         `cbor:"2,keyasint"`
+		HeaderTimeout time.Duration `cbor:"3,keyasint"`
+		IdleTimeout   time.Duration `cbor:"4,keyasint"`
+	}
+
+	// Table is one version of what operators declare. The zero value has no routes.
+	Table struct {
+		version    int64
+		routes     map[string][]Route
+		services   map[string]Service
+		workspaces map[string]Workspace
+		limits     Limits
+		names      int
+	}
+)
+
+// NewTable returns the table of one version.
+func NewTable(version int64, routes []Route, services []Service, workspaces []Workspace, limits Limits) *Table {
+	t := &Table{
+		version: version, limits: limits, names: len(workspaces),
+		routes: map[string][]Route{}, services: map[string]Service{}, workspaces: map[string]Workspace{},
+	}
+	for _, r := range routes {
+		host := strings.ToLower(r.Host)
+		t.routes[host] = append(t.routes[host], r)
+	}
+	for _, rs := range t.routes {
+		slices.SortStableFunc(rs, func(a, b Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
+	}
+	for _, s := range services {
+		t.services[s.Name] = s
+	}
+	for _, w := range workspaces {
+		for _, key := range w.Keys {
+			t.workspaces[key] = w
+		}
+	}
+	return t
+}
+
+// Version returns the number that operators gave this version.
+func (t *Table) Version() int64 { return t.version }
+
+// Limits returns the bounds on what callers send.
+func (t *Table) Limits() Limits { return t.limits }
+
+// Service returns the declaration of a service.
+func (t *Table) Service(name string) (Service, bool) {
+	s, ok := t.services[name]
+	return s, ok
+}
+
+// Services returns every service, in no order.
+func (t *Table) Services() []Service {
+	services := make([]Service, 0, len(t.services))
+	for _, s := range t.services {
+		services = append(services, s)
+	}
+	return services
+}
+
+// Route returns the route of host with the longest prefix that begins path.
+func (t *Table) Route(host, path string) (Route, error) {
+	host = strings.ToLower(host)
+	if i := strings.LastIndexByte(host, ':'); i >= 0 {
+		host = host[:i]
+	}
+	for _, r := range t.routes[host] {
+		if strings.HasPrefix(path, r.Prefix) {
+			return r, nil
+		}
+	}
+	return Route{}, ErrNoRoute.New("no route of host %q begins path %q in version %d", host, path, t.version)
+}
+
+// Authenticate returns the workspace that holds key. Calls of public routes, and all calls of a table without
+// workspaces, need no key; a known key is still resolved for them.
+func (t *Table) Authenticate(r Route, key string) (Workspace, error) {
+	if w, ok := t.workspaces[key]; ok && key != "" {
+		return w, nil
+	}
+	if r.Public || t.names == 0 {
+		return Workspace{}, nil
+	}
+	return Workspace{}, ErrUnknownKey.New("the key belongs to no workspace of version %d", t.version)
+}
+
+// AtMostOnce tells whether calls of the route may run only once.
+func (r Route) AtMostOnce() bool {
+	return r.Kind == Once || r.Kind == Stream && !r.Resumable
+}
+
+// Service chooses the service of a call. Point is spread evenly over [0, 1).
+func (r Route) Service(point float64) string {
+	total := 0.0
+	for _, s := range r.Shares {
+		total += s.Weight
+	}
+	for _, s := range r.Shares {
+		if point -= s.Weight / total; point < 0 {
+			return s.Service
+		}
+	}
+	if len(r.Shares) == 0 {
+		return ""
+	}
+	return r.Shares[len(r.Shares)-1].Service
+}
--- /dev/null
+++ b/service/usherhost/admin.go
@@ -0,0 +1,123 @@
+package usherhost
+
+import (
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/justinas/alice"
+
+	"github.com/samphireusher/samphireusher/pkg/ushercluster"
+	"github.com/samphireusher/samphireusher/pkg/usherpool"
+)
+
+const (
+	// LocateLifetime is how long callers keep an answer: short enough that a host that is gone is hardly ever named.
+	LocateLifetime = 2 * time.Second
+	// maxLocated bounds the addresses in one answer; callers use no more.
+	maxLocated = 64
+	// MetricsPath and DumpPath are served at the admin address.
+	MetricsPath = "/metrics"
+	DumpPath    = "/dump"
+)
+
+type (
+	dumpWire struct {
+		Process    string              `json:"process"`
+		DataCentre string              `json:"data_centre"`
+		State      string              `json:"state"`
+		Revision   uint64              `json:"revision"`
+		Version    int64               `json:"version"`
+		Reading    bool                `json:"reads_store"`
+		InProgress int64               `json:"in_progress"`
+		Hosts      []hostWire          `json:"hosts"`
+		Targets    []usherpool.Summary `json:"targets"`
+	}
+
+	hostWire struct {
+		Name        string             `json:"name"`
+		DataCentre  string             `json:"data_centre"`
+		State       ushercluster.State `json:"state"`
+		Incarnation int64              `json:"incarnation"`
+		Revision    uint64             `json:"revision"`
+	}
+)
+
+// locate tells a caller which hosts to use: those of its data centre first.
+func (h *Host) locate(w http.ResponseWriter, r *http.Request) {
+	var addresses []string
+	for _, m := range h.core.serving(h.codec.DecodeLocate(r)) {
+		if len(addresses) < maxLocated {
+			addresses = append(addresses, m.Callers.String())
+		}
+	}
+	if len(addresses) == 0 {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	body, err := h.codec.EncodeLocate(addresses, LocateLifetime)
+	if err != nil {
+		h.log.Error("answer not encoded", "error", err.Error())
+		w.WriteHeader(http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	if _, err := w.Write(body); err != nil {
+		h.log.Debug("caller left", "error", err.Error())
+	}
+}
+
+// ready tells the platform whether this host takes requests.
+func (h *Host) ready(w http.ResponseWriter, _ *http.Request) {
+	if h.core.self().State != ushercluster.Serving {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+func (h *Host) adminRoutes() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+MetricsPath, h.metrics.serve)
+	mux.HandleFunc("GET "+DumpPath, h.dump)
+	return alice.New(noStore).Then(mux)
+}
+
+func (h *Host) dump(w http.ResponseWriter, _ *http.Request) {
+	data, err := json.MarshalIndent(h.snapshot(), "", "  ")
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	if _, err := w.Write(append(data, '\n')); err != nil {
+		h.log.Debug("reader of the dump left", "error", err.Error())
+	}
+}
+
+func (h *Host) snapshot() dumpWire {
+	c := h.core
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := time.Now()
+	d := dumpWire{
+		Process: c.cluster.Self().Name, DataCentre: c.cluster.Self().DataCentre, State: h.life.Current(), Revision: c.catalog.Revision(),
+		InProgress: h.inProgress.Load(), Targets: c.pool.Summaries(now),
+	}
+	if t := c.catalog.Table(); t != nil {
+		d.Version = t.Version()
+	}
+	for _, m := range c.cluster.Alive(now) {
+		d.Hosts = append(d.Hosts, hostWire{
+			Name: m.Name, DataCentre: m.DataCentre, State: m.State, Incarnation: m.Incarnation, Revision: c.readers[m.Name].revision,
+		})
+	}
+	return d
+}
+
+func noStore(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Cache-Control", "no-store")
+		next.ServeHTTP(w, r)
+	})
+}
--- /dev/null
+++ b/service/usherhost/core.go
@@ -0,0 +1,186 @@
+package usherhost
+
+import (
+	"math/rand/v2"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/samphireusher/samphireusher/pkg/ushercatalog"
+	"github.com/samphireusher/samphireusher/pkg/ushercluster"
+	"github.com/samphireusher/samphireusher/pkg/usherpool"
+	"github.com/samphireusher/samphireusher/pkg/usherroute"
+)
+
+type (
+	// core holds what all duties of a host share. Its methods are safe for concurrent use and never block on I/O.
+	core struct {
+		mu      sync.Mutex
+		random  *rand.Rand
+		catalog ushercatalog.Catalog
+		cluster *ushercluster.Cluster
+		pool    *usherpool.Pool
+		budgets map[string]*usherpool.Budget
+		budget  usherpool.Budget
+		// storeHeard is when this host last had an answer of the store.
+		storeHeard time.Time
+		readers    map[string]readerState
+		changed    chan struct{}
+	}
+
+	// readerState is what a peer told of its reading of the store.
+	readerState struct {
+		address   netip.AddrPort
+		revision  uint64
+		storeSeen time.Time
+	}
+)
+
+func newCore(s *Settings, self ushercluster.Member, seed uint64) *core {
+	random := rand.New(rand.NewPCG(seed, uint64(self.Incarnation)))
+	return &core{
+		random:  random,
+		cluster: ushercluster.New(self, s.seeds(), random),
+		pool:    usherpool.New(usherpool.Options{DataCentre: s.Process.DataCentre, Random: random}),
+		budgets: map[string]*usherpool.Budget{},
+		budget:  usherpool.Budget{Ratio: s.Retries.Ratio, Allowance: s.Retries.Allowance, Window: s.Retries.Window},
+		readers: map[string]readerState{},
+		changed: make(chan struct{}),
+	}
+}
+
+// table returns the declarations in force, or nil.
+func (c *core) table() *usherroute.Table {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.catalog.Table()
+}
+
+func (c *core) revision() uint64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.catalog.Revision()
+}
+
+// watchChanges returns a channel that is closed at the next change of targets or hosts.
+func (c *core) watchChanges() <-chan struct{} {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.changed
+}
+
+// apply runs a change of the catalog and brings the pool up to it.
+func (c *core) apply(change func(now time.Time, catalog *ushercatalog.Catalog) []ushercatalog.Entry) []ushercatalog.Entry {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := time.Now()
+	changed := change(now, &c.catalog)
+	if len(changed) > 0 {
+		c.updatePool(now)
+		close(c.changed)
+		c.changed = make(chan struct{})
+	}
+	return changed
+}
+
+func (c *core) updatePool(now time.Time) {
+	c.pool.Update(now, c.catalog.Targets(), c.catalog.Evacuated, c.catalog.Table(), c.cluster.Sharers(now))
+}
+
+// choose returns the target for r.
+func (c *core) choose(r usherpool.Request) (usherpool.Choice, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.pool.Choose(time.Now(), r)
+}
+
+// accepts tells whether a target may be sent new work.
+func (c *core) accepts(id string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.pool.Accepts(id)
+}
+
+func (c *core) target(id string) (ushercatalog.Target, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.pool.Target(id)
+}
+
+func (c *core) add(id string, l usherpool.Load) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.pool.Add(id, l)
+}
+
+func (c *core) observe(id string, r usherpool.Result) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.pool.Observe(time.Now(), id, r)
+}
+
+func (c *core) cold(id string, left time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.pool.Cold(time.Now(), id, left)
+}
+
+// countRequest counts a caller's request to a service.
+func (c *core) countRequest(service string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.budgetOf(service).Request(time.Now())
+}
+
+// mayRepeat takes a repeated send out of the budget of a service.
+func (c *core) mayRepeat(service string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := time.Now()
+	return c.budgetOf(service).Repeat(now, c.cluster.Sharers(now))
+}
+
+func (c *core) budgetOf(service string) *usherpool.Budget {
+	b, known := c.budgets[service]
+	if !known {
+		b = &usherpool.Budget{Ratio: c.budget.Ratio, Allowance: c.budget.Allowance, Window: c.budget.Window}
+		c.budgets[service] = b
+	}
+	return b
+}
+
+// point returns a number spread evenly over [0, 1).
+func (c *core) point() float64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.random.Float64()
+}
+
+func (c *core) self() ushercluster.Member {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.cluster.Self()
+}
+
+func (c *core) setState(s ushercluster.State) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.cluster.SetState(s)
+}
+
+// serving returns the hosts that take requests, this one included, those of a data centre first.
+func (c *core) serving(dataCentre string) []ushercluster.Member {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var near, far []ushercluster.Member
+	for _, m := range append(c.cluster.Alive(time.Now()), c.cluster.Self()) {
+		switch {
+		case m.State != ushercluster.Serving:
+		case m.DataCentre == dataCentre:
+			near = append(near, m)
+		default:
+			far = append(far, m)
+		}
+	}
+	return append(near, far...)
+}
--- /dev/null
+++ b/service/usherhost/feed.go
@@ -0,0 +1,262 @@
+package usherhost
+
+import (
+	"context"
+	"log/slog"
+	"net/netip"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/samphireusher/samphireusher/pkg/ushercatalog"
+)
+
+const (
+	// watchWait is how long the store holds a call that waits for changes. A connection that has gone silent is
+	// noticed storeSlack after it, well within the time in which operators expect changes to be in force.
+	watchWait  = 2 * time.Second
+	storeSlack = time.Second
+	// watchPause gathers changes between two calls, as each call is priced.
+	watchPause = 150 * time.Millisecond
+	// firstBackoff and longestBackoff bound the pause after a failed call.
+	firstBackoff   = 100 * time.Millisecond
+	longestBackoff = time.Second
+	// readerTimeout is how long the reader of a data centre may go without an answer of the store before the next
+	// host reads too: one waiting call and its slack would be too long for changes to arrive in time, so readers tell
+	// their peers of each attempt that fails.
+	readerTimeout = watchWait + 500*time.Millisecond
+	// readerCheck is how often a host that does not read looks whether it has to.
+	readerCheck = 100 * time.Millisecond
+	// pullDelay is how long a host may know that a peer is ahead before it asks for what it lacks: changes are also
+	// sent unasked.
+	pullDelay = 200 * time.Millisecond
+)
+
+type (
+	// Store reads what the platform publishes.
+	Store interface {
+		// List returns every entry, and the revision to watch from.
+		List(ctx context.Context) (entries []ushercatalog.Entry, revision uint64, skipped []error, err error)
+		// Watch waits for changes after a revision.
+		Watch(ctx context.Context, after uint64, wait time.Duration) (entries []ushercatalog.Entry, revision uint64, skipped []error, err error)
+		// HistoryGone tells whether an error of Watch means that changes were lost and List is due.
+		HistoryGone(err error) bool
+	}
+
+	// feed keeps the catalog up to date, from the store or from peers. One host of each data centre reads the store;
+	// the others take over in the order of their names.
+	feed struct {
+		core  *core
+		store Store
+		peers *peers
+		log   *slog.Logger
+
+		listed  bool
+		backoff time.Duration
+		behind  time.Time
+		calls   metrics.Counter
+		failed  metrics.Counter
+		reading bool
+		up      bool
+	}
+)
+
+func newFeed(c *core, store Store, p *peers, log *slog.Logger, registry metrics.Registry) *feed {
+	return &feed{
+		core: c, store: store, peers: p, log: log, up: true,
+		calls: metrics.NewRegisteredCounter("store.calls", registry), failed: metrics.NewRegisteredCounter("store.failed_calls", registry),
+	}
+}
+
+// run reads until ctx ends.
+func (f *feed) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		if f.listed && !f.isReader() {
+			f.follow(ctx)
+			continue
+		}
+		f.read(ctx)
+	}
+}
+
+// isReader tells whether this host has to read the store, and logs when that changes.
+func (f *feed) isReader() bool {
+	reader := f.core.mustRead()
+	if reader != f.reading {
+		f.reading = reader
+		f.log.Info("reader of the store changed", "reading", reader, "revision", f.core.revision())
+	}
+	return reader
+}
+
+// read makes one call to the store.
+func (f *feed) read(ctx context.Context) {
+	err := f.call(ctx)
+	if ctx.Err() != nil {
+		return
+	}
+	if err == nil {
+		if !f.up {
+			f.up = true
+			f.log.Info("store answers again", "revision", f.core.revision())
+		}
+		f.backoff = 0
+		sleep(ctx, watchPause)
+		return
+	}
+	f.failed.Inc(1)
+	if f.store.HistoryGone(err) {
+		f.log.Info("store has dropped the changes since the last call; listing anew", "revision", f.core.revision())
+		f.listed = false
+		return
+	}
+	if f.up {
+		f.up = false
+		f.log.Warn("store does not answer", "error", err.Error(), "revision", f.core.revision())
+	}
+	// What was changed while a call was lost is found by listing: a watch that was cut may have missed changes.
+	f.listed = false
+	f.backoff = min(max(2*f.backoff, firstBackoff), longestBackoff)
+	sleep(ctx, f.backoff)
+	f.pull(ctx)
+}
+
+func (f *feed) call(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, watchWait+storeSlack)
+	defer cancel()
+	f.calls.Inc(1)
+	before := f.core.revision()
+	var (
+		entries  []ushercatalog.Entry
+		revision uint64
+		skipped  []error
+		err      error
+		listing  = !f.listed
+	)
+	if listing {
+		entries, revision, skipped, err = f.store.List(ctx)
+	} else {
+		entries, revision, skipped, err = f.store.Watch(ctx, before, watchWait)
+	}
+	for _, fault := range skipped {
+		f.log.Warn("published entry not readable; it names nothing to use", "error", fault.Error())
+	}
+	if err != nil {
+		return err
+	}
+	f.listed = true
+	f.core.storeAnswered()
+	changed := f.core.apply(func(now time.Time, c *ushercatalog.Catalog) []ushercatalog.Entry {
+		c.Sweep(now)
+		if listing {
+			return c.Complete(now, entries, revision)
+		}
+		changed := c.Merge(now, entries...)
+		c.CaughtUp(revision)
+		return changed
+	})
+	f.announce("store", changed)
+	f.peers.push(before, changed)
+	return nil
+}
+
+// follow waits for what peers send, and asks one that is ahead for what is missing.
+func (f *feed) follow(ctx context.Context) {
+	sleep(ctx, readerCheck)
+	f.pull(ctx)
+}
+
+func (f *feed) pull(ctx context.Context) {
+	address, revision, ahead := f.core.ahead()
+	if !ahead {
+		f.behind = time.Time{}
+		return
+	}
+	now := time.Now()
+	if f.behind.IsZero() {
+		f.behind = now
+	}
+	if now.Sub(f.behind) < pullDelay {
+		return
+	}
+	f.behind = now
+	changed, err := f.peers.pull(ctx, address, f.core.revision())
+	if err != nil {
+		f.log.Warn("peer did not tell its changes", "peer", address.String(), "revision", revision, "error", err.Error())
+		return
+	}
+	f.announce(address.String(), changed)
+}
+
+// announce logs what this host learned.
+func (f *feed) announce(source string, changed []ushercatalog.Entry) {
+	announce(f.log, source, changed)
+}
+
+func announce(log *slog.Logger, source string, changed []ushercatalog.Entry) {
+	for _, e := range changed {
+		switch {
+		case e.Declared != nil:
+			log.Info("declarations learned", "source", source, "revision", e.Revision, "version", e.Declared.Version)
+		case e.Key.Kind == ushercatalog.Evacuation:
+			log.Info("evacuation learned", "source", source, "revision", e.Revision, "data_centre", e.Key.Name, "out", !e.Removed)
+		case e.Target == nil:
+			log.Info("target learned", "source", source, "revision", e.Revision, "target", e.Key.Name, "state", "gone")
+		default:
+			log.Info("target learned", "source", source, "revision", e.Revision, "target", e.Key.Name, "leaving", e.Target.Leaving,
+				"cold_ms", e.Target.Cold.Milliseconds(), "service", e.Target.Service, "address", e.Target.Address.String())
+		}
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
+// storeAnswered records an answer of the store.
+func (c *core) storeAnswered() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.storeHeard = time.Now()
+}
+
+// mustRead tells whether no host before this one in the order of names reads the store for this data centre.
+func (c *core) mustRead() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := time.Now()
+	self := c.cluster.Self()
+	for _, m := range c.cluster.Alive(now) {
+		if m.DataCentre != self.DataCentre || m.Name >= self.Name {
+			continue
+		}
+		if r, known := c.readers[m.Name]; known && now.Sub(r.storeSeen) < readerTimeout {
+			return false
+		}
+	}
+	return true
+}
+
+// ahead returns the peer that knows the most, if it knows more than this host; one of the own data centre if it can.
+func (c *core) ahead() (address netip.AddrPort, revision uint64, ahead bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	revision = c.catalog.Revision()
+	self := c.cluster.Self()
+	for _, near := range []bool{true, false} {
+		for _, m := range c.cluster.Alive(time.Now()) {
+			if r, known := c.readers[m.Name]; known && (m.DataCentre == self.DataCentre) == near && r.revision > revision {
+				address, revision, ahead = m.Address, r.revision, true
+			}
+		}
+		if ahead {
+			return address, revision, true
+		}
+	}
+	return netip.AddrPort{}, 0, false
+}
--- /dev/null
+++ b/service/usherhost/host.go
@@ -0,0 +1,253 @@
+package usherhost
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/justinas/alice"
+	"github.com/looplab/fsm"
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/samphireusher/samphireusher/pkg/ushercluster"
+	"github.com/samphireusher/samphireusher/pkg/usherroute"
+)
+
+const (
+	stateStarting = "starting"
+	stateServing  = "serving"
+	stateStopping = "stopping"
+	stateStopped  = "stopped"
+
+	eventKnown   = "configuration_known"
+	eventStop    = "stop"
+	eventDrained = "drained"
+
+	// leaveTime is how long a stopping host still serves callers that have not yet learned of it: the lifetime of the
+	// answer that named it, and a report's way to its peers.
+	leaveTime = LocateLifetime + time.Second
+	// killMargin is how long before SIGKILL a stopping host ends by itself.
+	killMargin = 400 * time.Millisecond
+	// stopCheck is how often a stopping host looks whether it is done.
+	stopCheck = 20 * time.Millisecond
+	// serverHeaderBytes bounds headers before the declarations are consulted.
+	serverHeaderBytes = 64 << 10
+	// memoryShare is the part of the allowed memory at which the collector works harder.
+	memoryShare = 0.7
+)
+
+type (
+	// Platform is what a host needs of the platform it runs on.
+	Platform struct {
+		Store   Store
+		Codec   Codec
+		Engines Engines
+		// LocatePath and ReadyPath are where callers and the platform ask.
+		LocatePath string
+		ReadyPath  string
+	}
+
+	// Host is one host of the fleet.
+	Host struct {
+		settings   *Settings
+		platform   Platform
+		codec      Codec
+		engines    Engines
+		log        *slog.Logger
+		core       *core
+		feed       *feed
+		peers      *peers
+		conns      *conns
+		metrics    *hostMetrics
+		life       *fsm.FSM
+		servers    []*http.Server
+		duties     sync.WaitGroup
+		inProgress atomic.Int64
+		// tell makes the host report to its peers at once.
+		tell chan struct{}
+	}
+)
+
+// New returns a host that listens for its peers; Run serves.
+func New(s *Settings, p Platform, log *slog.Logger) (*Host, error) {
+	registry := metrics.NewRegistry()
+	incarnation := time.Now().UnixMicro()
+	self := ushercluster.Member{
+		Name: s.Process.Name, DataCentre: s.Process.DataCentre, Address: s.Listen.Peers, Callers: s.Listen.Callers, Incarnation: incarnation,
+	}
+	h := &Host{
+		settings: s, platform: p, codec: p.Codec, engines: p.Engines, log: log, core: newCore(s, self, uint64(os.Getpid())),
+		conns: newConns(), metrics: newHostMetrics(registry), tell: make(chan struct{}, 1),
+	}
+	var err error
+	if h.peers, err = newPeers(h.core, s.Listen.Peers, log, registry); err != nil {
+		return nil, err
+	}
+	h.feed = newFeed(h.core, p.Store, h.peers, log, registry)
+	h.life = fsm.NewFSM(stateStarting, fsm.Events{
+		{Name: eventKnown, Src: []string{stateStarting}, Dst: stateServing},
+		{Name: eventStop, Src: []string{stateStarting, stateServing}, Dst: stateStopping},
+		{Name: eventDrained, Src: []string{stateStopping}, Dst: stateStopped},
+	}, fsm.Callbacks{"enter_state": h.entered})
+	return h, nil
+}
+
+// entered tells the other hosts of a new state.
+func (h *Host) entered(_ context.Context, e *fsm.Event) {
+	states := map[string]ushercluster.State{stateServing: ushercluster.Serving, stateStopping: ushercluster.Stopping, stateStopped: ushercluster.Stopping}
+	h.core.setState(states[e.Dst])
+	select {
+	case h.tell <- struct{}{}:
+	default:
+		// A report is due already.
+	}
+	h.log.Info("host "+e.Dst, "revision", h.core.revision(), "in_progress", h.inProgress.Load())
+}
+
+// Run serves until SIGTERM and the end of what is in progress, or until ctx ends.
+func (h *Host) Run(ctx context.Context) error {
+	if limit := int64(h.settings.Limits.MemoryMegabytes) * megabyte; limit > 0 {
+		debug.SetMemoryLimit(int64(memoryShare * float64(limit)))
+	}
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	defer signal.Stop(signals)
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	if err := h.listen(); err != nil {
+		return errors.Join(err, h.close())
+	}
+	h.log.Info("host starting", "callers", h.settings.Listen.Callers.String(), "peers", h.settings.Listen.Peers.String(),
+		"seeds", len(h.settings.Cluster.Seeds), "store", h.settings.Store.Address.String())
+	h.duties.Go(func() { h.peers.report(ctx, h.tell) })
+	h.duties.Go(h.peers.receive)
+	h.duties.Go(func() { h.feed.run(ctx) })
+	h.duties.Go(func() { h.conns.run(ctx, h.limits) })
+	h.duties.Go(func() { h.serveOnceKnown(ctx) })
+	h.awaitStop(ctx, signals)
+	h.drain(ctx)
+	cancel()
+	err := h.close()
+	h.duties.Wait()
+	return err
+}
+
+// limits returns the declared bounds on what callers send.
+func (h *Host) limits() usherroute.Limits {
+	if t := h.core.table(); t != nil {
+		return t.Limits()
+	}
+	return usherroute.Limits{}
+}
+
+// serveOnceKnown makes the host ready as soon as it knows the declarations and the targets.
+func (h *Host) serveOnceKnown(ctx context.Context) {
+	for h.core.table() == nil {
+		changes := h.core.watchChanges()
+		if h.core.table() != nil {
+			break
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-changes:
+		}
+	}
+	h.event(ctx, eventKnown)
+}
+
+func (h *Host) event(ctx context.Context, name string) {
+	if err := h.life.Event(ctx, name); err != nil {
+		h.log.Debug("state unchanged", "event", name, "state", h.life.Current(), "error", err.Error())
+	}
+}
+
+// awaitStop returns at the signal of a planned stop.
+func (h *Host) awaitStop(ctx context.Context, signals <-chan os.Signal) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case s := <-signals:
+			if s != syscall.SIGHUP {
+				h.log.Info("signal received", "signal", s.String())
+				return
+			}
+			h.log.Info("signal received; settings are read anew by the settings duty", "signal", s.String())
+		}
+	}
+}
+
+// drain serves what is in progress, and callers that do not know yet that this host stops.
+func (h *Host) drain(ctx context.Context) {
+	begun := time.Now()
+	h.event(ctx, eventStop)
+	last := begun.Add(h.settings.Stop.Grace - killMargin)
+	for ctx.Err() == nil && time.Now().Before(last) {
+		if h.inProgress.Load() == 0 && time.Since(begun) > leaveTime {
+			break
+		}
+		sleep(ctx, stopCheck)
+	}
+	h.log.Info("host drained", "duration_ms", time.Since(begun).Milliseconds(), "in_progress", h.inProgress.Load())
+	h.event(ctx, eventDrained)
+}
+
+func (h *Host) close() error {
+	failures := []error{h.peers.conn.Close()}
+	for _, s := range h.servers {
+		failures = append(failures, s.Close())
+	}
+	return errors.Join(failures...)
+}
+
+// listen opens every address of the host.
+func (h *Host) listen() error {
+	locate, ready, peer := http.NewServeMux(), http.NewServeMux(), http.NewServeMux()
+	locate.HandleFunc("GET "+h.platform.LocatePath, h.locate)
+	ready.HandleFunc("GET "+h.platform.ReadyPath, h.ready)
+	peer.HandleFunc("GET "+catalogPath, h.peers.serveCatalog)
+	l := h.settings.Listen
+	for _, s := range []struct {
+		address netip.AddrPort
+		handler http.Handler
+	}{
+		{l.Callers, alice.New().Then(h)}, {l.Ready, alice.New(noStore).Then(ready)}, {l.Locate, alice.New(noStore).Then(locate)},
+		{l.Admin, h.adminRoutes()}, {l.Peers, alice.New().Then(peer)},
+	} {
+		if err := h.serve(s.address, s.handler); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (h *Host) serve(address netip.AddrPort, handler http.Handler) error {
+	listener, err := (&net.ListenConfig{KeepAliveConfig: Dialer(0).KeepAliveConfig}).Listen(context.Background(), "tcp4", address.String())
+	if err != nil {
+		return err
+	}
+	server := &http.Server{
+		Handler: handler, MaxHeaderBytes: serverHeaderBytes, ErrorLog: slog.NewLogLogger(h.log.Handler(), slog.LevelDebug),
+	}
+	if address == h.settings.Listen.Callers {
+		server.ConnState, server.ConnContext = h.conns.track, h.conns.context
+	}
+	h.servers = append(h.servers, server)
+	h.duties.Go(func() {
+		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			h.log.Error("server ended", "address", address.String(), "error", err.Error())
+		}
+	})
+	return nil
+}
--- /dev/null
+++ b/service/usherhost/log.go
@@ -0,0 +1,62 @@
+package usherhost
+
+import (
+	"io"
+	"sync/atomic"
+
+	"github.com/samphireusher/samphireusher/pkg/usherring"
+)
+
+const (
+	// logLines bounds the lines that wait to be written: a second of a busy host's decisions.
+	logLines = 2048
+	// logBatchBytes bounds what is written at once; a batch costs one system call.
+	logBatchBytes = 64 << 10
+)
+
+// LogWriter writes log lines from a goroutine of its own. Whoever logs never waits: lines beyond the bound are dropped
+// and counted.
+type LogWriter struct {
+	lines   *usherring.Ring[[]byte]
+	dropped atomic.Int64
+	done    chan struct{}
+}
+
+// NewLogWriter returns a writer of lines to out. Close flushes it.
+func NewLogWriter(out io.Writer) *LogWriter {
+	w := &LogWriter{lines: usherring.New[[]byte](logLines), done: make(chan struct{})}
+	go w.run(out)
+	return w
+}
+
+// Write takes in one line.
+func (w *LogWriter) Write(line []byte) (int, error) {
+	if !w.lines.Offer(append([]byte(nil), line...)) {
+		w.dropped.Add(1)
+	}
+	return len(line), nil
+}
+
+// Dropped returns how many lines were dropped.
+func (w *LogWriter) Dropped() int64 { return w.dropped.Load() }
+
+// Close writes what waits. Nothing may be logged after it.
+func (w *LogWriter) Close() {
+	w.lines.Close()
+	<-w.done
+}
+
+func (w *LogWriter) run(out io.Writer) {
+	defer close(w.done)
+	var batch []byte
+	for line := range w.lines.Items() {
+		batch = append(batch[:0], line...)
+		for w.lines.Len() > 0 && len(batch) < logBatchBytes {
+			batch = append(batch, <-w.lines.Items()...)
+		}
+		if _, err := out.Write(batch); err != nil {
+			// There is nowhere left to say it; the lines count as dropped.
+			w.dropped.Add(1)
+		}
+	}
+}
--- /dev/null
+++ b/service/usherhost/metrics.go
@@ -0,0 +1,81 @@
+package usherhost
+
+import (
+	"fmt"
+	"net/http"
+	"sort"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/samphireusher/samphireusher/pkg/usherroute"
+)
+
+// sampleSize and sampleAlpha are the usual reservoir for the last five minutes.
+const (
+	sampleSize  = 1028
+	sampleAlpha = 0.015
+)
+
+// hostMetrics are the counters and histograms of the request path. Histograms are in milliseconds.
+type hostMetrics struct {
+	registry     metrics.Registry
+	plain        metrics.Histogram
+	firstEvent   metrics.Histogram
+	streams      metrics.Histogram
+	callersGone  metrics.Counter
+	cut          metrics.Counter
+	resumed      metrics.Counter
+	copies       metrics.Counter
+	copiesFailed metrics.Counter
+	repeats      metrics.Counter
+}
+
+func newHostMetrics(r metrics.Registry) *hostMetrics {
+	histogram := func(name string) metrics.Histogram {
+		return metrics.NewRegisteredHistogram(name, r, metrics.NewExpDecaySample(sampleSize, sampleAlpha))
+	}
+	return &hostMetrics{
+		registry: r, plain: histogram("requests.plain_ms"), firstEvent: histogram("requests.first_event_ms"), streams: histogram("requests.stream_ms"),
+		callersGone: metrics.NewRegisteredCounter("requests.callers_gone", r), cut: metrics.NewRegisteredCounter("streams.cut", r),
+		resumed: metrics.NewRegisteredCounter("streams.resumed", r), copies: metrics.NewRegisteredCounter("streams.copies", r),
+		copiesFailed: metrics.NewRegisteredCounter("streams.copies_failed", r), repeats: metrics.NewRegisteredCounter("requests.repeats", r),
+	}
+}
+
+func (m *hostMetrics) refused(r reason) {
+	metrics.GetOrRegisterCounter("requests.refused."+string(r), m.registry).Inc(1)
+}
+
+func (m *hostMetrics) answered(j *job, took time.Duration) {
+	if j.route.Kind == usherroute.Stream {
+		m.streams.Update(took.Milliseconds())
+		return
+	}
+	m.plain.Update(took.Milliseconds())
+}
+
+// serve writes every metric as a line of text.
+func (m *hostMetrics) serve(w http.ResponseWriter, _ *http.Request) {
+	var lines []string
+	m.registry.Each(func(name string, metric any) {
+		switch v := metric.(type) {
+		case metrics.Counter:
+			lines = append(lines, fmt.Sprintf("%s %d", name, v.Count()))
+		case metrics.Gauge:
+			lines = append(lines, fmt.Sprintf("%s %d", name, v.Value()))
+		case metrics.Histogram:
+			s := v.Snapshot()
+			p := s.Percentiles([]float64{0.5, 0.95, 0.99})
+			lines = append(lines, fmt.Sprintf("%s.count %d", name, s.Count()), fmt.Sprintf("%s.p50 %.0f", name, p[0]),
+				fmt.Sprintf("%s.p95 %.0f", name, p[1]), fmt.Sprintf("%s.p99 %.0f", name, p[2]), fmt.Sprintf("%s.max %d", name, s.Max()))
+		}
+	})
+	sort.Strings(lines)
+	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+	for _, line := range lines {
+		if _, err := fmt.Fprintln(w, line); err != nil {
+			return
+		}
+	}
+}
--- /dev/null
+++ b/service/usherhost/setting.go
@@ -0,0 +1,96 @@
+package usherhost
+
+import (
+	"log/slog"
+	"net/netip"
+	"os"
+	"time"
+
+	"github.com/samphireusher/samphireusher/pkg/ushersetting"
+)
+
+// Settings are the settings of usher-host.
+type Settings struct {
+	Process struct {
+		Name       string `ini:"name" required:"true" usage:"name of this host"`
+		DataCentre string `ini:"data_centre" required:"true" usage:"data centre that this host is in"`
+	} `ini:"process"`
+	Listen struct {
+		Callers netip.AddrPort `ini:"callers" required:"true" usage:"IP number and TCP port for callers' requests"`
+		Ready   netip.AddrPort `ini:"ready" required:"true" usage:"IP number and TCP port where the platform asks whether this host takes requests"`
+		Locate  netip.AddrPort `ini:"locate" required:"true" usage:"IP number and TCP port where callers ask which hosts to use"`
+		Admin   netip.AddrPort `ini:"admin" required:"true" usage:"IP number and TCP port of dump and metrics"`
+		Peers   netip.AddrPort `ini:"peers" required:"true" usage:"IP number and port, UDP and TCP, for other hosts; the port is the same on all hosts"`
+	} `ini:"listen"`
+	Cluster struct {
+		Seeds []netip.AddrPort `ini:"seeds" usage:"addresses of hosts to meet the others through; only the IP numbers count"`
+	} `ini:"cluster"`
+	Store struct {
+		Address netip.AddrPort `ini:"address" required:"true" usage:"IP number and TCP port of the platform's store"`
+	} `ini:"store"`
+	Limits struct {
+		MemoryMegabytes int `ini:"memory_megabytes" default:"0" usage:"memory that this process may use; 0 for no limit"`
+	} `ini:"limits"`
+	Retries struct {
+		Ratio     float64       `ini:"ratio" default:"0.2" usage:"repeated sends allowed for each request of a service, over all hosts"`
+		Allowance float64       `ini:"allowance" default:"50" usage:"repeated sends allowed beyond that in each window, over all hosts"`
+		Window    time.Duration `ini:"window" default:"10s" usage:"length of the window"`
+	} `ini:"retries"`
+	Stop struct {
+		Grace time.Duration `ini:"grace" default:"8s" usage:"time between SIGTERM and SIGKILL"`
+	} `ini:"stop"`
+	Log struct {
+		Level string `ini:"level" default:"info" usage:"debug, info, warn or error"`
+	} `ini:"log"`
+}
+
+const megabyte = 1 << 20
+
+// LoadSettings reads and checks the settings file at path.
+func LoadSettings(path string) (*Settings, error) {
+	var s Settings
+	if err := ushersetting.Load(path, &s); err != nil {
+		return nil, err
+	}
+	return &s, nil
+}
+
+// Check returns a description of each rule broken.
+func (s *Settings) Check() []string {
+	var faults []string
+	if s.Retries.Ratio < 0 || s.Retries.Allowance < 0 || s.Retries.Window <= 0 {
+		faults = append(faults, "retries: ratio and allowance must not be negative, and window must be above zero")
+	}
+	if s.Stop.Grace <= 0 {
+		faults = append(faults, "stop.grace must be above zero")
+	}
+	if err := new(slog.Level).UnmarshalText([]byte(s.Log.Level)); err != nil {
+		faults = append(faults, "log.level must be debug, info, warn or error")
+	}
+	return faults
+}
+
+// seeds returns the addresses at which peers listen on the seed hosts.
+func (s *Settings) seeds() []netip.AddrPort {
+	seeds := make([]netip.AddrPort, 0, len(s.Cluster.Seeds))
+	for _, a := range s.Cluster.Seeds {
+		if seed := netip.AddrPortFrom(a.Addr(), s.Listen.Peers.Port()); seed != s.Listen.Peers {
+			seeds = append(seeds, seed)
+		}
+	}
+	return seeds
+}
+
+// level returns the log level, which Check has made sure of.
+func (s *Settings) level() slog.Level {
+	var level slog.Level
+	if err := level.UnmarshalText([]byte(s.Log.Level)); err != nil {
+		return slog.LevelInfo
+	}
+	return level
+}
+
+// NewLogger returns the logger of a process with these settings.
+func (s *Settings) NewLogger(lines *LogWriter) *slog.Logger {
+	return slog.New(slog.NewJSONHandler(lines, &slog.HandlerOptions{Level: s.level()})).With("host", s.Process.Name, "pid", os.Getpid())
+}
