Copies on notice in place of standing ones; a failing reader of the store says so

Change: a copy is made once the target of a run is leaving and renewed until it is gone; standing copies only into memory up to half of an engine's. A reader whose call fails tells its peers at once; calls to the store wait 0.9 s and 0.4 s more.

--- a/pkg/ushercopies/copies.go
+++ b/pkg/ushercopies/copies.go
@@ -1,9 +1,10 @@
 // Package ushercopies decides where the memory of a running generation is kept a second time, so that the generation
 // goes on elsewhere when its target is taken away.
 //
-// A generation that may run only once is lost with its target unless another one holds a copy. The first copy grows
-// along with the run: the target sends it on by itself. When the holder of that copy is leaving or gone, another copy
-// is made on demand and renewed now and then. A Run tells what is to be done next; it does no I/O and reads no clock.
+// A generation that may run only once is lost with its target unless another one holds a copy. Copies take memory from
+// other generations, so few are kept all the time: those that fit into memory which nobody needs grow along with the
+// run, sent on by its target. Once the target itself is leaving, a copy is made on demand and renewed until the target
+// is gone. A Run tells what is to be done next; it does no I/O and reads no clock.
 //
 // # Usage
 //
@@ -34,8 +35,8 @@
 	Renew
 
 	// RenewInterval is the time between two copies on demand. What the last one lacks is read again when the run goes
-	// on: some hundred tokens, which engines read in some tens of milliseconds.
-	RenewInterval = 1500 * time.Millisecond
+	// on: some tens of tokens, which engines read in a few milliseconds.
+	RenewInterval = 400 * time.Millisecond
 	// retryInterval is the time after a copy that failed.
 	retryInterval = 200 * time.Millisecond
 )
@@ -81,7 +82,7 @@
 
 // Next tells what is to be done. Accepts tells whether a target is there to stay.
 func (r *Run) Next(now time.Time, accepts func(target string) bool) Action {
-	if r.copying != "" || r.grown.Target != "" && accepts(r.grown.Target) {
+	if r.copying != "" || accepts(r.Source) || r.grown.Target != "" && accepts(r.grown.Target) {
 		return Action{}
 	}
 	if now.Sub(r.failed) < retryInterval {
--- a/pkg/usherpool/pool.go
+++ b/pkg/usherpool/pool.go
@@ -47,6 +47,9 @@
 	// memoryShare is the part of an engine's memory that is filled before it counts as short. The rest is room for
 	// lengths beyond their estimates.
 	memoryShare = 0.92
+	// spareShare is the part of an engine's memory up to which copies are kept that may also not be made. The rest is
+	// left to generations that come and grow.
+	spareShare = 0.5
 	// failureCost is the delay that a request meets at a target that always fails.
 	failureCost = 2 * time.Second
 )
@@ -76,8 +79,11 @@
 		// PromptTokens and OutputTokens are zero for plain calls. OutputTokens is an estimate.
 		PromptTokens int
 		OutputTokens int
-		// Copy asks for a place for a copy of a run's memory, not for work.
+		// Copy asks for a place for a copy of a run's memory, not for work; Near is the data centre of the run.
 		Copy bool
+		Near string
+		// Spare asks for memory that nobody needs: the copy may also not be made.
+		Spare bool
 		// Exclude names targets that are not to be chosen.
 		Exclude []string
 	}
@@ -253,10 +259,14 @@
 
 // full tells whether a target has no place left for r.
 func (p *Pool) full(t *target, r Request, load Load) bool {
-	if r.PromptTokens == 0 || t.entry.Slots == 0 {
+	if !r.Copy {
 		return false
 	}
-	return r.Copy && load.Streams+load.Copies >= t.entry.Slots
+	if load.Streams+load.Copies >= t.entry.Slots {
+		return true
+	}
+	used := load.Tokens + load.CopyTokens + r.PromptTokens + r.OutputTokens
+	return r.Spare && float64(used) > spareShare*float64(p.memory(t))/memoryShare
 }
 
 // delay estimates how long r would wait at t before its first result.
@@ -271,6 +281,10 @@
 		return delay + time.Duration(load.Calls)*callCost/time.Duration(max(t.entry.Slots, 1))
 	}
 	tokens := r.PromptTokens + r.OutputTokens
+	if r.Copy && t.entry.DataCentre != r.Near {
+		// Copies between data centres take twice as long.
+		delay += time.Duration(tokens) * p.copyTime(t)
+	}
 	delay += time.Duration(load.Prefill/prefillTokensPerMs) * time.Millisecond
 	delay += time.Duration(load.Streams)*streamCost + time.Duration(load.Copies)*streamCost/4
 	if room := p.memory(t); room > 0 {
@@ -291,6 +305,14 @@
 	return 0
 }
 
+// copyTime returns how long a copy takes for each token within a data centre.
+func (p *Pool) copyTime(t *target) time.Duration {
+	if s, ok := p.service(t.entry.Service); ok && s.Engine != nil {
+		return s.Engine.TokenCopyTime
+	}
+	return 0
+}
+
 func (p *Pool) service(name string) (usherroute.Service, bool) {
 	if p.table == nil {
 		return usherroute.Service{}, false
--- a/pkg/usherroute/table.go
+++ b/pkg/usherroute/table.go
@@ -100,6 +100,8 @@
 		Moves bool `cbor:"5,keyasint"`
 		// CopyLifetime is how long a copy is kept after its last part arrived.
 		CopyLifetime time.Duration `cbor:"6,keyasint"`
+		// TokenCopyTime is how long the copy of a token's memory takes between engines of one data centre.
+		TokenCopyTime time.Duration `cbor:"7,keyasint"`
 	}
 
 	// Workspace is a customer with keys of its own.
--- a/service/usherhost/core.go
+++ b/service/usherhost/core.go
@@ -24,8 +24,10 @@
 		budget  usherpool.Budget
 		// storeHeard is when this host last had an answer of the store.
 		storeHeard time.Time
-		readers    map[string]readerState
-		changed    chan struct{}
+		// storeFailing says that its last call to the store failed.
+		storeFailing bool
+		readers      map[string]readerState
+		changed      chan struct{}
 	}
 
 	// readerState is what a peer told of its reading of the store.
@@ -33,6 +35,8 @@
 		address   netip.AddrPort
 		revision  uint64
 		storeSeen time.Time
+		// failing says that its last call to the store failed.
+		failing bool
 	}
 )
 
--- a/service/usherhost/feed.go
+++ b/service/usherhost/feed.go
@@ -12,19 +12,19 @@
 )
 
 const (
-	// watchWait is how long the store holds a call that waits for changes. A connection that has gone silent is
-	// noticed storeSlack after it, well within the time in which operators expect changes to be in force.
-	watchWait  = 2 * time.Second
-	storeSlack = time.Second
+	// watchWait is how long the store holds a call that waits for changes, and storeSlack how much longer its answer may
+	// take. Their sum is how long a reader that gets no answers goes unnoticed; it leaves the next host time to read
+	// within the 2 s in which operators expect changes to be in force.
+	watchWait  = 900 * time.Millisecond
+	storeSlack = 400 * time.Millisecond
 	// watchPause gathers changes between two calls, as each call is priced.
 	watchPause = 150 * time.Millisecond
 	// firstBackoff and longestBackoff bound the pause after a failed call.
 	firstBackoff   = 100 * time.Millisecond
 	longestBackoff = time.Second
-	// readerTimeout is how long the reader of a data centre may go without an answer of the store before the next
-	// host reads too: one waiting call and its slack would be too long for changes to arrive in time, so readers tell
-	// their peers of each attempt that fails.
-	readerTimeout = watchWait + 500*time.Millisecond
+	// readerTimeout is how long the reader of a data centre may go without an answer of the store before the next host
+	// reads too: one call with its slack. A reader whose call fails says so at once.
+	readerTimeout = watchWait + storeSlack + 200*time.Millisecond
 	// readerCheck is how often a host that does not read looks whether it has to.
 	readerCheck = 100 * time.Millisecond
 	// pullDelay is how long a host may know that a peer is ahead before it asks for what it lacks: changes are also
@@ -98,6 +98,7 @@
 	if err == nil {
 		if !f.up {
 			f.up = true
+			f.core.setStoreFailing(false)
 			f.log.Info("store answers again", "revision", f.core.revision())
 		}
 		f.backoff = 0
@@ -112,6 +113,8 @@
 	}
 	if f.up {
 		f.up = false
+		f.core.setStoreFailing(true)
+		f.peers.tell()
 		f.log.Warn("store does not answer", "error", err.Error(), "revision", f.core.revision())
 	}
 	// What was changed while a call was lost is found by listing: a watch that was cut may have missed changes.
@@ -225,6 +228,13 @@
 	c.storeHeard = time.Now()
 }
 
+// setStoreFailing records whether the last call to the store failed.
+func (c *core) setStoreFailing(failing bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.storeFailing = failing
+}
+
 // mustRead tells whether no host before this one in the order of names reads the store for this data centre.
 func (c *core) mustRead() bool {
 	c.mu.Lock()
@@ -235,7 +245,7 @@
 		if m.DataCentre != self.DataCentre || m.Name >= self.Name {
 			continue
 		}
-		if r, known := c.readers[m.Name]; known && now.Sub(r.storeSeen) < readerTimeout {
+		if r, known := c.readers[m.Name]; known && !r.failing && now.Sub(r.storeSeen) < readerTimeout {
 			return false
 		}
 	}
--- a/service/usherhost/host.go
+++ b/service/usherhost/host.go
@@ -73,8 +73,6 @@
 		servers    []*http.Server
 		duties     sync.WaitGroup
 		inProgress atomic.Int64
-		// tell makes the host report to its peers at once.
-		tell chan struct{}
 	}
 )
 
@@ -87,7 +85,7 @@
 	}
 	h := &Host{
 		settings: s, platform: p, codec: p.Codec, engines: p.Engines, log: log, core: newCore(s, self, uint64(os.Getpid())),
-		conns: newConns(), metrics: newHostMetrics(registry), tell: make(chan struct{}, 1),
+		conns: newConns(), metrics: newHostMetrics(registry),
 	}
 	var err error
 	if h.peers, err = newPeers(h.core, s.Listen.Peers, log, registry); err != nil {
@@ -106,11 +104,7 @@
 func (h *Host) entered(_ context.Context, e *fsm.Event) {
 	states := map[string]ushercluster.State{stateServing: ushercluster.Serving, stateStopping: ushercluster.Stopping, stateStopped: ushercluster.Stopping}
 	h.core.setState(states[e.Dst])
-	select {
-	case h.tell <- struct{}{}:
-	default:
-		// A report is due already.
-	}
+	h.peers.tell()
 	h.log.Info("host "+e.Dst, "revision", h.core.revision(), "in_progress", h.inProgress.Load())
 }
 
@@ -129,7 +123,7 @@
 	}
 	h.log.Info("host starting", "callers", h.settings.Listen.Callers.String(), "peers", h.settings.Listen.Peers.String(),
 		"seeds", len(h.settings.Cluster.Seeds), "store", h.settings.Store.Address.String())
-	h.duties.Go(func() { h.peers.report(ctx, h.tell) })
+	h.duties.Go(func() { h.peers.report(ctx) })
 	h.duties.Go(h.peers.receive)
 	h.duties.Go(func() { h.feed.run(ctx) })
 	h.duties.Go(func() { h.conns.run(ctx, h.limits) })
--- a/service/usherhost/peers.go
+++ b/service/usherhost/peers.go
@@ -44,6 +44,8 @@
 		sent     metrics.Counter
 		received metrics.Counter
 		bad      metrics.Counter
+		// due makes the host report at once.
+		due chan struct{}
 	}
 
 	datagramWire struct {
@@ -56,6 +58,8 @@
 		// Changes are those between Before and Revision.
 		Before  uint64               `cbor:"6,keyasint,omitempty"`
 		Changes []ushercatalog.Entry `cbor:"7,keyasint,omitempty"`
+		// StoreFailing says that the sender's last call to the store failed.
+		StoreFailing bool `cbor:"8,keyasint,omitempty"`
 	}
 
 	catalogWire struct {
@@ -76,12 +80,12 @@
 			Transport: &http.Transport{DialContext: Dialer(peerTimeout).DialContext, MaxIdleConnsPerHost: 1, IdleConnTimeout: 10 * time.Second},
 		},
 		sent: metrics.NewRegisteredCounter("peers.sent", registry), received: metrics.NewRegisteredCounter("peers.received", registry),
-		bad: metrics.NewRegisteredCounter("peers.unreadable", registry),
+		bad: metrics.NewRegisteredCounter("peers.unreadable", registry), due: make(chan struct{}, 1),
 	}, nil
 }
 
 // report tells peers about this host at each interval, and at once when its state changes.
-func (p *peers) report(ctx context.Context, now <-chan struct{}) {
+func (p *peers) report(ctx context.Context) {
 	ticker := time.NewTicker(ushercluster.Interval)
 	defer ticker.Stop()
 	for {
@@ -90,11 +94,20 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
-		case <-now:
+		case <-p.due:
 		}
 	}
 }
 
+// tell makes the host report at once.
+func (p *peers) tell() {
+	select {
+	case p.due <- struct{}{}:
+	default:
+		// A report is due already.
+	}
+}
+
 func (p *peers) sendReports() {
 	d, to := p.core.report()
 	for _, address := range to {
@@ -236,7 +249,7 @@
 	now := time.Now()
 	return datagramWire{
 		Version: messageVersion, Report: c.cluster.Report(now), Revision: c.catalog.Revision(), StoreAge: now.Sub(c.storeHeard),
-		Loads: c.pool.Own(),
+		Loads: c.pool.Own(), StoreFailing: c.storeFailing,
 	}, c.cluster.Recipients(now)
 }
 
@@ -249,7 +262,7 @@
 	if from.Name == c.cluster.Self().Name {
 		return nil
 	}
-	c.readers[from.Name] = readerState{address: from.Address, revision: d.Revision, storeSeen: now.Add(-d.StoreAge)}
+	c.readers[from.Name] = readerState{address: from.Address, revision: d.Revision, storeSeen: now.Add(-d.StoreAge), failing: d.StoreFailing}
 	if d.Changes == nil {
 		c.pool.Report(now, from.Name, d.Loads)
 	}
--- a/service/usherhost/stream.go
+++ b/service/usherhost/stream.go
@@ -253,10 +253,10 @@
 		return ushercopies.Point{}
 	}
 	r := g.request([]string{source})
-	r.Copy = true
+	r.Copy, r.Spare, r.Near = true, true, g.source.Target.DataCentre
 	holder, err := g.host.core.choose(r)
 	if err != nil {
-		g.host.log.Info("no place for a copy", "attempt", g.job.Attempt, "source", source, "error", errorText(err))
+		g.host.log.Debug("no memory to spare for a copy", "attempt", g.job.Attempt, "source", source, "error", errorText(err))
 		return ushercopies.Point{}
 	}
 	*d = d.WithBackup(holder.Target.Address)
@@ -420,7 +420,7 @@
 	switch action.Kind {
 	case ushercopies.Place:
 		r := g.request(append(g.run.Holders(), append(g.run.Avoid, g.source.Target.ID)...))
-		r.Copy = true
+		r.Copy, r.Near = true, g.source.Target.DataCentre
 		holder, err := g.host.core.choose(r)
 		if err != nil {
 			g.run.Begin("")
