Copies on notice: near links first, no pause after a holder without room, silence only where a copy exists

Change: chance and distance in the choice of holders, renewals each 1.2 s, another holder at once, silence ends a stream only where a copy exists.

--- a/pkg/ushercopies/copies.go
+++ b/pkg/ushercopies/copies.go
@@ -35,8 +35,9 @@
 	Renew
 
 	// RenewInterval is the time between two copies on demand. What the last one lacks is read again when the run goes
-	// on: some tens of tokens, which engines read in a few milliseconds.
-	RenewInterval = 400 * time.Millisecond
+	// on: a hundred tokens or so, which engines read in some milliseconds. Renewals queue on the links ahead of first
+	// copies of other runs, so there are few.
+	RenewInterval = 1200 * time.Millisecond
 	// retryInterval is the time after a copy that failed.
 	retryInterval = 200 * time.Millisecond
 )
@@ -106,13 +107,15 @@
 	r.copying = ""
 }
 
-// Failed records that the copy in progress was not made. A holder that has no room is not asked again.
+// Failed records that the copy in progress was not made. A holder that has no room is not asked again; another one is
+// at once.
 func (r *Run) Failed(now time.Time, noRoom bool) {
-	if noRoom {
+	if noRoom && r.copying != "" {
 		r.Avoid = append(r.Avoid, r.copying)
+	} else {
+		r.failed = now
 	}
 	r.copying = ""
-	r.failed = now
 }
 
 // Resume returns where the run can go on: the newest copy whose holder is there to stay.
--- a/pkg/usherpool/pool.go
+++ b/pkg/usherpool/pool.go
@@ -49,7 +49,12 @@
 	memoryShare = 0.92
 	// spareShare is the part of an engine's memory up to which copies are kept that may also not be made. The rest is
 	// left to generations that come and grow.
-	spareShare = 0.5
+	spareShare = 0.6
+	// sameSiteCost is against a copy that is kept in the data centre of its run, which may be lost as a whole.
+	sameSiteCost = 100 * time.Millisecond
+	// farCopyFactor weighs a copy to another data centre: it keeps the link of its source busy for twice as long, and
+	// the copies of the other runs there wait.
+	farCopyFactor = 3
 	// failureCost is the delay that a request meets at a target that always fails.
 	failureCost = 2 * time.Second
 )
@@ -79,10 +84,11 @@
 		// PromptTokens and OutputTokens are zero for plain calls. OutputTokens is an estimate.
 		PromptTokens int
 		OutputTokens int
-		// Copy asks for a place for a copy of a run's memory, not for work; Near is the data centre of the run.
-		Copy bool
-		Near string
-		// Spare asks for memory that nobody needs: the copy may also not be made.
+		// Copy asks for a place for a copy of a run's memory, not for work; Source is the data centre of the run.
+		Copy   bool
+		Source string
+		// Spare asks for memory that nobody needs, for a copy that is kept until the run ends. Other copies are wanted
+		// as soon as possible.
 		Spare bool
 		// Exclude names targets that are not to be chosen.
 		Exclude []string
@@ -111,6 +117,8 @@
 		// Copies and CopyTokens are copies of other targets' generations.
 		Copies     int `cbor:"5,keyasint,omitempty"`
 		CopyTokens int `cbor:"6,keyasint,omitempty"`
+		// Incoming are tokens of copies that are on their way.
+		Incoming int `cbor:"7,keyasint,omitempty"`
 	}
 
 	// Pool is what one host knows of all targets.
@@ -281,9 +289,8 @@
 		return delay + time.Duration(load.Calls)*callCost/time.Duration(max(t.entry.Slots, 1))
 	}
 	tokens := r.PromptTokens + r.OutputTokens
-	if r.Copy && t.entry.DataCentre != r.Near {
-		// Copies between data centres take twice as long.
-		delay += time.Duration(tokens) * p.copyTime(t)
+	if r.Copy {
+		delay += p.copyDelay(t, r, load)
 	}
 	delay += time.Duration(load.Prefill/prefillTokensPerMs) * time.Millisecond
 	delay += time.Duration(load.Streams)*streamCost + time.Duration(load.Copies)*streamCost/4
@@ -305,6 +312,25 @@
 	return 0
 }
 
+// copyDelay estimates what is against a copy at t beside the load there.
+func (p *Pool) copyDelay(t *target, r Request, load Load) time.Duration {
+	near := t.entry.DataCentre == r.Source
+	if r.Spare {
+		// A copy that is kept survives the loss of a data centre if it is elsewhere.
+		if near {
+			return sameSiteCost
+		}
+		return 0
+	}
+	// Copies queue on the links of both engines, and take twice as long between data centres. Other hosts learn of a
+	// reclaimed engine at the same moment and choose before they hear of this choice, so chance spreads them.
+	queued := load.Incoming + int(p.options.Random.Float64()*float64(r.PromptTokens+r.OutputTokens))
+	if !near {
+		queued += farCopyFactor * (r.PromptTokens + r.OutputTokens)
+	}
+	return time.Duration(queued) * p.copyTime(t)
+}
+
 // copyTime returns how long a copy takes for each token within a data centre.
 func (p *Pool) copyTime(t *target) time.Duration {
 	if s, ok := p.service(t.entry.Service); ok && s.Engine != nil {
@@ -323,11 +349,11 @@
 func (l Load) plus(o Load) Load {
 	return Load{
 		Calls: l.Calls + o.Calls, Streams: l.Streams + o.Streams, Tokens: l.Tokens + o.Tokens, Prefill: l.Prefill + o.Prefill,
-		Copies: l.Copies + o.Copies, CopyTokens: l.CopyTokens + o.CopyTokens,
+		Copies: l.Copies + o.Copies, CopyTokens: l.CopyTokens + o.CopyTokens, Incoming: l.Incoming + o.Incoming,
 	}
 }
 
 // Negated returns the load that takes l away.
 func (l Load) Negated() Load {
-	return Load{Calls: -l.Calls, Streams: -l.Streams, Tokens: -l.Tokens, Prefill: -l.Prefill, Copies: -l.Copies, CopyTokens: -l.CopyTokens}
+	return Load{Calls: -l.Calls, Streams: -l.Streams, Tokens: -l.Tokens, Prefill: -l.Prefill, Copies: -l.Copies, CopyTokens: -l.CopyTokens, Incoming: -l.Incoming}
 }
--- a/service/usherhost/stream.go
+++ b/service/usherhost/stream.go
@@ -253,7 +253,7 @@
 		return ushercopies.Point{}
 	}
 	r := g.request([]string{source})
-	r.Copy, r.Spare, r.Near = true, true, g.source.Target.DataCentre
+	r.Copy, r.Spare, r.Source = true, true, g.source.Target.DataCentre
 	holder, err := g.host.core.choose(r)
 	if err != nil {
 		g.host.log.Debug("no memory to spare for a copy", "attempt", g.job.Attempt, "source", source, "error", errorText(err))
@@ -285,6 +285,11 @@
 			silence.Reset(g.patience())
 		case <-silence.C:
 			stop()
+			if _, err := g.resumePoint(); err != nil && g.job.route.AtMostOnce() {
+				// Nothing else can go on with the stream: a preempted generation may still come back.
+				silence.Reset(g.patience())
+				continue
+			}
 			return errSilence.New("target %s sent nothing for %s", g.source.Target.ID, g.patience())
 		case c := <-g.copies:
 			stop()
@@ -420,7 +425,7 @@
 	switch action.Kind {
 	case ushercopies.Place:
 		r := g.request(append(g.run.Holders(), append(g.run.Avoid, g.source.Target.ID)...))
-		r.Copy, r.Near = true, g.source.Target.DataCentre
+		r.Copy, r.Source = true, g.source.Target.DataCentre
 		holder, err := g.host.core.choose(r)
 		if err != nil {
 			g.run.Begin("")
@@ -428,6 +433,8 @@
 			g.host.log.Info("no place for a copy", "attempt", g.job.Attempt, "source", g.source.Target.ID, "error", errorText(err))
 			return
 		}
+		g.host.log.Info("copy begins", "attempt", g.job.Attempt, "source", g.source.Target.ID, "holder", holder.Target.ID, "load", holder.Load,
+			"entry_age_ms", time.Since(holder.Learned).Milliseconds(), "tokens", g.job.Tokens())
 		g.copyTo(ctx, holder.Target.ID, holder.Target.Address)
 	case ushercopies.Renew:
 		if t, known := g.host.core.target(action.Holder); known {
@@ -438,7 +445,9 @@
 
 func (g *generation) copyTo(ctx context.Context, holder string, address netip.AddrPort) {
 	g.run.Begin(holder)
-	g.hold(holder, usherpool.Load{Copies: 1, CopyTokens: g.job.Tokens()})
+	g.hold(holder, usherpool.Load{Copies: 1, CopyTokens: g.job.Tokens(), Incoming: g.job.Tokens()})
+	// Other hosts choose holders at the same moment.
+	g.host.peers.tell()
 	source, attempt, begun, results := g.source.Target.Address, g.job.Attempt, time.Now(), g.copies
 	go func() {
 		c, err := g.host.engines.Copy(ctx, source, attempt, address)
@@ -456,6 +465,7 @@
 		return
 	}
 	g.run.Copied(time.Now(), c.copy)
+	g.hold(c.holder, usherpool.Load{Copies: 1, CopyTokens: g.job.Tokens()})
 	g.host.metrics.copies.Inc(1)
 	g.host.log.Info("copy made", attributes...)
 }
@@ -488,12 +498,21 @@
 	return errExhausted.Wrap(cause, "resumed %d times", g.job.resumes)
 }
 
+// resumePoint returns the copy with which a generation that may run only once goes on.
+func (g *generation) resumePoint() (ushercopies.Point, error) {
+	point, ok := g.run.Resume(g.host.core.accepts)
+	if !ok {
+		return point, errNoCopy.New("no copy of the generation is left")
+	}
+	return point, nil
+}
+
 // next returns the target where a broken stream goes on.
 func (g *generation) next() (usherpool.Choice, ushercopies.Point, error) {
 	if g.job.route.AtMostOnce() {
-		point, ok := g.run.Resume(g.host.core.accepts)
-		if !ok {
-			return usherpool.Choice{}, point, errNoCopy.New("no copy of the generation is left")
+		point, err := g.resumePoint()
+		if err != nil {
+			return usherpool.Choice{}, point, err
 		}
 		target, known := g.host.core.target(point.Target)
 		if !known {
