New prompts stay away from where streams are about to go on

Change: hosts tell each other of copies whose runs are about to go on, and prompts go elsewhere; the request's log line has first_event_ms and longest_pause_ms.

--- a/pkg/usherpool/pool.go
+++ b/pkg/usherpool/pool.go
@@ -55,6 +55,9 @@
 	// farCopyFactor weighs a copy to another data centre: it keeps the link of its source busy for twice as long, and
 	// the copies of the other runs there wait.
 	farCopyFactor = 3
+	// awaitedCost keeps new prompts away from where streams are about to go on: reading a prompt there would hold them
+	// up for longer than the pauses that callers are promised.
+	awaitedCost = 150 * time.Millisecond
 	// failureCost is the delay that a request meets at a target that always fails.
 	failureCost = 2 * time.Second
 )
@@ -119,6 +122,8 @@
 		CopyTokens int `cbor:"6,keyasint,omitempty"`
 		// Incoming are tokens of copies that are on their way.
 		Incoming int `cbor:"7,keyasint,omitempty"`
+		// Awaited are copies whose runs are about to go on here, as their targets are leaving.
+		Awaited int `cbor:"8,keyasint,omitempty"`
 	}
 
 	// Pool is what one host knows of all targets.
@@ -291,6 +296,8 @@
 	tokens := r.PromptTokens + r.OutputTokens
 	if r.Copy {
 		delay += p.copyDelay(t, r, load)
+	} else {
+		delay += time.Duration(load.Awaited) * awaitedCost
 	}
 	delay += time.Duration(load.Prefill/prefillTokensPerMs) * time.Millisecond
 	delay += time.Duration(load.Streams)*streamCost + time.Duration(load.Copies)*streamCost/4
@@ -349,11 +356,11 @@
 func (l Load) plus(o Load) Load {
 	return Load{
 		Calls: l.Calls + o.Calls, Streams: l.Streams + o.Streams, Tokens: l.Tokens + o.Tokens, Prefill: l.Prefill + o.Prefill,
-		Copies: l.Copies + o.Copies, CopyTokens: l.CopyTokens + o.CopyTokens, Incoming: l.Incoming + o.Incoming,
+		Copies: l.Copies + o.Copies, CopyTokens: l.CopyTokens + o.CopyTokens, Incoming: l.Incoming + o.Incoming, Awaited: l.Awaited + o.Awaited,
 	}
 }
 
 // Negated returns the load that takes l away.
 func (l Load) Negated() Load {
-	return Load{Calls: -l.Calls, Streams: -l.Streams, Tokens: -l.Tokens, Prefill: -l.Prefill, Copies: -l.Copies, CopyTokens: -l.CopyTokens, Incoming: -l.Incoming}
+	return Load{Calls: -l.Calls, Streams: -l.Streams, Tokens: -l.Tokens, Prefill: -l.Prefill, Copies: -l.Copies, CopyTokens: -l.CopyTokens, Incoming: -l.Incoming, Awaited: -l.Awaited}
 }
--- a/service/usherhost/ingress.go
+++ b/service/usherhost/ingress.go
@@ -53,6 +53,9 @@
 		// resumes counts how often a stream went on at another target.
 		resumes int
 		events  int
+		// firstEvent is how long the caller waited for it, longestPause the longest time between two events.
+		firstEvent   time.Duration
+		longestPause time.Duration
 	}
 
 	// reply is an answer that is ready to be relayed as a whole.
@@ -233,7 +236,8 @@
 		slog.Int64("duration_ms", time.Since(j.received).Milliseconds()),
 	}
 	if j.route.Kind == usherroute.Stream {
-		attributes = append(attributes, slog.Int("events", j.events), slog.Int("resumes", j.resumes))
+		attributes = append(attributes, slog.Int("events", j.events), slog.Int("resumes", j.resumes),
+			slog.Int64("first_event_ms", j.firstEvent.Milliseconds()), slog.Int64("longest_pause_ms", j.longestPause.Milliseconds()))
 	}
 	if cause != nil {
 		attributes = append(attributes, slog.String("error", errorText(cause)))
--- a/service/usherhost/stream.go
+++ b/service/usherhost/stream.go
@@ -66,8 +66,11 @@
 		// begun tells whether the caller has got the header.
 		begun     bool
 		lastEvent string
-		prefill   bool
-		broken    error
+		// reading tells that events have begun to come.
+		reading bool
+		// expected tells that peers know where the run is about to go on.
+		expected    bool
+		lastEventAt time.Time
 	}
 
 	copyResult struct {
@@ -195,7 +198,7 @@
 	id := choice.Target.ID
 	g.closeExchange()
 	g.dropAll()
-	g.source = choice
+	g.source, g.expected = choice, false
 	// Copies that are still on their way belong to the run before.
 	g.copies = make(chan copyResult, 1)
 	x, err := open(ctx, choice.Target.Address)
@@ -327,7 +330,7 @@
 	if pause == 0 {
 		pause = defaultPause
 	}
-	if !g.prefill {
+	if !g.reading {
 		if !g.job.route.AtMostOnce() && g.job.sends < g.job.route.MaxTargets && g.job.route.Objective > 0 {
 			return time.Duration(firstEventShare * float64(g.job.route.Objective))
 		}
@@ -358,8 +361,8 @@
 		}
 		return item.err
 	}
-	if !g.prefill {
-		g.prefill = true
+	if !g.reading {
+		g.reading = true
 		g.hold(g.source.Target.ID, usherpool.Load{Streams: 1, Tokens: g.job.Tokens()})
 	}
 	if !after(item.event.ID, g.lastEvent) {
@@ -377,16 +380,26 @@
 	if err := g.ctl.Flush(); err != nil {
 		return errCallerGone.Wrap(err, "event")
 	}
-	if g.job.events == 0 {
-		g.host.metrics.firstEvent.Update(time.Since(g.job.received).Milliseconds())
-	}
-	g.job.events++
+	g.count()
 	if item.event.ID != "" {
 		g.lastEvent = item.event.ID
 	}
 	return nil
 }
 
+// count takes the times of an event that was relayed.
+func (g *generation) count() {
+	now := time.Now()
+	if g.job.events == 0 {
+		g.job.firstEvent = now.Sub(g.job.received)
+		g.host.metrics.firstEvent.Update(g.job.firstEvent.Milliseconds())
+	} else if pause := now.Sub(g.lastEventAt); pause > g.job.longestPause {
+		g.job.longestPause = pause
+	}
+	g.lastEventAt = now
+	g.job.events++
+}
+
 // begin gives the caller the header of the first target's answer.
 func (g *generation) begin() error {
 	if g.begun {
@@ -418,9 +431,10 @@
 // protect makes and renews the copies that the run needs.
 func (g *generation) protect(ctx context.Context) {
 	e := g.job.service.Engine
-	if !g.protected() || !e.Moves || !g.prefill {
+	if !g.protected() || !e.Moves || !g.reading {
 		return
 	}
+	g.expect()
 	action := g.run.Next(time.Now(), g.host.core.accepts)
 	switch action.Kind {
 	case ushercopies.Place:
@@ -443,6 +457,18 @@
 	}
 }
 
+// expect makes it known that the run is about to go on at the holder of its copy.
+func (g *generation) expect() {
+	if g.expected || g.host.core.accepts(g.source.Target.ID) {
+		return
+	}
+	if point, ok := g.run.Resume(g.host.core.accepts); ok {
+		g.expected = true
+		g.hold(point.Target, usherpool.Load{Copies: 1, CopyTokens: g.job.Tokens(), Awaited: 1})
+		g.host.peers.tell()
+	}
+}
+
 func (g *generation) copyTo(ctx context.Context, holder string, address netip.AddrPort) {
 	g.run.Begin(holder)
 	g.hold(holder, usherpool.Load{Copies: 1, CopyTokens: g.job.Tokens(), Incoming: g.job.Tokens()})
@@ -465,7 +491,7 @@
 		return
 	}
 	g.run.Copied(time.Now(), c.copy)
-	g.hold(c.holder, usherpool.Load{Copies: 1, CopyTokens: g.job.Tokens()})
+	g.hold(c.holder, usherpool.Load{Copies: 1, CopyTokens: g.job.Tokens(), Awaited: 1})
 	g.host.metrics.copies.Inc(1)
 	g.host.log.Info("copy made", attributes...)
 }
