--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # Every target works on a fresh machine that has Go, a C compiler and make.
-MODULES := bench pkg proof service standin cmd/usher-gateway cmd/usher-policy cmd/usher-scheduler cmd/usher-standin cmd/usherctl
+MODULES := bench pkg platform proof service standin cmd/usher-gateway cmd/usher-host cmd/usher-policy cmd/usher-scheduler cmd/usher-standin cmd/usherctl
 PACKAGES := $(MODULES:%=./%/...)
-PROGRAMS := usher-gateway usher-policy usher-scheduler usher-standin usherctl
+PROGRAMS := usher-gateway usher-host usher-policy usher-scheduler usher-standin usherctl
 export GOWORK := $(CURDIR)/go.work
 # Sockets in memory have no receive buffer to set; quic-go would say so in every test.
 export QUIC_GO_DISABLE_RECEIVE_BUFFER_WARNING := true
--- a/cmd/usher-host/daemon/daemon.go
+++ b/cmd/usher-host/daemon/daemon.go
@@ -8,9 +8,10 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"net/http"
 	"os"
+	"os/signal"
+	"syscall"
 	"time"
 
 	"github.com/alecthomas/kong"
@@ -21,8 +22,7 @@
 
 const (
 	exitFailure = 1
-	// dialTimeout bounds connections to the store and to engines' control interfaces.
-	dialTimeout = 500 * time.Millisecond
+	signalRing  = 4
 	// copyTimeout bounds a copy between engines, which waits for others on the same links.
 	copyTimeout = 3 * time.Second
 	idleTimeout = 5 * time.Second
@@ -51,25 +51,29 @@
 	}
 	lines := usherhost.NewLogWriter(os.Stdout)
 	defer lines.Close()
-	host, err := usherhost.New(settings, platform(settings), settings.NewLogger(lines))
+	host, err := usherhost.New(settings, Platform(settings, usherhost.OSNetwork{}), settings.NewLogger(lines))
 	if err != nil {
 		return err
 	}
-	return host.Run(context.Background())
+	signals := make(chan os.Signal, signalRing)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	defer signal.Stop(signals)
+	return host.Run(context.Background(), signals)
 }
 
-func platform(s *usherhost.Settings) usherhost.Platform {
-	dial := usherhost.Dialer(dialTimeout).DialContext
+// Platform returns the users' platform as hosts see it through network.
+func Platform(s *usherhost.Settings, network usherhost.Network) usherhost.Platform {
 	return usherhost.Platform{
-		Store:   usheradapter.NewStore(s.Store.Address.String(), client(dial, 0, false)),
-		Engines: usheradapter.NewEngines(client(dial, copyTimeout, true)),
+		Network: network,
+		Store:   usheradapter.NewStore(s.Store.Address.String(), client(network, 0, false)),
+		Engines: usheradapter.NewEngines(client(network, copyTimeout, true)),
 		Codec:   usheradapter.Codec{}, LocatePath: usheradapter.LocatePath, ReadyPath: usheradapter.ReadyPath,
 	}
 }
 
-func client(dial func(ctx context.Context, network, address string) (net.Conn, error), timeout time.Duration, once bool) *http.Client {
+func client(network usherhost.Network, timeout time.Duration, once bool) *http.Client {
 	return &http.Client{
 		Timeout:   timeout,
-		Transport: &http.Transport{DialContext: dial, DisableKeepAlives: once, MaxIdleConnsPerHost: 1, IdleConnTimeout: idleTimeout},
+		Transport: &http.Transport{DialContext: network.Dial, DisableKeepAlives: once, MaxIdleConnsPerHost: 1, IdleConnTimeout: idleTimeout},
 	}
 }
--- /dev/null
+++ b/cmd/usher-host/daemon/fleet_test.go
@@ -0,0 +1,236 @@
+package daemon_test
+
+import (
+	"net/http"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/samphireusher/samphireusher/platform/usherstandin"
+)
+
+const (
+	// configTime is how long after its acknowledgement a configuration is in force, from the users' sheets.
+	configTime = 2 * time.Second
+	// drainTime is how long after it was published a leaving target may still get requests.
+	drainTime = 2 * time.Second
+)
+
+func mustAddr(ip string) netip.Addr { return netip.MustParseAddr(ip) }
+
+// inForce counts the hosts on which a route is known.
+func (b *bed) inForce(path string) int {
+	n := 0
+	for _, h := range b.hosts {
+		if got := b.get(h, path); got.status == http.StatusOK {
+			n++
+		}
+	}
+	return n
+}
+
+func addRoute(name string) func(d map[string]any) {
+	return func(d map[string]any) {
+		d["routes"] = append(d["routes"].([]any), map[string]any{
+			"name": name, "host": hostName, "prefix": "/" + name + "/", "routeKind": "safe", "service": plainService, "timeoutMs": 1000, "maxAttempts": 2,
+		})
+	}
+}
+
+// The pattern: the store turns away just the hosts that read it, and operators change the configuration meanwhile.
+func TestConfigurationIsInForceWhereReadersAreTurnedAway(t *testing.T) {
+	for name, mode := range map[string]usherstandin.Mode{
+		"none": usherstandin.Serving, "busy": usherstandin.Busy, "too many": usherstandin.TooMany, "reset": usherstandin.Reset, "silent": usherstandin.Silent,
+	} {
+		t.Run(name, func(t *testing.T) {
+			inBed(t, options{hosts: 9, plain: 3}, func(t *testing.T, b *bed) {
+				for i := range 3 {
+					b.store.SetMode(hostIP(i), mode)
+				}
+				b.declare(5, addRoute("new"))
+				time.Sleep(configTime)
+				if n := b.inForce("/new/"); n != 9 {
+					t.Errorf("in force on %d of 9 hosts after %s", n, configTime)
+				}
+			})
+		})
+	}
+}
+
+func TestFewHostsReadTheStore(t *testing.T) {
+	inBed(t, options{hosts: 9, plain: 1}, func(t *testing.T, b *bed) {
+		before := b.store.Calls()
+		time.Sleep(10 * time.Second)
+		readers, calls := 0, 0
+		for ip, n := range b.store.Calls() {
+			if n > before[ip] {
+				readers++
+				calls += n - before[ip]
+			}
+		}
+		if readers != 3 || calls > 3*12 {
+			t.Errorf("%d hosts made %d calls in 10 s without changes; want one a data centre, each call waiting", readers, calls)
+		}
+	})
+}
+
+func TestNewReaderTakesOverWhereOneDies(t *testing.T) {
+	inBed(t, options{hosts: 9, plain: 1}, func(t *testing.T, b *bed) {
+		dead := b.hosts[0]
+		dead.cancel()
+		b.declare(2, addRoute("new"))
+		time.Sleep(configTime)
+		b.hosts = b.hosts[1:]
+		if n := b.inForce("/new/"); n != 8 {
+			t.Errorf("in force on %d of 8 hosts", n)
+		}
+		b.hosts = append(b.hosts, dead)
+	})
+}
+
+// The pattern: the store forgets its history while a target leaves.
+func TestChangesAreFoundAfterTheStoreForgot(t *testing.T) {
+	inBed(t, options{hosts: 3, plain: 2}, func(t *testing.T, b *bed) {
+		b.store.SetMode("", usherstandin.Busy)
+		b.publish("plain-0", "draining")
+		b.store.Delete("servers/plain-1")
+		b.addTarget("plain-9", plainService, 9)
+		b.declare(3, addRoute("new"))
+		b.store.Forget()
+		time.Sleep(5 * time.Second)
+		b.store.SetMode("", usherstandin.Serving)
+		time.Sleep(configTime)
+		if n := b.inForce("/new/"); n != 3 {
+			t.Errorf("in force on %d of 3 hosts", n)
+		}
+		if runs := len(b.targets["plain-0"].Runs()) + len(b.targets["plain-1"].Runs()); runs != 0 {
+			t.Errorf("targets that left ran %d requests", runs)
+		}
+	})
+}
+
+// The pattern: hosts are cut off from the store while targets leave and keys are taken away.
+func TestHostCutOffFromTheStoreLearnsFromPeers(t *testing.T) {
+	inBed(t, options{hosts: 9, plain: 3}, func(t *testing.T, b *bed) {
+		store := mustAddr(storeIP)
+		for i := range 4 {
+			b.network.Cut(mustAddr(hostIP(i)), store)
+			b.network.Cut(store, mustAddr(hostIP(i)))
+		}
+		b.publish("plain-2", "draining")
+		b.declare(4, func(d map[string]any) {
+			d["tenants"] = []any{map[string]any{"name": "weavers", "apiKeys": []string{"another"}}}
+		})
+		time.Sleep(drainTime + time.Second)
+		ran := len(b.targets["plain-2"].Runs())
+		for _, h := range b.hosts {
+			if got := b.get(h, "/status/"); got.status != http.StatusUnauthorized {
+				t.Errorf("%s: a key that was taken away gets %d", h.name, got.status)
+			}
+		}
+		if len(b.targets["plain-2"].Runs()) != ran {
+			t.Error("a target that leaves still gets requests")
+		}
+	})
+}
+
+func TestLeavingTargetsAndEvacuatedDataCentresGetNothing(t *testing.T) {
+	inBed(t, options{hosts: 3, engines: 6, plain: 3}, func(t *testing.T, b *bed) {
+		b.publish("plain-0", "draining")
+		b.store.Delete("servers/engine-1")
+		b.store.PutJSON("op/evacuate/"+places[2], map[string]any{})
+		time.Sleep(drainTime)
+		begun := time.Now()
+		for _, h := range b.hosts {
+			for range 4 {
+				b.get(h, "/status/")
+				b.post(h, "/eligibility/1")
+			}
+		}
+		for _, id := range []string{"plain-0", "engine-1", "plain-2", "engine-2", "engine-5"} {
+			for _, run := range b.targets[id].Runs() {
+				if run.At.After(begun) {
+					t.Errorf("%s got a request", id)
+				}
+			}
+		}
+		b.store.Delete("op/evacuate/" + places[2])
+		time.Sleep(configTime)
+		for range 20 {
+			b.post(b.hosts[2], "/eligibility/1")
+		}
+		if len(b.targets["engine-2"].Runs())+len(b.targets["engine-5"].Runs()) == 0 {
+			t.Error("a data centre that was taken back gets no requests")
+		}
+	})
+}
+
+func TestUnreadableEntriesHarmNothing(t *testing.T) {
+	inBed(t, options{hosts: 1, plain: 1}, func(t *testing.T, b *bed) {
+		b.store.Put("servers/bad-1", []byte("\xff\x00 no JSON"))
+		b.store.PutJSON("servers/bad-2", map[string]any{"service": 7, "address": "10.128.2.9:8080"})
+		b.store.PutJSON("servers/bad-3", map[string]any{"service": plainService, "address": "10.128.2.9:8080", "zone": "kochi", "slots": 1, "state": "odd"})
+		b.store.Put("op/config", []byte("{"))
+		b.store.Put("other/key", []byte("x"))
+		time.Sleep(time.Second)
+		for range 4 {
+			if got := b.get(b.hosts[0], "/status/"); got.status != http.StatusOK {
+				t.Errorf("answer %+v", got)
+			}
+		}
+		if n := b.lines.count("published entry not readable"); n != 4 {
+			t.Errorf("%d lines about unreadable entries, want 4", n)
+		}
+	})
+}
+
+func TestPlannedStopCutsNothing(t *testing.T) {
+	inBed(t, options{hosts: 3, engines: 3, plain: 2}, func(t *testing.T, b *bed) {
+		h := b.hosts[0]
+		attempt, done := b.beginStream(h, "/appraisal/150")
+		time.Sleep(time.Second)
+		b.stop(h)
+		time.Sleep(300 * time.Millisecond)
+		if got := b.plain(h, readyPort, "/readyz"); got.status == http.StatusOK {
+			t.Error("a stopping host is ready")
+		}
+		if list := b.located(b.hosts[1]); strings.Contains(list, h.ip) || !strings.Contains(list, hostIP(1)) {
+			t.Errorf("callers are sent to %s", list)
+		}
+		// Callers that do not know it yet are served, or sent elsewhere where they could not be served to the end.
+		if got := b.get(h, "/status/"); got.status != http.StatusOK || !got.closes {
+			t.Errorf("a call to a stopping host: %+v", got)
+		}
+		if got := b.post(h, "/appraisal/150"); got.status != http.StatusServiceUnavailable || got.header.Get("Retry-After") == "" {
+			t.Errorf("a long stream to a stopping host: %+v", got)
+		}
+		if got := <-done; got.err != nil || !whole(got.body, attempt, 150) {
+			t.Errorf("the stream in progress: %v after %d events", got.err, len(events(got.body)))
+		}
+		select {
+		case err := <-h.done:
+			if err != nil {
+				t.Error(err)
+			}
+			h.done <- nil
+		case <-time.After(8 * time.Second):
+			t.Error("the host does not end")
+		}
+	})
+}
+
+func TestDeadHostIsNotNamed(t *testing.T) {
+	inBed(t, options{hosts: 9}, func(t *testing.T, b *bed) {
+		b.hosts[4].cancel()
+		time.Sleep(2 * time.Second)
+		for i, h := range b.hosts {
+			if i == 4 {
+				continue
+			}
+			if list := b.located(h); strings.Contains(list, hostIP(4)+":") || strings.Count(list, "10.1.0.") != 8 {
+				t.Errorf("%s names %s", h.name, list)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/cmd/usher-host/daemon/stream_test.go
@@ -0,0 +1,123 @@
+package daemon_test
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/samphireusher/samphireusher/platform/usherstandin"
+)
+
+// beginStream starts a stream and returns its result later.
+func (b *bed) beginStream(h *host, path string) (attempt string, done <-chan result) {
+	r := b.request(b.t.Context(), h, http.MethodPost, path, "entry")
+	results := make(chan result, 1)
+	go func() { results <- b.do(r) }()
+	return r.Header.Get("Attempt-Id"), results
+}
+
+// sourceOf returns the engine that runs an attempt now.
+func (b *bed) sourceOf(attempt string) string {
+	b.t.Helper()
+	var source string
+	var latest time.Time
+	for id, runs := range b.runsOf(attempt) {
+		for _, run := range runs {
+			if run.At.After(latest) {
+				source, latest = id, run.At
+			}
+		}
+	}
+	if source == "" {
+		b.t.Fatalf("nobody runs %s", attempt)
+	}
+	return source
+}
+
+// The pattern: engines are reclaimed in waves with 1.5 s of notice, also those that hold the copies.
+func TestStreamOutlivesItsTargets(t *testing.T) {
+	inBed(t, options{hosts: 3, engines: 9}, func(t *testing.T, b *bed) {
+		attempt, done := b.beginStream(b.hosts[0], "/appraisal/300")
+		for range 3 {
+			time.Sleep(time.Second)
+			source := b.sourceOf(attempt)
+			b.publish(source, "draining")
+			// The holder of the copy leaves as well.
+			backup := b.runsOf(attempt)[source][0].Header.Get("Kv-Backup")
+			for id, target := range b.targets {
+				if _, entry := target.Entry("ready"); backup != "" && entry.(map[string]any)["address"] == backup {
+					b.publish(id, "draining")
+				}
+			}
+			time.Sleep(1500 * time.Millisecond)
+			b.kill(source)
+		}
+		got := <-done
+		if got.err != nil || got.status != http.StatusOK || !whole(got.body, attempt, 300) {
+			t.Errorf("status %d, error %v, %d events", got.status, got.err, len(events(got.body)))
+		}
+		fresh := 0
+		for _, runs := range b.runsOf(attempt) {
+			for _, run := range runs {
+				if run.From == "" {
+					fresh++
+				}
+			}
+		}
+		if fresh != 1 {
+			t.Errorf("%d runs began anew, want 1", fresh)
+		}
+	})
+}
+
+func TestStreamOutlivesACrashWhereACopyStands(t *testing.T) {
+	inBed(t, options{hosts: 1, engines: 4}, func(t *testing.T, b *bed) {
+		attempt, done := b.beginStream(b.hosts[0], "/appraisal/100")
+		time.Sleep(time.Second)
+		b.kill(b.sourceOf(attempt))
+		if got := <-done; got.err != nil || !whole(got.body, attempt, 100) {
+			t.Errorf("error %v, %d events", got.err, len(events(got.body)))
+		}
+	})
+}
+
+func TestLostStreamIsBrokenOffVisibly(t *testing.T) {
+	inBed(t, options{hosts: 1, engines: 1}, func(t *testing.T, b *bed) {
+		attempt, done := b.beginStream(b.hosts[0], "/appraisal/100")
+		time.Sleep(time.Second)
+		b.kill(b.sourceOf(attempt))
+		if got := <-done; got.err == nil {
+			t.Errorf("the answer looks complete after %d events", len(events(got.body)))
+		}
+		if got := b.get(b.hosts[0], "/appraisal/5"); got.status != http.StatusServiceUnavailable && got.status != http.StatusBadGateway {
+			t.Errorf("without any engine: %+v", got)
+		}
+	})
+}
+
+func TestResumableStreamGoesOnInANewRun(t *testing.T) {
+	inBed(t, options{hosts: 1, engines: 3}, func(t *testing.T, b *bed) {
+		attempt, done := b.beginStream(b.hosts[0], "/eligibility/30")
+		time.Sleep(500 * time.Millisecond)
+		b.kill(b.sourceOf(attempt))
+		got := <-done
+		if got.err != nil || !whole(got.body, attempt, 30) {
+			t.Errorf("error %v, %d events", got.err, len(events(got.body)))
+		}
+	})
+}
+
+func TestStreamThatNeverBeginsIsTriedElsewhereWhereItMay(t *testing.T) {
+	inBed(t, options{hosts: 1, engines: 3}, func(t *testing.T, b *bed) {
+		for _, target := range b.targets {
+			target.FailNext(usherstandin.Mute)
+			break
+		}
+		for range 6 {
+			attempt, done := b.beginStream(b.hosts[0], "/eligibility/3")
+			if got := <-done; got.err != nil || !whole(got.body, attempt, 3) || got.took > 1500*time.Millisecond {
+				t.Errorf("error %v, %d events after %s", got.err, len(events(got.body)), got.took)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/pkg/ushercatalog/catalog_test.go
@@ -0,0 +1,132 @@
+package ushercatalog_test
+
+import (
+	"cmp"
+	"flag"
+	"os"
+	"reflect"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/samphireusher/samphireusher/pkg/ushercatalog"
+)
+
+const defaultSeed = "1"
+
+func useSeed(t *testing.T) {
+	t.Helper()
+	if err := flag.Set("rapid.seed", cmp.Or(os.Getenv("USHER_SEED"), defaultSeed)); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func replica(id string, revision uint64, leaving bool) ushercatalog.Entry {
+	return ushercatalog.Entry{
+		Key: ushercatalog.Key{Kind: ushercatalog.Replica, Name: id}, Revision: revision, Target: &ushercatalog.Target{ID: id, Leaving: leaving},
+	}
+}
+
+func removal(id string, revision uint64) ushercatalog.Entry {
+	return ushercatalog.Entry{Key: ushercatalog.Key{Kind: ushercatalog.Replica, Name: id}, Revision: revision, Removed: true}
+}
+
+func declared(revision uint64, version int64) ushercatalog.Entry {
+	return ushercatalog.Entry{
+		Key: ushercatalog.Key{Kind: ushercatalog.Declaration}, Revision: revision, Declared: &ushercatalog.Declared{Version: version},
+	}
+}
+
+func ids(c *ushercatalog.Catalog) []string {
+	names := []string{}
+	for _, k := range c.Targets() {
+		names = append(names, k.Target.ID)
+	}
+	return names
+}
+
+// Hosts learn entries from the store and from several peers, in any order and more than once.
+func TestOrderAndRepetitionDoNotMatter(t *testing.T) {
+	useSeed(t)
+	rapid.Check(t, func(t *rapid.T) {
+		var entries []ushercatalog.Entry
+		for revision := uint64(1); revision <= 20; revision++ {
+			id := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "id")
+			switch rapid.IntRange(0, 3).Draw(t, "change") {
+			case 0:
+				entries = append(entries, removal(id, revision))
+			case 1:
+				entries = append(entries, declared(revision, int64(revision)))
+			default:
+				entries = append(entries, replica(id, revision, rapid.Bool().Draw(t, "leaving")))
+			}
+		}
+		var inOrder, shuffled ushercatalog.Catalog
+		now := time.Time{}
+		inOrder.Merge(now, entries...)
+		version := int64(0)
+		for range 3 {
+			for _, e := range rapid.Permutation(entries).Draw(t, "order") {
+				shuffled.Merge(now, e)
+				if table := shuffled.Table(); table != nil {
+					if table.Version() < version {
+						t.Fatalf("version went back from %d to %d", version, table.Version())
+					}
+					version = table.Version()
+				}
+			}
+		}
+		if !reflect.DeepEqual(inOrder.Entries(), shuffled.Entries()) {
+			t.Fatalf("in order %v, shuffled %v", inOrder.Entries(), shuffled.Entries())
+		}
+	})
+}
+
+func TestListRemovesWhatItMissesButNotWhatIsNewer(t *testing.T) {
+	var c ushercatalog.Catalog
+	now := time.Time{}
+	c.Merge(now, replica("gone", 3, false), replica("same", 4, false), replica("newer", 12, false), replica("edge", 10, false), declared(2, 1))
+	c.Complete(now, []ushercatalog.Entry{replica("same", 4, false)}, 10)
+	if got, want := ids(&c), []string{"newer", "same"}; !reflect.DeepEqual(got, want) {
+		t.Errorf("targets %v, want %v", got, want)
+	}
+	if c.Table() == nil {
+		t.Error("declarations were removed by a list")
+	}
+	if c.Revision() != 10 {
+		t.Errorf("revision %d, want 10", c.Revision())
+	}
+	// A peer's older view must not bring a removed target back.
+	c.Merge(now, replica("gone", 9, false))
+	if got, want := ids(&c), []string{"newer", "same"}; !reflect.DeepEqual(got, want) {
+		t.Errorf("after an older view: targets %v, want %v", got, want)
+	}
+	c.Merge(now, replica("gone", 11, false))
+	if got, want := ids(&c), []string{"gone", "newer", "same"}; !reflect.DeepEqual(got, want) {
+		t.Errorf("after a new start: targets %v, want %v", got, want)
+	}
+}
+
+func TestUnreadableStateOfATargetNamesNoTarget(t *testing.T) {
+	var c ushercatalog.Catalog
+	c.Merge(time.Time{}, replica("a", 1, false), replica("b", 2, false))
+	c.Merge(time.Time{}, ushercatalog.Entry{Key: ushercatalog.Key{Kind: ushercatalog.Replica, Name: "a"}, Revision: 3})
+	if got, want := ids(&c), []string{"b"}; !reflect.DeepEqual(got, want) {
+		t.Errorf("targets %v, want %v", got, want)
+	}
+}
+
+func TestSweepForgetsOldRemovals(t *testing.T) {
+	var c ushercatalog.Catalog
+	start := time.Time{}
+	c.Merge(start, removal("a", 1), replica("b", 2, false))
+	c.Sweep(start.Add(ushercatalog.RemovalMemory))
+	if len(c.Entries()) != 2 {
+		t.Error("a removal was forgotten too early")
+	}
+	c.Sweep(start.Add(ushercatalog.RemovalMemory + time.Second))
+	if len(c.Entries()) != 1 {
+		t.Error("an old removal is still known")
+	}
+}
--- a/pkg/ushercluster/cluster.go
+++ b/pkg/ushercluster/cluster.go
@@ -42,6 +42,10 @@
 	// Silence is how long a host is not heard of before it counts as gone: four reports, so that single lost datagrams
 	// do not remove it.
 	Silence = 4*Interval + Interval/2
+	// LongSilence stands for it in fleets where most hosts are heard of by way of others only.
+	LongSilence = 4 * Silence
+	// news is how long a change of a host's state is told before all else.
+	news = 2 * time.Second
 	// forget is how long a host that is gone is still tried.
 	forget = 2 * time.Minute
 	// retryInterval is the time between tries to reach a host that is gone or a seed that never answered.
@@ -100,7 +104,8 @@
 
 	member struct {
 		Member
-		heard time.Time
+		heard   time.Time
+		changed time.Time
 	}
 )
 
@@ -125,7 +130,7 @@
 		changed = append(changed, r.From)
 	}
 	for _, s := range r.Sightings {
-		if s.Age >= 0 && s.Age < Silence && c.learn(now, s.Member, now.Add(-s.Age), false) {
+		if s.Age >= 0 && s.Age < c.silence() && c.learn(now, s.Member, now.Add(-s.Age), false) {
 			changed = append(changed, s.Member)
 		}
 	}
@@ -146,19 +151,34 @@
 	if known && m.Incarnation < old.Incarnation && !direct {
 		return false
 	}
-	changed := !known || old.Incarnation != m.Incarnation || old.State != m.State || now.Sub(old.heard) > Silence
+	changed := !known || old.Incarnation != m.Incarnation || old.State != m.State || now.Sub(old.heard) > c.silence()
+	updated := &member{Member: m, heard: heard, changed: now}
 	if known && old.heard.After(heard) {
-		heard = old.heard
+		updated.heard = old.heard
+	}
+	if !changed {
+		updated.changed = old.changed
+	}
+	c.members[m.Name] = updated
+	if n := 1 + len(c.members); n > c.most {
+		c.most, c.mostAt = n, now
 	}
-	c.members[m.Name] = &member{Member: m, heard: heard}
 	return changed
 }
 
+// silence returns how long a host may not be heard of.
+func (c *Cluster) silence() time.Duration {
+	if len(c.members) > fanout {
+		return LongSilence
+	}
+	return Silence
+}
+
 // Alive returns the hosts heard of lately, without this one, sorted by name.
 func (c *Cluster) Alive(now time.Time) []Member {
 	var alive []Member
 	for _, m := range c.members {
-		if now.Sub(m.heard) <= Silence {
+		if now.Sub(m.heard) <= c.silence() {
 			alive = append(alive, m.Member)
 		}
 	}
@@ -171,26 +191,35 @@
 	r := Report{From: c.self}
 	alive := make([]*member, 0, len(c.members))
 	for _, m := range c.members {
-		if now.Sub(m.heard) <= Silence {
+		if now.Sub(m.heard) <= c.silence() {
 			alive = append(alive, m)
 		}
 	}
 	// The random order gives each host its turn; the sort before makes it depend on the seed only.
 	slices.SortFunc(alive, func(a, b *member) int { return strings.Compare(a.Name, b.Name) })
 	c.random.Shuffle(len(alive), func(i, j int) { alive[i], alive[j] = alive[j], alive[i] })
+	slices.SortStableFunc(alive, func(a, b *member) int { return cmp.Compare(c.rank(now, a), c.rank(now, b)) })
 	for _, m := range alive[:min(len(alive), maxSightings)] {
 		r.Sightings = append(r.Sightings, Sighting{Member: m.Member, Age: now.Sub(m.heard)})
 	}
 	return r
 }
 
+// rank puts hosts whose state has just changed before the others.
+func (c *Cluster) rank(now time.Time, m *member) int {
+	if now.Sub(m.changed) < news {
+		return 0
+	}
+	return 1
+}
+
 // Recipients returns the addresses to which this host reports now; call it each Interval.
 func (c *Cluster) Recipients(now time.Time) []netip.AddrPort {
 	var to []netip.AddrPort
 	known := map[netip.AddrPort]bool{c.self.Address: true}
 	for _, m := range c.members {
 		switch silent := now.Sub(m.heard); {
-		case silent <= Silence:
+		case silent <= c.silence():
 			to = append(to, m.Address)
 		case silent > forget:
 			delete(c.members, m.Name)
--- /dev/null
+++ b/pkg/ushercluster/cluster_test.go
@@ -0,0 +1,166 @@
+package ushercluster_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/samphireusher/samphireusher/pkg/ushercluster"
+)
+
+// fleet is a number of hosts that exchange reports without loss, but for links that are cut.
+type fleet struct {
+	now    time.Time
+	hosts  map[netip.AddrPort]*ushercluster.Cluster
+	order  []netip.AddrPort
+	cut    map[[2]netip.AddrPort]bool
+	silent map[netip.AddrPort]bool
+}
+
+func address(i int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i >> 8), byte(i)}), 7200)
+}
+
+func newFleet(hosts, seeds int) *fleet {
+	f := &fleet{now: time.Unix(1000, 0), hosts: map[netip.AddrPort]*ushercluster.Cluster{}, cut: map[[2]netip.AddrPort]bool{}, silent: map[netip.AddrPort]bool{}}
+	var first []netip.AddrPort
+	for i := range seeds {
+		first = append(first, address(i))
+	}
+	for i := range hosts {
+		f.start(i, first, 1)
+	}
+	return f
+}
+
+func (f *fleet) start(i int, seeds []netip.AddrPort, incarnation int64) {
+	self := ushercluster.Member{Name: fmt.Sprintf("host-%03d", i), DataCentre: fmt.Sprint("dc-", i%3), Address: address(i), Incarnation: incarnation, State: ushercluster.Serving}
+	if _, known := f.hosts[self.Address]; !known {
+		f.order = append(f.order, self.Address)
+	}
+	f.hosts[self.Address] = ushercluster.New(self, seeds, rand.New(rand.NewPCG(1, uint64(i))))
+	delete(f.silent, self.Address)
+}
+
+// run lets time pass and returns how many reports were sent.
+func (f *fleet) run(d time.Duration) int {
+	sent := 0
+	for end := f.now.Add(d); f.now.Before(end); f.now = f.now.Add(ushercluster.Interval) {
+		for _, from := range f.order {
+			if f.silent[from] {
+				continue
+			}
+			c := f.hosts[from]
+			for _, to := range c.Recipients(f.now) {
+				sent++
+				if f.hosts[to] != nil && !f.silent[to] && !f.cut[[2]netip.AddrPort{from, to}] {
+					f.hosts[to].Receive(f.now, c.Report(f.now))
+				}
+			}
+		}
+	}
+	return sent
+}
+
+func (f *fleet) knowing(want int) int {
+	n := 0
+	for _, a := range f.order {
+		if !f.silent[a] && len(f.hosts[a].Alive(f.now)) == want {
+			n++
+		}
+	}
+	return n
+}
+
+// Traffic starts 10 s after the hosts do; half of that is left for what comes after the meeting.
+func TestHostsMeetThroughSeeds(t *testing.T) {
+	for _, hosts := range []int{2, 9, 79} {
+		f := newFleet(hosts, 3)
+		f.run(5 * time.Second)
+		if n := f.knowing(hosts - 1); n != hosts {
+			t.Errorf("%d of %d hosts know all others after 5 s", n, hosts)
+		}
+	}
+}
+
+// The pattern: a seed is stale or down when hosts start.
+func TestSeedsMayBeDown(t *testing.T) {
+	f := newFleet(9, 3)
+	f.silent[address(0)], f.silent[address(1)] = true, true
+	f.run(3 * time.Second)
+	if n := f.knowing(6); n != 7 {
+		t.Errorf("%d of 7 hosts know each other through the one seed that is up", n)
+	}
+}
+
+func TestDeadHostIsForgottenAndStoppingOneAtOnce(t *testing.T) {
+	f := newFleet(9, 3)
+	f.run(3 * time.Second)
+	f.silent[address(8)] = true
+	f.hosts[address(7)].SetState(ushercluster.Stopping)
+	f.run(ushercluster.Interval * 2)
+	for _, a := range f.order[:7] {
+		for _, m := range f.hosts[a].Alive(f.now) {
+			if m.Address == address(7) && m.State != ushercluster.Stopping {
+				t.Errorf("%s does not know that host 7 stops", a)
+			}
+		}
+	}
+	f.run(2 * ushercluster.Silence)
+	if n := f.knowing(7); n != 8 {
+		t.Errorf("%d of 8 hosts have noticed the death", n)
+	}
+}
+
+func TestPartsOfASplitFleetMeetAgain(t *testing.T) {
+	f := newFleet(9, 3)
+	f.run(3 * time.Second)
+	for i := range 4 {
+		for j := 4; j < 9; j++ {
+			f.cut[[2]netip.AddrPort{address(i), address(j)}], f.cut[[2]netip.AddrPort{address(j), address(i)}] = true, true
+		}
+	}
+	f.run(20 * time.Second)
+	if n := f.knowing(3) + f.knowing(4); n != 9 {
+		t.Errorf("%d of 9 hosts see just their part", n)
+	}
+	if s := f.hosts[address(0)].Sharers(f.now); s != 9 {
+		t.Errorf("limits are divided by %d in a part of the fleet, want 9: the others go on", s)
+	}
+	clear(f.cut)
+	f.run(5 * time.Second)
+	if n := f.knowing(8); n != 9 {
+		t.Errorf("%d of 9 hosts see all again", n)
+	}
+}
+
+// The pattern: the time of day steps back, so a restart has a lower incarnation.
+func TestRestartWithAnEarlierClock(t *testing.T) {
+	f := newFleet(9, 3)
+	f.run(3 * time.Second)
+	f.hosts[address(5)].SetState(ushercluster.Stopping)
+	f.run(time.Second)
+	f.start(5, []netip.AddrPort{address(0), address(1), address(2)}, 0)
+	f.run(2 * time.Second)
+	for _, a := range f.order {
+		for _, m := range f.hosts[a].Alive(f.now) {
+			if m.Address == address(5) && m.State != ushercluster.Serving {
+				t.Errorf("%s takes the restarted host for stopping", a)
+			}
+		}
+	}
+}
+
+func TestTrafficOfAHostDoesNotGrowWithTheFleet(t *testing.T) {
+	perHost := map[int]int{}
+	for _, hosts := range []int{30, 120} {
+		f := newFleet(hosts, 3)
+		f.run(5 * time.Second)
+		perHost[hosts] = f.run(10*time.Second) / hosts
+	}
+	if perHost[120] > perHost[30]*11/10 {
+		t.Errorf("reports a host in 10 s: %v", perHost)
+	}
+}
--- /dev/null
+++ b/pkg/ushercopies/copies_test.go
@@ -0,0 +1,103 @@
+package ushercopies_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/samphireusher/samphireusher/pkg/ushercall"
+	"github.com/samphireusher/samphireusher/pkg/ushercopies"
+)
+
+var start = time.Unix(1000, 0)
+
+// staying returns a function that accepts the named targets.
+func staying(names ...string) func(string) bool {
+	return func(target string) bool {
+		for _, n := range names {
+			if n == target {
+				return true
+			}
+		}
+		return false
+	}
+}
+
+func standing(holder string) ushercopies.Point {
+	return ushercopies.Point{Target: holder, Copy: ushercall.Copy{Handle: "attempt"}}
+}
+
+// The pattern: engines are reclaimed in waves with a second or two of notice.
+func TestCopyIsMadeOnceTheTargetIsLeaving(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		grown ushercopies.Point
+		stay  []string
+		want  ushercopies.Kind
+	}{
+		{"nobody leaves", ushercopies.Point{}, []string{"source", "a"}, ushercopies.Keep},
+		{"the source leaves", ushercopies.Point{}, []string{"a"}, ushercopies.Place},
+		{"the source leaves and a copy stands", standing("a"), []string{"a"}, ushercopies.Keep},
+		{"the source and the holder leave together", standing("a"), []string{"b"}, ushercopies.Place},
+		{"only the holder leaves", standing("a"), []string{"source", "b"}, ushercopies.Keep},
+	} {
+		run := ushercopies.NewRun("source", c.grown)
+		if got := run.Next(start, staying(c.stay...)).Kind; got != c.want {
+			t.Errorf("%s: %v, want %v", c.name, got, c.want)
+		}
+	}
+}
+
+func TestCopyOnDemandIsRenewedUntilTheSourceIsGone(t *testing.T) {
+	run := ushercopies.NewRun("source", ushercopies.Point{})
+	accepts := staying("a")
+	run.Begin("a")
+	if got := run.Next(start, accepts).Kind; got != ushercopies.Keep {
+		t.Errorf("while copying: %v", got)
+	}
+	run.Copied(start, ushercall.Copy{Handle: "h1"})
+	if got := run.Next(start.Add(ushercopies.RenewInterval/2), accepts).Kind; got != ushercopies.Keep {
+		t.Errorf("right after the copy: %v", got)
+	}
+	got := run.Next(start.Add(ushercopies.RenewInterval), accepts)
+	if got.Kind != ushercopies.Renew || got.Holder != "a" {
+		t.Errorf("after the interval: %+v", got)
+	}
+	point, ok := run.Resume(accepts)
+	if !ok || point.Target != "a" || point.Copy.Handle != "h1" {
+		t.Errorf("resume at %+v, %v", point, ok)
+	}
+}
+
+// Hosts that learn of a reclaim at one moment choose the same holder; the ones that find no room go on at once.
+func TestHolderWithoutRoomIsNotAskedAgain(t *testing.T) {
+	run := ushercopies.NewRun("source", ushercopies.Point{})
+	run.Begin("a")
+	run.Failed(start, true)
+	if got := run.Next(start, staying("a", "b")).Kind; got != ushercopies.Place {
+		t.Errorf("after no room: %v, want another place at once", got)
+	}
+	if len(run.Avoid) != 1 || run.Avoid[0] != "a" {
+		t.Errorf("avoided: %v", run.Avoid)
+	}
+	run.Begin("b")
+	run.Failed(start, false)
+	if got := run.Next(start, staying("a", "b")).Kind; got != ushercopies.Keep {
+		t.Errorf("right after another failure: %v, want a pause", got)
+	}
+	if got := run.Next(start.Add(time.Second), staying("a", "b")).Kind; got != ushercopies.Place {
+		t.Errorf("after the pause: %v", got)
+	}
+}
+
+func TestResumeNeedsAHolderThatStays(t *testing.T) {
+	run := ushercopies.NewRun("source", standing("a"))
+	run.Begin("b")
+	run.Copied(start, ushercall.Copy{Handle: "h"})
+	if p, ok := run.Resume(staying("b")); !ok || p.Target != "b" {
+		t.Errorf("holder a leaves: %+v %v", p, ok)
+	}
+	run.Drop("b")
+	if p, ok := run.Resume(staying("b")); ok {
+		t.Errorf("both copies gone, yet resumed at %+v", p)
+	}
+}
--- /dev/null
+++ b/pkg/usherpool/pool_test.go
@@ -0,0 +1,275 @@
+package usherpool_test
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/joomcode/errorx"
+
+	"github.com/samphireusher/samphireusher/pkg/ushercatalog"
+	"github.com/samphireusher/samphireusher/pkg/usherpool"
+	"github.com/samphireusher/samphireusher/pkg/usherroute"
+)
+
+const (
+	engines = "appraiser"
+	desk    = "registry"
+	// coldRate and the two figures after it bound what a cold target gets in a second, from the users' sheets.
+	coldRate    = 37.0
+	coldOverrun = 1.5
+	coldSlack   = 5
+)
+
+var start = time.Unix(1000, 0)
+
+func table() *usherroute.Table {
+	return usherroute.NewTable(1, nil, []usherroute.Service{
+		{Name: engines, ColdRate: coldRate, Engine: &usherroute.Engine{Slots: 24, MemoryTokens: 34312, TokenCopyTime: 55 * time.Microsecond}},
+		{Name: desk},
+	}, nil, usherroute.Limits{})
+}
+
+// target is an engine in one of three data centres.
+func target(i int) ushercatalog.Known {
+	return ushercatalog.Known{Learned: start, Entry: ushercatalog.Entry{Target: &ushercatalog.Target{
+		ID: fmt.Sprint("e", i), Service: engines, DataCentre: fmt.Sprint("dc", i%3), Slots: 24,
+		Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 128, 0, byte(i)}), 80),
+	}}}
+}
+
+func targets(n int) []ushercatalog.Known {
+	var known []ushercatalog.Known
+	for i := range n {
+		known = append(known, target(i))
+	}
+	return known
+}
+
+func nowhere(string) bool { return false }
+
+func newPool(seed uint64, known []ushercatalog.Known, hosts int) *usherpool.Pool {
+	p := usherpool.New(usherpool.Options{DataCentre: "dc0", Random: rand.New(rand.NewPCG(seed, 1))})
+	p.Update(start, known, nowhere, table(), hosts)
+	return p
+}
+
+func appraisal() usherpool.Request {
+	return usherpool.Request{Service: engines, PromptTokens: 3000, OutputTokens: 900}
+}
+
+func running() usherpool.Load { return usherpool.Load{Streams: 1, Tokens: 3900} }
+
+func TestOnlyTargetsThatAcceptWorkAreChosen(t *testing.T) {
+	known := targets(6)
+	known[0].Target.Leaving = true
+	known[3].Target.Service = desk
+	p := newPool(1, known, 1)
+	p.Update(start, known[:5], func(dc string) bool { return dc == "dc1" }, table(), 1)
+	for range 50 {
+		c, err := p.Choose(start, appraisal())
+		if err != nil {
+			t.Fatal(err)
+		}
+		if c.Target.ID != "e2" {
+			t.Fatalf("chosen %s; e0 leaves, e1 and e4 are evacuated, e3 is another service, e5 is gone", c.Target.ID)
+		}
+	}
+	r := appraisal()
+	r.Exclude = []string{"e2"}
+	if _, err := p.Choose(start, r); !errorx.IsOfType(err, usherpool.ErrNone) {
+		t.Errorf("with all excluded: %v", err)
+	}
+}
+
+// The pattern: nine hosts with steady streams, each of which knows the others' loads a report late.
+func TestStreamsSpreadOverEngines(t *testing.T) {
+	const hosts, streams = 9, 45
+	known := targets(9)
+	var pools []*usherpool.Pool
+	for i := range hosts {
+		pools = append(pools, newPool(uint64(i), known, hosts))
+	}
+	count := map[string]int{}
+	for i := range streams {
+		now := start.Add(time.Duration(i) * 200 * time.Millisecond)
+		p := pools[i%hosts]
+		c, err := p.Choose(now, appraisal())
+		if err != nil {
+			t.Fatal(err)
+		}
+		p.Add(c.Target.ID, running())
+		count[c.Target.ID]++
+		for from, sender := range pools {
+			for to, receiver := range pools {
+				if from != to {
+					receiver.Report(now, fmt.Sprint("host", from), sender.Own())
+				}
+			}
+		}
+	}
+	for id, n := range count {
+		if n < 4 || n > 6 {
+			t.Errorf("%s runs %d of %d streams; want 5 give or take one: %v", id, n, streams, count)
+		}
+	}
+}
+
+func TestLoadsOfPeersFadeWhenTheyAreNotHeard(t *testing.T) {
+	p := newPool(1, targets(2), 2)
+	p.Report(start, "other", map[string]usherpool.Load{"e0": {Streams: 9, Tokens: 30000}})
+	if c, err := p.Choose(start, appraisal()); err != nil || c.Target.ID != "e1" {
+		t.Errorf("chosen %v, %v beside a loaded e0", c.Target.ID, err)
+	}
+	p.Add("e1", running())
+	if c, err := p.Choose(start.Add(10*time.Second), appraisal()); err != nil || c.Target.ID != "e0" {
+		t.Errorf("chosen %v, %v after the peer was silent", c.Target.ID, err)
+	}
+}
+
+// The pattern: a data centre's engines come back cold together, and every host sees them idle.
+func TestColdEnginesGetWhatTheyBear(t *testing.T) {
+	for _, hosts := range []int{1, 9, 79} {
+		known := targets(1)
+		known[0].Target.Cold = 3 * time.Second
+		var pools []*usherpool.Pool
+		for i := range hosts {
+			pools = append(pools, newPool(uint64(i), known, hosts))
+		}
+		var sent []time.Time
+		for ms := range 3000 {
+			now := start.Add(time.Duration(ms) * time.Millisecond)
+			for _, p := range pools {
+				if _, err := p.Choose(now, appraisal()); err == nil {
+					sent = append(sent, now)
+				}
+			}
+		}
+		bound := int(math.Floor(coldRate*coldOverrun)) + coldSlack
+		for i := range sent {
+			in := 0
+			for _, at := range sent[i:] {
+				if at.Sub(sent[i]) < time.Second {
+					in++
+				}
+			}
+			if in > bound {
+				t.Errorf("%d hosts: %d requests in a second, bound %d", hosts, in, bound)
+				break
+			}
+		}
+		if len(sent) < int(coldRate) {
+			t.Errorf("%d hosts: only %d requests in 3 s", hosts, len(sent))
+		}
+	}
+}
+
+func TestFailingTargetsArePassedOverAndTriedAgain(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		results []usherpool.Result
+		wait    time.Duration
+		want    string
+	}{
+		{"unreachable", []usherpool.Result{usherpool.Unreachable}, 0, "e1"},
+		{"full", []usherpool.Result{usherpool.Full}, 0, "e1"},
+		{"replaced", []usherpool.Result{usherpool.Replaced}, 5 * time.Second, "e1"},
+		{"fails much", []usherpool.Result{usherpool.Failed, usherpool.Failed, usherpool.Failed}, 0, "e1"},
+		{"failed once among answers", []usherpool.Result{usherpool.Failed, usherpool.Answered, usherpool.Answered, usherpool.Answered, usherpool.Answered}, 0, "e0"},
+		{"unreachable long ago", []usherpool.Result{usherpool.Unreachable, usherpool.Unreachable}, 20 * time.Second, "e0"},
+	} {
+		p := newPool(1, targets(2), 1)
+		// What runs at e1 makes e0 the better one by its load.
+		p.Add("e1", usherpool.Load{Streams: 12, Tokens: 20000})
+		for _, r := range c.results {
+			p.Observe(start, "e0", r)
+		}
+		got, err := p.Choose(start.Add(c.wait), appraisal())
+		if err != nil || got.Target.ID != c.want {
+			t.Errorf("%s: chosen %s, %v; want %s", c.name, got.Target.ID, err, c.want)
+		}
+	}
+}
+
+func TestCopiesOnNoticeStayNearAndStandingOnesApart(t *testing.T) {
+	p := newPool(1, targets(6), 1)
+	for range 20 {
+		r := appraisal()
+		r.Copy, r.Source, r.Exclude = true, "dc0", []string{"e0"}
+		if c, err := p.Choose(start, r); err != nil || c.Target.DataCentre != "dc0" {
+			t.Fatalf("a copy on notice goes to %s, %v; want dc0", c.Target.DataCentre, err)
+		}
+		r.Spare = true
+		if c, err := p.Choose(start, r); err != nil || c.Target.DataCentre == "dc0" {
+			t.Fatalf("a standing copy goes to %s, %v; want another data centre", c.Target.DataCentre, err)
+		}
+	}
+}
+
+// The pattern: engines are so full that copies would push running generations out of memory.
+func TestStandingCopiesLeaveRoomForGenerations(t *testing.T) {
+	p := newPool(1, targets(2), 1)
+	for _, id := range []string{"e0", "e1"} {
+		p.Add(id, usherpool.Load{Streams: 5, Tokens: 20000})
+	}
+	r := appraisal()
+	r.Copy, r.Spare, r.Source = true, true, "dc0"
+	if _, err := p.Choose(start, r); !errorx.IsOfType(err, usherpool.ErrFull) {
+		t.Errorf("a standing copy: %v, want no room", err)
+	}
+	r.Spare = false
+	if _, err := p.Choose(start, r); err != nil {
+		t.Errorf("a copy on notice: %v, want a place", err)
+	}
+}
+
+// The pattern: streams are about to go on at the holder of their copies, and new prompts would hold them up.
+func TestPromptsStayAwayFromWhereStreamsGoOn(t *testing.T) {
+	p := newPool(1, targets(2), 1)
+	p.Add("e0", usherpool.Load{Copies: 3, CopyTokens: 9000, Awaited: 3})
+	p.Add("e1", usherpool.Load{Streams: 5, Tokens: 19500})
+	if c, err := p.Choose(start, appraisal()); err != nil || c.Target.ID != "e1" {
+		t.Errorf("chosen %s, %v; want e1", c.Target.ID, err)
+	}
+}
+
+func TestRepeatsStayWithinTheBudgetOfAllHosts(t *testing.T) {
+	const hosts, ratio, allowance = 9, 0.2, 58.0
+	window := 10 * time.Second
+	budgets := make([]*usherpool.Budget, hosts)
+	for i := range budgets {
+		budgets[i] = &usherpool.Budget{Ratio: ratio, Allowance: allowance, Window: window}
+	}
+	var requests, repeats []time.Time
+	for ms := 0; ms < 40000; ms += 10 {
+		now := start.Add(time.Duration(ms) * time.Millisecond)
+		b := budgets[(ms/10)%hosts]
+		b.Request(now)
+		requests = append(requests, now)
+		// Every request would be repeated three times.
+		for range 3 {
+			if b.Repeat(now, hosts) {
+				repeats = append(repeats, now)
+			}
+		}
+	}
+	in := func(times []time.Time, from time.Time) (n int) {
+		for _, at := range times {
+			if !at.Before(from) && at.Before(from.Add(window)) {
+				n++
+			}
+		}
+		return n
+	}
+	for from := start; from.Before(start.Add(30 * time.Second)); from = from.Add(500 * time.Millisecond) {
+		if n, allowed := in(repeats, from), ratio*float64(in(requests, from))+allowance; float64(n) > allowed {
+			t.Fatalf("%d repeats in a window, allowed %.0f", n, allowed)
+		}
+	}
+	if len(repeats) < 100 {
+		t.Errorf("only %d repeats in 40 s", len(repeats))
+	}
+}
--- a/service/usherhost/exchange.go
+++ b/service/usherhost/exchange.go
@@ -9,12 +9,11 @@
 	"net/http"
 	"net/netip"
 	"net/url"
+	"os"
 	"strconv"
-	"syscall"
 	"time"
 
 	"github.com/joomcode/errorx"
-	"golang.org/x/sys/unix"
 
 	"github.com/samphireusher/samphireusher/pkg/ushercall"
 )
@@ -22,11 +21,6 @@
 const (
 	// connectTimeout bounds the opening of a connection to a target: a hundred round trips within a region.
 	connectTimeout = 250 * time.Millisecond
-	// unackedTimeout is how long sent bytes may stay unacknowledged before a connection counts as broken, and
-	// probeInterval how long it may be idle before it is probed. A peer without power sends no reset.
-	unackedTimeout = 2 * time.Second
-	probeInterval  = time.Second
-	probeCount     = 2
 	readBufferSize = 4 << 10
 	// maxInterim bounds the interim responses (1xx) and the responses to other attempts before the one expected.
 	maxInterim = 8
@@ -57,26 +51,11 @@
 	stop     func() bool
 }
 
-// Dialer opens connections that notice a silent peer.
-func Dialer(timeout time.Duration) *net.Dialer {
-	return &net.Dialer{
-		Timeout:         timeout,
-		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: probeInterval, Interval: probeInterval, Count: probeCount},
-		Control: func(_, _ string, raw syscall.RawConn) error {
-			var err error
-			if controlErr := raw.Control(func(fd uintptr) {
-				err = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unackedTimeout.Milliseconds()))
-			}); controlErr != nil {
-				return controlErr
-			}
-			return err
-		},
-	}
-}
-
 // open connects to a target.
-func open(ctx context.Context, address netip.AddrPort) (*exchange, error) {
-	conn, err := Dialer(connectTimeout).DialContext(ctx, "tcp", address.String())
+func open(ctx context.Context, network Network, address netip.AddrPort) (*exchange, error) {
+	dialing, cancel := context.WithTimeout(ctx, connectTimeout)
+	defer cancel()
+	conn, err := network.Dial(dialing, "tcp", address.String())
 	if err != nil {
 		return nil, errConnect.Wrap(err, "%s", address)
 	}
@@ -112,8 +91,27 @@
 	return w.Flush()
 }
 
-// receive reads up to the end of the response's header. Responses to other attempts are passed over.
-func (x *exchange) receive(codec Codec, attempt string) error {
+// receive reads up to the end of the response's header. Responses to other attempts are passed over. Bound is how long
+// the target may be silent; zero stands for no bound.
+func (x *exchange) receive(codec Codec, attempt string, bound time.Duration) error {
+	if bound > 0 {
+		if err := x.conn.SetReadDeadline(time.Now().Add(bound)); err != nil {
+			return errBroken.Wrap(err, "read deadline")
+		}
+	}
+	if err := x.readHeader(codec, attempt); err != nil {
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			return errSilence.Wrap(err, "no response header for %s", bound)
+		}
+		return err
+	}
+	if bound > 0 {
+		return x.conn.SetReadDeadline(time.Time{})
+	}
+	return nil
+}
+
+func (x *exchange) readHeader(codec Codec, attempt string) error {
 	for range maxInterim {
 		response, err := http.ReadResponse(x.reader, x.request)
 		if err != nil {
@@ -147,14 +145,6 @@
 	return body, nil
 }
 
-// silence bounds the wait for the next bytes; zero lifts the bound.
-func (x *exchange) silence(bound time.Duration) error {
-	if bound == 0 {
-		return x.conn.SetReadDeadline(time.Time{})
-	}
-	return x.conn.SetReadDeadline(time.Now().Add(bound))
-}
-
 // close ends the connection; the target drops what it still does for it.
 func (x *exchange) close() {
 	x.stop()
--- a/service/usherhost/host.go
+++ b/service/usherhost/host.go
@@ -8,7 +8,6 @@
 	"net/http"
 	"net/netip"
 	"os"
-	"os/signal"
 	"runtime/debug"
 	"sync"
 	"sync/atomic"
@@ -52,11 +51,19 @@
 		Store   Store
 		Codec   Codec
 		Engines Engines
+		Network Network
 		// LocatePath and ReadyPath are where callers and the platform ask.
 		LocatePath string
 		ReadyPath  string
 	}
 
+	// Network gives a host what its machine gives it.
+	Network interface {
+		Listen(address netip.AddrPort) (net.Listener, error)
+		ListenPacket(address netip.AddrPort) (net.PacketConn, error)
+		Dial(ctx context.Context, network, address string) (net.Conn, error)
+	}
+
 	// Host is one host of the fleet.
 	Host struct {
 		settings   *Settings
@@ -88,7 +95,7 @@
 		conns: newConns(), metrics: newHostMetrics(registry),
 	}
 	var err error
-	if h.peers, err = newPeers(h.core, s.Listen.Peers, log, registry); err != nil {
+	if h.peers, err = newPeers(h.core, p.Network, s.Listen.Peers, log, registry); err != nil {
 		return nil, err
 	}
 	h.feed = newFeed(h.core, p.Store, h.peers, log, registry)
@@ -108,14 +115,11 @@
 	h.log.Info("host "+e.Dst, "revision", h.core.revision(), "in_progress", h.inProgress.Load())
 }
 
-// Run serves until SIGTERM and the end of what is in progress, or until ctx ends.
-func (h *Host) Run(ctx context.Context) error {
+// Run serves until a signal other than SIGHUP and the end of what is in progress, or until ctx ends.
+func (h *Host) Run(ctx context.Context, signals <-chan os.Signal) error {
 	if limit := int64(h.settings.Limits.MemoryMegabytes) * megabyte; limit > 0 {
 		debug.SetMemoryLimit(int64(memoryShare * float64(limit)))
 	}
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
-	defer signal.Stop(signals)
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	if err := h.listen(); err != nil {
@@ -227,7 +231,7 @@
 }
 
 func (h *Host) serve(address netip.AddrPort, handler http.Handler) error {
-	listener, err := (&net.ListenConfig{KeepAliveConfig: Dialer(0).KeepAliveConfig}).Listen(context.Background(), "tcp4", address.String())
+	listener, err := h.platform.Network.Listen(address)
 	if err != nil {
 		return err
 	}
--- /dev/null
+++ b/service/usherhost/network.go
@@ -0,0 +1,53 @@
+package usherhost
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+const (
+	// dialTimeout bounds the opening of connections whose callers set no bound of their own.
+	dialTimeout = 500 * time.Millisecond
+	// unackedTimeout is how long sent bytes may stay unacknowledged before a connection counts as broken, and
+	// probeInterval how long it may be idle before it is probed. A peer without power sends no reset.
+	unackedTimeout = 2 * time.Second
+	probeInterval  = time.Second
+	probeCount     = 2
+)
+
+// OSNetwork is the network of the machine that the process runs on. Its connections notice a silent peer. The zero
+// value is ready for use.
+type OSNetwork struct{}
+
+var keepAlive = net.KeepAliveConfig{Enable: true, Idle: probeInterval, Interval: probeInterval, Count: probeCount}
+
+// Listen accepts TCP connections at address.
+func (OSNetwork) Listen(address netip.AddrPort) (net.Listener, error) {
+	return (&net.ListenConfig{KeepAliveConfig: keepAlive}).Listen(context.Background(), "tcp4", address.String())
+}
+
+// ListenPacket opens a UDP socket at address.
+func (OSNetwork) ListenPacket(address netip.AddrPort) (net.PacketConn, error) {
+	return net.ListenUDP("udp4", net.UDPAddrFromAddrPort(address))
+}
+
+// Dial opens a TCP connection.
+func (OSNetwork) Dial(ctx context.Context, network, address string) (net.Conn, error) {
+	dialer := net.Dialer{Timeout: dialTimeout, KeepAliveConfig: keepAlive, Control: boundUnacked}
+	return dialer.DialContext(ctx, network, address)
+}
+
+func boundUnacked(_, _ string, raw syscall.RawConn) error {
+	var err error
+	if controlErr := raw.Control(func(fd uintptr) {
+		err = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unackedTimeout.Milliseconds()))
+	}); controlErr != nil {
+		return controlErr
+	}
+	return err
+}
--- a/service/usherhost/peers.go
+++ b/service/usherhost/peers.go
@@ -39,7 +39,7 @@
 	peers struct {
 		core     *core
 		log      *slog.Logger
-		conn     *net.UDPConn
+		conn     net.PacketConn
 		client   *http.Client
 		sent     metrics.Counter
 		received metrics.Counter
@@ -69,15 +69,15 @@
 	}
 )
 
-func newPeers(c *core, address netip.AddrPort, log *slog.Logger, registry metrics.Registry) (*peers, error) {
-	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(address))
+func newPeers(c *core, network Network, address netip.AddrPort, log *slog.Logger, registry metrics.Registry) (*peers, error) {
+	conn, err := network.ListenPacket(address)
 	if err != nil {
 		return nil, err
 	}
 	return &peers{
 		core: c, log: log, conn: conn,
 		client: &http.Client{
-			Transport: &http.Transport{DialContext: Dialer(peerTimeout).DialContext, MaxIdleConnsPerHost: 1, IdleConnTimeout: 10 * time.Second},
+			Transport: &http.Transport{DialContext: network.Dial, MaxIdleConnsPerHost: 1, IdleConnTimeout: 10 * time.Second},
 		},
 		sent: metrics.NewRegisteredCounter("peers.sent", registry), received: metrics.NewRegisteredCounter("peers.received", registry),
 		bad: metrics.NewRegisteredCounter("peers.unreadable", registry), due: make(chan struct{}, 1),
@@ -121,7 +121,7 @@
 		p.log.Error("report not encoded", "error", err.Error())
 		return
 	}
-	if _, err := p.conn.WriteToUDPAddrPort(data, to); err != nil {
+	if _, err := p.conn.WriteTo(data, net.UDPAddrFromAddrPort(to)); err != nil {
 		// A datagram that cannot be sent is like one that is lost: the next one follows.
 		p.log.Debug("report not sent", "peer", to.String(), "error", err.Error())
 		return
@@ -133,7 +133,7 @@
 func (p *peers) receive() {
 	buffer := make([]byte, readDatagramBytes)
 	for {
-		n, from, err := p.conn.ReadFromUDPAddrPort(buffer)
+		n, from, err := p.conn.ReadFrom(buffer)
 		if err != nil {
 			if errors.Is(err, net.ErrClosed) {
 				return
--- a/service/usherhost/plain.go
+++ b/service/usherhost/plain.go
@@ -204,13 +204,13 @@
 	id := choice.Target.ID
 	h.core.add(id, load)
 	defer h.core.add(id, load.Negated())
-	x, err := open(ctx, choice.Target.Address)
+	x, err := open(ctx, h.platform.Network, choice.Target.Address)
 	if err != nil {
 		return attemptResult{choice: choice, result: usherpool.Unreachable, err: err}
 	}
 	defer x.close()
 	x.send(&j.Call, h.codec.EncodeDispatch(&j.Call, j.dispatch(id)))
-	if err := x.receive(h.codec, j.Attempt); err != nil {
+	if err := x.receive(h.codec, j.Attempt, 0); err != nil {
 		return attemptResult{choice: choice, result: usherpool.Broken, ran: true, err: err}
 	}
 	body, err := x.body()
--- a/service/usherhost/stream.go
+++ b/service/usherhost/stream.go
@@ -111,7 +111,7 @@
 		case errorx.IsOfType(err, errCallerGone) || ctx.Err() != nil:
 			return g.giveUp(ctx, err)
 		}
-		h.core.observe(g.source.Target.ID, usherpool.Broken)
+		h.core.observe(g.source.Target.ID, failure(err))
 		if err := g.resume(ctx, err); err != nil {
 			return g.giveUp(ctx, err)
 		}
@@ -201,7 +201,7 @@
 	g.source, g.expected = choice, false
 	// Copies that are still on their way belong to the run before.
 	g.copies = make(chan copyResult, 1)
-	x, err := open(ctx, choice.Target.Address)
+	x, err := open(ctx, g.host.platform.Network, choice.Target.Address)
 	if err != nil {
 		return attemptResult{choice: choice, result: usherpool.Unreachable, err: err}
 	}
@@ -217,8 +217,8 @@
 	g.run = ushercopies.NewRun(id, grown)
 	g.job.sends++
 	x.send(&g.job.Call, g.host.codec.EncodeDispatch(&g.job.Call, dispatch))
-	if err := x.receive(g.host.codec, g.job.Attempt); err != nil {
-		return attemptResult{choice: choice, result: usherpool.Broken, ran: true, err: err}
+	if err := x.receive(g.host.codec, g.job.Attempt, g.headerBound()); err != nil {
+		return attemptResult{choice: choice, result: failure(err), ran: true, err: err}
 	}
 	if x.answer.Cold > 0 {
 		g.host.core.cold(id, x.answer.Cold)
@@ -331,14 +331,30 @@
 		pause = defaultPause
 	}
 	if !g.reading {
-		if !g.job.route.AtMostOnce() && g.job.sends < g.job.route.MaxTargets && g.job.route.Objective > 0 {
-			return time.Duration(firstEventShare * float64(g.job.route.Objective))
+		if bound := g.headerBound(); bound > 0 {
+			return bound
 		}
 		return time.Until(g.job.deadline) + time.Second
 	}
 	return silenceFactor * pause
 }
 
+// headerBound returns how long a target may take to begin a stream that may also be run elsewhere; zero for no bound.
+func (g *generation) headerBound() time.Duration {
+	if g.job.route.AtMostOnce() || g.job.sends >= g.job.route.MaxTargets {
+		return 0
+	}
+	return time.Duration(firstEventShare * float64(g.job.route.Objective))
+}
+
+// failure tells what an error of reading an answer says of the target.
+func failure(err error) usherpool.Result {
+	if errorx.IsOfType(err, errSilence) {
+		return usherpool.Silent
+	}
+	return usherpool.Broken
+}
+
 func readEvents(r *usherevent.Reader, items chan<- streamItem, done <-chan struct{}) {
 	for {
 		event, err := r.Next()
