Targets are asked whether they leave while the store does not tell

The bound on the first sign of a resumable stream (0.6 of its objective) sent requests that only queued to a second engine. Change: while no host hears the store, each asks the targets that run its streams; the bound is 1.2 of the objective.

--- a/pkg/usherpool/pool.go
+++ b/pkg/usherpool/pool.go
@@ -142,9 +142,11 @@
 		// open says that new work may be sent.
 		open      bool
 		evacuated bool
-		own       Load
-		cold      bucket
-		health    health
+		// leaving says that the target itself told that it leaves, after the entry was learned.
+		leaving bool
+		own     Load
+		cold    bucket
+		health  health
 	}
 
 	peerLoads struct {
@@ -175,10 +177,11 @@
 		}
 		if !t.learned.Equal(k.Learned) {
 			t.coldUntil = k.Learned.Add(entry.Cold)
+			t.leaving = false
 		}
 		t.entry, t.learned = entry, k.Learned
 		t.evacuated = evacuated(entry.DataCentre)
-		t.open = !entry.Leaving && !t.evacuated
+		t.open = !entry.Leaving && !t.leaving && !t.evacuated
 	}
 	for id, t := range p.targets {
 		if !t.open && t.own == (Load{}) && !slices.ContainsFunc(published, func(k ushercatalog.Known) bool { return k.Target.ID == id }) {
@@ -187,13 +190,24 @@
 	}
 }
 
+// MarkLeaving records that a target says of itself that it leaves; it tells whether that is news. A newer entry goes
+// before it.
+func (p *Pool) MarkLeaving(id string) bool {
+	t, known := p.targets[id]
+	if !known || !t.open {
+		return false
+	}
+	t.leaving, t.open = true, false
+	return true
+}
+
 // Accepts tells whether a target may be sent new work.
 func (p *Pool) Accepts(id string) bool {
 	t, known := p.targets[id]
 	return known && t.open
 }
 
-// Address returns the published address of a target that is still known.
+// Target returns the entry of a target that is still known.
 func (p *Pool) Target(id string) (ushercatalog.Target, bool) {
 	t, known := p.targets[id]
 	if !known {
--- a/service/usherhost/conns.go
+++ b/service/usherhost/conns.go
@@ -97,15 +97,3 @@
 		}
 	}
 }
-
-// closeIdle closes the connections that wait for a request.
-func (c *conns) closeIdle() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for conn, s := range c.conns {
-		if s.state == http.StateIdle {
-			_ = conn.Close()
-			delete(c.conns, conn)
-		}
-	}
-}
--- a/service/usherhost/host.go
+++ b/service/usherhost/host.go
@@ -74,6 +74,7 @@
 		core       *core
 		feed       *feed
 		peers      *peers
+		inquiry    *inquiry
 		conns      *conns
 		metrics    *hostMetrics
 		life       *fsm.FSM
@@ -98,6 +99,7 @@
 	if h.peers, err = newPeers(h.core, p.Network, s.Listen.Peers, log, registry); err != nil {
 		return nil, err
 	}
+	h.inquiry = newInquiry(h.core, p.Engines, log, registry)
 	h.feed = newFeed(h.core, p.Store, h.peers, log, registry)
 	h.life = fsm.NewFSM(stateStarting, fsm.Events{
 		{Name: eventKnown, Src: []string{stateStarting}, Dst: stateServing},
@@ -130,6 +132,7 @@
 	h.duties.Go(func() { h.peers.report(ctx) })
 	h.duties.Go(h.peers.receive)
 	h.duties.Go(func() { h.feed.run(ctx) })
+	h.duties.Go(func() { h.inquiry.run(ctx) })
 	h.duties.Go(func() { h.conns.run(ctx, h.limits) })
 	h.duties.Go(func() { h.serveOnceKnown(ctx) })
 	h.awaitStop(ctx, signals)
--- a/service/usherhost/plain.go
+++ b/service/usherhost/plain.go
@@ -21,8 +21,6 @@
 	defaultHedge = 200 * time.Millisecond
 	// maxTries bounds how many targets are tried that could not be reached or refused without running.
 	maxTries = 4
-	// maxReplyBytes bounds the answers of plain services that are kept until they are complete.
-	maxReplyBytes = 16 << 20
 )
 
 type (
--- a/service/usherhost/stream.go
+++ b/service/usherhost/stream.go
@@ -17,6 +17,7 @@
 	"github.com/samphireusher/samphireusher/pkg/ushercopies"
 	"github.com/samphireusher/samphireusher/pkg/usherevent"
 	"github.com/samphireusher/samphireusher/pkg/usherpool"
+	"github.com/samphireusher/samphireusher/pkg/usherroute"
 )
 
 const (
@@ -29,7 +30,7 @@
 	defaultPause = 500 * time.Millisecond
 	// firstEventShare is the part of the objective after which a stream that may be run again and has sent nothing is
 	// tried elsewhere.
-	firstEventShare = 0.6
+	firstEventShare = 1.2
 	// maxResumes bounds how often one stream goes on elsewhere: each reclaim wave takes a target once.
 	maxResumes = 8
 	eventRing  = 8
@@ -47,6 +48,8 @@
 	Engines interface {
 		Copy(ctx context.Context, source netip.AddrPort, attempt string, to netip.AddrPort) (ushercall.Copy, error)
 		Release(ctx context.Context, at netip.AddrPort, handle string) error
+		// Leaving asks an engine whether it accepts no new work.
+		Leaving(ctx context.Context, at netip.AddrPort) (bool, error)
 		// NoRoom tells whether an error of Copy means that the destination cannot take the copy.
 		NoRoom(err error) bool
 	}
@@ -186,10 +189,12 @@
 	}
 }
 
-// protected tells whether the generation's memory is kept a second time.
-func (g *generation) protected() bool {
-	e := g.job.service.Engine
-	return e != nil && e.Backups && g.job.route.AtMostOnce()
+// engine returns what is declared of the engines if the generation is lost unless its memory is copied, or nil.
+func (g *generation) engine() *usherroute.Engine {
+	if !g.job.route.AtMostOnce() {
+		return nil
+	}
+	return g.job.service.Engine
 }
 
 // send sends the request to a target, with a place for the copy of its memory, and reads up to the answer's header.
@@ -252,7 +257,7 @@
 
 // placeCopy chooses the target to which the memory is copied as it grows.
 func (g *generation) placeCopy(d *ushercall.Dispatch, source string) ushercopies.Point {
-	if !g.protected() {
+	if e := g.engine(); e == nil || !e.Backups {
 		return ushercopies.Point{}
 	}
 	r := g.request([]string{source})
@@ -446,8 +451,7 @@
 
 // protect makes and renews the copies that the run needs.
 func (g *generation) protect(ctx context.Context) {
-	e := g.job.service.Engine
-	if !g.protected() || !e.Moves || !g.reading {
+	if e := g.engine(); e == nil || !e.Moves || !g.reading {
 		return
 	}
 	g.expect()
