--- a/cmd/usher-host/daemon/stream_test.go
+++ b/cmd/usher-host/daemon/stream_test.go
@@ -144,3 +144,19 @@
 		}
 	})
 }
+
+// The pattern: engines are so full that runs are preempted, at every target that a request may be sent to. Found by the
+// bench's mix --seed 325763191870 on himig-loans: a stream was cut after its second pause.
+func TestPausesDoNotEndAStreamThatCannotGoOnElsewhere(t *testing.T) {
+	inBed(t, options{hosts: 1, engines: 3}, func(t *testing.T, b *bed) {
+		for _, target := range b.targets {
+			target.SetFault(usherstandin.Pauses)
+		}
+		for _, path := range []string{"/eligibility/5", "/appraisal/5"} {
+			attempt, done := b.beginStream(b.hosts[0], path)
+			if got := <-done; got.err != nil || !whole(got.body, attempt, 5) {
+				t.Errorf("%s: error %v, %d events", path, got.err, len(events(got.body)))
+			}
+		}
+	})
+}
--- a/service/usherhost/stream.go
+++ b/service/usherhost/stream.go
@@ -293,8 +293,8 @@
 			silence.Reset(g.patience())
 		case <-silence.C:
 			stop()
-			if _, err := g.resumePoint(); err != nil && g.job.route.AtMostOnce() {
-				// Nothing else can go on with the stream: a preempted generation may still come back.
+			if !g.mayGoOn() {
+				// Nobody else can go on with the stream, and a preempted generation comes back.
 				silence.Reset(g.patience())
 				continue
 			}
@@ -544,6 +544,15 @@
 	return errExhausted.Wrap(cause, "resumed %d times", g.job.resumes)
 }
 
+// mayGoOn tells whether the stream could go on elsewhere if it were broken off here.
+func (g *generation) mayGoOn() bool {
+	if !g.job.route.AtMostOnce() {
+		return g.job.sends < g.job.route.MaxTargets
+	}
+	_, err := g.resumePoint()
+	return err == nil
+}
+
 // resumePoint returns the copy with which a generation that may run only once goes on.
 func (g *generation) resumePoint() (ushercopies.Point, error) {
 	point, ok := g.run.Resume(g.host.core.accepts)
