A request is compared over a sample of targets

Change: five targets, chosen at random, are compared where many hosts share the work, eight where few do. The test of that load fails with a sample of 50.

--- a/pkg/usherpool/pool.go
+++ b/pkg/usherpool/pool.go
@@ -23,6 +23,7 @@
 	"maps"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/joomcode/errorx"
@@ -37,6 +38,12 @@
 	loadLifetime = 2 * time.Second
 	// prefillTokensPerMs is the rate at which engines read prompts, from the users' sheets.
 	prefillTokensPerMs = 14
+	// sampleSize is how many targets are compared for a request in a fleet of many hosts. What a host knows of the others'
+	// work is some hundred milliseconds old, and hosts that all chose the best of all would send it the work of that
+	// time together. In a fleet of few hosts more of what runs is a host's own work, and more targets are compared.
+	sampleSize      = 5
+	smallSampleSize = 8
+	fewHosts        = 16
 	// streamCost is how much a running stream delays another one at the same engine, over its first second.
 	streamCost = 25 * time.Millisecond
 	// callCost is the service time of one call at a plain service, from the users' sheets.
@@ -222,9 +229,10 @@
 	var best *target
 	var choice Choice
 	reason := ErrNone
-	for _, t := range p.targets {
-		if t.entry.Service != r.Service || !t.open || slices.Contains(r.Exclude, t.entry.ID) || t.health.blocked(now) {
-			continue
+	considered := 0
+	for _, t := range p.shuffled(now, r) {
+		if !r.Copy && considered == p.sampleSize() && best != nil {
+			break
 		}
 		if !r.Copy && p.isCold(now, t) && !t.cold.ready(now, p.coldRate(t)) {
 			reason = ErrCold
@@ -235,6 +243,7 @@
 			reason = ErrFull
 			continue
 		}
+		considered++
 		delay := p.delay(now, t, r, load)
 		if best == nil || delay < choice.Delay {
 			best, choice = t, Choice{Target: t.entry, Learned: t.learned, Delay: delay, Load: load}
@@ -249,6 +258,27 @@
 	return choice, nil
 }
 
+// shuffled returns the targets that may be chosen, in random order.
+func (p *Pool) shuffled(now time.Time, r Request) []*target {
+	var candidates []*target
+	for _, t := range p.targets {
+		if t.entry.Service == r.Service && t.open && !slices.Contains(r.Exclude, t.entry.ID) && !t.health.blocked(now) {
+			candidates = append(candidates, t)
+		}
+	}
+	// The order of a map is random, but not the one of the pool's source.
+	slices.SortFunc(candidates, func(a, b *target) int { return strings.Compare(a.entry.ID, b.entry.ID) })
+	p.options.Random.Shuffle(len(candidates), func(i, j int) { candidates[i], candidates[j] = candidates[j], candidates[i] })
+	return candidates
+}
+
+func (p *Pool) sampleSize() int {
+	if p.hosts <= fewHosts {
+		return smallSampleSize
+	}
+	return sampleSize
+}
+
 // Add adds work of this host to a target; the parts of l are negative at its end.
 func (p *Pool) Add(id string, l Load) {
 	if t, known := p.targets[id]; known {
--- a/pkg/usherpool/pool_test.go
+++ b/pkg/usherpool/pool_test.go
@@ -5,6 +5,7 @@
 	"math"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
@@ -118,6 +119,62 @@
 	}
 }
 
+// The pattern: many hosts with little work each, which know the others' work half a second late. Hosts that all chose
+// the best target would send it what arrives in that time.
+func TestManyHostsDoNotCrowdOneTarget(t *testing.T) {
+	const hosts, engineCount, perSecond, seconds, life = 79, 40, 50, 20, 6
+	known := targets(engineCount)
+	var pools []*usherpool.Pool
+	for i := range hosts {
+		pools = append(pools, newPool(uint64(i), known, hosts))
+	}
+	type stream struct {
+		host int
+		id   string
+		ends time.Time
+	}
+	var streams []stream
+	most := 0
+	for i := range perSecond * seconds {
+		now := start.Add(time.Duration(i) * time.Second / perSecond)
+		streams = slices.DeleteFunc(streams, func(s stream) bool {
+			if s.ends.After(now) {
+				return false
+			}
+			pools[s.host].Add(s.id, running().Negated())
+			return true
+		})
+		if i%(perSecond/2) == 0 {
+			for to, receiver := range pools {
+				fleet := map[string]usherpool.Load{}
+				for _, s := range streams {
+					if s.host != to {
+						l := fleet[s.id]
+						fleet[s.id] = usherpool.Load{Streams: l.Streams + 1, Tokens: l.Tokens + running().Tokens}
+					}
+				}
+				receiver.Report(now, "fleet", fleet)
+			}
+		}
+		host := (i * 31) % hosts
+		c, err := pools[host].Choose(now, appraisal())
+		if err != nil {
+			t.Fatal(err)
+		}
+		pools[host].Add(c.Target.ID, running())
+		streams = append(streams, stream{host: host, id: c.Target.ID, ends: now.Add(life * time.Second)})
+		count := map[string]int{}
+		for _, s := range streams {
+			count[s.id]++
+			most = max(most, count[s.id])
+		}
+	}
+	// An even spread is 7.5 streams an engine; the memory of an engine holds twice the even spread at its mean.
+	if even := float64(perSecond*life) / engineCount; float64(most) > 2*even {
+		t.Errorf("an engine ran %d streams; an even spread is %.1f", most, even)
+	}
+}
+
 func TestLoadsOfPeersFadeWhenTheyAreNotHeard(t *testing.T) {
 	p := newPool(1, targets(2), 2)
 	p.Report(start, "other", map[string]usherpool.Load{"e0": {Streams: 9, Tokens: 30000}})
