Duties wait for signals; reports are encoded once; prompts are read at half the published rate beside other work

Change: followers and readers wait for a signal; one encoding a round; 7 tokens a millisecond; engines of the own data centre are preferred by 60 ms.

--- a/pkg/usherpool/pool.go
+++ b/pkg/usherpool/pool.go
@@ -36,8 +36,9 @@
 	// loadLifetime is how long a peer's loads count after it was last heard: several of its reports, each of which may
 	// be lost on the way.
 	loadLifetime = 2 * time.Second
-	// prefillTokensPerMs is the rate at which engines read prompts, from the users' sheets.
-	prefillTokensPerMs = 14
+	// prefillTokensPerMs is the rate at which engines read prompts beside other work: chunks of 112 tokens alternate with
+	// steps of about the same length, so half of the 14 on the users' sheets.
+	prefillTokensPerMs = 7
 	// sampleSize is how many targets are compared for a request in a fleet of many hosts. What a host knows of the others'
 	// work is some hundred milliseconds old, and hosts that all chose the best of all would send it the work of that
 	// time together. In a fleet of few hosts more of what runs is a host's own work, and more targets are compared.
@@ -49,7 +50,7 @@
 	// callCost is the service time of one call at a plain service, from the users' sheets.
 	callCost = 15 * time.Millisecond
 	// distanceCost prefers targets of the host's own data centre where nothing else differs.
-	distanceCost = 12 * time.Millisecond
+	distanceCost = 60 * time.Millisecond
 	// shortageCost is the delay of a request whose memory does not fit: a preempted request is read in again.
 	shortageCost = 2 * time.Second
 	// memoryShare is the part of an engine's memory that is filled before it counts as short. The rest is room for
--- a/service/usherhost/conns.go
+++ b/service/usherhost/conns.go
@@ -12,7 +12,7 @@
 
 const (
 	// sweepInterval is how often callers' connections are checked against the declared limits.
-	sweepInterval = 500 * time.Millisecond
+	sweepInterval = time.Second
 	// idleMargin keeps an idle connection a little longer than callers may reuse it.
 	idleMargin = time.Second
 )
--- a/service/usherhost/core.go
+++ b/service/usherhost/core.go
@@ -34,6 +34,9 @@
 		// reported is what this host last told its collector.
 		reported map[string]usherpool.Load
 		changed  chan struct{}
+		// behind tells that a peer knows more than this host, lostReader that a reader of the store gets no answers.
+		behind     chan struct{}
+		lostReader chan struct{}
 	}
 
 	// storeContact is an answer of the store that a host had.
@@ -61,7 +64,16 @@
 		budgets: map[string]*usherpool.Budget{},
 		budget:  usherpool.Budget{Ratio: s.Retries.Ratio, Allowance: s.Retries.Allowance, Window: s.Retries.Window},
 		readers: map[string]readerState{},
-		changed: make(chan struct{}),
+		changed: make(chan struct{}), behind: make(chan struct{}, 1), lostReader: make(chan struct{}, 1),
+	}
+}
+
+// signal makes a duty look at once; one look is enough for several signals.
+func signal(duty chan<- struct{}) {
+	select {
+	case duty <- struct{}{}:
+	default:
+		// A look is due already.
 	}
 }
 
--- a/service/usherhost/feed.go
+++ b/service/usherhost/feed.go
@@ -30,8 +30,9 @@
 	// one's success to be told. Each further host waits twice as long, so that few hosts ask a store that is down.
 	readerStep     = 50 * time.Millisecond
 	maxReaderSteps = 10
-	// readerCheck is how often a host that does not read looks whether it has to.
-	readerCheck = 100 * time.Millisecond
+	// readerCheck is how often a host that does not read looks whether it has to; it does so at once when a reader says
+	// that it gets no answers.
+	readerCheck = 250 * time.Millisecond
 	// pullDelay is how long a host may know that a peer is ahead before it asks for what it lacks: changes are also
 	// sent unasked.
 	pullDelay = 200 * time.Millisecond
@@ -58,7 +59,6 @@
 
 		listed  bool
 		backoff time.Duration
-		behind  time.Time
 		calls   metrics.Counter
 		failed  metrics.Counter
 		reading bool
@@ -77,7 +77,7 @@
 func (f *feed) run(ctx context.Context) {
 	for ctx.Err() == nil {
 		if f.listed && !f.isReader() {
-			sleep(ctx, readerCheck)
+			wait(ctx, readerCheck, f.core.lostReader)
 			continue
 		}
 		f.read(ctx)
@@ -88,8 +88,13 @@
 // go unanswered.
 func (f *feed) follow(ctx context.Context) {
 	for ctx.Err() == nil {
-		sleep(ctx, readerCheck)
-		f.pull(ctx)
+		select {
+		case <-ctx.Done():
+		case <-f.core.behind:
+			// What is missing may be on its way.
+			sleep(ctx, pullDelay)
+			f.pull(ctx)
+		}
 	}
 }
 
@@ -180,17 +185,8 @@
 func (f *feed) pull(ctx context.Context) {
 	address, revision, ahead := f.core.ahead()
 	if !ahead {
-		f.behind = time.Time{}
 		return
 	}
-	now := time.Now()
-	if f.behind.IsZero() {
-		f.behind = now
-	}
-	if now.Sub(f.behind) < pullDelay {
-		return
-	}
-	f.behind = now
 	changed, err := f.peers.pull(ctx, address, f.core.revision())
 	if err != nil {
 		f.log.Warn("peer did not tell its changes", "peer", address.String(), "revision", revision, "error", err.Error())
@@ -220,6 +216,17 @@
 	}
 }
 
+// wait returns after d, or at a signal.
+func wait(ctx context.Context, d time.Duration, signal <-chan struct{}) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	case <-signal:
+	}
+}
+
 func sleep(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
--- a/service/usherhost/host.go
+++ b/service/usherhost/host.go
@@ -179,7 +179,7 @@
 }
 
 // awaitStop returns at the signal of a planned stop. SIGHUP says that the settings have changed.
-func (h *Host) awaitStop(ctx context.Context, signals <-chan os.Signal, changed chan<- struct{}) {
+func (h *Host) awaitStop(ctx context.Context, signals <-chan os.Signal, changed chan struct{}) {
 	for {
 		select {
 		case <-ctx.Done():
@@ -189,11 +189,7 @@
 			if s != syscall.SIGHUP {
 				return
 			}
-			select {
-			case changed <- struct{}{}:
-			default:
-				// A look at the settings is due already.
-			}
+			signal(changed)
 		}
 	}
 }
--- a/service/usherhost/peers.go
+++ b/service/usherhost/peers.go
@@ -29,7 +29,9 @@
 	// maxCatalogBytes bounds what a peer sends of its catalog.
 	maxCatalogBytes = 16 << 20
 	peerTimeout     = 500 * time.Millisecond
-	catalogPath     = "/v1/catalog"
+	// reportPause is the least time between two rounds of reports: urgent ones of several hosts are told together.
+	reportPause = 20 * time.Millisecond
+	catalogPath = "/v1/catalog"
 	// messageVersion changes when older hosts cannot read the messages.
 	messageVersion = 1
 )
@@ -71,9 +73,9 @@
 		Urgent bool `cbor:"13,keyasint,omitempty"`
 	}
 
-	// addressed is a datagram with its recipient.
+	// addressed is a datagram with its recipients.
 	addressed struct {
-		to       netip.AddrPort
+		to       []netip.AddrPort
 		datagram datagramWire
 	}
 
@@ -105,9 +107,10 @@
 	defer ticker.Stop()
 	urgent := false
 	for {
-		for _, a := range p.core.reports(urgent) {
-			p.send(a.datagram, a.to)
+		for _, r := range p.core.reports(urgent) {
+			p.send(r.datagram, r.to...)
 		}
+		sleep(ctx, reportPause)
 		select {
 		case <-ctx.Done():
 			return
@@ -120,26 +123,22 @@
 }
 
 // tell makes the host report at once.
-func (p *peers) tell() {
-	select {
-	case p.due <- struct{}{}:
-	default:
-		// A report is due already.
-	}
-}
+func (p *peers) tell() { signal(p.due) }
 
-func (p *peers) send(d datagramWire, to netip.AddrPort) {
+func (p *peers) send(d datagramWire, to ...netip.AddrPort) {
 	data, err := cbor.Marshal(d)
 	if err != nil {
 		p.log.Error("report not encoded", "error", err.Error())
 		return
 	}
-	if _, err := p.conn.WriteTo(data, net.UDPAddrFromAddrPort(to)); err != nil {
-		// A datagram that cannot be sent is like one that is lost: the next one follows.
-		p.log.Debug("report not sent", "peer", to.String(), "error", err.Error())
-		return
+	for _, address := range to {
+		if _, err := p.conn.WriteTo(data, net.UDPAddrFromAddrPort(address)); err != nil {
+			// A datagram that cannot be sent is like one that is lost: the next one follows.
+			p.log.Debug("report not sent", "peer", address.String(), "error", err.Error())
+			continue
+		}
+		p.sent.Inc(1)
 	}
-	p.sent.Inc(1)
 }
 
 // receive takes in datagrams until the socket is closed.
@@ -204,9 +203,15 @@
 		p.tell()
 		return
 	}
-	for _, m := range to {
-		p.send(d, m.Address)
+	p.send(d, addresses(to)...)
+}
+
+func addresses(members []ushercluster.Member) []netip.AddrPort {
+	to := make([]netip.AddrPort, 0, len(members))
+	for _, m := range members {
+		to = append(to, m.Address)
 	}
+	return to
 }
 
 // pull asks a peer for the changes after a revision.
@@ -314,32 +319,22 @@
 		d := base
 		c.reported = c.pool.Own()
 		d.Loads, d.Urgent = c.reported, urgent
-		out = append(out, addressed{to: collector.Address, datagram: d})
+		out = append(out, addressed{to: []netip.AddrPort{collector.Address}, datagram: d})
 	}
 	if urgent && base.Report.From.State != ushercluster.Stopping {
 		return out
 	}
-	for _, to := range c.cluster.Recipients(now) {
-		out = append(out, addressed{to: to, datagram: base})
-	}
-	return out
+	return append(out, addressed{to: c.cluster.Recipients(now), datagram: base})
 }
 
 // collected returns what a collector tells the hosts of its data centre, and the collectors of others.
 func (c *core) collected(now time.Time, base datagramWire) []addressed {
 	c.pool.Forget(func(source string) bool { return source == sourceFleet })
-	var out []addressed
 	inside, outside := base, base
 	inside.Fleet = c.pool.Sum(now, func(string) bool { return true })
-	for _, m := range c.cluster.Near(now) {
-		out = append(out, addressed{to: m.Address, datagram: inside})
-	}
 	outside.Report.Sightings = nil
 	outside.Site = c.pool.Sum(now, func(source string) bool { return strings.HasPrefix(source, sourceHost) })
-	for _, m := range c.cluster.Relays(now) {
-		out = append(out, addressed{to: m.Address, datagram: outside})
-	}
-	return out
+	return []addressed{{to: addresses(c.cluster.Near(now)), datagram: inside}, {to: addresses(c.cluster.Relays(now)), datagram: outside}}
 }
 
 // receive takes in a peer's report and returns the hosts it changes.
@@ -355,6 +350,12 @@
 	c.readers[from.Name] = readerState{revision: d.Revision, storeSeen: now.Add(-d.StoreAge), failing: d.StoreFailing}
 	c.learnContact(now, d)
 	c.learnLoads(now, d)
+	if d.Revision > c.catalog.Revision() {
+		signal(c.behind)
+	}
+	if d.StoreFailing {
+		signal(c.lostReader)
+	}
 	if len(changed) > 0 {
 		c.updatePool(now)
 	}
