--- /dev/null
+++ b/service/usherhost/handover.go
@@ -0,0 +1,183 @@
+package usherhost
+
+import (
+	"context"
+	"net/netip"
+	"time"
+
+	"github.com/samphireusher/samphireusher/pkg/ushercall"
+	"github.com/samphireusher/samphireusher/pkg/ushercopies"
+	"github.com/samphireusher/samphireusher/pkg/usherpool"
+	"github.com/samphireusher/samphireusher/pkg/usherroute"
+)
+
+// engine returns what is declared of the engines if the generation is lost unless its memory is copied, or nil.
+func (g *generation) engine() *usherroute.Engine {
+	if !g.job.route.AtMostOnce() {
+		return nil
+	}
+	return g.job.service.Engine
+}
+
+// placeCopy chooses the target to which the memory is copied as it grows.
+func (g *generation) placeCopy(d *ushercall.Dispatch, source string) ushercopies.Point {
+	if e := g.engine(); e == nil || !e.Backups {
+		return ushercopies.Point{}
+	}
+	r := g.request([]string{source})
+	r.Copy, r.Spare, r.Source = true, true, g.source.Target.DataCentre
+	holder, err := g.host.core.choose(r)
+	if err != nil {
+		g.host.log.Debug("no memory to spare for a copy", "attempt", g.job.Attempt, "source", source, "error", errorText(err))
+		return ushercopies.Point{}
+	}
+	*d = d.WithBackup(holder.Target.Address)
+	g.hold(holder.Target.ID, usherpool.Load{Copies: 1, CopyTokens: g.job.Tokens()})
+	return ushercopies.Point{Target: holder.Target.ID, Copy: ushercall.Copy{Address: holder.Target.Address, Handle: g.job.Attempt}}
+}
+
+// protect makes and renews the copies that the run needs.
+func (g *generation) protect(ctx context.Context) {
+	if e := g.engine(); e == nil || !e.Moves || !g.reading {
+		return
+	}
+	g.expect()
+	action := g.run.Next(time.Now(), g.host.core.accepts)
+	switch action.Kind {
+	case ushercopies.Place:
+		r := g.request(append(g.run.Holders(), append(g.run.Avoid, g.source.Target.ID)...))
+		r.Copy, r.Source = true, g.source.Target.DataCentre
+		holder, err := g.host.core.choose(r)
+		if err != nil {
+			g.run.Begin("")
+			g.run.Failed(time.Now(), false)
+			g.host.log.Info("no place for a copy", "attempt", g.job.Attempt, "source", g.source.Target.ID, "error", errorText(err))
+			return
+		}
+		g.host.log.Info("copy begins", "attempt", g.job.Attempt, "source", g.source.Target.ID, "holder", holder.Target.ID, "load", holder.Load,
+			"entry_age_ms", time.Since(holder.Learned).Milliseconds(), "tokens", g.job.Tokens())
+		g.copyTo(ctx, holder.Target.ID, holder.Target.Address)
+	case ushercopies.Renew:
+		if t, known := g.host.core.target(action.Holder); known {
+			g.copyTo(ctx, action.Holder, t.Address)
+		}
+	}
+}
+
+// expect makes it known that the run is about to go on at the holder of its copy.
+func (g *generation) expect() {
+	if g.expected || g.host.core.accepts(g.source.Target.ID) {
+		return
+	}
+	if point, ok := g.run.Resume(g.host.core.accepts); ok {
+		g.expected = true
+		g.hold(point.Target, usherpool.Load{Copies: 1, CopyTokens: g.job.Tokens(), Awaited: 1})
+		g.host.peers.tell()
+	}
+}
+
+func (g *generation) copyTo(ctx context.Context, holder string, address netip.AddrPort) {
+	g.run.Begin(holder)
+	g.hold(holder, usherpool.Load{Copies: 1, CopyTokens: g.job.Tokens(), Incoming: g.job.Tokens()})
+	// Other hosts choose holders at the same moment.
+	g.host.peers.tell()
+	source, attempt, begun, results := g.source.Target.Address, g.job.Attempt, time.Now(), g.copies
+	go func() {
+		c, err := g.host.engines.Copy(ctx, source, attempt, address)
+		results <- copyResult{holder: holder, copy: c, err: err, took: time.Since(begun)}
+	}()
+}
+
+func (g *generation) copied(c copyResult) {
+	attributes := []any{"attempt", g.job.Attempt, "source", g.source.Target.ID, "holder", c.holder, "duration_ms", c.took.Milliseconds(), "events", g.job.events}
+	if c.err != nil {
+		g.run.Failed(time.Now(), g.host.engines.NoRoom(c.err))
+		g.drop(c.holder)
+		g.host.metrics.copiesFailed.Inc(1)
+		g.host.log.Info("copy failed", append(attributes, "error", errorText(c.err))...)
+		return
+	}
+	g.run.Copied(time.Now(), c.copy)
+	g.hold(c.holder, usherpool.Load{Copies: 1, CopyTokens: g.job.Tokens(), Awaited: 1})
+	g.host.metrics.copies.Inc(1)
+	g.host.log.Info("copy made", attributes...)
+}
+
+// resume lets a broken stream go on at another target.
+func (g *generation) resume(ctx context.Context, cause error) error {
+	g.closeExchange()
+	g.drop(g.source.Target.ID)
+	begun, from := time.Now(), g.source.Target.ID
+	for g.job.resumes < maxResumes && ctx.Err() == nil {
+		choice, point, err := g.next()
+		if err != nil {
+			return errExhausted.Wrap(err, "after %s", errorText(cause))
+		}
+		g.job.resumes++
+		run := g.run
+		result := g.send(ctx, choice, point.Copy)
+		g.job.targets = append(g.job.targets, choice.Target.ID)
+		g.host.core.observe(choice.Target.ID, result.result)
+		g.host.log.Info("stream resumed", "attempt", g.job.Attempt, "from", from, "to", choice.Target.ID, "events", g.job.events,
+			"last_event", g.lastEvent, "copy", point.Copy.Handle != "", "cause", errorText(cause), "ok", result.err == nil,
+			"error", errorTextOrEmpty(result.err), "duration_ms", time.Since(begun).Milliseconds())
+		if result.err == nil {
+			g.host.metrics.resumed.Inc(1)
+			return nil
+		}
+		run.Drop(choice.Target.ID)
+		g.run = run
+	}
+	return errExhausted.Wrap(cause, "resumed %d times", g.job.resumes)
+}
+
+// mayGoOn tells whether the stream could go on elsewhere if it were broken off here.
+func (g *generation) mayGoOn() bool {
+	if !g.job.route.AtMostOnce() {
+		return g.job.sends < g.job.route.MaxTargets
+	}
+	_, err := g.resumePoint()
+	return err == nil
+}
+
+// resumePoint returns the copy with which a generation that may run only once goes on.
+func (g *generation) resumePoint() (ushercopies.Point, error) {
+	point, ok := g.run.Resume(g.host.core.accepts)
+	if !ok {
+		return point, errNoCopy.New("no copy of the generation is left")
+	}
+	return point, nil
+}
+
+// next returns the target where a broken stream goes on.
+func (g *generation) next() (usherpool.Choice, ushercopies.Point, error) {
+	if g.job.route.AtMostOnce() {
+		point, err := g.resumePoint()
+		if err != nil {
+			return usherpool.Choice{}, point, err
+		}
+		target, known := g.host.core.target(point.Target)
+		if !known {
+			return usherpool.Choice{}, point, errNoCopy.New("the holder %s is gone", point.Target)
+		}
+		// Counted, but never refused: what is saved is worth more than the retries it takes away.
+		g.host.core.mayRepeat(g.job.service.Name)
+		return usherpool.Choice{Target: target}, point, nil
+	}
+	if g.job.sends >= g.job.route.MaxTargets || !g.host.core.mayRepeat(g.job.service.Name) {
+		return usherpool.Choice{}, ushercopies.Point{}, errExhausted.New("no more targets allowed")
+	}
+	choice, err := g.host.core.choose(g.request(g.job.excluded()))
+	return choice, ushercopies.Point{}, err
+}
+
+// releaseTimeout bounds the call that frees a copy; the target frees it by itself later.
+const releaseTimeout = time.Second
+
+func (h *Host) releaseCopy(c ushercall.Copy) {
+	ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
+	defer cancel()
+	if err := h.engines.Release(ctx, c.Address, c.Handle); err != nil {
+		h.log.Debug("copy not released; it expires", "address", c.Address.String(), "error", errorText(err))
+	}
+}
