A stream that an engine may have run is not called not run

Cause: reading the change anew: where the first engine broke off a resumable stream and no other accepted it, the caller got 503, which promises that the request has not run. Change: the answer follows from what was sent.

--- a/cmd/usher-host/daemon/stream_test.go
+++ b/cmd/usher-host/daemon/stream_test.go
@@ -160,3 +160,14 @@
 		}
 	})
 }
+
+func TestStreamThatMayHaveRunIsNotCalledNotRun(t *testing.T) {
+	inBed(t, options{hosts: 1, engines: 1}, func(t *testing.T, b *bed) {
+		b.targets["engine-0"].SetFault(usherstandin.LosesAnswer)
+		for _, path := range []string{"/eligibility/3", "/appraisal/3"} {
+			if got := b.post(b.hosts[0], path); got.status != http.StatusBadGateway {
+				t.Errorf("%s: status %d, want 502: the engine ran it", path, got.status)
+			}
+		}
+	})
+}
--- a/service/usherhost/stream.go
+++ b/service/usherhost/stream.go
@@ -124,20 +124,20 @@
 	var cause error
 	for range maxTries {
 		choice, err := g.host.core.choose(g.request(g.job.excluded()))
-		if err != nil {
-			if last != nil {
-				return last, nil
-			}
+		if err != nil && cause == nil {
 			return nil, refuse(reasonNoTarget, g.host.retryAfter(err), err)
 		}
+		if err != nil {
+			break
+		}
 		result := g.send(ctx, choice, ushercall.Copy{})
 		g.job.targets = append(g.job.targets, choice.Target.ID)
 		g.host.core.observe(choice.Target.ID, result.result)
+		g.job.ran = g.job.ran || result.ran
 		if result.result == usherpool.Answered && result.err == nil {
 			return nil, nil
 		}
 		cause = result.err
-		g.job.ran = g.job.ran || result.ran
 		if result.reply.status != 0 {
 			last = &result.reply
 		}
