Connections that are slow with their first header are closed; tests of logs, limits and settings

Change: a connection without a whole header counts from its opening; what marked handled requests is gone.

--- a/cmd/usher-host/daemon/bed_test.go
+++ b/cmd/usher-host/daemon/bed_test.go
@@ -55,6 +55,8 @@
 		client  *http.Client
 		calls   int
 		lines   lines
+		// settings is what hosts that start from now on find in their settings file.
+		settings func() ([]byte, error)
 	}
 
 	host struct {
@@ -248,7 +250,9 @@
 	if os.Getenv("USHER_LOG") != "" {
 		log = slog.New(slog.NewTextHandler(os.Stderr, nil)).With("host", s.Process.Name)
 	}
-	created, err := usherhost.New(&s, daemon.Platform(&s, machine{network: b.network, ip: netip.MustParseAddr(ip)}), log)
+	platform := daemon.Platform(&s, machine{network: b.network, ip: netip.MustParseAddr(ip)})
+	platform.Settings = b.settings
+	created, err := usherhost.New(&s, platform, log)
 	if err != nil {
 		b.t.Fatal(err)
 	}
--- /dev/null
+++ b/cmd/usher-host/daemon/limits_test.go
@@ -0,0 +1,94 @@
+package daemon_test
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net/netip"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+)
+
+const goodSettings = `[process]
+name = host-7
+data_centre = kochi
+[listen]
+callers = 10.1.0.8:8740
+ready = 10.1.0.8:8749
+locate = 10.1.0.8:8746
+admin = 10.1.0.8:8748
+peers = 10.1.0.8:7200
+[cluster]
+seeds = 10.1.0.2:8748
+[store]
+address = 10.200.1.7:8742
+[retries]
+ratio = 0.1
+`
+
+// The limits of the declarations: 3 s for a header, 15 s of idleness.
+func TestSlowAndIdleConnectionsAreClosed(t *testing.T) {
+	inBed(t, options{hosts: 1, plain: 1}, func(t *testing.T, b *bed) {
+		request := fmt.Sprintf("GET /status/ HTTP/1.1\r\nHost: %s\r\nAttempt-Id: a1\r\nApi-Key: %s\r\n\r\n", hostName, apiKey)
+		for _, c := range []struct {
+			name, sent     string
+			least, longest time.Duration
+		}{
+			{"a header that does not end", "GET /status/ HTTP/1.1\r\n", 3 * time.Second, 6 * time.Second},
+			{"a connection without another request", request, 15 * time.Second, 18 * time.Second},
+		} {
+			conn, err := b.network.Dialer(netip.MustParseAddr(callerIP))(t.Context(), "tcp", fmt.Sprintf("%s:%d", b.hosts[0].ip, callerPort))
+			if err != nil {
+				t.Fatal(err)
+			}
+			if _, err := io.WriteString(conn, c.sent); err != nil {
+				t.Fatal(err)
+			}
+			begun := time.Now()
+			_, err = io.Copy(io.Discard, conn)
+			if took := time.Since(begun); took < c.least || took > c.longest {
+				t.Errorf("%s: closed after %s (%v), want %s to %s", c.name, took, err, c.least, c.longest)
+			}
+			_ = conn.Close()
+		}
+	})
+}
+
+func TestSettingsAreReadAnew(t *testing.T) {
+	inBed(t, options{hosts: 1}, func(t *testing.T, b *bed) {
+		var text atomic.Value
+		text.Store(goodSettings)
+		b.settings = func() ([]byte, error) {
+			if text.Load() == "" {
+				return nil, errors.New("no such file")
+			}
+			return []byte(text.Load().(string)), nil
+		}
+		h := b.startHost(7)
+		time.Sleep(time.Second)
+		for _, c := range []struct {
+			name, text, event string
+			signal            bool
+			wait              time.Duration
+		}{
+			{"unchanged", goodSettings, "", true, time.Second},
+			{"changed, with a signal", goodSettings + "allowance = 7\n", "settings reloaded", true, 100 * time.Millisecond},
+			{"changed, without one", goodSettings + "allowance = 9\n", "settings reloaded", false, 3 * time.Second},
+			{"with a fault", goodSettings + "allowance = -9\n", "settings not reloaded; the old ones stay in force", true, time.Second},
+			{"gone", "", "settings not read", true, time.Second},
+		} {
+			before := b.lines.count("\"msg\":\"settings")
+			text.Store(c.text)
+			if c.signal {
+				h.signals <- syscall.SIGHUP
+			}
+			time.Sleep(c.wait)
+			found := b.lines.count("\"msg\":\"" + c.event + "\"")
+			if c.event == "" && b.lines.count("\"msg\":\"settings") != before || c.event != "" && found == 0 {
+				t.Errorf("%s: %d lines %q", c.name, found, c.event)
+			}
+		}
+	})
+}
--- a/service/usherhost/conns.go
+++ b/service/usherhost/conns.go
@@ -18,8 +18,6 @@
 )
 
 type (
-	connKey struct{}
-
 	// conns closes callers' connections that are idle, or slow with a request's header, for longer than the
 	// declarations in force allow. The limits change while connections live, so the server's own are not used.
 	conns struct {
@@ -30,8 +28,6 @@
 	connState struct {
 		state http.ConnState
 		since time.Time
-		// handled says that the header has been read.
-		handled bool
 	}
 )
 
@@ -50,24 +46,6 @@
 	c.conns[conn] = &connState{state: state, since: time.Now()}
 }
 
-// context makes a connection known to the handlers of its requests.
-func (c *conns) context(ctx context.Context, conn net.Conn) context.Context {
-	return context.WithValue(ctx, connKey{}, conn)
-}
-
-// begin records that the header of a request has been read.
-func (c *conns) begin(ctx context.Context) {
-	conn, ok := ctx.Value(connKey{}).(net.Conn)
-	if !ok {
-		return
-	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if s, known := c.conns[conn]; known {
-		s.handled = true
-	}
-}
-
 // run sweeps until ctx ends.
 func (c *conns) run(ctx context.Context, limits func() usherroute.Limits) {
 	ticker := time.NewTicker(sweepInterval)
@@ -89,8 +67,9 @@
 	for conn, s := range c.conns {
 		age := now.Sub(s.since)
 		idle := s.state == http.StateIdle && l.IdleTimeout > 0 && age > l.IdleTimeout+idleMargin
-		slow := (s.state == http.StateActive || s.state == http.StateNew) && !s.handled && l.HeaderTimeout > 0 && age > l.HeaderTimeout+idleMargin
-		if idle || slow && s.state == http.StateActive || slow && age > l.IdleTimeout+idleMargin {
+		// The server calls a connection active only once it has read a whole header.
+		slow := s.state == http.StateNew && l.HeaderTimeout > 0 && age > l.HeaderTimeout+idleMargin
+		if idle || slow {
 			// The server notices the closed connection and forgets it.
 			_ = conn.Close()
 			delete(c.conns, conn)
--- a/service/usherhost/host.go
+++ b/service/usherhost/host.go
@@ -247,7 +247,7 @@
 		Handler: handler, MaxHeaderBytes: serverHeaderBytes, ErrorLog: slog.NewLogLogger(h.log.Handler(), slog.LevelDebug),
 	}
 	if address == h.settings.Listen.Callers {
-		server.ConnState, server.ConnContext = h.conns.track, h.conns.context
+		server.ConnState = h.conns.track
 	}
 	h.servers = append(h.servers, server)
 	h.duties.Go(func() {
--- a/service/usherhost/ingress.go
+++ b/service/usherhost/ingress.go
@@ -71,7 +71,6 @@
 	h.inProgress.Add(1)
 	defer h.inProgress.Add(-1)
 	received := time.Now()
-	h.conns.begin(r.Context())
 	if h.core.self().State == ushercluster.Stopping {
 		w.Header().Set("Connection", "close")
 	}
