--- a/service/usherhost/feed.go
+++ b/service/usherhost/feed.go
@@ -178,7 +178,13 @@
 		return changed
 	})
 	f.announce("store", changed)
-	f.peers.push(before, changed)
+	if listing {
+		// A list does not tell every change in between, so peers must not count as having caught up by it.
+		f.peers.push(revision, changed)
+		return nil
+	}
+	// What this host had from a peer already is news to others.
+	f.peers.push(before, entries)
 	return nil
 }
 
