Short streams wait for crowded engines, and leave mute ones sooner

Cause: a stream that may be run again was given up after 1.2 of its objective whatever its engine had to do.

Change: the bound is half of the objective or twice the expected wait, and a stream is given up only once the repeat is paid.

--- a/cmd/usher-host/daemon/bed_test.go
+++ b/cmd/usher-host/daemon/bed_test.go
@@ -59,6 +59,7 @@
 		client  *http.Client
 		calls   int
 		lines   lines
+		options options
 		// settings is what hosts that start from now on find in their settings file.
 		settings func() ([]byte, error)
 	}
@@ -89,6 +90,8 @@
 		plain   int
 		// document changes the declarations before they are published.
 		document func(d map[string]any)
+		// noRepeats leaves no budget for repeated sends.
+		noRepeats bool
 	}
 )
 
@@ -132,7 +135,7 @@
 func newBed(t *testing.T, o options) *bed {
 	t.Helper()
 	b := &bed{
-		t: t, network: ushernet.New(ushernet.Options{Seed: 1}), store: usherstandin.NewStore(), memory: usherstandin.NewMemory(),
+		t: t, options: o, network: ushernet.New(ushernet.Options{Seed: 1}), store: usherstandin.NewStore(), memory: usherstandin.NewMemory(),
 		targets: map[string]*usherstandin.Target{}, servers: map[string]*http.Server{},
 	}
 	b.client = &http.Client{Transport: &http.Transport{DialContext: b.network.Dialer(netip.MustParseAddr(callerIP)), DisableKeepAlives: true}}
@@ -249,6 +252,9 @@
 	}
 	s.Store.Address = netip.MustParseAddrPort(storeIP + ":8742")
 	s.Retries.Ratio, s.Retries.Allowance, s.Retries.Window, s.Stop.Grace = 0.2, 58, 10*time.Second, 8*time.Second
+	if b.options.noRepeats {
+		s.Retries.Ratio, s.Retries.Allowance = 0, 0
+	}
 	s.Log.Level = "info"
 	log := slog.New(slog.NewJSONHandler(&b.lines, nil)).With("host", s.Process.Name)
 	if os.Getenv("USHER_LOG") != "" {
--- a/cmd/usher-host/daemon/stream_test.go
+++ b/cmd/usher-host/daemon/stream_test.go
@@ -145,6 +145,20 @@
 	})
 }
 
+// The pattern: a burst makes every engine slow to begin, and the budget for repeats is used up. Found on the day scale-1
+// of kcjc-jury-grown: 69 short streams ended with 502 after 1.8 s, though their engines would have begun them.
+func TestCrowdedEngineIsNotGivenUpWhereNoRepeatIsLeft(t *testing.T) {
+	inBed(t, options{hosts: 1, engines: 3, noRepeats: true}, func(t *testing.T, b *bed) {
+		for _, target := range b.targets {
+			target.SetFault(usherstandin.Crowded)
+		}
+		attempt, done := b.beginStream(b.hosts[0], "/eligibility/3")
+		if got := <-done; got.err != nil || !whole(got.body, attempt, 3) || len(b.runsOf(attempt)) != 1 {
+			t.Errorf("status %d, error %v, %d events, runs %v", got.status, got.err, len(events(got.body)), b.runsOf(attempt))
+		}
+	})
+}
+
 // The pattern: engines are so full that runs are preempted, at every target that a request may be sent to. Found by the
 // bench's mix --seed 325763191870 on himig-loans: a stream was cut after its second pause.
 func TestPausesDoNotEndAStreamThatCannotGoOnElsewhere(t *testing.T) {
--- a/pkg/usherpool/pool.go
+++ b/pkg/usherpool/pool.go
@@ -377,7 +377,7 @@
 	} else {
 		delay += time.Duration(load.Awaited) * awaitedCost
 	}
-	delay += time.Duration(load.Prefill/prefillTokensPerMs) * time.Millisecond
+	delay += ReadTime(load.Prefill)
 	delay += time.Duration(load.Streams)*streamCost + time.Duration(load.Copies)*streamCost/4
 	if room := p.memory(t); room > 0 {
 		used := float64(load.Tokens+load.CopyTokens+tokens) / float64(room)
@@ -389,6 +389,11 @@
 	return delay
 }
 
+// ReadTime returns how long an engine takes to read prompt tokens beside other work.
+func ReadTime(tokens int) time.Duration {
+	return time.Duration(tokens/prefillTokensPerMs) * time.Millisecond
+}
+
 // memory returns how many tokens an engine holds before it counts as short.
 func (p *Pool) memory(t *target) int {
 	if s, ok := p.service(t.entry.Service); ok && s.Engine != nil {
--- a/service/usherhost/exchange.go
+++ b/service/usherhost/exchange.go
@@ -91,22 +91,29 @@
 	return w.Flush()
 }
 
-// receive reads up to the end of the response's header. Responses to other attempts are passed over. Bound is how long
-// the target may be silent; zero stands for no bound.
-func (x *exchange) receive(codec Codec, attempt string, bound time.Duration) error {
+// receive reads up to the end of the response's header. Responses to other attempts are passed over. Where the target
+// has sent nothing for bound, giveUp tells whether to stop waiting for it; zero stands for no bound.
+func (x *exchange) receive(codec Codec, attempt string, bound time.Duration, giveUp func() bool) error {
 	if bound > 0 {
-		if err := x.conn.SetReadDeadline(time.Now().Add(bound)); err != nil {
-			return errBroken.Wrap(err, "read deadline")
+		if err := x.await(bound, giveUp); err != nil {
+			return err
 		}
 	}
-	if err := x.readHeader(codec, attempt); err != nil {
-		if errors.Is(err, os.ErrDeadlineExceeded) {
-			return errSilence.Wrap(err, "no response header for %s", bound)
-		}
-		return err
+	return x.readHeader(codec, attempt)
+}
+
+// await waits for the first byte of the response.
+func (x *exchange) await(bound time.Duration, giveUp func() bool) error {
+	if err := x.conn.SetReadDeadline(time.Now().Add(bound)); err != nil {
+		return errBroken.Wrap(err, "read deadline")
 	}
-	if bound > 0 {
-		return x.conn.SetReadDeadline(time.Time{})
+	_, err := x.reader.Peek(1)
+	if errors.Is(err, os.ErrDeadlineExceeded) && giveUp() {
+		return errSilence.Wrap(err, "no response header for %s", bound)
+	}
+	// Any other error comes again when the header is read.
+	if err := x.conn.SetReadDeadline(time.Time{}); err != nil {
+		return errBroken.Wrap(err, "read deadline")
 	}
 	return nil
 }
--- a/service/usherhost/handover.go
+++ b/service/usherhost/handover.go
@@ -131,10 +131,10 @@
 	return errExhausted.Wrap(cause, "resumed %d times", g.job.resumes)
 }
 
-// mayGoOn tells whether the stream could go on elsewhere if it were broken off here.
+// mayGoOn tells whether the stream could go on elsewhere if it were broken off here. If so, the repeated send is paid.
 func (g *generation) mayGoOn() bool {
 	if !g.job.route.AtMostOnce() {
-		return g.job.sends < g.job.route.MaxTargets
+		return g.job.sends < g.job.route.MaxTargets && g.payRepeat()
 	}
 	_, err := g.resumePoint()
 	return err == nil
@@ -164,7 +164,7 @@
 		g.host.core.mayRepeat(g.job.service.Name)
 		return usherpool.Choice{Target: target}, point, nil
 	}
-	if g.job.sends >= g.job.route.MaxTargets || !g.host.core.mayRepeat(g.job.service.Name) {
+	if g.job.sends >= g.job.route.MaxTargets || !g.takeRepeat() {
 		return usherpool.Choice{}, ushercopies.Point{}, errExhausted.New("no more targets allowed")
 	}
 	choice, err := g.host.core.choose(g.request(g.job.excluded()))
--- a/service/usherhost/plain.go
+++ b/service/usherhost/plain.go
@@ -208,7 +208,7 @@
 	}
 	defer x.close()
 	x.send(&j.Call, h.codec.EncodeDispatch(&j.Call, j.dispatch(id)))
-	if err := x.receive(h.codec, j.Attempt, 0); err != nil {
+	if err := x.receive(h.codec, j.Attempt, 0, nil); err != nil {
 		return attemptResult{choice: choice, result: usherpool.Broken, ran: true, err: err}
 	}
 	body, err := x.body()
--- a/service/usherhost/relay.go
+++ b/service/usherhost/relay.go
@@ -91,7 +91,8 @@
 	if g.job.route.AtMostOnce() || g.job.sends >= g.job.route.MaxTargets {
 		return 0
 	}
-	return time.Duration(firstEventShare * float64(g.job.route.Objective))
+	bound := time.Duration(firstEventShare * float64(g.job.route.Objective))
+	return max(bound, firstEventFactor*(g.source.Delay+usherpool.ReadTime(g.job.PromptTokens)))
 }
 
 // failure tells what an error of reading an answer says of the target.
--- a/service/usherhost/stream.go
+++ b/service/usherhost/stream.go
@@ -25,9 +25,11 @@
 	silenceFactor = 6
 	// defaultPause stands for the longest pause of routes that name none.
 	defaultPause = 500 * time.Millisecond
-	// firstEventShare is the part of the objective after which a stream that may be run again and has sent nothing is
-	// tried elsewhere.
-	firstEventShare = 1.2
+	// firstEventShare is the part of the objective, and firstEventFactor times the expected wait the time, after which
+	// both a stream that may be run again and has sent nothing is tried elsewhere: late enough for a crowded engine,
+	// which a second run would only crowd further, early enough for the second one to be in time where this one is mute.
+	firstEventShare  = 0.5
+	firstEventFactor = 2
 	// maxResumes bounds how often one stream goes on elsewhere: each reclaim wave takes a target once.
 	maxResumes = 8
 	eventRing  = 8
@@ -68,6 +70,8 @@
 		lastEvent string
 		// reading tells that events have begun to come.
 		reading bool
+		// paid tells that a repeated send was taken out of the budget and not made yet.
+		paid bool
 		// expected tells that peers know where the run is about to go on.
 		expected    bool
 		lastEventAt time.Time
@@ -168,16 +172,27 @@
 	}
 }
 
+// payRepeat takes a repeated send out of the budget ahead of time.
+func (g *generation) payRepeat() bool {
+	g.paid = g.host.core.mayRepeat(g.job.service.Name)
+	return g.paid
+}
+
+// takeRepeat tells whether a repeated send may be made, and uses up what was paid for it.
+func (g *generation) takeRepeat() bool {
+	if g.paid {
+		g.paid = false
+		return true
+	}
+	return g.host.core.mayRepeat(g.job.service.Name)
+}
+
 func (g *generation) mayStartAgain(result attemptResult) bool {
-	service := g.job.service.Name
-	switch {
-	case result.result == usherpool.Unreachable || result.result == usherpool.Replaced:
-		return g.host.core.mayRepeat(service)
-	case g.job.sends >= g.job.route.MaxTargets || result.ran && g.job.route.AtMostOnce():
+	unsent := result.result == usherpool.Unreachable || result.result == usherpool.Replaced
+	if !unsent && (g.job.sends >= g.job.route.MaxTargets || result.ran && g.job.route.AtMostOnce()) {
 		return false
-	default:
-		return g.host.core.mayRepeat(service)
 	}
+	return g.takeRepeat()
 }
 
 func (g *generation) request(exclude []string) usherpool.Request {
@@ -211,7 +226,7 @@
 	g.run = ushercopies.NewRun(id, grown)
 	g.job.sends++
 	x.send(&g.job.Call, g.host.codec.EncodeDispatch(&g.job.Call, dispatch))
-	if err := x.receive(g.host.codec, g.job.Attempt, g.headerBound()); err != nil {
+	if err := x.receive(g.host.codec, g.job.Attempt, g.headerBound(), g.payRepeat); err != nil {
 		return attemptResult{choice: choice, result: failure(err), ran: true, err: err}
 	}
 	if x.answer.Cold > 0 {
