One host chooses the targets of all streams

Cause: hosts know each other's work half a second late, so several of them sent prompts to the same engine.

Change: the first host of the first data centre is asked for each target of a stream or copy (one datagram each way). It counts what it gave until reports have it, so it can compare all targets. Limits of cold targets stay with the host that sends.

--- a/pkg/ushercluster/cluster.go
+++ b/pkg/ushercluster/cluster.go
@@ -297,6 +297,21 @@
 	return c.self
 }
 
+// Placers returns the hosts that choose targets for the fleet, in the order in which they are asked: those that hear of
+// all loads in the first data centre by name, and then those of the next.
+func (c *Cluster) Placers(now time.Time) []Member {
+	sites := map[string]bool{c.self.DataCentre: true}
+	for _, m := range c.Alive(now) {
+		sites[m.DataCentre] = true
+	}
+	var placers []Member
+	for _, site := range slices.Sorted(maps.Keys(sites)) {
+		hosts := c.site(now, site)
+		placers = append(placers, hosts[:min(len(hosts), relays)]...)
+	}
+	return placers
+}
+
 // Relays returns the hosts of the other data centres that are told what their collectors should know.
 func (c *Cluster) Relays(now time.Time) []Member {
 	sites := map[string]bool{}
--- /dev/null
+++ b/pkg/usherpool/place_test.go
@@ -0,0 +1,122 @@
+package usherpool_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/joomcode/errorx"
+
+	"github.com/samphireusher/samphireusher/pkg/usherpool"
+)
+
+const (
+	// reportedLate is how old other hosts' loads are where hosts choose by themselves.
+	reportedLate = 500 * time.Millisecond
+)
+
+// The pattern: a burst of long prompts at many hosts within the age of their reports, on the grown fleets. Each engine reads
+// prompts one after the other, so the last of five begins two seconds late.
+func TestBurstAtManyHostsIsSpreadByOnePlacer(t *testing.T) {
+	const hosts, engineCount, prompts = 79, 44, 88
+	known := targets(engineCount)
+	placer := newPool(1, known, hosts)
+	count := map[string]int{}
+	most := 0
+	for i := range prompts {
+		now := start.Add(time.Duration(i) * reportedLate / prompts)
+		r := appraisal()
+		r.DataCentre = fmt.Sprint("dc", i%3)
+		c, err := placer.Place(now, r, false)
+		if err != nil {
+			t.Fatal(err)
+		}
+		count[c.Target.ID]++
+		most = max(most, count[c.Target.ID])
+	}
+	if even := prompts / engineCount; most > even+1 {
+		t.Errorf("an engine got %d prompts; an even spread is %d", most, even)
+	}
+}
+
+func TestPlacerCountsWhatItGaveUntilReportsHaveIt(t *testing.T) {
+	p := newPool(1, targets(2), 3)
+	first, err := p.Place(start, appraisal(), false)
+	if err != nil {
+		t.Fatal(err)
+	}
+	second, err := p.Place(start, appraisal(), false)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if first.Target.ID == second.Target.ID {
+		t.Errorf("both prompts went to %s", first.Target.ID)
+	}
+	for _, s := range p.Summaries(start.Add(time.Minute)) {
+		if s.All != (usherpool.Load{}) {
+			t.Errorf("%s counts %+v long after the hosts reported", s.ID, s.All)
+		}
+	}
+}
+
+func TestChoiceOfAnotherHostIsTakenOnlyIfTheTargetAcceptsWork(t *testing.T) {
+	known := targets(3)
+	known[1].Target.Leaving = true
+	p := newPool(1, known, 2)
+	for _, c := range []struct {
+		id       string
+		excluded []string
+		taken    bool
+	}{{"e0", nil, true}, {"e1", nil, false}, {"e2", []string{"e2"}, false}, {"unknown", nil, false}} {
+		r := appraisal()
+		r.Exclude = c.excluded
+		var choice usherpool.Choice
+		choice.Target.ID = c.id
+		got, taken := p.Take(start, r, choice)
+		if taken != c.taken || taken && got.Target.Address != known[0].Target.Address {
+			t.Errorf("%s: taken %v, address %s", c.id, taken, got.Target.Address)
+		}
+	}
+}
+
+// Cold engines bear a rate that all hosts share, so a placer's choice may not go beyond the part of the host that sends.
+func TestColdTargetsAreWithheldFromPlacersOnceTheShareIsUsed(t *testing.T) {
+	const hosts = 10
+	known := targets(1)
+	known[0].Target.Cold = time.Minute
+	p := newPool(1, known, hosts)
+	now, taken := start, 0
+	for range 1000 {
+		now = now.Add(10 * time.Millisecond)
+		if len(p.Withheld(now, appraisal())) > 0 {
+			continue
+		}
+		if _, ok := p.Take(now, appraisal(), usherpool.Choice{Target: *known[0].Target}); ok {
+			taken++
+		}
+	}
+	if limit := int(coldRate/hosts*10) + 1; taken > limit || taken < limit/2 {
+		t.Errorf("%d prompts in 10 s; this host's part is %d", taken, limit)
+	}
+	r := appraisal()
+	r.Copy = true
+	if got := p.Withheld(now, r); len(got) > 0 {
+		t.Errorf("withheld from copies, which cold engines bear: %v", got)
+	}
+}
+
+func TestTargetsThatFailAreWithheldFromPlacers(t *testing.T) {
+	p := newPool(1, targets(2), 2)
+	for range 5 {
+		p.Observe(start, "e1", usherpool.Failed)
+	}
+	withheld := p.Withheld(start, appraisal())
+	if len(withheld) != 1 || withheld[0] != "e1" {
+		t.Errorf("withheld %v, want e1", withheld)
+	}
+	r := appraisal()
+	r.Exclude = []string{"e0", "e1"}
+	if _, err := p.Place(start, r, false); !errorx.IsOfType(err, usherpool.ErrNone) {
+		t.Errorf("everything is excluded: %v", err)
+	}
+}
--- a/pkg/usherpool/pool.go
+++ b/pkg/usherpool/pool.go
@@ -102,6 +102,8 @@
 		// Spare asks for memory that nobody needs, for a copy that is kept until the run ends. Other copies are wanted
 		// as soon as possible.
 		Spare bool
+		// DataCentre is where the host is that relays the request; empty for the pool's own.
+		DataCentre string
 		// Exclude names targets that are not to be chosen.
 		Exclude []string
 	}
@@ -114,6 +116,8 @@
 		Delay   time.Duration
 		// Load is what was known to run there, at all hosts.
 		Load Load
+		// Placer is the host that chose; empty if it was the one that relays the request.
+		Placer string
 	}
 
 	// Load is work at a target.
@@ -156,6 +160,9 @@
 		own     Load
 		cold    bucket
 		health  health
+		// reserved is what other hosts were told to send here and may not have reported yet.
+		reserved []reservation
+		prompts  promptQueue
 	}
 
 	peerLoads struct {
@@ -253,12 +260,21 @@
 	if best == nil {
 		return Choice{}, reason.New("no target of service %q accepts the request", r.Service)
 	}
-	if !r.Copy && p.isCold(now, best) {
-		best.cold.take()
-	}
+	p.sent(now, best, r)
 	return choice, nil
 }
 
+// sent counts a send of this host.
+func (p *Pool) sent(now time.Time, t *target, r Request) {
+	if r.Copy {
+		return
+	}
+	if p.isCold(now, t) {
+		t.cold.take()
+	}
+	t.prompts.add(now, r.PromptTokens)
+}
+
 // shuffled returns the targets that may be chosen, in random order.
 func (p *Pool) shuffled(now time.Time, r Request) []*target {
 	var candidates []*target
@@ -345,7 +361,7 @@
 		}
 		sum = sum.plus(peer.loads[t.entry.ID])
 	}
-	return sum
+	return sum.plus(t.reservations(now))
 }
 
 // full tells whether a target has no place left for r.
@@ -363,7 +379,7 @@
 // delay estimates how long r would wait at t before its first result.
 func (p *Pool) delay(now time.Time, t *target, r Request, load Load) time.Duration {
 	delay := time.Duration(t.health.failureRate(now) * float64(failureCost))
-	if t.entry.DataCentre != p.options.DataCentre {
+	if t.entry.DataCentre != p.origin(r) {
 		delay += distanceCost
 	}
 	// Breaks ties between equal targets, so that hosts with one view do not all choose the same.
@@ -377,7 +393,7 @@
 	} else {
 		delay += time.Duration(load.Awaited) * awaitedCost
 	}
-	delay += ReadTime(load.Prefill)
+	delay += ReadTime(p.unread(now, t, load))
 	delay += time.Duration(load.Streams)*streamCost + time.Duration(load.Copies)*streamCost/4
 	if room := p.memory(t); room > 0 {
 		used := float64(load.Tokens+load.CopyTokens+tokens) / float64(room)
@@ -389,6 +405,14 @@
 	return delay
 }
 
+// origin returns the data centre of the host that relays r.
+func (p *Pool) origin(r Request) string {
+	if r.DataCentre == "" {
+		return p.options.DataCentre
+	}
+	return r.DataCentre
+}
+
 // ReadTime returns how long an engine takes to read prompt tokens beside other work.
 func ReadTime(tokens int) time.Duration {
 	return time.Duration(tokens/prefillTokensPerMs) * time.Millisecond
--- a/service/usherhost/handover.go
+++ b/service/usherhost/handover.go
@@ -47,7 +47,7 @@
 	case ushercopies.Place:
 		r := g.request(append(g.run.Holders(), append(g.run.Avoid, g.source.Target.ID)...))
 		r.Copy, r.Source = true, g.source.Target.DataCentre
-		holder, err := g.host.core.choose(r)
+		holder, err := g.host.peers.placement.place(ctx, r)
 		if err != nil {
 			g.run.Begin("")
 			g.run.Failed(time.Now(), false)
@@ -109,7 +109,7 @@
 	g.drop(g.source.Target.ID)
 	begun, from := time.Now(), g.source.Target.ID
 	for g.job.resumes < maxResumes && ctx.Err() == nil {
-		choice, point, err := g.next()
+		choice, point, err := g.next(ctx)
 		if err != nil {
 			return errExhausted.Wrap(err, "after %s", errorText(cause))
 		}
@@ -150,7 +150,7 @@
 }
 
 // next returns the target where a broken stream goes on.
-func (g *generation) next() (usherpool.Choice, ushercopies.Point, error) {
+func (g *generation) next(ctx context.Context) (usherpool.Choice, ushercopies.Point, error) {
 	if g.job.route.AtMostOnce() {
 		point, err := g.resumePoint()
 		if err != nil {
@@ -167,7 +167,7 @@
 	if g.job.sends >= g.job.route.MaxTargets || !g.takeRepeat() {
 		return usherpool.Choice{}, ushercopies.Point{}, errExhausted.New("no more targets allowed")
 	}
-	choice, err := g.host.core.choose(g.request(g.job.excluded()))
+	choice, err := g.host.peers.placement.place(ctx, g.request(g.job.excluded()))
 	return choice, ushercopies.Point{}, err
 }
 
--- a/service/usherhost/ingress.go
+++ b/service/usherhost/ingress.go
@@ -13,6 +13,7 @@
 
 	"github.com/samphireusher/samphireusher/pkg/ushercall"
 	"github.com/samphireusher/samphireusher/pkg/ushercluster"
+	"github.com/samphireusher/samphireusher/pkg/usherpool"
 	"github.com/samphireusher/samphireusher/pkg/usherroute"
 )
 
@@ -47,6 +48,8 @@
 		deadline  time.Time
 		// targets are those that the request was written to, in order.
 		targets []string
+		// choice is the last choice of a target, with what decided it.
+		choice usherpool.Choice
 		// sends counts writes to targets; ran tells whether one of them may have run the request.
 		sends int
 		ran   bool
@@ -236,7 +239,7 @@
 	}
 	if j.route.Kind == usherroute.Stream {
 		attributes = append(attributes, slog.Int("events", j.events), slog.Int("resumes", j.resumes),
-			slog.Int64("first_event_ms", j.firstEvent.Milliseconds()), slog.Int64("longest_pause_ms", j.longestPause.Milliseconds()))
+			slog.Group("choice", "by", j.choice.Placer, "expected_ms", j.choice.Delay.Milliseconds(), "load", j.choice.Load), slog.Int64("first_event_ms", j.firstEvent.Milliseconds()), slog.Int64("longest_pause_ms", j.longestPause.Milliseconds()))
 	}
 	if cause != nil {
 		attributes = append(attributes, slog.String("error", errorText(cause)))
--- a/service/usherhost/peers.go
+++ b/service/usherhost/peers.go
@@ -48,7 +48,8 @@
 		received metrics.Counter
 		bad      metrics.Counter
 		// due makes the host report at once.
-		due chan struct{}
+		due       chan struct{}
+		placement *placement
 	}
 
 	datagramWire struct {
@@ -71,6 +72,9 @@
 		Changes []ushercatalog.Entry `cbor:"12,keyasint,omitempty"`
 		// Urgent asks the collector to tell the others at once.
 		Urgent bool `cbor:"13,keyasint,omitempty"`
+		// Ask and Placed make it a message about the placement of one request; the rest but Report.From is empty then.
+		Ask    *askWire    `cbor:"14,keyasint,omitempty"`
+		Placed *placedWire `cbor:"15,keyasint,omitempty"`
 	}
 
 	// addressed is a datagram with its recipients.
@@ -91,14 +95,16 @@
 	if err != nil {
 		return nil, err
 	}
-	return &peers{
+	p := &peers{
 		core: c, log: log, conn: conn,
 		client: &http.Client{
 			Transport: &http.Transport{DialContext: network.Dial, MaxIdleConnsPerHost: 1, IdleConnTimeout: 10 * time.Second},
 		},
 		sent: metrics.NewRegisteredCounter("peers.sent", registry), received: metrics.NewRegisteredCounter("peers.received", registry),
 		bad: metrics.NewRegisteredCounter("peers.unreadable", registry), due: make(chan struct{}, 1),
-	}, nil
+	}
+	p.placement = newPlacement(c, p, registry)
+	return p, nil
 }
 
 // report tells peers about this host at each interval, and at once when something must not wait.
@@ -166,6 +172,14 @@
 }
 
 func (p *peers) accept(d datagramWire) {
+	switch {
+	case d.Ask != nil:
+		p.placement.answer(d.Report.From, *d.Ask)
+		return
+	case d.Placed != nil:
+		p.placement.accept(d.Report.From, *d.Placed)
+		return
+	}
 	for _, m := range p.core.receive(d) {
 		p.log.Info("host learned", "source", d.Report.From.Name, "peer", m.Name, "incarnation", m.Incarnation, "state", m.State)
 	}
--- a/service/usherhost/stream.go
+++ b/service/usherhost/stream.go
@@ -127,7 +127,7 @@
 	var last *reply
 	var cause error
 	for range maxTries {
-		choice, err := g.host.core.choose(g.request(g.job.excluded()))
+		choice, err := g.host.peers.placement.place(ctx, g.request(g.job.excluded()))
 		if err != nil && cause == nil {
 			return nil, refuse(reasonNoTarget, g.host.retryAfter(err), err)
 		}
@@ -205,6 +205,7 @@
 // From names the copy with which the run goes on.
 func (g *generation) send(ctx context.Context, choice usherpool.Choice, from ushercall.Copy) attemptResult {
 	id := choice.Target.ID
+	g.job.choice = choice
 	g.closeExchange()
 	g.dropAll()
 	g.source, g.expected = choice, false
