Copies on notice are renewed sooner, and prompts stay away from their holders at once

Each had a copy that lacked more than a chunk (112 tokens) at an engine that was reading a prompt, and waited for that prompt.

Change: copies are renewed each 400 ms instead of 1.2 s, and a holder counts as awaited from the start of the copy, also at the placer.

Both new tests fail without the change.

--- a/pkg/ushercopies/copies.go
+++ b/pkg/ushercopies/copies.go
@@ -34,10 +34,10 @@
 	// Renew says that the copy at the holder is to be brought up to date.
 	Renew
 
-	// RenewInterval is the time between two copies on demand. What the last one lacks is read again when the run goes
-	// on: a hundred tokens or so, which engines read in some milliseconds. Renewals queue on the links ahead of first
-	// copies of other runs, so there are few.
-	RenewInterval = 1200 * time.Millisecond
+	// RenewInterval is the time between two copies on demand. What the last one lacks is read again when the run goes on.
+	// Up to a chunk of the engine's (112 tokens, made in 0.8 s) is read between the tokens of others; more waits behind
+	// prompts. Half of that leaves time for the copy itself.
+	RenewInterval = 400 * time.Millisecond
 	// retryInterval is the time after a copy that failed.
 	retryInterval = 200 * time.Millisecond
 )
--- a/pkg/ushercopies/copies_test.go
+++ b/pkg/ushercopies/copies_test.go
@@ -101,3 +101,15 @@
 		t.Errorf("both copies gone, yet resumed at %+v", p)
 	}
 }
+
+// The pattern: engines leave while prompts are read at the holders of the copies. A copy that lacked a chunk of tokens had to
+// wait for the whole prompt (250 ms and more), others went on within 40 ms.
+func TestCopyIsRenewedBeforeItLacksAChunk(t *testing.T) {
+	const chunk, tokenTime = 112, 7 * time.Millisecond
+	run := ushercopies.NewRun("source", ushercopies.Point{})
+	run.Begin("a")
+	run.Copied(start, ushercall.Copy{Handle: "h"})
+	if got := run.Next(start.Add(chunk*tokenTime*3/4), staying("a")); got.Kind != ushercopies.Renew || got.Holder != "a" {
+		t.Errorf("three quarters of a chunk after the copy: %+v, want a renewal", got)
+	}
+}
--- a/pkg/usherpool/place.go
+++ b/pkg/usherpool/place.go
@@ -87,7 +87,7 @@
 func (t *target) reserve(now time.Time, r Request) {
 	load := Load{Streams: 1, Tokens: r.PromptTokens + r.OutputTokens}
 	if r.Copy {
-		load = Load{Copies: 1, CopyTokens: r.PromptTokens + r.OutputTokens, Incoming: r.PromptTokens + r.OutputTokens}
+		load = Load{Copies: 1, CopyTokens: r.PromptTokens + r.OutputTokens, Incoming: r.PromptTokens + r.OutputTokens, Awaited: 1}
 	} else {
 		t.prompts.add(now, r.PromptTokens)
 	}
--- a/pkg/usherpool/place_test.go
+++ b/pkg/usherpool/place_test.go
@@ -39,6 +39,30 @@
 	}
 }
 
+// The pattern: streams are about to go on at an engine that still receives their memory; a prompt there would hold them up.
+func TestPromptsStayAwayFromWhereCopiesAreOnTheirWay(t *testing.T) {
+	p := newPool(1, targets(2), 3)
+	r := appraisal()
+	r.Copy, r.Source = true, "dc0"
+	holder, err := p.Place(start, r, false)
+	if err != nil {
+		t.Fatal(err)
+	}
+	other := "e0"
+	if holder.Target.ID == other {
+		other = "e1"
+	}
+	// Otherwise the holder would be the better one.
+	p.Report(start, "host", map[string]usherpool.Load{other: {Streams: 2, Tokens: 6000}})
+	c, err := p.Place(start, appraisal(), false)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if c.Target.ID != other {
+		t.Errorf("the prompt went to %s, which receives a copy", c.Target.ID)
+	}
+}
+
 func TestPlacerCountsWhatItGaveUntilReportsHaveIt(t *testing.T) {
 	p := newPool(1, targets(2), 3)
 	first, err := p.Place(start, appraisal(), false)
--- a/service/usherhost/handover.go
+++ b/service/usherhost/handover.go
@@ -78,7 +78,7 @@
 
 func (g *generation) copyTo(ctx context.Context, holder string, address netip.AddrPort) {
 	g.run.Begin(holder)
-	g.hold(holder, usherpool.Load{Copies: 1, CopyTokens: g.job.Tokens(), Incoming: g.job.Tokens()})
+	g.hold(holder, usherpool.Load{Copies: 1, CopyTokens: g.job.Tokens(), Incoming: g.job.Tokens(), Awaited: 1})
 	// Other hosts choose holders at the same moment.
 	g.host.peers.tell()
 	source, attempt, begun, results := g.source.Target.Address, g.job.Attempt, time.Now(), g.copies
