Prompts are not late by their own length

Change: whether a stream is late is decided by what is read before it and a prompt of the usual length.

--- a/pkg/usherpool/pool.go
+++ b/pkg/usherpool/pool.go
@@ -70,6 +70,8 @@
 	// waitFactor times the reading of prompts is what a first result takes on crowded engines, where prompts also wait for
 	// memory: 2.0 s at the median where 1.45 s are read, on the day scale-2 of himig-loans-grown.
 	waitFactor = 1.35
+	// usualPrompt is the length of prompts on the users' sheets, in tokens.
+	usualPrompt = 2600
 	// failureCost is the delay that a request meets at a target that always fails.
 	failureCost = 2 * time.Second
 )
@@ -277,8 +279,10 @@
 // expect tells when the first result of a generation can be expected.
 func (p *Pool) expect(now time.Time, t *target, r Request, c Choice) Choice {
 	if !r.Copy {
-		c.Wait = ReadTime(p.unread(now, t, c.Load) + r.PromptTokens)
-		c.Late = r.Within > 0 && time.Duration(waitFactor*float64(c.Wait)) > r.Within
+		before := p.unread(now, t, c.Load)
+		c.Wait = ReadTime(before + r.PromptTokens)
+		// By its own length no prompt is late, or long ones would always wait behind short ones.
+		c.Late = r.Within > 0 && time.Duration(waitFactor*float64(ReadTime(before+usualPrompt))) > r.Within
 	}
 	return c
 }
