Bytes to peers and targets are counted by data centre

On the large site bytes between data centres are the largest price. What sends them could not be told: counters peers.near_bytes, peers.far_bytes, targets.near_bytes and targets.far_bytes now say it.

--- a/pkg/ushercluster/cluster.go
+++ b/pkg/ushercluster/cluster.go
@@ -106,7 +106,9 @@
 		seeds   []netip.AddrPort
 		random  *rand.Rand
 		members map[string]*member
-		tried   map[netip.AddrPort]time.Time
+		// sites are the data centres of the members, by address.
+		sites map[netip.AddrPort]string
+		tried map[netip.AddrPort]time.Time
 		// most is the largest number of hosts seen lately, self included.
 		most   int
 		mostAt time.Time
@@ -129,7 +131,7 @@
 
 // New returns the view of a host that has heard of no other.
 func New(self Member, seeds []netip.AddrPort, random *rand.Rand) *Cluster {
-	return &Cluster{self: self, seeds: seeds, random: random, members: map[string]*member{}, tried: map[netip.AddrPort]time.Time{}, deaf: map[string]time.Time{}}
+	return &Cluster{self: self, seeds: seeds, random: random, members: map[string]*member{}, sites: map[netip.AddrPort]string{}, tried: map[netip.AddrPort]time.Time{}, deaf: map[string]time.Time{}}
 }
 
 // Self returns what this host says of itself.
@@ -185,6 +187,7 @@
 		updated.changed = old.changed
 	}
 	c.members[m.Name] = updated
+	c.sites[m.Address] = m.DataCentre
 	if n := 1 + len(c.members); n > c.most {
 		c.most, c.mostAt = n, now
 	}
@@ -246,6 +249,7 @@
 		switch silent := now.Sub(m.heard); {
 		case silent > forget:
 			delete(c.members, m.Name)
+			delete(c.sites, m.Address)
 			continue
 		case silent > c.silence():
 			if c.due(now, m.Address) {
@@ -352,6 +356,12 @@
 	return hosts
 }
 
+// Far tells whether an address is of a host that is known to be in another data centre.
+func (c *Cluster) Far(address netip.AddrPort) bool {
+	site, known := c.sites[address]
+	return known && site != c.self.DataCentre
+}
+
 // due tells whether an address that does not answer may be tried again.
 func (c *Cluster) due(now time.Time, address netip.AddrPort) bool {
 	if at, tried := c.tried[address]; tried && now.Sub(at) < retryInterval && c.heard {
--- a/service/usherhost/exchange.go
+++ b/service/usherhost/exchange.go
@@ -7,15 +7,16 @@
 	"io"
 	"net"
 	"net/http"
-	"net/netip"
 	"net/url"
 	"os"
 	"strconv"
 	"time"
 
 	"github.com/joomcode/errorx"
+	"github.com/rcrowley/go-metrics"
 
 	"github.com/samphireusher/samphireusher/pkg/ushercall"
+	"github.com/samphireusher/samphireusher/pkg/ushercatalog"
 )
 
 const (
@@ -51,14 +52,37 @@
 	stop     func() bool
 }
 
+// countedConn counts the bytes that pass in both directions.
+type countedConn struct {
+	net.Conn
+	bytes metrics.Counter
+}
+
+func (c countedConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.bytes.Inc(int64(n))
+	return n, err
+}
+
+func (c countedConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.bytes.Inc(int64(n))
+	return n, err
+}
+
 // open connects to a target.
-func open(ctx context.Context, network Network, address netip.AddrPort) (*exchange, error) {
+func (h *Host) open(ctx context.Context, target ushercatalog.Target) (*exchange, error) {
 	dialing, cancel := context.WithTimeout(ctx, connectTimeout)
 	defer cancel()
-	conn, err := network.Dial(dialing, "tcp", address.String())
+	conn, err := h.platform.Network.Dial(dialing, "tcp", target.Address.String())
 	if err != nil {
-		return nil, errConnect.Wrap(err, "%s", address)
+		return nil, errConnect.Wrap(err, "%s", target.Address)
+	}
+	bytes := h.metrics.nearBytes
+	if target.DataCentre != h.settings.Process.DataCentre {
+		bytes = h.metrics.farBytes
 	}
+	conn = countedConn{Conn: conn, bytes: bytes}
 	x := &exchange{conn: conn, reader: bufio.NewReaderSize(conn, readBufferSize), written: make(chan error, 1)}
 	// The caller's leaving and the end of its time both end the connection, and with it the target's work.
 	x.stop = context.AfterFunc(ctx, func() { conn.Close() })
--- a/service/usherhost/metrics.go
+++ b/service/usherhost/metrics.go
@@ -29,6 +29,9 @@
 	copies       metrics.Counter
 	copiesFailed metrics.Counter
 	repeats      metrics.Counter
+	// nearBytes and farBytes pass between this host and targets of its data centre and of others.
+	nearBytes metrics.Counter
+	farBytes  metrics.Counter
 }
 
 func newHostMetrics(r metrics.Registry) *hostMetrics {
@@ -40,6 +43,7 @@
 		callersGone: metrics.NewRegisteredCounter("requests.callers_gone", r), cut: metrics.NewRegisteredCounter("streams.cut", r),
 		resumed: metrics.NewRegisteredCounter("streams.resumed", r), copies: metrics.NewRegisteredCounter("streams.copies", r),
 		copiesFailed: metrics.NewRegisteredCounter("streams.copies_failed", r), repeats: metrics.NewRegisteredCounter("requests.repeats", r),
+		nearBytes: metrics.NewRegisteredCounter("targets.near_bytes", r), farBytes: metrics.NewRegisteredCounter("targets.far_bytes", r),
 	}
 }
 
--- a/service/usherhost/peers.go
+++ b/service/usherhost/peers.go
@@ -47,6 +47,9 @@
 		sent     metrics.Counter
 		received metrics.Counter
 		bad      metrics.Counter
+		// nearBytes and farBytes are those of datagrams sent within the data centre and to others.
+		nearBytes metrics.Counter
+		farBytes  metrics.Counter
 		// due makes the host report at once.
 		due       chan struct{}
 		placement *placement
@@ -101,7 +104,9 @@
 			Transport: &http.Transport{DialContext: network.Dial, MaxIdleConnsPerHost: 1, IdleConnTimeout: 10 * time.Second},
 		},
 		sent: metrics.NewRegisteredCounter("peers.sent", registry), received: metrics.NewRegisteredCounter("peers.received", registry),
-		bad: metrics.NewRegisteredCounter("peers.unreadable", registry), due: make(chan struct{}, 1),
+		bad:       metrics.NewRegisteredCounter("peers.unreadable", registry),
+		nearBytes: metrics.NewRegisteredCounter("peers.near_bytes", registry), farBytes: metrics.NewRegisteredCounter("peers.far_bytes", registry),
+		due: make(chan struct{}, 1),
 	}
 	p.placement = newPlacement(c, p, registry)
 	return p, nil
@@ -137,13 +142,19 @@
 		p.log.Error("report not encoded", "error", err.Error())
 		return
 	}
-	for _, address := range to {
+	for i, far := range p.core.far(to) {
+		address := to[i]
 		if _, err := p.conn.WriteTo(data, net.UDPAddrFromAddrPort(address)); err != nil {
 			// A datagram that cannot be sent is like one that is lost: the next one follows.
 			p.log.Debug("report not sent", "peer", address.String(), "error", err.Error())
 			continue
 		}
 		p.sent.Inc(1)
+		if far {
+			p.farBytes.Inc(int64(len(data)))
+		} else {
+			p.nearBytes.Inc(int64(len(data)))
+		}
 	}
 }
 
@@ -293,6 +304,17 @@
 	return c.cluster.Relays(time.Now())
 }
 
+// far tells which of the addresses are of hosts in other data centres.
+func (c *core) far(addresses []netip.AddrPort) []bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	far := make([]bool, len(addresses))
+	for i, a := range addresses {
+		far[i] = c.cluster.Far(a)
+	}
+	return far
+}
+
 // collects tells whether this host is the collector of its data centre.
 func (c *core) collects() bool {
 	c.mu.Lock()
--- a/service/usherhost/plain.go
+++ b/service/usherhost/plain.go
@@ -202,7 +202,7 @@
 	id := choice.Target.ID
 	h.core.add(id, load)
 	defer h.core.add(id, load.Negated())
-	x, err := open(ctx, h.platform.Network, choice.Target.Address)
+	x, err := h.open(ctx, choice.Target)
 	if err != nil {
 		return attemptResult{choice: choice, result: usherpool.Unreachable, err: err}
 	}
--- a/service/usherhost/stream.go
+++ b/service/usherhost/stream.go
@@ -215,7 +215,7 @@
 	g.source, g.expected = choice, false
 	// Copies that are still on their way belong to the run before.
 	g.copies = make(chan copyResult, 1)
-	x, err := open(ctx, g.host.platform.Network, choice.Target.Address)
+	x, err := g.host.open(ctx, choice.Target)
 	if err != nil {
 		return attemptResult{choice: choice, result: usherpool.Unreachable, err: err}
 	}
