Answers without end have bounds

A target that sends a status line, header fields, interim responses, an answer to another request or a body without end took a host's memory or held the caller to the end of its time: headers were read without a bound on their size, foreign answers were drained for as long as they came, and bodies were read whole into memory.

What comes before the answer is now bounded in bytes and each header in time; a foreign answer of no known length ends the exchange, as nothing can follow it. A body is held in memory up to a bound, for one answer and for all answers of the host together, and passed on as it comes beyond that; a caller sees the connection break where it does not end. Events are bounded at 64 KB. The bounds are settings under [answers].

--- a/cmd/usher-host/daemon/bed_test.go
+++ b/cmd/usher-host/daemon/bed_test.go
@@ -13,6 +13,7 @@
 	"os"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"testing/synctest"
@@ -57,7 +58,7 @@
 		servers map[string]*http.Server
 		hosts   []*host
 		client  *http.Client
-		calls   int
+		calls   atomic.Int64
 		lines   lines
 		options options
 		// settings is what hosts that start from now on find in their settings file.
@@ -256,6 +257,7 @@
 		s.Retries.Ratio, s.Retries.Allowance = 0, 0
 	}
 	s.Log.Level = "info"
+	s.Answers.HeaderBytes, s.Answers.HeaderTime, s.Answers.StrayBytes, s.Answers.HeldBytes, s.Answers.BodyBytes = 64<<10, 2*time.Second, 256<<10, 256<<10, 1<<30
 	log := slog.New(slog.NewJSONHandler(&b.lines, nil)).With("host", s.Process.Name)
 	if os.Getenv("USHER_LOG") != "" {
 		log = slog.New(slog.NewTextHandler(os.Stderr, nil)).With("host", s.Process.Name)
@@ -305,9 +307,8 @@
 	if err != nil {
 		b.t.Fatal(err)
 	}
-	b.calls++
 	r.Host = hostName
-	r.Header.Set("Attempt-Id", fmt.Sprintf("%016x", b.calls))
+	r.Header.Set("Attempt-Id", fmt.Sprintf("%016x", b.calls.Add(1)))
 	r.Header.Set("Deadline-Ms", "5000")
 	r.Header.Set("Api-Key", apiKey)
 	if strings.HasPrefix(path, "/appraisal/") || strings.HasPrefix(path, "/eligibility/") {
--- a/cmd/usher-host/daemon/daemon.go
+++ b/cmd/usher-host/daemon/daemon.go
@@ -26,6 +26,8 @@
 	// copyTimeout bounds a copy between engines, which waits for others on the same links.
 	copyTimeout = 3 * time.Second
 	idleTimeout = 5 * time.Second
+	// maxHeaderBytes bounds the header of an answer of the store or of an engine's control interface.
+	maxHeaderBytes = 64 << 10
 )
 
 type arguments struct {
@@ -75,7 +77,9 @@
 
 func client(network usherhost.Network, timeout time.Duration, once bool) *http.Client {
 	return &http.Client{
-		Timeout:   timeout,
-		Transport: &http.Transport{DialContext: network.Dial, DisableKeepAlives: once, MaxIdleConnsPerHost: 1, IdleConnTimeout: idleTimeout},
+		Timeout: timeout,
+		Transport: &http.Transport{
+			DialContext: network.Dial, DisableKeepAlives: once, MaxIdleConnsPerHost: 1, IdleConnTimeout: idleTimeout, MaxResponseHeaderBytes: maxHeaderBytes,
+		},
 	}
 }
--- a/pkg/usherevent/event.go
+++ b/pkg/usherevent/event.go
@@ -25,8 +25,9 @@
 )
 
 const (
-	// MaxBytes bounds one event.
-	MaxBytes   = 1 << 20
+	// MaxBytes bounds one event: many times what the tokens of one step take, and little where many targets send events
+	// without end.
+	MaxBytes   = 64 << 10
 	bufferSize = 4 << 10
 )
 
--- a/service/usherhost/exchange.go
+++ b/service/usherhost/exchange.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/url"
 	"os"
+	"slices"
 	"strconv"
 	"time"
 
@@ -48,6 +49,8 @@
 	request  *http.Request
 	response *http.Response
 	answer   ushercall.Answer
+	gate     *gate
+	limits   answerLimits
 	written  chan error
 	stop     func() bool
 }
@@ -83,7 +86,8 @@
 		bytes = h.metrics.farBytes
 	}
 	conn = countedConn{Conn: conn, bytes: bytes}
-	x := &exchange{conn: conn, reader: bufio.NewReaderSize(conn, readBufferSize), written: make(chan error, 1)}
+	g := &gate{reader: conn}
+	x := &exchange{conn: conn, gate: g, reader: bufio.NewReaderSize(g, readBufferSize), limits: h.settings.Answers, written: make(chan error, 1)}
 	// The caller's leaving and the end of its time both end the connection, and with it the target's work.
 	x.stop = context.AfterFunc(ctx, func() { conn.Close() })
 	return x, nil
@@ -118,18 +122,29 @@
 // receive reads up to the end of the response's header. Responses to other attempts are passed over. Where the target
 // has sent nothing for bound, giveUp tells whether to stop waiting for it; zero stands for no bound.
 func (x *exchange) receive(codec Codec, attempt string, bound time.Duration, giveUp func() bool) error {
-	if bound > 0 {
+	x.gate.limit(int64(x.limits.HeaderBytes) + int64(x.limits.StrayBytes))
+	for range maxInterim {
 		if err := x.await(bound, giveUp); err != nil {
 			return err
 		}
+		answered, err := x.readHeader(codec, attempt)
+		if err != nil {
+			return err
+		}
+		if answered {
+			x.gate.open()
+			return nil
+		}
 	}
-	return x.readHeader(codec, attempt)
+	return errForeign.New("no response to this attempt among %d", maxInterim)
 }
 
-// await waits for the first byte of the response.
+// await waits for the first byte of a response.
 func (x *exchange) await(bound time.Duration, giveUp func() bool) error {
-	if err := x.conn.SetReadDeadline(time.Now().Add(bound)); err != nil {
-		return errBroken.Wrap(err, "read deadline")
+	if bound > 0 {
+		if err := x.conn.SetReadDeadline(time.Now().Add(bound)); err != nil {
+			return errBroken.Wrap(err, "read deadline")
+		}
 	}
 	_, err := x.reader.Peek(1)
 	if errors.Is(err, os.ErrDeadlineExceeded) && giveUp() {
@@ -139,41 +154,79 @@
 	if err := x.conn.SetReadDeadline(time.Time{}); err != nil {
 		return errBroken.Wrap(err, "read deadline")
 	}
+	_, _ = x.reader.Peek(1)
 	return nil
 }
 
-func (x *exchange) readHeader(codec Codec, attempt string) error {
-	for range maxInterim {
-		response, err := http.ReadResponse(x.reader, x.request)
-		if err != nil {
-			return errBroken.Wrap(err, "response header")
+// readHeader reads one header, once its first byte is there. It passes over responses that are not the answer to the
+// attempt, and tells whether this one is.
+func (x *exchange) readHeader(codec Codec, attempt string) (bool, error) {
+	if err := x.conn.SetReadDeadline(time.Now().Add(x.limits.HeaderTime)); err != nil {
+		return false, errBroken.Wrap(err, "read deadline")
+	}
+	response, err := http.ReadResponse(x.reader, x.request)
+	if err != nil {
+		return false, errBroken.Wrap(err, "response header")
+	}
+	if response.StatusCode < http.StatusOK {
+		return false, nil
+	}
+	answer := codec.DecodeAnswer(response.StatusCode, response.Header)
+	if answer.Attempt != "" && answer.Attempt != attempt {
+		if response.ContentLength < 0 && len(response.TransferEncoding) == 0 {
+			return false, errForeign.New("a response to another attempt takes the rest of the connection")
 		}
-		if response.StatusCode < http.StatusOK {
-			continue
+		if _, err := io.Copy(io.Discard, response.Body); err != nil {
+			return false, errBroken.Wrap(err, "response to another attempt")
 		}
-		answer := codec.DecodeAnswer(response.StatusCode, response.Header)
-		if answer.Attempt != "" && answer.Attempt != attempt {
-			if _, err := io.Copy(io.Discard, response.Body); err != nil {
-				return errBroken.Wrap(err, "response to another attempt")
-			}
-			continue
+		return false, nil
+	}
+	if response.StatusCode < http.StatusMultipleChoices && (!answer.Signed || answer.Attempt == "") {
+		return false, errForeign.New("status %d without proof of origin", response.StatusCode)
+	}
+	if err := x.conn.SetReadDeadline(time.Time{}); err != nil {
+		return false, errBroken.Wrap(err, "read deadline")
+	}
+	x.response, x.answer = response, answer
+	return true, nil
+}
+
+// body reads the body of the response as far as it may be held in memory, and tells whether that was all of it.
+func (x *exchange) body(held *holding) (body []byte, whole bool, err error) {
+	step := heldStep
+	if length := x.response.ContentLength; length >= 0 && length < heldStep {
+		// One more byte shows the end.
+		step = int(length) + 1
+	}
+	for len(body) < x.limits.HeldBytes && held.take(int64(step)) {
+		step = min(step, x.limits.HeldBytes-len(body))
+		body = slices.Grow(body, step)
+		n, err := io.ReadFull(x.response.Body, body[len(body):len(body)+step])
+		body = body[:len(body)+n]
+		if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) && x.ended() {
+			return body, true, nil
 		}
-		if response.StatusCode < http.StatusMultipleChoices && (!answer.Signed || answer.Attempt == "") {
-			return errForeign.New("status %d without proof of origin", response.StatusCode)
+		if err != nil {
+			return nil, false, errBroken.Wrap(err, "response body")
 		}
-		x.response, x.answer = response, answer
-		return nil
 	}
-	return errForeign.New("no response to this attempt among %d", maxInterim)
+	return body, false, nil
 }
 
-// body reads the whole body of the response.
-func (x *exchange) body() ([]byte, error) {
-	body, err := io.ReadAll(x.response.Body)
-	if err != nil {
-		return nil, errBroken.Wrap(err, "response body")
+// ended tells whether the body is read to its regular end. io.ReadFull tells the end of a body and its being cut short
+// by the same error.
+func (x *exchange) ended() bool {
+	_, err := x.response.Body.Read(make([]byte, 1))
+	return errors.Is(err, io.EOF)
+}
+
+// failureBody reads the body of an answer that is not passed on before it is whole.
+func (x *exchange) failureBody(held *holding) ([]byte, error) {
+	body, whole, err := x.body(held)
+	if err == nil && !whole {
+		err = errForeign.New("a failure with a body of more than %d bytes", len(body))
 	}
-	return body, nil
+	return body, err
 }
 
 // close ends the connection; the target drops what it still does for it.
--- a/service/usherhost/host.go
+++ b/service/usherhost/host.go
@@ -78,6 +78,7 @@
 		peers      *peers
 		inquiry    *inquiry
 		conns      *conns
+		memory     *memory
 		metrics    *hostMetrics
 		life       *fsm.FSM
 		servers    []*http.Server
@@ -95,7 +96,7 @@
 	}
 	h := &Host{
 		settings: s, platform: p, codec: p.Codec, engines: p.Engines, log: log, core: newCore(s, self, uint64(os.Getpid())),
-		conns: newConns(), metrics: newHostMetrics(registry),
+		conns: newConns(), memory: newMemory(s.Limits.MemoryMegabytes), metrics: newHostMetrics(registry),
 	}
 	var err error
 	if h.peers, err = newPeers(h.core, p.Network, s.Listen.Peers, log, registry); err != nil {
--- a/service/usherhost/ingress.go
+++ b/service/usherhost/ingress.go
@@ -6,6 +6,7 @@
 	"io"
 	"log/slog"
 	"net/http"
+	"strconv"
 	"strings"
 	"time"
 
@@ -65,11 +66,15 @@
 		longestPause time.Duration
 	}
 
-	// reply is an answer that is ready to be relayed as a whole.
+	// reply is an answer that is ready to be relayed.
 	reply struct {
 		status int
 		header http.Header
-		body   []byte
+		// body is the whole answer, or its beginning if there is a rest that was not read yet.
+		body []byte
+		rest io.Reader
+		// length is that of the whole body, or negative if the target did not tell.
+		length int64
 	}
 )
 
@@ -218,7 +223,7 @@
 	}
 }
 
-// relay answers a request with the whole answer of a target.
+// relay answers a request with the answer of a target.
 func (h *Host) relay(w http.ResponseWriter, j *job, a reply) {
 	for name, values := range a.header {
 		if !strings.EqualFold(name, "Content-Length") {
@@ -228,8 +233,15 @@
 	if closing := h.core.self().State == ushercluster.Stopping; closing {
 		w.Header().Set("Connection", "close")
 	}
+	if a.rest != nil && a.length >= 0 {
+		w.Header().Set("Content-Length", strconv.FormatInt(a.length, 10))
+	}
 	w.WriteHeader(a.status)
-	if _, err := w.Write(a.body); err != nil {
+	_, err := w.Write(a.body)
+	if err == nil && a.rest != nil {
+		err = h.relayRest(w, j, a)
+	}
+	if err != nil {
 		h.metrics.callersGone.Inc(1)
 		h.logRequest(j, "caller_gone", slog.Int("status", a.status), err)
 		return
@@ -238,6 +250,33 @@
 	h.logRequest(j, "answered", slog.Int("status", a.status), nil)
 }
 
+// relayRest passes on what was not read yet of an answer. Where the target does not end it, the caller sees the connection
+// break. The error is that of a caller who left.
+func (h *Host) relayRest(w http.ResponseWriter, j *job, a reply) error {
+	control := http.NewResponseController(w)
+	if err := control.SetWriteDeadline(j.deadline); err != nil {
+		return err
+	}
+	piece := make([]byte, heldStep)
+	passed := int64(len(a.body))
+	for {
+		n, err := a.rest.Read(piece)
+		if _, err := w.Write(piece[:n]); err != nil {
+			return err
+		}
+		passed += int64(n)
+		if errors.Is(err, io.EOF) && passed < int64(h.settings.Answers.BodyBytes) {
+			return control.SetWriteDeadline(time.Time{})
+		}
+		if err != nil {
+			h.core.observe(j.targets[len(j.targets)-1], usherpool.Broken)
+			h.metrics.cut.Inc(1)
+			h.logRequest(j, "cut", slog.Int64("passed_bytes", passed), err)
+			panic(http.ErrAbortHandler)
+		}
+	}
+}
+
 // logRequest writes the one line that every request gets at its end.
 func (h *Host) logRequest(j *job, outcome string, detail slog.Attr, cause error) {
 	attributes := []slog.Attr{
--- a/service/usherhost/page_test.go
+++ b/service/usherhost/page_test.go
@@ -85,6 +85,8 @@
 		{"nothing more", "", ""},
 		{"a ratio below zero", "[retries]\nratio = -1", "retries"},
 		{"no window", "[retries]\nwindow = 0s", "window"},
+		{"no room for answers", "[answers]\nheld_bytes = 0", "answers"},
+		{"less passed on than held", "[answers]\nbody_bytes = 1000", "answers"},
 		{"no grace", "[stop]\ngrace = 0s", "grace"},
 		{"an odd level", "[log]\nlevel = loud", "log.level"},
 		{"an unknown key", "[log]\ncolour = red", "colour"},
--- a/service/usherhost/plain.go
+++ b/service/usherhost/plain.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/joomcode/errorx"
@@ -32,6 +34,8 @@
 		// ran tells whether the target may have run the call.
 		ran bool
 		err error
+		// number is that of the attempt in its race.
+		number int
 	}
 
 	// race is the sending of a plain call to one target after the other, or to two at once.
@@ -39,6 +43,8 @@
 		host    *Host
 		job     *job
 		results chan attemptResult
+		// leave ends the attempts that were begun, in order.
+		leave   []context.CancelFunc
 		pending int
 		tries   int
 		// last is the latest answer that a target gave and that another one might better.
@@ -53,7 +59,6 @@
 	defer cancel()
 	r := &race{host: h, job: j, results: make(chan attemptResult, maxTries+1)}
 	a, refusal := r.run(ctx)
-	cancel()
 	if refusal != nil {
 		return refusal
 	}
@@ -80,6 +85,7 @@
 		case result := <-r.results:
 			r.pending--
 			if r.settle(result) {
+				r.leaveAllBut(result.number)
 				return result.reply, nil
 			}
 			if r.pending > 0 {
@@ -160,8 +166,13 @@
 	r.tries++
 	r.pending++
 	r.job.targets = append(r.job.targets, choice.Target.ID)
+	number := len(r.leave)
+	ctx, leave := context.WithCancel(ctx)
+	r.leave = append(r.leave, leave)
 	go func() {
-		r.results <- r.host.attempt(ctx, r.job, choice)
+		result := r.host.attempt(ctx, r.job, choice)
+		result.number = number
+		r.results <- result
 	}()
 	if again {
 		r.host.metrics.repeats.Inc(1)
@@ -170,6 +181,15 @@
 	return nil
 }
 
+// leaveAllBut ends what is still done for the call, but for the attempt whose answer is relayed.
+func (r *race) leaveAllBut(number int) {
+	for i, leave := range r.leave {
+		if i != number {
+			leave()
+		}
+	}
+}
+
 // end returns the answer when nothing more can be tried.
 func (r *race) end(ctx context.Context) (reply, *refusal) {
 	switch {
@@ -196,33 +216,58 @@
 	return reply{}, f
 }
 
-// attempt sends a plain call to a target and reads its whole answer.
+// attempt sends a plain call to a target and reads its answer, as far as it may be held. What it takes up is given back
+// when ctx ends.
 func (h *Host) attempt(ctx context.Context, j *job, choice usherpool.Choice) attemptResult {
 	load := usherpool.Load{Calls: 1}
 	id := choice.Target.ID
 	h.core.add(id, load)
-	defer h.core.add(id, load.Negated())
+	done := sync.OnceFunc(func() { h.core.add(id, load.Negated()) })
 	x, err := h.open(ctx, choice.Target)
 	if err != nil {
+		done()
 		return attemptResult{choice: choice, result: usherpool.Unreachable, err: err}
 	}
-	defer x.close()
+	held := &holding{memory: h.memory}
+	result := h.exchange(x, j, choice, held)
+	if result.reply.rest == nil {
+		x.close()
+		done()
+	}
+	context.AfterFunc(ctx, func() {
+		x.close()
+		done()
+		held.release()
+	})
+	return result
+}
+
+// exchange sends a plain call on an open connection.
+func (h *Host) exchange(x *exchange, j *job, choice usherpool.Choice, held *holding) attemptResult {
+	id := choice.Target.ID
+	broken := func(err error) attemptResult {
+		return attemptResult{choice: choice, result: usherpool.Broken, ran: true, err: err}
+	}
 	x.send(&j.Call, h.codec.EncodeDispatch(&j.Call, j.dispatch(id)))
 	if err := x.receive(h.codec, j.Attempt, 0, nil); err != nil {
-		return attemptResult{choice: choice, result: usherpool.Broken, ran: true, err: err}
+		return broken(err)
 	}
-	body, err := x.body()
+	status := x.response.StatusCode
+	a := reply{status: status, header: h.codec.AnswerHeader(x.response.Header), length: x.response.ContentLength}
+	body, whole, err := x.body(held)
 	if err != nil {
-		return attemptResult{choice: choice, result: usherpool.Broken, ran: true, err: err}
+		return broken(err)
+	}
+	if a.body = body; !whole {
+		if status >= http.StatusMultipleChoices || a.length > int64(x.limits.BodyBytes) {
+			return broken(errForeign.New("status %d with a body of more than %d bytes", status, len(body)))
+		}
+		a.rest = io.LimitReader(x.response.Body, int64(x.limits.BodyBytes-len(body)))
 	}
 	if x.answer.Cold > 0 {
 		h.core.cold(id, x.answer.Cold)
 	}
-	return attemptResult{
-		choice: choice, result: classify(x.response.StatusCode, x.answer), ran: !x.answer.NotRun,
-		reply: reply{status: x.response.StatusCode, header: h.codec.AnswerHeader(x.response.Header), body: body},
-		err:   statusError(id, x.response.StatusCode),
-	}
+	return attemptResult{choice: choice, result: classify(status, x.answer), ran: !x.answer.NotRun, reply: a, err: statusError(id, status)}
 }
 
 // statusError describes an answer that is a failure; it is nil for others.
--- a/service/usherhost/setting.go
+++ b/service/usherhost/setting.go
@@ -9,6 +9,17 @@
 	"github.com/samphireusher/samphireusher/pkg/ushersetting"
 )
 
+type (
+	// answerLimits bound what is taken of a target's answer.
+	answerLimits struct {
+		HeaderBytes int           `ini:"header_bytes" default:"65536" usage:"size of the header of a target's answer"`
+		HeaderTime  time.Duration `ini:"header_time" default:"2s" usage:"time in which a header has to come once it has begun"`
+		StrayBytes  int           `ini:"stray_bytes" default:"262144" usage:"bytes before the answer that belong to no request or to another"`
+		HeldBytes   int           `ini:"held_bytes" default:"262144" usage:"part of an answer that is held in memory; what is larger is passed on as it comes"`
+		BodyBytes   int           `ini:"body_bytes" default:"1073741824" usage:"size of the body of an answer that is passed on as it comes"`
+	}
+)
+
 // Settings are the settings of usher-host.
 type Settings struct {
 	Process struct {
@@ -36,7 +47,8 @@
 		Allowance float64       `ini:"allowance" default:"50" usage:"repeated sends allowed beyond that in each window, over all hosts"`
 		Window    time.Duration `ini:"window" default:"10s" usage:"length of the window"`
 	} `ini:"retries"`
-	Stop struct {
+	Answers answerLimits `ini:"answers"`
+	Stop    struct {
 		Grace time.Duration `ini:"grace" default:"8s" usage:"time between SIGTERM and SIGKILL"`
 	} `ini:"stop"`
 	Log struct {
@@ -61,6 +73,9 @@
 	if s.Retries.Ratio < 0 || s.Retries.Allowance < 0 || s.Retries.Window <= 0 {
 		faults = append(faults, "retries: ratio and allowance must not be negative, and window must be above zero")
 	}
+	if a := s.Answers; a.HeaderBytes <= 0 || a.HeaderTime <= 0 || a.StrayBytes <= 0 || a.HeldBytes <= 0 || a.BodyBytes < a.HeldBytes {
+		faults = append(faults, "answers: all bounds must be above zero, and body_bytes not below held_bytes")
+	}
 	if s.Stop.Grace <= 0 {
 		faults = append(faults, "stop.grace must be above zero")
 	}
--- a/service/usherhost/stream.go
+++ b/service/usherhost/stream.go
@@ -252,7 +252,9 @@
 
 func (g *generation) readReply(choice usherpool.Choice, status int) attemptResult {
 	x := g.x
-	body, err := x.body()
+	held := &holding{memory: g.host.memory}
+	defer held.release()
+	body, err := x.failureBody(held)
 	if err != nil {
 		return attemptResult{choice: choice, result: usherpool.Broken, ran: !x.answer.NotRun, err: err}
 	}
