Bytes between data centres follow change, not hosts and targets

Each host told a far one of twelve others in full four times a second, and each collector told eight far hosts the loads of all targets at each copy of a stream, up to fifty times a second.

- Reports name few hosts in full once a fleet is settled.
All others are told by a mark of their start with the age at which they were heard of, five bytes; who does not know a mark asks for it.
- Hosts of a data centre together send a fixed number of reports to other data centres, about their own hosts.
Newcomers are told of the hosts of their data centre, which may have no seed.
- Collectors tell the loads that have changed, and a quarter of the others in turn, in messages of bounded size.
- Copies that the placer placed are not told at once: it has reserved them.

--- a/pkg/ushercluster/cluster.go
+++ b/pkg/ushercluster/cluster.go
@@ -5,6 +5,9 @@
 // a host that is not heard of for a while counts as gone, and one that says it stops is passed over at once. Hosts that
 // are gone are still tried now and then, so that the parts of a split fleet find each other again.
 //
+// In a fleet of many hosts a report names few of them in full. Present has the others by a mark of their start, with the age
+// at which they were heard of; a host that does not know a mark asks for it with its next reports.
+//
 // In each data centre the first host by name is the collector: the others report to it, and it tells them what the fleet
 // knows. So the traffic of a host does not grow with the fleet, and little of it leaves a data centre. A collector that
 // is not heard is passed over by each host for itself; two collectors for a moment do no harm.
@@ -14,9 +17,9 @@
 // # Usage
 //
 //	c := ushercluster.New(self, seeds, random)
-//	for _, to := range c.Recipients(now) {
-//		send(to, c.Report(now))
-//	}
+//	near, far := c.Recipients(now)
+//	send(c.Report(now), near...)
+//	send(c.SiteReport(now), far...)
 //	c.Receive(now, report)
 //	for _, m := range c.Alive(now) {
 //		...
@@ -55,9 +58,11 @@
 	forget = 2 * time.Minute
 	// retryInterval is the time between tries to reach a host that is gone or a seed that never answered.
 	retryInterval = time.Second
-	// nearFanout and farFanout are how many hosts of the own data centre and of others get a report in each round.
+	// nearFanout is how many hosts of the own data centre get a report of each host in each round, and siteFanout how many
+	// of other data centres get one of all hosts of a data centre together: what passes between data centres does not
+	// grow with their hosts.
 	nearFanout = 3
-	farFanout  = 1
+	siteFanout = 3
 	// smallFleet is up to how many others all are heard of within Silence.
 	smallFleet = 10
 	// relays is how many hosts of another data centre are told what its collector should know, in case the first of
@@ -98,6 +103,11 @@
 	Report struct {
 		From      Member     `cbor:"1,keyasint"`
 		Sightings []Sighting `cbor:"2,keyasint"`
+		// Present has five bytes for each host: the mark of its start and the age at which it was heard of, in
+		// presenceUnit.
+		Present []byte `cbor:"3,keyasint,omitempty"`
+		// Wanted has marks that the sender does not know.
+		Wanted []uint32 `cbor:"4,keyasint,omitempty"`
 	}
 
 	// Cluster is one host's view of all hosts.
@@ -106,9 +116,18 @@
 		seeds   []netip.AddrPort
 		random  *rand.Rand
 		members map[string]*member
+		// byName has the members in order; nil if they have changed since.
+		byName []*member
 		// sites are the data centres of the members, by address.
 		sites map[netip.AddrPort]string
-		tried map[netip.AddrPort]time.Time
+		// marks are the names of the members by the mark of their start.
+		marks    map[uint32]string
+		selfMark uint32
+		// newcomers are hosts of other data centres that were heard for the first time.
+		newcomers []Member
+		// wanted are marks that are not known, and since when.
+		wanted map[uint32]time.Time
+		tried  map[netip.AddrPort]time.Time
 		// most is the largest number of hosts seen lately, self included.
 		most   int
 		mostAt time.Time
@@ -122,6 +141,9 @@
 
 	member struct {
 		Member
+		mark uint32
+		// wanted is when a peer asked for the host.
+		wanted  time.Time
 		heard   time.Time
 		changed time.Time
 		// direct is when the host itself was heard.
@@ -131,7 +153,10 @@
 
 // New returns the view of a host that has heard of no other.
 func New(self Member, seeds []netip.AddrPort, random *rand.Rand) *Cluster {
-	return &Cluster{self: self, seeds: seeds, random: random, members: map[string]*member{}, sites: map[netip.AddrPort]string{}, tried: map[netip.AddrPort]time.Time{}, deaf: map[string]time.Time{}}
+	return &Cluster{
+		self: self, seeds: seeds, random: random, selfMark: mark(self), members: map[string]*member{}, sites: map[netip.AddrPort]string{},
+		marks: map[uint32]string{}, wanted: map[uint32]time.Time{}, tried: map[netip.AddrPort]time.Time{}, deaf: map[string]time.Time{},
+	}
 }
 
 // Self returns what this host says of itself.
@@ -146,15 +171,21 @@
 // Receive takes in a report and returns the hosts that are new or changed their state.
 func (c *Cluster) Receive(now time.Time, r Report) []Member {
 	var changed []Member
+	known := c.members[r.From.Name]
+	met := known != nil && known.Incarnation == r.From.Incarnation && !known.direct.IsZero()
 	if c.learn(now, r.From, now, true) {
 		changed = append(changed, r.From)
 	}
+	if !met && r.From.DataCentre != c.self.DataCentre && len(c.newcomers) < maxNewcomers {
+		c.newcomers = append(c.newcomers, r.From)
+	}
 	for _, s := range r.Sightings {
 		if s.Age >= 0 && s.Age < c.silence() && c.learn(now, s.Member, now.Add(-s.Age), false) {
 			changed = append(changed, s.Member)
 		}
 	}
-	return changed
+	c.receiveWanted(now, r.Wanted)
+	return append(changed, c.receivePresent(now, r.Present)...)
 }
 
 // learn takes in what a host says of itself, directly or by way of a peer. A start is told from another by when it was
@@ -172,10 +203,15 @@
 		return false
 	}
 	changed := !known || old.Incarnation != m.Incarnation || old.State != m.State || now.Sub(old.heard) > c.silence()
-	updated := &member{Member: m, heard: heard, changed: now}
+	updated := &member{Member: m, mark: mark(m), heard: heard, changed: now}
 	if known {
-		updated.direct = old.direct
+		updated.wanted = old.wanted
+		if m.Incarnation == old.Incarnation {
+			updated.direct = old.direct
+		}
+		delete(c.marks, old.mark)
 	}
+	c.marks[updated.mark] = m.Name
 	if direct {
 		updated.direct = now
 		delete(c.deaf, m.Name)
@@ -186,7 +222,11 @@
 	if !changed {
 		updated.changed = old.changed
 	}
-	c.members[m.Name] = updated
+	if known {
+		*old = *updated
+	} else {
+		c.members[m.Name], c.byName = updated, nil
+	}
 	c.sites[m.Address] = m.DataCentre
 	if n := 1 + len(c.members); n > c.most {
 		c.most, c.mostAt = n, now
@@ -204,52 +244,48 @@
 
 // Alive returns the hosts heard of lately, without this one, sorted by name.
 func (c *Cluster) Alive(now time.Time) []Member {
-	var alive []Member
-	for _, m := range c.members {
+	alive := make([]Member, 0, len(c.members))
+	for _, m := range c.sorted() {
 		if now.Sub(m.heard) <= c.silence() {
 			alive = append(alive, m.Member)
 		}
 	}
-	slices.SortFunc(alive, func(a, b Member) int { return strings.Compare(a.Name, b.Name) })
 	return alive
 }
 
+// sorted returns the members by name.
+func (c *Cluster) sorted() []*member {
+	if c.byName == nil {
+		c.byName = slices.SortedFunc(maps.Values(c.members), func(a, b *member) int { return strings.Compare(a.Name, b.Name) })
+	}
+	return c.byName
+}
+
 // Report returns what this host tells its peers.
 func (c *Cluster) Report(now time.Time) Report {
-	r := Report{From: c.self}
-	alive := make([]*member, 0, len(c.members))
-	for _, m := range c.members {
-		if now.Sub(m.heard) <= c.silence() {
-			alive = append(alive, m)
-		}
-	}
-	// The random order gives each host its turn; the sort before makes it depend on the seed only.
-	slices.SortFunc(alive, func(a, b *member) int { return strings.Compare(a.Name, b.Name) })
-	c.random.Shuffle(len(alive), func(i, j int) { alive[i], alive[j] = alive[j], alive[i] })
-	slices.SortStableFunc(alive, func(a, b *member) int { return cmp.Compare(c.rank(now, a), c.rank(now, b)) })
-	for _, m := range alive[:min(len(alive), maxSightings)] {
-		r.Sightings = append(r.Sightings, Sighting{Member: m.Member, Age: now.Sub(m.heard)})
-	}
-	return r
+	return c.report(now, func(*member) bool { return true })
 }
 
-// rank puts hosts whose state has just changed before the others.
+// rank puts hosts whose state has just changed, and those that a peer asked for, before the others.
 func (c *Cluster) rank(now time.Time, m *member) int {
-	if now.Sub(m.changed) < news {
+	if now.Sub(m.changed) < news || now.Sub(m.wanted) < wantedLife {
 		return 0
 	}
 	return 1
 }
 
-// Recipients returns the addresses to which this host reports now; call it each Interval.
-func (c *Cluster) Recipients(now time.Time) []netip.AddrPort {
-	var near, far, retried []netip.AddrPort
+// Recipients returns the addresses to which this host reports now, those of other data centres apart; call it each
+// Interval.
+func (c *Cluster) Recipients(now time.Time) (near, far []netip.AddrPort) {
+	var retried []netip.AddrPort
 	known := map[netip.AddrPort]bool{c.self.Address: true}
 	for _, m := range c.members {
 		switch silent := now.Sub(m.heard); {
 		case silent > forget:
 			delete(c.members, m.Name)
+			c.byName = nil
 			delete(c.sites, m.Address)
+			delete(c.marks, m.mark)
 			continue
 		case silent > c.silence():
 			if c.due(now, m.Address) {
@@ -262,14 +298,18 @@
 		}
 		known[m.Address] = true
 	}
-	to := append(c.sample(near, nearFanout), c.sample(far, farFanout)...)
-	to = append(to, c.sample(retried, nearFanout)...)
+	if share := float64(siteFanout) / float64(1+len(near)); c.random.Float64() < share {
+		far = c.sample(far, 1)
+	} else {
+		far = nil
+	}
+	near = append(c.sample(near, nearFanout), c.sample(retried, nearFanout)...)
 	for _, seed := range c.seeds {
 		if !known[seed] && c.due(now, seed) {
-			to = append(to, seed)
+			near = append(near, seed)
 		}
 	}
-	return to
+	return near, far
 }
 
 // sample returns up to n of the addresses.
@@ -304,31 +344,23 @@
 // Placers returns the hosts that choose targets for the fleet, in the order in which they are asked: those that hear of
 // all loads in the first data centre by name, and then those of the next.
 func (c *Cluster) Placers(now time.Time) []Member {
-	sites := map[string]bool{c.self.DataCentre: true}
-	for _, m := range c.Alive(now) {
-		sites[m.DataCentre] = true
-	}
-	var placers []Member
-	for _, site := range slices.Sorted(maps.Keys(sites)) {
-		hosts := c.site(now, site)
-		placers = append(placers, hosts[:min(len(hosts), relays)]...)
-	}
-	return placers
+	return firstOfEach(c.bySite(now))
 }
 
 // Relays returns the hosts of the other data centres that are told what their collectors should know.
 func (c *Cluster) Relays(now time.Time) []Member {
-	sites := map[string]bool{}
-	for _, m := range c.Alive(now) {
-		sites[m.DataCentre] = true
-	}
+	sites := c.bySite(now)
 	delete(sites, c.self.DataCentre)
-	var to []Member
+	return firstOfEach(sites)
+}
+
+// firstOfEach returns the first hosts of each data centre, by the names of these.
+func firstOfEach(sites map[string][]Member) []Member {
+	var first []Member
 	for _, site := range slices.Sorted(maps.Keys(sites)) {
-		hosts := c.site(now, site)
-		to = append(to, hosts[:min(len(hosts), relays)]...)
+		first = append(first, sites[site][:min(len(sites[site]), relays)]...)
 	}
-	return to
+	return first
 }
 
 // Near returns the other hosts of this data centre that were heard of lately, sorted by name.
@@ -343,17 +375,36 @@
 
 // site returns the hosts of a data centre that may be its collector, sorted by name. Hosts that stop come last.
 func (c *Cluster) site(now time.Time, dataCentre string) []Member {
-	hosts := slices.DeleteFunc(append(c.Alive(now), c.self), func(m Member) bool { return m.DataCentre != dataCentre })
-	slices.SortFunc(hosts, func(a, b Member) int {
-		if stops := a.State == Stopping; stops != (b.State == Stopping) {
-			if stops {
-				return 1
-			}
-			return -1
+	return c.bySite(now)[dataCentre]
+}
+
+// bySite returns the hosts of each data centre that may be its collector, this one included, sorted by name. Hosts that
+// stop come last.
+func (c *Cluster) bySite(now time.Time) map[string][]Member {
+	sites, stopping, placed := map[string][]Member{}, []Member(nil), false
+	add := func(m Member) {
+		if m.State == Stopping {
+			stopping = append(stopping, m)
+			return
+		}
+		sites[m.DataCentre] = append(sites[m.DataCentre], m)
+	}
+	for _, m := range c.sorted() {
+		if !placed && m.Name > c.self.Name {
+			placed = true
+			add(c.self)
+		}
+		if now.Sub(m.heard) <= c.silence() {
+			add(m.Member)
 		}
-		return strings.Compare(a.Name, b.Name)
-	})
-	return hosts
+	}
+	if !placed {
+		add(c.self)
+	}
+	for _, m := range stopping {
+		sites[m.DataCentre] = append(sites[m.DataCentre], m)
+	}
+	return sites
 }
 
 // Far tells whether an address is of a host that is known to be in another data centre.
--- a/pkg/ushercluster/cluster_test.go
+++ b/pkg/ushercluster/cluster_test.go
@@ -13,18 +13,23 @@
 // fleet is a number of hosts that exchange reports without loss, but for links that are cut.
 type fleet struct {
 	now    time.Time
+	sites  int
 	hosts  map[netip.AddrPort]*ushercluster.Cluster
 	order  []netip.AddrPort
 	cut    map[[2]netip.AddrPort]bool
 	silent map[netip.AddrPort]bool
+	// far counts the bytes that passed between data centres.
+	far int
 }
 
 func address(i int) netip.AddrPort {
 	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i >> 8), byte(i)}), 7200)
 }
 
-func newFleet(hosts, seeds int) *fleet {
-	f := &fleet{now: time.Unix(1000, 0), hosts: map[netip.AddrPort]*ushercluster.Cluster{}, cut: map[[2]netip.AddrPort]bool{}, silent: map[netip.AddrPort]bool{}}
+func newFleet(hosts, seeds int) *fleet { return newFleetOf(hosts, seeds, 3) }
+
+func newFleetOf(hosts, seeds, sites int) *fleet {
+	f := &fleet{sites: sites, now: time.Unix(1000, 0), hosts: map[netip.AddrPort]*ushercluster.Cluster{}, cut: map[[2]netip.AddrPort]bool{}, silent: map[netip.AddrPort]bool{}}
 	var first []netip.AddrPort
 	for i := range seeds {
 		first = append(first, address(i))
@@ -36,7 +41,7 @@
 }
 
 func (f *fleet) start(i int, seeds []netip.AddrPort, incarnation int64) {
-	self := ushercluster.Member{Name: fmt.Sprintf("host-%03d", i), DataCentre: fmt.Sprint("dc-", i%3), Address: address(i), Incarnation: incarnation, State: ushercluster.Serving}
+	self := ushercluster.Member{Name: fmt.Sprintf("host-%03d", i), DataCentre: fmt.Sprint("dc-", i%f.sites), Address: address(i), Incarnation: incarnation, State: ushercluster.Serving}
 	if _, known := f.hosts[self.Address]; !known {
 		f.order = append(f.order, self.Address)
 	}
@@ -53,10 +58,15 @@
 				continue
 			}
 			c := f.hosts[from]
-			for _, to := range f.recipients(c) {
-				sent++
-				if f.hosts[to] != nil && !f.silent[to] && !f.cut[[2]netip.AddrPort{from, to}] {
-					f.hosts[to].Receive(f.now, c.Report(f.now))
+			for _, m := range f.messages(c) {
+				for _, to := range m.to {
+					sent++
+					if f.hosts[to] != nil && f.hosts[to].Self().DataCentre != c.Self().DataCentre {
+						f.far += m.bytes()
+					}
+					if f.hosts[to] != nil && !f.silent[to] && !f.cut[[2]netip.AddrPort{from, to}] {
+						f.hosts[to].Receive(f.now, m.report)
+					}
 				}
 			}
 		}
@@ -64,14 +74,35 @@
 	return sent
 }
 
-// recipients returns those of gossip and those of what collectors sum up.
-func (f *fleet) recipients(c *ushercluster.Cluster) []netip.AddrPort {
-	to := c.Recipients(f.now)
+// message is a report with its recipients.
+type message struct {
+	to     []netip.AddrPort
+	report ushercluster.Report
+}
+
+// bytes returns about the size of a message: a host named in full takes 75 bytes.
+func (m message) bytes() int {
+	return 75*(1+len(m.report.Sightings)) + len(m.report.Present) + 5*len(m.report.Wanted)
+}
+
+// messages returns those of gossip and those with what collectors sum up.
+func (f *fleet) messages(c *ushercluster.Cluster) []message {
+	near, far := c.Recipients(f.now)
+	all, site := c.Report(f.now), c.SiteReport(f.now)
+	out := []message{{near, all}, {far, site}}
+	for _, g := range c.Greetings(f.now) {
+		out = append(out, message{[]netip.AddrPort{g.To}, g.Report})
+	}
 	collector := c.Collector(f.now)
 	if collector.Name != c.Self().Name {
-		return append(to, collector.Address)
+		return append(out, message{[]netip.AddrPort{collector.Address}, all})
 	}
-	for _, m := range append(c.Near(f.now), c.Relays(f.now)...) {
+	return append(out, message{addresses(c.Near(f.now)), all}, message{addresses(c.Relays(f.now)), site})
+}
+
+func addresses(members []ushercluster.Member) []netip.AddrPort {
+	var to []netip.AddrPort
+	for _, m := range members {
 		to = append(to, m.Address)
 	}
 	return to
@@ -98,6 +129,17 @@
 	}
 }
 
+// The pattern: five data centres, two of them without a seed, whose hosts find each other through the others'.
+func TestDataCentresWithoutASeedMeet(t *testing.T) {
+	t.Parallel()
+	const hosts = 195
+	f := newFleetOf(hosts, 3, 5)
+	f.run(5 * time.Second)
+	if n := f.knowing(hosts - 1); n != hosts {
+		t.Errorf("%d of %d hosts know all others after 5 s", n, hosts)
+	}
+}
+
 // The pattern: a seed is stale or down when hosts start.
 func TestSeedsMayBeDown(t *testing.T) {
 	f := newFleet(9, 3)
@@ -167,6 +209,7 @@
 }
 
 func TestTrafficOfAHostDoesNotGrowWithTheFleet(t *testing.T) {
+	t.Parallel()
 	perHost := map[int]int{}
 	for _, hosts := range []int{27, 135} {
 		f := newFleet(hosts, 3)
@@ -206,3 +249,106 @@
 		t.Errorf("%d collectors after the first one died", n)
 	}
 }
+
+// The pattern: a fleet of hundreds of hosts, where each host's gossip to other data centres was the largest part of what
+// passed between them.
+func TestBytesBetweenDataCentresDoNotGrowWithHosts(t *testing.T) {
+	t.Parallel()
+	bytes := map[int]int{}
+	for _, hosts := range []int{60, 195} {
+		f := newFleet(hosts, 3)
+		f.run(20 * time.Second)
+		f.far = 0
+		f.run(10 * time.Second)
+		bytes[hosts] = f.far / 10
+		if n := f.knowing(hosts - 1); n != hosts {
+			t.Errorf("%d of %d hosts know all others", n, hosts)
+		}
+	}
+	// What is told of each host of a data centre takes five bytes.
+	if bytes[195] > 2*bytes[60] {
+		t.Errorf("bytes a second between data centres: %v", bytes)
+	}
+}
+
+// The pattern: the half of a large fleet loses power and comes back with other starts, all at once.
+func TestHalfOfALargeFleetRestarts(t *testing.T) {
+	t.Parallel()
+	const hosts = 195
+	f := newFleet(hosts, 3)
+	f.run(5 * time.Second)
+	for i := 0; i < hosts; i += 2 {
+		f.silent[address(i)] = true
+	}
+	f.run(2 * time.Second)
+	for i := 0; i < hosts; i += 2 {
+		f.start(i, []netip.AddrPort{address(0), address(1), address(2)}, 2)
+	}
+	f.run(5 * time.Second)
+	for _, a := range f.order {
+		for _, m := range f.hosts[a].Alive(f.now) {
+			if want := f.hosts[m.Address].Self().Incarnation; m.Incarnation != want {
+				t.Fatalf("%s has start %d of %s, want %d", a, m.Incarnation, m.Name, want)
+			}
+		}
+	}
+	if n := f.knowing(hosts - 1); n != hosts {
+		t.Errorf("%d of %d hosts know all others 5 s after the start of half of them", n, hosts)
+	}
+}
+
+// The pattern: a host dies in a large fleet, whose hosts hear of it by way of others for a while.
+func TestDeadHostOfALargeFleetIsForgotten(t *testing.T) {
+	t.Parallel()
+	const hosts = 195
+	f := newFleet(hosts, 3)
+	f.run(20 * time.Second)
+	f.silent[address(hosts-1)] = true
+	// The ages that peers tell add up to no more than the silence that a host may keep.
+	f.run(ushercluster.LongSilence + time.Second)
+	if n := f.knowing(hosts - 2); n != hosts-1 {
+		t.Errorf("%d of %d hosts have noticed the death", n, hosts-1)
+	}
+}
+
+// The pattern: links carry packets one way only, from one data centre to the others but not back.
+func TestHostsThatAreHeardButHearNothingStayKnown(t *testing.T) {
+	t.Parallel()
+	const hosts = 60
+	f := newFleet(hosts, 3)
+	f.run(10 * time.Second)
+	for i := range hosts {
+		for j := range hosts {
+			if i%3 != 0 && j%3 == 0 {
+				f.cut[[2]netip.AddrPort{address(i), address(j)}] = true
+			}
+		}
+	}
+	f.run(8 * time.Second)
+	for i, a := range f.order {
+		want := hosts - 1
+		if i%3 == 0 {
+			want = hosts/3 - 1
+		}
+		if n := len(f.hosts[a].Alive(f.now)); n != want {
+			t.Errorf("%s knows %d hosts, want %d", f.hosts[a].Self().Name, n, want)
+		}
+	}
+	clear(f.cut)
+	f.run(3 * time.Second)
+	if n := f.knowing(hosts - 1); n != hosts {
+		t.Errorf("%d of %d hosts know all others again", n, hosts)
+	}
+}
+
+func TestMalformedPresenceHarmsNothing(t *testing.T) {
+	f := newFleet(9, 3)
+	f.run(3 * time.Second)
+	for n := range 12 {
+		f.hosts[address(0)].Receive(f.now, ushercluster.Report{From: f.hosts[address(1)].Self(), Present: make([]byte, n), Wanted: make([]uint32, 1000)})
+	}
+	f.run(3 * time.Second)
+	if n := f.knowing(8); n != 9 {
+		t.Errorf("%d of 9 hosts know all others", n)
+	}
+}
--- a/pkg/usherpool/pool.go
+++ b/pkg/usherpool/pool.go
@@ -127,7 +127,7 @@
 		Late bool
 		// Load is what was known to run there, at all hosts.
 		Load Load
-		// Placer is the host that chose; empty if it was the one that relays the request.
+		// Placer is the host that chose for the fleet; empty if the one that relays the request chose by itself.
 		Placer string
 	}
 
@@ -177,8 +177,13 @@
 	}
 
 	peerLoads struct {
-		loads map[string]Load
-		heard time.Time
+		loads map[string]heardLoad
+	}
+
+	// heardLoad is a load that a peer told, and how long it counts.
+	heardLoad struct {
+		Load
+		until time.Time
 	}
 )
 
@@ -341,7 +346,11 @@
 
 // Report takes in what a peer, or a group of peers, has running.
 func (p *Pool) Report(now time.Time, source string, loads map[string]Load) {
-	p.peers[source] = peerLoads{loads: loads, heard: now}
+	heard := make(map[string]heardLoad, len(loads))
+	for id, l := range loads {
+		heard[id] = heardLoad{Load: l, until: now.Add(loadLifetime)}
+	}
+	p.peers[source] = peerLoads{loads: heard}
 }
 
 // Forget drops the reports of sources.
@@ -352,17 +361,31 @@
 // Sum returns what this host and the sources that count have running, by target.
 func (p *Pool) Sum(now time.Time, counts func(source string) bool) map[string]Load {
 	sum := p.Own()
+	// Peers that are gone leave nothing behind.
+	maps.DeleteFunc(p.peers, func(_ string, peer peerLoads) bool { return peer.outdated(now) })
 	for source, peer := range p.peers {
-		if now.Sub(peer.heard) > loadLifetime || !counts(source) {
+		if !counts(source) {
 			continue
 		}
 		for id, load := range peer.loads {
-			sum[id] = sum[id].plus(load)
+			if !now.After(load.until) {
+				sum[id] = sum[id].plus(load.Load)
+			}
 		}
 	}
 	return sum
 }
 
+// outdated tells whether nothing that the peer told counts any more.
+func (l peerLoads) outdated(now time.Time) bool {
+	for _, load := range l.loads {
+		if !now.After(load.until) {
+			return false
+		}
+	}
+	return true
+}
+
 // Minus returns the loads without others, none of them below zero.
 func Minus(loads, others map[string]Load) map[string]Load {
 	rest := make(map[string]Load, len(loads))
@@ -379,12 +402,10 @@
 // load sums up what all hosts have at a target.
 func (p *Pool) load(now time.Time, t *target) Load {
 	sum := t.own
-	for name, peer := range p.peers {
-		if now.Sub(peer.heard) > loadLifetime {
-			delete(p.peers, name)
-			continue
+	for _, peer := range p.peers {
+		if l, heard := peer.loads[t.entry.ID]; heard && !now.After(l.until) {
+			sum = sum.plus(l.Load)
 		}
-		sum = sum.plus(peer.loads[t.entry.ID])
 	}
 	return sum.plus(t.reservations(now))
 }
--- /dev/null
+++ b/pkg/usherpool/told_test.go
@@ -0,0 +1,87 @@
+package usherpool_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/samphireusher/samphireusher/pkg/usherpool"
+)
+
+func targetName(i int) string { return fmt.Sprintf("i-%010x", i) }
+
+// The pattern: most targets' loads are as they were a quarter of a second ago, and all hosts were told all of them.
+func TestWhatIsToldFollowsChangeAndNotTargets(t *testing.T) {
+	const changes, rounds = 5, 60
+	entries := map[int]int{}
+	for _, targets := range []int{64, 1200} {
+		random := rand.New(rand.NewPCG(1, 1))
+		loads := map[string]usherpool.Load{}
+		for i := range targets {
+			loads[targetName(i)] = usherpool.Load{Streams: 1, Tokens: 3000}
+		}
+		var told usherpool.Told
+		for range 2 * targets / 24 {
+			told.Next(loads)
+		}
+		for range rounds {
+			for range changes {
+				id := targetName(random.IntN(targets))
+				loads[id] = usherpool.Load{Streams: loads[id].Streams + 1, Tokens: loads[id].Tokens + 3000}
+			}
+			for _, batch := range told.Next(loads) {
+				if len(batch) > 24 {
+					t.Fatalf("%d targets in one message", len(batch))
+				}
+				entries[targets] += len(batch)
+			}
+		}
+		entries[targets] /= rounds
+	}
+	if entries[64] > changes+64/4+1 {
+		t.Errorf("%d targets told in a round for %d changes", entries[64], changes)
+	}
+	if entries[1200] > 4*24 {
+		t.Errorf("%d targets told in a round; the bound is four messages", entries[1200])
+	}
+}
+
+// The pattern: one message of twenty is lost, twice what lossy links on the users' sheets lose, and what runs where changes all the time.
+func TestLoadsToldAsChangesAreRight(t *testing.T) {
+	const engineCount = 64
+	random := rand.New(rand.NewPCG(2, 1))
+	receiver := newPool(1, targets(engineCount), 9)
+	now := start
+	loads := map[string]usherpool.Load{}
+	var told usherpool.Told
+	for round := range 200 {
+		if round < 180 {
+			for range 5 {
+				id := fmt.Sprint("e", random.IntN(engineCount))
+				if loads[id].Streams > 3 {
+					delete(loads, id)
+				} else {
+					loads[id] = usherpool.Load{Streams: loads[id].Streams + 1, Tokens: loads[id].Tokens + 3000}
+				}
+			}
+		}
+		for _, batch := range told.Next(loads) {
+			if random.IntN(20) > 0 {
+				receiver.Merge(now, "site", batch)
+			}
+		}
+		now = now.Add(250 * time.Millisecond)
+	}
+	known := receiver.Sum(now, func(string) bool { return true })
+	for i := range engineCount {
+		id := fmt.Sprint("e", i)
+		if known[id] != loads[id] {
+			t.Errorf("%s: known %+v, is %+v", id, known[id], loads[id])
+		}
+	}
+	// The group falls silent: nothing is believed for longer than its lifetime.
+	if left := receiver.Sum(now.Add(4*time.Second), func(string) bool { return true }); len(left) != 0 {
+		t.Errorf("%d loads of a silent group still count", len(left))
+	}
+}
--- a/service/usherhost/admin.go
+++ b/service/usherhost/admin.go
@@ -39,7 +39,7 @@
 		DataCentre  string             `json:"data_centre"`
 		State       ushercluster.State `json:"state"`
 		Incarnation int64              `json:"incarnation"`
-		Revision    uint64             `json:"revision"`
+		Revision    uint64             `json:"revision,omitempty"`
 	}
 )
 
--- a/service/usherhost/core.go
+++ b/service/usherhost/core.go
@@ -33,7 +33,10 @@
 		lost time.Time
 		// reported is what this host last told its collector.
 		reported map[string]usherpool.Load
-		changed  chan struct{}
+		// toldFleet and toldSite are what this host, as a collector, told those of its data centre and of others.
+		toldFleet usherpool.Told
+		toldSite  usherpool.Told
+		changed   chan struct{}
 		// behind tells that a peer knows more than this host, lostReader that a reader of the store gets no answers.
 		behind     chan struct{}
 		lostReader chan struct{}
--- a/service/usherhost/handover.go
+++ b/service/usherhost/handover.go
@@ -57,6 +57,10 @@
 		g.host.log.Info("copy begins", "attempt", g.job.Attempt, "source", g.source.Target.ID, "holder", holder.Target.ID, "load", holder.Load,
 			"entry_age_ms", time.Since(holder.Learned).Milliseconds(), "tokens", g.job.Tokens())
 		g.copyTo(ctx, holder.Target.ID, holder.Target.Address)
+		if holder.Placer == "" {
+			// Other hosts choose holders at the same moment, and no placer knows of this one.
+			g.host.peers.tell()
+		}
 	case ushercopies.Renew:
 		if t, known := g.host.core.target(action.Holder); known {
 			g.copyTo(ctx, action.Holder, t.Address)
@@ -72,15 +76,16 @@
 	if point, ok := g.run.Resume(g.host.core.accepts); ok {
 		g.expected = true
 		g.hold(point.Target, usherpool.Load{Copies: 1, CopyTokens: g.job.Tokens(), Awaited: 1})
-		g.host.peers.tell()
+		if _, made := g.run.Made(); !made {
+			// The standing copy was placed by this host alone.
+			g.host.peers.tell()
+		}
 	}
 }
 
 func (g *generation) copyTo(ctx context.Context, holder string, address netip.AddrPort) {
 	g.run.Begin(holder)
 	g.hold(holder, usherpool.Load{Copies: 1, CopyTokens: g.job.Tokens(), Incoming: g.job.Tokens(), Awaited: 1})
-	// Other hosts choose holders at the same moment.
-	g.host.peers.tell()
 	source, attempt, begun, results := g.source.Target.Address, g.job.Attempt, time.Now(), g.copies
 	go func() {
 		c, err := g.host.engines.Copy(ctx, source, attempt, address)
--- a/service/usherhost/peers.go
+++ b/service/usherhost/peers.go
@@ -66,7 +66,8 @@
 		// BestHost had the latest answer of the store that the sender knows of, BestAge ago.
 		BestHost string        `cbor:"6,keyasint,omitempty"`
 		BestAge  time.Duration `cbor:"7,keyasint,omitempty"`
-		// Loads are those of the sender, Site those of its data centre, Fleet those of all hosts.
+		// Loads are all those of the sender. Site are those of its data centre and Fleet those of all hosts, as far as they
+		// have changed or have their turn.
 		Loads map[string]usherpool.Load `cbor:"8,keyasint,omitempty"`
 		Site  map[string]usherpool.Load `cbor:"9,keyasint,omitempty"`
 		Fleet map[string]usherpool.Load `cbor:"10,keyasint,omitempty"`
@@ -182,6 +183,15 @@
 	}
 }
 
+// describe names hosts for the log.
+func describe(members []ushercluster.Member) []hostWire {
+	hosts := make([]hostWire, 0, len(members))
+	for _, m := range members {
+		hosts = append(hosts, hostWire{Name: m.Name, DataCentre: m.DataCentre, State: m.State, Incarnation: m.Incarnation})
+	}
+	return hosts
+}
+
 func (p *peers) accept(d datagramWire) {
 	switch {
 	case d.Ask != nil:
@@ -191,8 +201,8 @@
 		p.placement.accept(d.Report.From, *d.Placed)
 		return
 	}
-	for _, m := range p.core.receive(d) {
-		p.log.Info("host learned", "source", d.Report.From.Name, "peer", m.Name, "incarnation", m.Incarnation, "state", m.State)
+	if learned := p.core.receive(d); len(learned) > 0 {
+		p.log.Info("hosts learned", "source", d.Report.From.Name, "hosts", describe(learned))
 	}
 	if d.Urgent && p.core.collects() {
 		p.tell()
@@ -352,6 +362,7 @@
 	if collector.Name == c.cluster.Self().Name {
 		out = c.collected(now, base)
 	} else {
+		c.toldSite, c.toldFleet = usherpool.Told{}, usherpool.Told{}
 		d := base
 		c.reported = c.pool.Own()
 		d.Loads, d.Urgent = c.reported, urgent
@@ -360,17 +371,44 @@
 	if urgent && base.Report.From.State != ushercluster.Stopping {
 		return out
 	}
-	return append(out, addressed{to: c.cluster.Recipients(now), datagram: base})
+	near, far := c.cluster.Recipients(now)
+	out = append(out, addressed{to: near, datagram: base})
+	if len(far) > 0 {
+		d := base
+		d.Report = c.cluster.SiteReport(now)
+		out = append(out, addressed{to: far, datagram: d})
+	}
+	for _, g := range c.cluster.Greetings(now) {
+		d := base
+		d.Report = g.Report
+		out = append(out, addressed{to: []netip.AddrPort{g.To}, datagram: d})
+	}
+	return out
 }
 
 // collected returns what a collector tells the hosts of its data centre, and the collectors of others.
 func (c *core) collected(now time.Time, base datagramWire) []addressed {
 	c.pool.Forget(func(source string) bool { return source == sourceFleet })
-	inside, outside := base, base
-	inside.Fleet = c.pool.Sum(now, func(string) bool { return true })
-	outside.Report.Sightings = nil
-	outside.Site = c.pool.Sum(now, func(source string) bool { return strings.HasPrefix(source, sourceHost) })
-	return []addressed{{to: addresses(c.cluster.Near(now)), datagram: inside}, {to: addresses(c.cluster.Relays(now)), datagram: outside}}
+	outside := base
+	outside.Report = c.cluster.SiteReport(now)
+	fleet := c.toldFleet.Next(c.pool.Sum(now, func(string) bool { return true }))
+	site := c.toldSite.Next(c.pool.Sum(now, func(source string) bool { return strings.HasPrefix(source, sourceHost) }))
+	near, relays := addresses(c.cluster.Near(now)), addresses(c.cluster.Relays(now))
+	out := c.batches(base, near, fleet, func(d *datagramWire, loads map[string]usherpool.Load) { d.Fleet = loads })
+	return append(out, c.batches(outside, relays, site, func(d *datagramWire, loads map[string]usherpool.Load) { d.Site = loads })...)
+}
+
+// batches returns a report with the first batch of loads, and messages with the others.
+func (c *core) batches(report datagramWire, to []netip.AddrPort, loads []map[string]usherpool.Load, set func(*datagramWire, map[string]usherpool.Load)) []addressed {
+	out := []addressed{{to: to, datagram: report}}
+	for i, batch := range loads {
+		if i > 0 {
+			more := c.stateAt(time.Now())
+			out = append(out, addressed{to: to, datagram: more})
+		}
+		set(&out[i].datagram, batch)
+	}
+	return out
 }
 
 // receive takes in a peer's report and returns the hosts it changes.
@@ -424,11 +462,11 @@
 		c.pool.Report(now, sourceHost+from.Name, d.Loads)
 	}
 	if d.Site != nil {
-		c.pool.Report(now, sourceSite+from.DataCentre, d.Site)
+		c.pool.Merge(now, sourceSite+from.DataCentre, d.Site)
 	}
 	if d.Fleet != nil && c.cluster.Collector(now).Name == from.Name {
 		c.pool.Forget(func(source string) bool { return source != sourceFleet })
-		c.pool.Report(now, sourceFleet, usherpool.Minus(d.Fleet, c.reported))
+		c.pool.Merge(now, sourceFleet, usherpool.Minus(d.Fleet, c.reported))
 	}
 }
 
--- a/service/usherhost/placement.go
+++ b/service/usherhost/placement.go
@@ -82,6 +82,7 @@
 	placer, own := p.placer()
 	if own {
 		if choice, err := p.core.place(r, true); err == nil {
+			choice.Placer = placer.Name
 			return choice, nil
 		}
 		// What is withheld may be all there is.
