--- a/proof/process_test.go
+++ b/proof/process_test.go
@@ -24,9 +24,10 @@
 )
 
 const (
-	repository   = ".."
 	readyLimit   = 60 * time.Second
 	stopPatience = 60 * time.Second
+	// lastLogBytes is how much of a daemon's log is shown.
+	lastLogBytes = 2000
 )
 
 type (
@@ -49,6 +50,8 @@
 	process struct {
 		usherconfig.Host
 		command *exec.Cmd
+		// ended gets the end of the command.
+		ended chan error
 	}
 )
 
@@ -141,16 +144,30 @@
 		if err != nil {
 			p.t.Fatal(err)
 		}
-		settings := strings.NewReplacer(
-			"@NAME@", d.Name, "@DATA_CENTRE@", d.DataCentre, "@ADDRESS@", d.Address.String(),
-			"@ADMIN@", fmt.Sprintf("%s:%d", p.ip, 21301+i), "@PLATFORM@", p.ip+":21000", "@DIRECTORY@", p.directory,
-		).Replace(string(text))
+		settings := daemonSettings{
+			name: d.Name, dataCentre: d.DataCentre, address: d.Address.String(), admin: fmt.Sprintf("%s:%d", p.ip, 21301+i),
+			platform: p.ip + ":21000", seeds: p.seeds(), directory: p.directory,
+		}.fill(string(text))
+		if left := placeholder.FindString(settings); left != "" {
+			p.t.Fatalf("%s: %s is not filled in", path, left)
+		}
 		if err := os.WriteFile(path, []byte(settings), 0o600); err != nil {
 			p.t.Fatal(err)
 		}
 	}
 }
 
+// seeds returns the addresses of the schedulers, as the settings have them.
+func (p *processes) seeds() []string {
+	var seeds []string
+	for _, d := range p.daemons {
+		if d.Role == usherconfig.SchedulerRole {
+			seeds = append(seeds, d.Address.String())
+		}
+	}
+	return seeds
+}
+
 func (p *processes) run(arguments ...string) {
 	p.t.Helper()
 	if output, err := exec.Command(filepath.Join(p.bin, "usherctl"), arguments...).CombinedOutput(); err != nil {
@@ -172,10 +189,9 @@
 		p.t.Fatal(err)
 	}
 	p.t.Cleanup(func() {
-		if command.ProcessState == nil {
-			_ = command.Process.Kill()
-			_ = command.Wait()
-		}
+		// Those that were waited for have ended already.
+		_ = command.Process.Kill()
+		_ = command.Wait()
 	})
 	return command
 }
@@ -183,6 +199,8 @@
 func (p *processes) startDaemon(d *process) {
 	p.t.Helper()
 	d.command = p.start(d.Name, "usher-"+string(d.Role), filepath.Join(p.directory, d.Name+".ini"))
+	d.ended = make(chan error, 1)
+	go func() { d.ended <- d.command.Wait() }()
 	for i := range p.evidence.Deaths {
 		if s := &p.evidence.Deaths[i]; s.Name == d.Address.String() && s.Until.IsZero() {
 			s.Until = time.Now().Add(readyLimit) // narrowed when it serves
@@ -198,6 +216,7 @@
 	}
 	client := usherclient.New("kochi", "kochi-demo-key")
 	p.eventually(readyLimit, d.Name+" serves", func() bool {
+		p.runs(d)
 		_, call := client.Send(p.t.Context(), d.Address.String(), lookupOf("ready"), nil)
 		_, generation := client.Send(p.t.Context(), d.Address.String(), streamOf("ready", 1), nil)
 		return call == nil && generation == nil
@@ -212,6 +231,18 @@
 	}
 }
 
+// runs fails the test at once where a daemon has ended by itself, with its last lines.
+func (p *processes) runs(d *process) {
+	p.t.Helper()
+	select {
+	case err := <-d.ended:
+		d.ended <- err
+		log, _ := os.ReadFile(filepath.Join(p.directory, d.Name+".log"))
+		p.t.Fatalf("%s has ended by itself: %v\n%s", d.Name, err, log[max(0, len(log)-lastLogBytes):])
+	default:
+	}
+}
+
 // kill is kill -9.
 func (p *processes) kill(d *process) {
 	p.t.Helper()
@@ -220,7 +251,7 @@
 		p.evidence.Deaths = append(p.evidence.Deaths, usherhistory.Span{Name: d.Address.String(), From: time.Now()})
 	}
 	_ = d.command.Process.Kill()
-	_ = d.command.Wait()
+	<-d.ended
 }
 
 // stop is a planned stop.
@@ -231,17 +262,15 @@
 		p.evidence.Stops = append(p.evidence.Stops, usherhistory.Span{Name: d.Address.String(), From: time.Now()})
 	}
 	p.signal(d, syscall.SIGTERM)
-	ended := make(chan error, 1)
-	go func() { ended <- d.command.Wait() }()
 	select {
-	case err := <-ended:
+	case err := <-d.ended:
 		if err != nil {
 			p.t.Errorf("planned stop of %s: %v", d.Name, err)
 		}
 	case <-time.After(stopPatience):
 		p.t.Errorf("%s has not stopped within %s", d.Name, stopPatience)
 		_ = d.command.Process.Kill()
-		<-ended
+		<-d.ended
 	}
 }
 
