--- a/cmd/usher-host/daemon/bed_test.go
+++ b/cmd/usher-host/daemon/bed_test.go
@@ -212,8 +212,17 @@
 	}()
 }
 
+// addSlowEngine starts an engine whose events are step apart.
+func (b *bed) addSlowEngine(id string, number int, step time.Duration) {
+	b.addTargetOf(id, engineService, number, step)
+}
+
 // addTarget starts a target and publishes it.
 func (b *bed) addTarget(id, service string, number int) *usherstandin.Target {
+	return b.addTargetOf(id, service, number, 0)
+}
+
+func (b *bed) addTargetOf(id, service string, number int, step time.Duration) *usherstandin.Target {
 	kind := 1
 	if service == plainService {
 		kind = 2
@@ -221,6 +230,7 @@
 	address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 128, byte(kind), byte(number + 1)}), targetPort)
 	t := usherstandin.NewTarget(usherstandin.TargetOptions{
 		ID: id, Service: service, Address: address.String(), DataCentre: places[number%len(places)], Engine: service == engineService, Work: 15 * time.Millisecond,
+		Step: step,
 	}, b.memory)
 	b.targets[id] = t
 	b.serve(address, id, t)
--- a/service/usherhost/conns.go
+++ b/service/usherhost/conns.go
@@ -60,6 +60,20 @@
 	}
 }
 
+// closeIdle closes the connections that are between two requests, and returns how many others there are.
+func (c *conns) closeIdle() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for conn, s := range c.conns {
+		if s.state == http.StateIdle {
+			// The server notices the closed connection and forgets it.
+			_ = conn.Close()
+			delete(c.conns, conn)
+		}
+	}
+	return len(c.conns)
+}
+
 func (c *conns) sweep(l usherroute.Limits) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/service/usherhost/core.go
+++ b/service/usherhost/core.go
@@ -24,9 +24,12 @@
 		grace   time.Duration
 		// storeHeard is when this host last had an answer of the store.
 		storeHeard time.Time
-		// storeFailing says that its last call to the store failed.
+		// storeFailing says that its last call to the store failed, storeTried that one has ended.
 		storeFailing bool
-		readers      map[string]readerState
+		storeTried   bool
+		// certain says that what this host knows was not only told by peers that hear nothing of the store.
+		certain bool
+		readers map[string]readerState
 		// best is the latest answer of the store that any host had, as far as this one knows, and lost when that
 		// knowledge was given up.
 		best storeContact
@@ -80,10 +83,15 @@
 	}
 }
 
-// table returns the declarations in force, or nil.
+// table returns the declarations in force, or nil as long as none are known for certain. What a peer tells may be out of
+// date: it counts once the store has answered or failed this host, or where the peers themselves hear of the store.
 func (c *core) table() *usherroute.Table {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.certain = c.certain || c.storeTried || !c.stale(time.Now())
+	if !c.certain {
+		return nil
+	}
 	return c.catalog.Table()
 }
 
@@ -108,12 +116,17 @@
 	changed := change(now, &c.catalog)
 	if len(changed) > 0 {
 		c.updatePool(now)
-		close(c.changed)
-		c.changed = make(chan struct{})
+		c.announceChange()
 	}
 	return changed
 }
 
+// announceChange wakes those that wait for changes.
+func (c *core) announceChange() {
+	close(c.changed)
+	c.changed = make(chan struct{})
+}
+
 func (c *core) updatePool(now time.Time) {
 	c.pool.Update(now, c.catalog.Targets(), c.catalog.Evacuated, c.catalog.Table(), c.cluster.Sharers(now))
 }
--- a/service/usherhost/feed.go
+++ b/service/usherhost/feed.go
@@ -114,6 +114,7 @@
 	if ctx.Err() != nil {
 		return
 	}
+	f.core.triedStore()
 	if err == nil {
 		if !f.up {
 			f.up = true
@@ -250,6 +251,16 @@
 	c.contact(storeContact{host: c.cluster.Self().Name, at: c.storeHeard})
 }
 
+// triedStore records that a call to the store has ended.
+func (c *core) triedStore() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.storeTried {
+		c.storeTried = true
+		c.announceChange()
+	}
+}
+
 // setStoreFailing records whether the last call to the store failed.
 func (c *core) setStoreFailing(failing bool) {
 	c.mu.Lock()
--- a/service/usherhost/host.go
+++ b/service/usherhost/host.go
@@ -37,6 +37,8 @@
 	leaveTime = LocateLifetime + time.Second
 	// killMargin is how long before SIGKILL a stopping host ends by itself.
 	killMargin = 400 * time.Millisecond
+	// acceptedTime is how long a stopping host still waits for the header of requests on connections that it has accepted.
+	acceptedTime = time.Second
 	// stopCheck is how often a stopping host looks whether it is done.
 	stopCheck = 20 * time.Millisecond
 	// serverHeaderBytes bounds headers before the declarations are consulted.
@@ -68,20 +70,22 @@
 
 	// Host is one host of the fleet.
 	Host struct {
-		settings   *Settings
-		platform   Platform
-		codec      Codec
-		engines    Engines
-		log        *slog.Logger
-		core       *core
-		feed       *feed
-		peers      *peers
-		inquiry    *inquiry
-		conns      *conns
-		memory     *memory
-		metrics    *hostMetrics
-		life       *fsm.FSM
-		servers    []*http.Server
+		settings *Settings
+		platform Platform
+		codec    Codec
+		engines  Engines
+		log      *slog.Logger
+		core     *core
+		feed     *feed
+		peers    *peers
+		inquiry  *inquiry
+		conns    *conns
+		memory   *memory
+		metrics  *hostMetrics
+		life     *fsm.FSM
+		servers  []*http.Server
+		// accepting is the listener for callers' requests.
+		accepting  net.Listener
 		duties     sync.WaitGroup
 		inProgress atomic.Int64
 	}
@@ -206,10 +210,26 @@
 		}
 		sleep(ctx, stopCheck)
 	}
+	// Requests whose header is on its way are read and answered; the listener is closed first.
+	h.finishAccepted(ctx, last)
 	h.log.Info("host drained", "duration_ms", time.Since(begun).Milliseconds(), "in_progress", h.inProgress.Load())
 	h.event(ctx, eventDrained)
 }
 
+// finishAccepted accepts no more connections of callers, closes idle ones and waits for requests on the others. The
+// server's own Shutdown would drop requests whose header it has just read.
+func (h *Host) finishAccepted(ctx context.Context, last time.Time) {
+	if err := h.accepting.Close(); err != nil {
+		h.log.Debug("listener not closed", "error", err.Error())
+	}
+	if bound := time.Now().Add(acceptedTime); bound.Before(last) {
+		last = bound
+	}
+	for ctx.Err() == nil && h.conns.closeIdle() > 0 && time.Now().Before(last) {
+		sleep(ctx, stopCheck)
+	}
+}
+
 func (h *Host) close() error {
 	failures := []error{h.peers.conn.Close()}
 	for _, s := range h.servers {
@@ -249,10 +269,11 @@
 	}
 	if address == h.settings.Listen.Callers {
 		server.ConnState = h.conns.track
+		h.accepting = listener
 	}
 	h.servers = append(h.servers, server)
 	h.duties.Go(func() {
-		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 			h.log.Error("server ended", "address", address.String(), "error", err.Error())
 		}
 	})
--- a/service/usherhost/inquiry.go
+++ b/service/usherhost/inquiry.go
@@ -81,10 +81,11 @@
 func (c *core) storeStale() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	now := time.Now()
-	if c.catalog.Table() == nil {
-		return false
-	}
+	return c.catalog.Table() != nil && c.stale(time.Now())
+}
+
+// stale tells the same, whether or not this host knows any declarations.
+func (c *core) stale(now time.Time) bool {
 	return c.best.at.IsZero() || now.Sub(c.best.at) >= staleAfter
 }
 
--- a/service/usherhost/relay.go
+++ b/service/usherhost/relay.go
@@ -83,7 +83,7 @@
 		}
 		return time.Until(g.job.deadline) + time.Second
 	}
-	return silenceFactor * pause
+	return silenceFactor * pause * time.Duration(min(1<<min(g.silences, maxResumes), maxPatience))
 }
 
 // headerBound returns how long a target may take to begin a stream that may also be run elsewhere; zero for no bound.
--- a/service/usherhost/stream.go
+++ b/service/usherhost/stream.go
@@ -21,8 +21,10 @@
 	// callerWriteTimeout is how long a caller may take to read an event before it counts as gone.
 	callerWriteTimeout = 10 * time.Second
 	// silenceFactor times the route's longest pause is the silence after which a running stream counts as broken:
-	// a preempted generation is back within about a second.
+	// a preempted generation is back within about a second. It doubles with each target that was left so, up to
+	// maxPatience times: where every engine is slow, the next one is no better.
 	silenceFactor = 6
+	maxPatience   = 32
 	// defaultPause stands for the longest pause of routes that name none.
 	defaultPause = 500 * time.Millisecond
 	// firstEventShare is the part of the objective, and firstEventFactor times the expected wait the time, after which
@@ -72,6 +74,8 @@
 		reading bool
 		// paid tells that a repeated send was taken out of the budget and not made yet.
 		paid bool
+		// silences counts the targets that were left for being silent.
+		silences int
 		// expected tells that peers know where the run is about to go on.
 		expected    bool
 		lastEventAt time.Time
@@ -115,6 +119,9 @@
 		case errorx.IsOfType(err, errCallerGone) || ctx.Err() != nil:
 			return g.giveUp(ctx, err)
 		}
+		if errorx.IsOfType(err, errSilence) {
+			g.silences++
+		}
 		h.core.observe(g.source.Target.ID, failure(err))
 		if err := g.resume(ctx, err); err != nil {
 			return g.giveUp(ctx, err)
