While the store is silent, all hosts learn which targets leave

Copies were also begun to engines that others knew to be leaving (no room, four times in a row), and the placer went on to choose them.

What a target says of its leaving is now told to peers at once, with its start and age, for 5 s; a newer entry of the store goes before it. A generation that may run only once is now left after twice its objective, half of what callers bear.

TestAllHostsLearnOfAReclaimWhileTheStoreIsSilent failed on five of six hosts before.

--- a/cmd/usher-host/daemon/stream_test.go
+++ b/cmd/usher-host/daemon/stream_test.go
@@ -1,11 +1,14 @@
 package daemon_test
 
 import (
+	"encoding/json"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/samphireusher/samphireusher/platform/usherstandin"
+	"github.com/samphireusher/samphireusher/service/usherhost"
 )
 
 // beginStream starts a stream and returns its result later.
@@ -93,6 +96,51 @@
 	})
 }
 
+// The pattern: engines are reclaimed while the store is silent. Only hosts that run streams there hear of it from the
+// engine; the others went on to choose it for prompts and copies, and streams whose copy was there were lost.
+func TestAllHostsLearnOfAReclaimWhileTheStoreIsSilent(t *testing.T) {
+	inBed(t, options{hosts: 6, engines: 6}, func(t *testing.T, b *bed) {
+		attempt, done := b.beginStream(b.hosts[5], "/appraisal/250")
+		time.Sleep(time.Second)
+		b.store.SetMode("", usherstandin.Silent)
+		time.Sleep(3 * time.Second)
+		source := b.sourceOf(attempt)
+		b.targets[source].Leave()
+		// A reclaimed engine gives 1.5 s of notice; a third of it is left for copies.
+		time.Sleep(time.Second)
+		for _, h := range b.hosts {
+			var dump struct {
+				Targets []struct {
+					ID      string `json:"id"`
+					Accepts bool   `json:"accepts"`
+				} `json:"targets"`
+			}
+			if err := json.Unmarshal([]byte(b.plain(h, adminPort, usherhost.DumpPath).body), &dump); err != nil {
+				t.Fatal(err)
+			}
+			for _, target := range dump.Targets {
+				if target.Accepts != (target.ID != source) {
+					t.Errorf("%s: %s accepts: %t; %s is leaving", h.name, target.ID, target.Accepts, source)
+				}
+			}
+		}
+		// The store comes back with a newer entry: the engine was given back.
+		b.store.SetMode("", usherstandin.Serving)
+		key, entry := b.targets[source].Entry("ready")
+		entry.(map[string]any)["slots"] = 23
+		b.store.PutJSON(key, entry)
+		time.Sleep(3 * time.Second)
+		for _, h := range b.hosts {
+			if body := b.plain(h, adminPort, usherhost.DumpPath).body; strings.Count(body, `"accepts": true`) != len(b.targets) {
+				t.Errorf("%s has not taken the engine back", h.name)
+			}
+		}
+		if got := <-done; got.err != nil || !whole(got.body, attempt, 250) {
+			t.Errorf("error %v, %d events", got.err, len(events(got.body)))
+		}
+	})
+}
+
 func TestStreamOutlivesACrashWhereACopyStands(t *testing.T) {
 	inBed(t, options{hosts: 1, engines: 4}, func(t *testing.T, b *bed) {
 		attempt, done := b.beginStream(b.hosts[0], "/appraisal/100")
--- a/pkg/usherpool/pool.go
+++ b/pkg/usherpool/pool.go
@@ -222,11 +222,11 @@
 	}
 }
 
-// MarkLeaving records that a target says of itself that it leaves; it tells whether that is news. A newer entry goes
-// before it.
-func (p *Pool) MarkLeaving(id string) bool {
+// MarkLeaving records that a start of a target said of itself, at a time, that it leaves; it tells whether that is news. A
+// newer entry goes before it.
+func (p *Pool) MarkLeaving(id string, incarnation int64, at time.Time) bool {
 	t, known := p.targets[id]
-	if !known || !t.open {
+	if !known || !t.open || t.entry.Incarnation != incarnation || !at.After(t.learned) {
 		return false
 	}
 	t.leaving, t.open = true, false
--- a/service/usherhost/core.go
+++ b/service/usherhost/core.go
@@ -39,7 +39,9 @@
 		// toldFleet and toldSite are what this host, as a collector, told those of its data centre and of others.
 		toldFleet usherpool.Told
 		toldSite  usherpool.Told
-		changed   chan struct{}
+		// leaving are targets that told this host or a peer that they leave.
+		leaving []leavingMark
+		changed chan struct{}
 		// behind tells that a peer knows more than this host, lostReader that a reader of the store gets no answers.
 		behind     chan struct{}
 		lostReader chan struct{}
--- a/service/usherhost/host.go
+++ b/service/usherhost/host.go
@@ -106,7 +106,7 @@
 	if h.peers, err = newPeers(h.core, p.Network, s.Listen.Peers, log, registry); err != nil {
 		return nil, err
 	}
-	h.inquiry = newInquiry(h.core, p.Engines, log, registry)
+	h.inquiry = newInquiry(h.core, h.peers, p.Engines, log, registry)
 	h.feed = newFeed(h.core, p.Store, h.peers, log, registry)
 	h.life = fsm.NewFSM(stateStarting, fsm.Events{
 		{Name: eventKnown, Src: []string{stateStarting}, Dst: stateServing},
--- a/service/usherhost/peers.go
+++ b/service/usherhost/peers.go
@@ -76,6 +76,8 @@
 		Changes []ushercatalog.Entry `cbor:"12,keyasint,omitempty"`
 		// Urgent asks the collector to tell the others at once.
 		Urgent bool `cbor:"13,keyasint,omitempty"`
+		// Leaving are targets that told a host that they leave, while the store does not tell.
+		Leaving []leavingWire `cbor:"16,keyasint,omitempty"`
 		// Ask and Placed make it a message about the placement of one request; the rest but Report.From is empty then.
 		Ask    *askWire    `cbor:"14,keyasint,omitempty"`
 		Placed *placedWire `cbor:"15,keyasint,omitempty"`
@@ -201,8 +203,12 @@
 		p.placement.accept(d.Report.From, *d.Placed)
 		return
 	}
-	if learned := p.core.receive(d); len(learned) > 0 {
-		p.log.Info("hosts learned", "source", d.Report.From.Name, "hosts", describe(learned))
+	hosts, targets := p.core.receive(d)
+	if len(hosts) > 0 {
+		p.log.Info("hosts learned", "source", d.Report.From.Name, "hosts", describe(hosts))
+	}
+	for _, id := range targets {
+		p.log.Info("target learned", "source", d.Report.From.Name, "target", id, "leaving", true)
 	}
 	if d.Urgent && p.core.collects() {
 		p.tell()
@@ -342,7 +348,7 @@
 func (c *core) stateAt(now time.Time) datagramWire {
 	d := datagramWire{
 		Version: messageVersion, Report: ushercluster.Report{From: c.cluster.Self()}, Revision: c.catalog.Revision(), StoreAge: now.Sub(c.storeHeard),
-		StoreFailing: c.storeFailing,
+		StoreFailing: c.storeFailing, Leaving: c.leavingNow(now),
 	}
 	if !c.best.at.IsZero() {
 		d.BestHost, d.BestAge = c.best.host, now.Sub(c.best.at)
@@ -411,16 +417,16 @@
 	return out
 }
 
-// receive takes in a peer's report and returns the hosts it changes.
-func (c *core) receive(d datagramWire) []ushercluster.Member {
+// receive takes in a peer's report and returns the hosts that it changes and the targets that it says are leaving.
+func (c *core) receive(d datagramWire) (hosts []ushercluster.Member, targets []string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := time.Now()
 	from := d.Report.From
 	if from.Name == c.cluster.Self().Name {
-		return nil
+		return nil, nil
 	}
-	changed := c.cluster.Receive(now, d.Report)
+	hosts = c.cluster.Receive(now, d.Report)
 	c.readers[from.Name] = readerState{revision: d.Revision, storeSeen: now.Add(-d.StoreAge), failing: d.StoreFailing}
 	c.learnContact(now, d)
 	c.learnLoads(now, d)
@@ -430,10 +436,10 @@
 	if d.StoreFailing {
 		signal(c.lostReader)
 	}
-	if len(changed) > 0 {
+	if len(hosts) > 0 {
 		c.updatePool(now)
 	}
-	return changed
+	return hosts, c.learnLeaving(now, d.Leaving)
 }
 
 // learnContact takes in who had an answer of the store.
--- a/service/usherhost/relay.go
+++ b/service/usherhost/relay.go
@@ -83,6 +83,9 @@
 		}
 		return time.Until(g.job.deadline) + time.Second
 	}
+	if g.job.route.AtMostOnce() {
+		pause = max(pause, aloneFactor*g.job.route.Objective/silenceFactor)
+	}
 	return silenceFactor * pause * time.Duration(min(1<<min(g.silences, maxResumes), maxPatience))
 }
 
--- a/service/usherhost/stream.go
+++ b/service/usherhost/stream.go
@@ -25,6 +25,10 @@
 	// maxPatience times: where every engine is slow, the next one is no better.
 	silenceFactor = 6
 	maxPatience   = 32
+	// aloneFactor times the objective is the silence after which a generation that may run only once is left for its copy:
+	// half of what callers bear. A sound engine that is slow or has preempted it comes back before, and the copy may turn
+	// out not to be there.
+	aloneFactor = 2
 	// defaultPause stands for the longest pause of routes that name none.
 	defaultPause = 500 * time.Millisecond
 	// firstEventShare is the part of the objective, and firstEventFactor times the expected wait the time, after which
