Entries that lapsed with the store are waited for

When the store came back without the entries of servers whose leases had run out meanwhile, they counted as gone at once: calls got 503 for up to two seconds. The first list after an outage now keeps the entries of targets that were not leaving, and a second one, 1.9 s after the last call that failed, ends those that are still missing. The pause between two calls to a store that fails is at most half a second, so that its return is noticed.

--- a/cmd/usher-host/daemon/fleet_test.go
+++ b/cmd/usher-host/daemon/fleet_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/samphireusher/samphireusher/pkg/ushercatalog"
 	"github.com/samphireusher/samphireusher/platform/usherstandin"
+	"github.com/samphireusher/samphireusher/service/usherhost"
 )
 
 const (
@@ -159,6 +160,63 @@
 	})
 }
 
+// The pattern: entries lapse while the store is away. Those of live servers are back within two seconds of its return; one
+// that is missing after that is gone.
+func TestEntriesThatLapsedWithTheStoreAreWaitedFor(t *testing.T) {
+	inBed(t, options{hosts: 3, plain: 3}, func(t *testing.T, b *bed) {
+		b.store.SetMode("", usherstandin.Busy)
+		time.Sleep(3 * time.Second)
+		for _, target := range b.targets {
+			key, _ := target.Entry("ready")
+			b.store.Delete(key)
+		}
+		b.store.SetMode("", usherstandin.Serving)
+		back := time.Now()
+		for returned := false; time.Since(back) < 2*time.Second; time.Sleep(50 * time.Millisecond) {
+			if !returned && time.Since(back) > 1350*time.Millisecond {
+				returned = true
+				b.publish("plain-0", "ready")
+				b.publish("plain-1", "ready")
+			}
+			for _, h := range b.hosts {
+				if got := b.get(h, "/status/"); got.status != http.StatusOK {
+					t.Fatalf("%s answers %d %s after the store's return", h.name, got.status, time.Since(back))
+				}
+			}
+		}
+		time.Sleep(1500 * time.Millisecond)
+		for _, h := range b.hosts {
+			body := b.plain(h, adminPort, usherhost.DumpPath).body
+			if strings.Contains(body, `"plain-2"`) || strings.Count(body, `"accepts": true`) != 2 {
+				t.Errorf("%s %s after the store's return: %s", h.name, time.Since(back), body)
+			}
+		}
+	})
+}
+
+// A server that was leaving before the store went away does not come back, and one that leaves while the store answers is
+// gone at once.
+func TestServersThatLeftAreNotWaitedFor(t *testing.T) {
+	inBed(t, options{hosts: 3, plain: 3}, func(t *testing.T, b *bed) {
+		b.publish("plain-0", "draining")
+		time.Sleep(time.Second)
+		key, _ := b.targets["plain-1"].Entry("ready")
+		b.store.Delete(key)
+		time.Sleep(time.Second)
+		b.store.SetMode("", usherstandin.Busy)
+		time.Sleep(2 * time.Second)
+		key, _ = b.targets["plain-0"].Entry("draining")
+		b.store.Delete(key)
+		b.store.SetMode("", usherstandin.Serving)
+		time.Sleep(1500 * time.Millisecond)
+		for _, h := range b.hosts {
+			if body := b.plain(h, adminPort, usherhost.DumpPath).body; strings.Count(body, `"accepts": true`) != 1 {
+				t.Errorf("%s: %s", h.name, body)
+			}
+		}
+	})
+}
+
 // The pattern: hosts are cut off from the store while targets leave and keys are taken away.
 func TestHostCutOffFromTheStoreLearnsFromPeers(t *testing.T) {
 	inBed(t, options{hosts: 9, plain: 3}, func(t *testing.T, b *bed) {
--- a/pkg/ushercatalog/catalog.go
+++ b/pkg/ushercatalog/catalog.go
@@ -120,19 +120,35 @@
 // Complete takes in a full list whose first page was read at revision. What is known from before that revision and is
 // not listed was removed; it returns the removals.
 func (c *Catalog) Complete(now time.Time, listed []Entry, revision uint64) []Entry {
+	changed, _ := c.complete(now, listed, revision, func(Entry) bool { return false })
+	return changed
+}
+
+// CompleteAfterOutage is Complete for the first list after the store was away. Entries of targets that were not leaving
+// may have lapsed meanwhile and are kept; it tells whether there are any. List again once those that live have had the
+// time to come back.
+func (c *Catalog) CompleteAfterOutage(now time.Time, listed []Entry, revision uint64) (changed []Entry, kept bool) {
+	return c.complete(now, listed, revision, func(e Entry) bool { return e.Target != nil && !e.Target.Leaving })
+}
+
+func (c *Catalog) complete(now time.Time, listed []Entry, revision uint64, keep func(Entry) bool) (changed []Entry, kept bool) {
 	present := make(map[Key]bool, len(listed))
 	for _, e := range listed {
 		present[e.Key] = true
 	}
 	var removals []Entry
 	for key, k := range c.entries {
-		if !present[key] && !k.Removed && k.Revision <= revision && key.Kind != Declaration {
+		switch {
+		case present[key] || k.Removed || k.Revision > revision || key.Kind == Declaration:
+		case keep(k.Entry):
+			kept = true
+		default:
 			removals = append(removals, Entry{Key: key, Revision: revision, Removed: true})
 		}
 	}
-	changed := append(c.Merge(now, listed...), c.Merge(now, removals...)...)
+	changed = append(c.Merge(now, listed...), c.Merge(now, removals...)...)
 	c.CaughtUp(revision)
-	return changed
+	return changed, kept
 }
 
 // supersedes tells whether a replaces b. A list that was read at an entry's own revision may miss it, as later pages
--- a/pkg/ushercatalog/catalog_test.go
+++ b/pkg/ushercatalog/catalog_test.go
@@ -130,3 +130,21 @@
 		t.Error("an old removal is still known")
 	}
 }
+
+// The pattern: the store was away, and the entries of live servers lapsed meanwhile.
+func TestEntriesThatMayHaveLapsedAreKeptOnce(t *testing.T) {
+	var c ushercatalog.Catalog
+	now := time.Unix(1000, 0)
+	leaving := replica("leaving", 3, false)
+	leaving.Target = &ushercatalog.Target{ID: "leaving", Leaving: true}
+	live := replica("live", 4, false)
+	live.Target = &ushercatalog.Target{ID: "live"}
+	c.Merge(now, leaving, live)
+	changed, kept := c.CompleteAfterOutage(now, nil, 10)
+	if !kept || len(changed) != 1 || changed[0].Key.Name != "leaving" || len(c.Targets()) != 1 {
+		t.Errorf("changed %v, kept %t, targets %v", changed, kept, c.Targets())
+	}
+	if changed := c.Complete(now, nil, 12); len(changed) != 1 || len(c.Targets()) != 0 {
+		t.Errorf("the second list ended %v; left %v", changed, c.Targets())
+	}
+}
--- a/service/usherhost/core.go
+++ b/service/usherhost/core.go
@@ -27,9 +27,7 @@
 		// storeFailing says that its last call to the store failed, storeTried that one has ended.
 		storeFailing bool
 		storeTried   bool
-		// certain says that what this host knows was not only told by peers that hear nothing of the store.
-		certain bool
-		readers map[string]readerState
+		readers      map[string]readerState
 		// best is the latest answer of the store that any host had, as far as this one knows, and lost when that
 		// knowledge was given up.
 		best storeContact
@@ -86,12 +84,11 @@
 }
 
 // table returns the declarations in force, or nil as long as none are known for certain. What a peer tells may be out of
-// date: it counts once the store has answered or failed this host, or where the peers themselves hear of the store.
+// date, even where it has heard of a host that reads the store; it counts once the store has answered or failed this host.
 func (c *core) table() *usherroute.Table {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.certain = c.certain || c.storeTried || !c.stale(time.Now())
-	if !c.certain {
+	if !c.storeTried {
 		return nil
 	}
 	return c.catalog.Table()
--- a/service/usherhost/feed.go
+++ b/service/usherhost/feed.go
@@ -22,7 +22,11 @@
 	watchPause = 150 * time.Millisecond
 	// firstBackoff and longestBackoff bound the pause after a failed call.
 	firstBackoff   = 100 * time.Millisecond
-	longestBackoff = time.Second
+	longestBackoff = 500 * time.Millisecond
+	// lapseGrace is how long entries that lapsed while the store was away may take to come back: about two seconds by the
+	// users' pages, less what peers need to learn of it. It counts from the last call that failed, as the store may have
+	// been back since.
+	lapseGrace = 1900 * time.Millisecond
 	// readerTimeout is how long the reader of a data centre may go without an answer of the store before the next host
 	// reads too: one call with its slack. A reader whose call fails says so at once.
 	readerTimeout = watchWait + storeSlack + 200*time.Millisecond
@@ -57,12 +61,17 @@
 		peers *peers
 		log   *slog.Logger
 
-		listed  bool
-		backoff time.Duration
-		calls   metrics.Counter
-		failed  metrics.Counter
-		reading bool
-		up      bool
+		listed bool
+		// away says that the last call failed, at failedAt, and relist when entries that lapsed with the store have to be
+		// back.
+		away     bool
+		failedAt time.Time
+		relist   time.Time
+		backoff  time.Duration
+		calls    metrics.Counter
+		failed   metrics.Counter
+		reading  bool
+		up       bool
 	}
 )
 
@@ -76,7 +85,7 @@
 // run reads, where this host has to, until ctx ends.
 func (f *feed) run(ctx context.Context) {
 	for ctx.Err() == nil {
-		if f.listed && !f.isReader() {
+		if f.listed && f.relist.IsZero() && !f.isReader() {
 			wait(ctx, readerCheck, f.core.lostReader)
 			continue
 		}
@@ -110,6 +119,9 @@
 
 // read makes one call to the store.
 func (f *feed) read(ctx context.Context) {
+	if !f.relist.IsZero() && time.Now().After(f.relist) {
+		f.listed, f.relist = false, time.Time{}
+	}
 	err := f.call(ctx)
 	if ctx.Err() != nil {
 		return
@@ -138,6 +150,7 @@
 		f.peers.tell()
 		f.log.Warn("store does not answer", "error", err.Error(), "revision", f.core.revision())
 	}
+	f.away, f.failedAt = true, time.Now()
 	// What was changed while a call was lost is found by listing: a watch that was cut may have missed changes.
 	f.listed = false
 	f.backoff = min(max(2*f.backoff, firstBackoff), longestBackoff)
@@ -159,7 +172,7 @@
 	if listing {
 		entries, revision, skipped, err = f.store.List(ctx)
 	} else {
-		entries, revision, skipped, err = f.store.Watch(ctx, before, watchWait)
+		entries, revision, skipped, err = f.store.Watch(ctx, before, f.watchTime())
 	}
 	for _, fault := range skipped {
 		f.log.Warn("published entry not readable; it names nothing to use", "error", fault.Error())
@@ -172,7 +185,7 @@
 	changed := f.core.apply(func(now time.Time, c *ushercatalog.Catalog) []ushercatalog.Entry {
 		c.Sweep(now)
 		if listing {
-			return c.Complete(now, entries, revision)
+			return f.complete(now, c, entries, revision)
 		}
 		changed := c.Merge(now, entries...)
 		c.CaughtUp(revision)
@@ -189,6 +202,28 @@
 	return nil
 }
 
+// watchTime returns how long the store may hold a call: no longer than until the next list is due.
+func (f *feed) watchTime() time.Duration {
+	if f.relist.IsZero() {
+		return watchWait
+	}
+	return min(watchWait, max(time.Until(f.relist)-watchPause, time.Millisecond))
+}
+
+// complete takes in a full list. The first one after an outage does not end targets whose entries may have lapsed.
+func (f *feed) complete(now time.Time, c *ushercatalog.Catalog, entries []ushercatalog.Entry, revision uint64) []ushercatalog.Entry {
+	if !f.away {
+		return c.Complete(now, entries, revision)
+	}
+	f.away = false
+	changed, kept := c.CompleteAfterOutage(now, entries, revision)
+	if kept {
+		f.relist = f.failedAt.Add(lapseGrace)
+		f.log.Info("entries may have lapsed with the store; they are waited for", "revision", revision, "duration_ms", f.relist.Sub(now).Milliseconds())
+	}
+	return changed
+}
+
 func (f *feed) pull(ctx context.Context) {
 	address, revision, ahead := f.core.ahead()
 	if !ahead {
--- a/service/usherhost/inquiry.go
+++ b/service/usherhost/inquiry.go
@@ -102,12 +102,7 @@
 func (c *core) storeStale() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.catalog.Table() != nil && c.stale(time.Now())
-}
-
-// stale tells the same, whether or not this host knows any declarations.
-func (c *core) stale(now time.Time) bool {
-	return c.best.at.IsZero() || now.Sub(c.best.at) >= staleAfter
+	return c.catalog.Table() != nil && (c.best.at.IsZero() || time.Since(c.best.at) >= staleAfter)
 }
 
 // running returns the targets that run streams of this host.
