Waiting streams leave targets that leave, and the loss of the store is told

A request that may be repeated now leaves a target that begins to leave, at once where it is not expected to begin soon.

That a reader gets no answers any more is now told with its age, and older answers do not count.

--- a/cmd/usher-host/daemon/stream_test.go
+++ b/cmd/usher-host/daemon/stream_test.go
@@ -141,6 +141,32 @@
 	})
 }
 
+// The pattern: the store turns everybody away at the very moment at which engines begin to leave. The hosts knew of the
+// outage only when the last answer was old, and half of the engines' notice was over.
+func TestReclaimIsNoticedAsTheStoreFails(t *testing.T) {
+	inBed(t, options{hosts: 24, engines: 6}, func(t *testing.T, b *bed) {
+		attempt, done := b.beginStream(b.hosts[23], "/appraisal/100")
+		time.Sleep(time.Second)
+		source := b.sourceOf(attempt)
+		b.store.SetMode("", usherstandin.Busy)
+		b.targets[source].Leave()
+		// Half of the shortest notice of reclaimed engines is left for copies.
+		time.Sleep(750 * time.Millisecond)
+		unaware := 0
+		for _, h := range b.hosts {
+			if strings.Count(b.plain(h, adminPort, usherhost.DumpPath).body, `"accepts": false`) != 1 {
+				unaware++
+			}
+		}
+		if unaware > 0 {
+			t.Errorf("%d of %d hosts do not know that %s leaves", unaware, len(b.hosts), source)
+		}
+		if got := <-done; got.err != nil || !whole(got.body, attempt, 100) {
+			t.Errorf("error %v, %d events", got.err, len(events(got.body)))
+		}
+	})
+}
+
 func TestStreamOutlivesACrashWhereACopyStands(t *testing.T) {
 	inBed(t, options{hosts: 1, engines: 4}, func(t *testing.T, b *bed) {
 		attempt, done := b.beginStream(b.hosts[0], "/appraisal/100")
@@ -207,6 +233,32 @@
 	})
 }
 
+// The pattern: an engine is reclaimed while requests that may be repeated wait there for others' prompts to be read. They
+// waited until it was gone, and had too little time left elsewhere.
+func TestWaitingStreamsLeaveATargetThatLeaves(t *testing.T) {
+	inBed(t, options{hosts: 1, engines: 1}, func(t *testing.T, b *bed) {
+		b.targets["engine-0"].SetFault(usherstandin.Crowded)
+		var done []<-chan result
+		for range 8 {
+			_, d := b.beginStream(b.hosts[0], "/eligibility/3")
+			done = append(done, d)
+		}
+		b.addTarget("engine-1", engineService, 1)
+		time.Sleep(500 * time.Millisecond)
+		b.publish("engine-0", "draining")
+		left := time.Now()
+		for _, d := range done {
+			got := <-d
+			if got.err != nil || got.status != http.StatusOK || !whole(got.body, got.attempt, 3) {
+				t.Errorf("answer %+v", got)
+			}
+		}
+		if took := time.Since(left); took > 1500*time.Millisecond {
+			t.Errorf("the last answer came %s after the engine began to leave; the objective is 1.5 s", took)
+		}
+	})
+}
+
 // The pattern: engines are so full that runs are preempted, at every target that a request may be sent to. Found by the
 // bench's mix --seed 325763191870 on himig-loans: a stream was cut after its second pause.
 func TestPausesDoNotEndAStreamThatCannotGoOnElsewhere(t *testing.T) {
--- a/service/usherhost/exchange.go
+++ b/service/usherhost/exchange.go
@@ -158,6 +158,12 @@
 	return nil
 }
 
+// interrupt ends the wait for the first byte of a response.
+func (x *exchange) interrupt() {
+	// Where the connection is closed already, the wait is over.
+	_ = x.conn.SetReadDeadline(time.Now())
+}
+
 // readHeader reads one header, once its first byte is there. It passes over responses that are not the answer to the
 // attempt, and tells whether this one is.
 func (x *exchange) readHeader(codec Codec, attempt string) (bool, error) {
--- a/service/usherhost/feed.go
+++ b/service/usherhost/feed.go
@@ -302,7 +302,7 @@
 	defer c.mu.Unlock()
 	c.storeFailing = failing
 	if failing && c.best.host == c.cluster.Self().Name {
-		c.best, c.lost = storeContact{}, time.Now()
+		c.lose(time.Now())
 	}
 }
 
--- a/service/usherhost/peers.go
+++ b/service/usherhost/peers.go
@@ -76,6 +76,9 @@
 		Changes []ushercatalog.Entry `cbor:"12,keyasint,omitempty"`
 		// Urgent asks the collector to tell the others at once.
 		Urgent bool `cbor:"13,keyasint,omitempty"`
+		// Lost is how long ago the sender learned that the host with the latest answer of the store gets none any more; nil
+		// if it is too long ago to matter.
+		Lost *time.Duration `cbor:"17,keyasint,omitempty"`
 		// Leaving are targets that told a host that they leave, while the store does not tell.
 		Leaving []leavingWire `cbor:"16,keyasint,omitempty"`
 		// Ask and Placed make it a message about the placement of one request; the rest but Report.From is empty then.
@@ -350,6 +353,9 @@
 		Version: messageVersion, Report: ushercluster.Report{From: c.cluster.Self()}, Revision: c.catalog.Revision(), StoreAge: now.Sub(c.storeHeard),
 		StoreFailing: c.storeFailing, Leaving: c.leavingNow(now),
 	}
+	if age := now.Sub(c.lost); age < staleAfter {
+		d.Lost = &age
+	}
 	if !c.best.at.IsZero() {
 		d.BestHost, d.BestAge = c.best.host, now.Sub(c.best.at)
 	}
@@ -444,8 +450,11 @@
 
 // learnContact takes in who had an answer of the store.
 func (c *core) learnContact(now time.Time, d datagramWire) {
+	if d.Lost != nil && *d.Lost >= 0 {
+		c.lose(now.Add(-*d.Lost))
+	}
 	if d.StoreFailing && c.best.host == d.Report.From.Name {
-		c.best, c.lost = storeContact{}, now
+		c.lose(now)
 	}
 	if !d.StoreFailing {
 		c.contact(storeContact{host: d.Report.From.Name, at: now.Add(-d.StoreAge)})
@@ -455,8 +464,19 @@
 	}
 }
 
+// lose gives up what was known of answers of the store up to a time. Later ones count, so that a host which reads in place
+// of another is not overlooked.
+func (c *core) lose(at time.Time) {
+	if at.After(c.lost) {
+		c.lost = at
+	}
+	if !c.best.at.After(c.lost) {
+		c.best = storeContact{}
+	}
+}
+
 func (c *core) contact(s storeContact) {
-	if s.at.After(c.best.at) {
+	if s.at.After(c.best.at) && s.at.After(c.lost) {
 		c.best = s
 	}
 }
--- a/service/usherhost/relay.go
+++ b/service/usherhost/relay.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/joomcode/errorx"
@@ -98,6 +99,40 @@
 	return max(bound, firstEventFactor*g.source.Wait)
 }
 
+// watchLeaving makes a request that may be repeated leave a target which begins to leave before the answer has begun, as
+// others before it are not finished there either. One that is expected to begin soon has a little time. The function
+// returned ends the watch.
+func (g *generation) watchLeaving(ctx context.Context, x *exchange, choice usherpool.Choice) (stop func()) {
+	if g.headerBound() == 0 {
+		return func() {}
+	}
+	begun := time.Now()
+	ctx, cancel := context.WithCancel(ctx)
+	var watching sync.WaitGroup
+	watching.Go(func() {
+		for changes := g.host.core.watchChanges(); g.host.core.accepts(choice.Target.ID); changes = g.host.core.watchChanges() {
+			select {
+			case <-ctx.Done():
+				return
+			case <-changes:
+			}
+		}
+		soon := time.Duration(firstEventShare * float64(g.job.route.Objective))
+		if choice.Wait-time.Since(begun) < soon {
+			sleep(ctx, soon)
+		}
+		if ctx.Err() == nil {
+			g.host.log.Info("target leaves before the stream has begun", "attempt", g.job.Attempt, "target", choice.Target.ID,
+				"expected_ms", choice.Wait.Milliseconds(), "waited_ms", time.Since(begun).Milliseconds())
+			x.interrupt()
+		}
+	})
+	return func() {
+		cancel()
+		watching.Wait()
+	}
+}
+
 // failure tells what an error of reading an answer says of the target.
 func failure(err error) usherpool.Result {
 	if errorx.IsOfType(err, errSilence) {
--- a/service/usherhost/stream.go
+++ b/service/usherhost/stream.go
@@ -248,7 +248,10 @@
 	g.run = ushercopies.NewRun(id, grown)
 	g.job.sends++
 	x.send(&g.job.Call, g.host.codec.EncodeDispatch(&g.job.Call, dispatch))
-	if err := x.receive(g.host.codec, g.job.Attempt, g.headerBound(), g.payRepeat); err != nil {
+	stop := g.watchLeaving(ctx, x, choice)
+	err = x.receive(g.host.codec, g.job.Attempt, g.headerBound(), g.payRepeat)
+	stop()
+	if err != nil {
 		return attemptResult{choice: choice, result: failure(err), ran: true, err: err}
 	}
 	if x.answer.Cold > 0 {
