The first list of a fleet that starts for the first time may be old

Where the whole fleet starts for the first time nothing was in use before, so a list that may be seconds old, at a tenth of the price, does no harm: what has changed since comes with the calls that wait for changes. Restarted hosts list as before. The settings say which start it is (process.first_start).

--- a/service/usherhost/feed.go
+++ b/service/usherhost/feed.go
@@ -45,8 +45,8 @@
 type (
 	// Store reads what the platform publishes.
 	Store interface {
-		// List returns every entry, and the revision to watch from.
-		List(ctx context.Context) (entries []ushercatalog.Entry, revision uint64, skipped []error, err error)
+		// List returns every entry, and the revision to watch from. A relaxed list is cheap and may be out of date.
+		List(ctx context.Context, relaxed bool) (entries []ushercatalog.Entry, revision uint64, skipped []error, err error)
 		// Watch waits for changes after a revision.
 		Watch(ctx context.Context, after uint64, wait time.Duration) (entries []ushercatalog.Entry, revision uint64, skipped []error, err error)
 		// HistoryGone tells whether an error of Watch means that changes were lost and List is due.
@@ -62,6 +62,9 @@
 		log   *slog.Logger
 
 		listed bool
+		// relaxed says that the next list may be out of date: the first one where the whole fleet starts for the first time,
+		// as nothing was in use before. What has changed since comes with the calls that wait for changes.
+		relaxed bool
 		// away says that the last call failed, at failedAt, and relist when entries that lapsed with the store have to be
 		// back.
 		away     bool
@@ -75,9 +78,9 @@
 	}
 )
 
-func newFeed(c *core, store Store, p *peers, log *slog.Logger, registry metrics.Registry) *feed {
+func newFeed(c *core, store Store, firstStart bool, p *peers, log *slog.Logger, registry metrics.Registry) *feed {
 	return &feed{
-		core: c, store: store, peers: p, log: log, up: true,
+		core: c, store: store, relaxed: firstStart, peers: p, log: log, up: true,
 		calls: metrics.NewRegisteredCounter("store.calls", registry), failed: metrics.NewRegisteredCounter("store.failed_calls", registry),
 	}
 }
@@ -170,7 +173,8 @@
 		listing  = !f.listed
 	)
 	if listing {
-		entries, revision, skipped, err = f.store.List(ctx)
+		entries, revision, skipped, err = f.store.List(ctx, f.relaxed)
+		f.relaxed = false
 	} else {
 		entries, revision, skipped, err = f.store.Watch(ctx, before, f.watchTime())
 	}
--- a/service/usherhost/host.go
+++ b/service/usherhost/host.go
@@ -107,7 +107,7 @@
 		return nil, err
 	}
 	h.inquiry = newInquiry(h.core, h.peers, p.Engines, log, registry)
-	h.feed = newFeed(h.core, p.Store, h.peers, log, registry)
+	h.feed = newFeed(h.core, p.Store, s.Process.FirstStart, h.peers, log, registry)
 	h.life = fsm.NewFSM(stateStarting, fsm.Events{
 		{Name: eventKnown, Src: []string{stateStarting}, Dst: stateServing},
 		{Name: eventStop, Src: []string{stateStarting, stateServing}, Dst: stateStopping},
--- a/service/usherhost/setting.go
+++ b/service/usherhost/setting.go
@@ -25,6 +25,7 @@
 	Process struct {
 		Name       string `ini:"name" required:"true" usage:"name of this host"`
 		DataCentre string `ini:"data_centre" required:"true" usage:"data centre that this host is in"`
+		FirstStart bool   `ini:"first_start" default:"false" usage:"whether the whole fleet starts for the first time"`
 	} `ini:"process"`
 	Listen struct {
 		Callers netip.AddrPort `ini:"callers" required:"true" usage:"IP number and TCP port for callers' requests"`
