--- a/service/usherhost/exchange.go
+++ b/service/usherhost/exchange.go
@@ -204,14 +204,19 @@
 		// One more byte shows the end.
 		step = int(length) + 1
 	}
-	for len(body) < x.limits.HeldBytes && held.take(int64(step)) {
-		step = min(step, x.limits.HeldBytes-len(body))
-		body = slices.Grow(body, step)
-		n, err := io.ReadFull(x.response.Body, body[len(body):len(body)+step])
+	for len(body) < x.limits.HeldBytes {
+		if len(body) == cap(body) {
+			if !held.take(int64(step)) {
+				break
+			}
+			body = slices.Grow(body, min(step, x.limits.HeldBytes-len(body)))
+		}
+		n, err := x.response.Body.Read(body[len(body):min(cap(body), x.limits.HeldBytes)])
 		body = body[:len(body)+n]
-		if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) && x.ended() {
+		if errors.Is(err, io.EOF) {
 			return body, true, nil
 		}
+		// After a body that was cut short the next Read tells a regular end, so the first error counts.
 		if err != nil {
 			return nil, false, errBroken.Wrap(err, "response body")
 		}
@@ -219,13 +224,6 @@
 	return body, false, nil
 }
 
-// ended tells whether the body is read to its regular end. io.ReadFull tells the end of a body and its being cut short
-// by the same error.
-func (x *exchange) ended() bool {
-	_, err := x.response.Body.Read(make([]byte, 1))
-	return errors.Is(err, io.EOF)
-}
-
 // failureBody reads the body of an answer that is not passed on before it is whole.
 func (x *exchange) failureBody(held *holding) ([]byte, error) {
 	body, whole, err := x.body(held)
