--- a/cmd/usher-host/daemon/bed_test.go
+++ b/cmd/usher-host/daemon/bed_test.go
@@ -30,14 +30,15 @@
 )
 
 const (
-	storeIP    = "10.200.1.7"
-	callerIP   = "10.99.0.1"
-	callerPort = 8740
-	readyPort  = 8749
-	adminPort  = 8748
-	locatePort = 8746
-	peerPort   = 7200
-	targetPort = 8080
+	storeIP     = "10.200.1.7"
+	callerIP    = "10.99.0.1"
+	callerPort  = 8740
+	readyPort   = 8749
+	adminPort   = 8748
+	locatePort  = 8746
+	peerPort    = 7200
+	metricsPort = 9464
+	targetPort  = 8080
 
 	engineService = "appraiser"
 	plainService  = "registry"
@@ -258,6 +259,7 @@
 	var s usherhost.Settings
 	s.Process.Name, s.Process.DataCentre = fmt.Sprint("host-", i), places[i%len(places)]
 	s.Listen.Callers, s.Listen.Ready, s.Listen.Admin, s.Listen.Locate, s.Listen.Peers = at(callerPort), at(readyPort), at(adminPort), at(locatePort), at(peerPort)
+	s.Listen.Metrics = at(metricsPort)
 	for seed := range 3 {
 		s.Cluster.Seeds = append(s.Cluster.Seeds, netip.AddrPortFrom(netip.MustParseAddr(hostIP(seed)), adminPort))
 	}
--- a/cmd/usher-host/daemon/limits_test.go
+++ b/cmd/usher-host/daemon/limits_test.go
@@ -4,11 +4,15 @@
 	"errors"
 	"fmt"
 	"io"
+	"net/http"
 	"net/netip"
+	"strings"
 	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
+
+	"github.com/samphireusher/samphireusher/service/usherhost"
 )
 
 const goodSettings = `[process]
@@ -92,3 +96,24 @@
 		}
 	})
 }
+
+// Metrics have an address of their own, and a host serves where that address is taken.
+func TestMetricsHaveAnAddressOfTheirOwn(t *testing.T) {
+	inBed(t, options{hosts: 2, plain: 1}, func(t *testing.T, b *bed) {
+		for _, h := range b.hosts {
+			if got := b.plain(h, metricsPort, usherhost.MetricsPath); got.status != http.StatusOK || !strings.Contains(got.body, "store.calls ") {
+				t.Errorf("metrics of %s: %d %q", h.name, got.status, got.body)
+			}
+			if got := b.plain(h, metricsPort, usherhost.DumpPath); got.status != http.StatusNotFound {
+				t.Errorf("the dump is at the address of metrics: %d", got.status)
+			}
+		}
+		taken := netip.AddrPortFrom(netip.MustParseAddr(hostIP(2)), metricsPort)
+		b.serve(taken, "another", http.NotFoundHandler())
+		h := b.startHost(2)
+		time.Sleep(2 * time.Second)
+		if got := b.get(h, "/status/"); got.status != http.StatusOK {
+			t.Errorf("a host without an address for metrics: %+v", got)
+		}
+	})
+}
--- a/service/usherhost/host.go
+++ b/service/usherhost/host.go
@@ -240,10 +240,11 @@
 
 // listen opens every address of the host.
 func (h *Host) listen() error {
-	locate, ready, peer := http.NewServeMux(), http.NewServeMux(), http.NewServeMux()
+	locate, ready, peer, metrics := http.NewServeMux(), http.NewServeMux(), http.NewServeMux(), http.NewServeMux()
 	locate.HandleFunc("GET "+h.platform.LocatePath, h.locate)
 	ready.HandleFunc("GET "+h.platform.ReadyPath, h.ready)
 	peer.HandleFunc("GET "+catalogPath, h.peers.serveCatalog)
+	metrics.HandleFunc("GET "+MetricsPath, h.metrics.serve)
 	l := h.settings.Listen
 	for _, s := range []struct {
 		address netip.AddrPort
@@ -256,6 +257,13 @@
 			return err
 		}
 	}
+	if !l.Metrics.IsValid() {
+		return nil
+	}
+	if err := h.serve(l.Metrics, alice.New(noStore).Then(metrics)); err != nil {
+		// Requests are served without it, and the same text is at the admin address.
+		h.log.Warn("no address for metrics", "address", l.Metrics.String(), "error", err.Error())
+	}
 	return nil
 }
 
--- a/service/usherhost/setting.go
+++ b/service/usherhost/setting.go
@@ -32,6 +32,7 @@
 		Ready   netip.AddrPort `ini:"ready" required:"true" usage:"IP number and TCP port where the platform asks whether this host takes requests"`
 		Locate  netip.AddrPort `ini:"locate" required:"true" usage:"IP number and TCP port where callers ask which hosts to use"`
 		Admin   netip.AddrPort `ini:"admin" required:"true" usage:"IP number and TCP port of dump and metrics"`
+		Metrics netip.AddrPort `ini:"metrics" usage:"IP number and TCP port of metrics alone, for who may not read the dump"`
 		Peers   netip.AddrPort `ini:"peers" required:"true" usage:"IP number and port, UDP and TCP, for other hosts; the port is the same on all hosts"`
 	} `ini:"listen"`
 	Cluster struct {
