One host places standing copies, too

Each host placed standing copies by itself, with what others run known half a second late, so all found the same engines empty. The placer chooses them now, as it does for prompts and copies on notice, and reserves them without keeping prompts away.

--- a/pkg/usherpool/place.go
+++ b/pkg/usherpool/place.go
@@ -89,6 +89,8 @@
 	tokens := r.PromptTokens + r.OutputTokens
 	load := Load{Streams: 1, Tokens: tokens}
 	switch {
+	case r.Spare:
+		load = Load{Copies: 1, CopyTokens: tokens}
 	case r.Copy:
 		load = Load{Copies: 1, CopyTokens: tokens, Incoming: tokens, Awaited: 1}
 	case c.Late:
--- a/pkg/usherpool/place_test.go
+++ b/pkg/usherpool/place_test.go
@@ -144,3 +144,37 @@
 		t.Errorf("everything is excluded: %v", err)
 	}
 }
+
+// The pattern: many streams begin within the age of reports, each with a standing copy. Hosts that placed those by themselves
+// all found the same engines empty; an engine without room keeps no copy, and the stream has none when its engine goes.
+func TestStandingCopiesOfABurstFitWhereTheyArePlaced(t *testing.T) {
+	const engineCount, streams = 12, 60
+	placer := newPool(1, targets(engineCount), 79)
+	held := map[string]int{}
+	for i := range streams {
+		now := start.Add(time.Duration(i) * reportedLate / streams)
+		r := appraisal()
+		r.Copy, r.Spare, r.Source, r.DataCentre = true, true, fmt.Sprint("dc", i%3), fmt.Sprint("dc", i%3)
+		c, err := placer.Place(now, r, false)
+		if errorx.IsOfType(err, usherpool.ErrFull) {
+			continue
+		}
+		if err != nil {
+			t.Fatal(err)
+		}
+		held[c.Target.ID] += r.PromptTokens + r.OutputTokens
+	}
+	for id, tokens := range held {
+		// The share of memory up to which copies are kept that may also not be made.
+		if room := 34312 * 6 / 10; tokens > room {
+			t.Errorf("%s was given copies of %d tokens, of %d", id, tokens, room)
+		}
+	}
+	if len(held) != engineCount {
+		t.Errorf("%d of %d engines hold copies", len(held), engineCount)
+	}
+	// What stands somewhere does not keep prompts away, as what is about to go on there does.
+	if c, err := placer.Place(start.Add(reportedLate), appraisal(), false); err != nil || c.Load.Awaited != 0 || c.Load.Incoming != 0 {
+		t.Errorf("%+v, %v", c.Load, err)
+	}
+}
--- a/service/usherhost/handover.go
+++ b/service/usherhost/handover.go
@@ -20,13 +20,13 @@
 }
 
 // placeCopy chooses the target to which the memory is copied as it grows.
-func (g *generation) placeCopy(d *ushercall.Dispatch, source string) ushercopies.Point {
+func (g *generation) placeCopy(ctx context.Context, d *ushercall.Dispatch, source string) ushercopies.Point {
 	if e := g.engine(); e == nil || !e.Backups {
 		return ushercopies.Point{}
 	}
 	r := g.request([]string{source})
 	r.Copy, r.Spare, r.Source = true, true, g.source.Target.DataCentre
-	holder, err := g.host.core.choose(r)
+	holder, err := g.host.peers.placement.place(ctx, r)
 	if err != nil {
 		g.host.log.Debug("no memory to spare for a copy", "attempt", g.job.Attempt, "source", source, "error", errorText(err))
 		return ushercopies.Point{}
--- a/service/usherhost/placement.go
+++ b/service/usherhost/placement.go
@@ -54,6 +54,8 @@
 		Exclude      []string `cbor:"6,keyasint,omitempty"`
 		// Within is the time in which the first result should come.
 		Within time.Duration `cbor:"7,keyasint,omitempty"`
+		// Spare asks for memory that nobody needs.
+		Spare bool `cbor:"8,keyasint,omitempty"`
 	}
 
 	placedWire struct {
@@ -81,9 +83,9 @@
 func (p *placement) place(ctx context.Context, r usherpool.Request) (usherpool.Choice, error) {
 	placer, own := p.placer()
 	if own {
-		if choice, err := p.core.place(r, true); err == nil {
+		if choice, err := p.core.place(r, true); err == nil || r.Spare {
 			choice.Placer = placer.Name
-			return choice, nil
+			return choice, err
 		}
 		// What is withheld may be all there is.
 		return p.core.choose(r)
@@ -100,6 +102,9 @@
 			return choice, nil
 		}
 	}
+	if ok && r.Spare {
+		return usherpool.Choice{}, usherpool.ErrFull.New("%s knows of no memory to spare", placer.Name)
+	}
 	return p.core.choose(r)
 }
 
@@ -125,7 +130,7 @@
 	defer p.end(id)
 	d := p.core.identity()
 	d.Ask = &askWire{ID: id, Request: placeRequest{
-		Service: r.Service, PromptTokens: r.PromptTokens, OutputTokens: r.OutputTokens, Copy: r.Copy, Source: r.Source, Within: r.Within,
+		Service: r.Service, PromptTokens: r.PromptTokens, OutputTokens: r.OutputTokens, Copy: r.Copy, Source: r.Source, Within: r.Within, Spare: r.Spare,
 		Exclude: slices.Compact(slices.Sorted(slices.Values(slices.Concat(r.Exclude, p.core.withheld(r))))),
 	}}
 	begun := time.Now()
@@ -169,7 +174,7 @@
 func (p *placement) answer(from ushercluster.Member, a askWire) {
 	r := usherpool.Request{
 		Service: a.Request.Service, PromptTokens: a.Request.PromptTokens, OutputTokens: a.Request.OutputTokens, Copy: a.Request.Copy,
-		Source: a.Request.Source, Exclude: a.Request.Exclude, Within: a.Request.Within, DataCentre: from.DataCentre,
+		Source: a.Request.Source, Exclude: a.Request.Exclude, Within: a.Request.Within, Spare: a.Request.Spare, DataCentre: from.DataCentre,
 	}
 	d := p.core.identity()
 	d.Placed = &placedWire{ID: a.ID}
--- a/service/usherhost/stream.go
+++ b/service/usherhost/stream.go
@@ -244,7 +244,7 @@
 	} else {
 		dispatch.LastEvent = g.lastEvent
 	}
-	grown := g.placeCopy(&dispatch, id)
+	grown := g.placeCopy(ctx, &dispatch, id)
 	g.run = ushercopies.NewRun(id, grown)
 	g.job.sends++
 	x.send(&g.job.Call, g.host.codec.EncodeDispatch(&g.job.Call, dispatch))
