--- a/pkg/ushercluster/presence.go
+++ b/pkg/ushercluster/presence.go
@@ -31,6 +31,12 @@
 	wantedLife = 500 * time.Millisecond
 )
 
+// Greeting is what a host tells one that it has just heard for the first time.
+type Greeting struct {
+	To     netip.AddrPort
+	Report Report
+}
+
 // mark stands for one start of a host where both sides know it.
 func mark(m Member) uint32 {
 	h := fnv.New32a()
@@ -138,12 +144,6 @@
 	return r
 }
 
-// Greeting is what a host tells one that it has just heard for the first time.
-type Greeting struct {
-	To     netip.AddrPort
-	Report Report
-}
-
 // Greetings returns what this host tells the hosts of other data centres that it has just heard: the hosts of their own
 // one. A data centre may have no seed, and its hosts have to find each other.
 func (c *Cluster) Greetings(now time.Time) []Greeting {
--- a/service/usherhost/exchange.go
+++ b/service/usherhost/exchange.go
@@ -40,26 +40,28 @@
 	errStatus = errHost.NewType("status")
 )
 
-// exchange is one sending of a call to one target, on a connection of its own. Responses that come late, twice or to
-// another request so have nowhere to go but to the attempt they belong to, and a connection that was dropped while it
-// was idle cannot take a request with it.
-type exchange struct {
-	conn     net.Conn
-	reader   *bufio.Reader
-	request  *http.Request
-	response *http.Response
-	answer   ushercall.Answer
-	gate     *gate
-	limits   answerLimits
-	written  chan error
-	stop     func() bool
-}
-
-// countedConn counts the bytes that pass in both directions.
-type countedConn struct {
-	net.Conn
-	bytes metrics.Counter
-}
+type (
+	// exchange is one sending of a call to one target, on a connection of its own. Responses that come late, twice or to
+	// another request so have nowhere to go but to the attempt they belong to, and a connection that was dropped while it
+	// was idle cannot take a request with it.
+	exchange struct {
+		conn     net.Conn
+		reader   *bufio.Reader
+		request  *http.Request
+		response *http.Response
+		answer   ushercall.Answer
+		gate     *gate
+		limits   answerLimits
+		written  chan error
+		stop     func() bool
+	}
+
+	// countedConn counts the bytes that pass in both directions.
+	countedConn struct {
+		net.Conn
+		bytes metrics.Counter
+	}
+)
 
 func (c countedConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
