--- a/pkg/ushercluster/cluster_test.go
+++ b/pkg/ushercluster/cluster_test.go
@@ -88,8 +88,11 @@
 // messages returns those of gossip and those with what collectors sum up.
 func (f *fleet) messages(c *ushercluster.Cluster) []message {
 	near, far := c.Recipients(f.now)
-	all, site := c.Report(f.now), c.SiteReport(f.now)
-	out := []message{{near, all}, {far, site}}
+	all := c.Report(f.now)
+	out := []message{{near, all}}
+	if len(far) > 0 {
+		out = append(out, message{far, c.SiteReport(f.now)})
+	}
 	for _, g := range c.Greetings(f.now) {
 		out = append(out, message{[]netip.AddrPort{g.To}, g.Report})
 	}
@@ -97,7 +100,7 @@
 	if collector.Name != c.Self().Name {
 		return append(out, message{[]netip.AddrPort{collector.Address}, all})
 	}
-	return append(out, message{addresses(c.Near(f.now)), all}, message{addresses(c.Relays(f.now)), site})
+	return append(out, message{addresses(c.Near(f.now)), all}, message{addresses(c.Relays(f.now)), c.SiteReport(f.now)})
 }
 
 func addresses(members []ushercluster.Member) []netip.AddrPort {
