Each page of a list has the time of a call

A whole list of the store had 1.3 s, however many pages it has: a host that starts beside a slow store with more than a page or two of entries never learned them and was not ready.

TestLongListsOfASlowStoreComeToAnEnd failed before: not ready 15 s after the start.

--- a/cmd/usher-host/daemon/fleet_test.go
+++ b/cmd/usher-host/daemon/fleet_test.go
@@ -341,3 +341,22 @@
 		}
 	})
 }
+
+// The pattern: the store is slow, and lists have more pages than a call's time allows. A host that starts then never learns the
+// targets. By the users' pages a slow store still answers, and hosts serve again within 15 s of a restart.
+func TestLongListsOfASlowStoreComeToAnEnd(t *testing.T) {
+	inBed(t, options{hosts: 1, plain: 1}, func(t *testing.T, b *bed) {
+		_, entry := b.targets["plain-0"].Entry("ready")
+		for i := range 150 {
+			b.store.PutJSON(fmt.Sprintf("servers/a-%03d", i), entry)
+		}
+		b.hosts[0].cancel()
+		b.store.SetMode("", usherstandin.Late)
+		time.Sleep(time.Second)
+		h := b.startHost(1)
+		time.Sleep(15 * time.Second)
+		if got := b.plain(h, readyPort, "/readyz"); got.status != http.StatusOK {
+			t.Errorf("not ready 15 s after the start: %d", got.status)
+		}
+	})
+}
--- a/service/usherhost/feed.go
+++ b/service/usherhost/feed.go
@@ -45,8 +45,9 @@
 type (
 	// Store reads what the platform publishes.
 	Store interface {
-		// List returns every entry, and the revision to watch from. A relaxed list is cheap and may be out of date.
-		List(ctx context.Context, relaxed bool) (entries []ushercatalog.Entry, revision uint64, skipped []error, err error)
+		// List returns a page of all entries, what to list after for the next one (empty at the end), and the store's
+		// revision. A relaxed list is cheap and may be out of date.
+		List(ctx context.Context, after string, relaxed bool) (entries []ushercatalog.Entry, next string, revision uint64, skipped []error, err error)
 		// Watch waits for changes after a revision.
 		Watch(ctx context.Context, after uint64, wait time.Duration) (entries []ushercatalog.Entry, revision uint64, skipped []error, err error)
 		// HistoryGone tells whether an error of Watch means that changes were lost and List is due.
@@ -161,9 +162,6 @@
 }
 
 func (f *feed) call(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, watchWait+storeSlack)
-	defer cancel()
-	f.calls.Inc(1)
 	before := f.core.revision()
 	var (
 		entries  []ushercatalog.Entry
@@ -173,10 +171,10 @@
 		listing  = !f.listed
 	)
 	if listing {
-		entries, revision, skipped, err = f.store.List(ctx, f.relaxed)
+		entries, revision, skipped, err = f.list(ctx)
 		f.relaxed = false
 	} else {
-		entries, revision, skipped, err = f.store.Watch(ctx, before, f.watchTime())
+		entries, revision, skipped, err = f.watch(ctx, before)
 	}
 	for _, fault := range skipped {
 		f.log.Warn("published entry not readable; it names nothing to use", "error", fault.Error())
@@ -206,6 +204,39 @@
 	return nil
 }
 
+// watch waits for changes after a revision.
+func (f *feed) watch(ctx context.Context, after uint64) ([]ushercatalog.Entry, uint64, []error, error) {
+	ctx, cancel := context.WithTimeout(ctx, watchWait+storeSlack)
+	defer cancel()
+	f.calls.Inc(1)
+	return f.store.Watch(ctx, after, f.watchTime())
+}
+
+// list reads all pages. Each has the time of a call, so that a slow store with many entries is read to the end, and a
+// silent one is noticed. The revision is that of the first page: later ones may be newer, and watching from the first one
+// misses nothing.
+func (f *feed) list(ctx context.Context) (entries []ushercatalog.Entry, revision uint64, skipped []error, err error) {
+	after := ""
+	for first := true; first || after != ""; first = false {
+		page, next, pageRevision, faults, err := f.page(ctx, after)
+		if err != nil {
+			return nil, 0, skipped, err
+		}
+		if first {
+			revision = pageRevision
+		}
+		entries, skipped, after = append(entries, page...), append(skipped, faults...), next
+	}
+	return entries, revision, skipped, nil
+}
+
+func (f *feed) page(ctx context.Context, after string) (entries []ushercatalog.Entry, next string, revision uint64, skipped []error, err error) {
+	ctx, cancel := context.WithTimeout(ctx, watchWait+storeSlack)
+	defer cancel()
+	f.calls.Inc(1)
+	return f.store.List(ctx, after, f.relaxed)
+}
+
 // watchTime returns how long the store may hold a call: no longer than until the next list is due.
 func (f *feed) watchTime() time.Duration {
 	if f.relist.IsZero() {
