--- /dev/null
+++ b/review/drill/case_refused.go
@@ -0,0 +1,139 @@
+package main
+
+import (
+	"fmt"
+	"maps"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	// lostShare is the largest share of the requests of a server whose answer is lost, from the site file.
+	lostShare = 0.05
+	// reuseAfter is the time after which the address of a server that has ended may be used again, from the bounds.
+	reuseAfter = 2 * time.Second
+	draftTime  = 39 * time.Second
+	tagTime    = 6 * time.Second
+)
+
+// lossy lets up to half of the engines lose the answer of at most lostShare of the requests that they run. It chooses those
+// that another server has turned away before.
+type lossy struct {
+	mu   sync.Mutex
+	on   bool
+	ran  map[string]int
+	lost map[string]int
+}
+
+func (l *lossy) loses(t *target, attempt string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.ran[t.id]++
+	const half = 6
+	if !l.on || len(l.lost) >= half && l.lost[t.id] == 0 || float64(l.lost[t.id]+1) > lostShare*float64(l.ran[t.id]) {
+		return false
+	}
+	t.fleet.mu.Lock()
+	turnedAway := t.fleet.misdirected[attempt] || t.fleet.full[attempt]
+	t.fleet.mu.Unlock()
+	if turnedAway {
+		l.lost[t.id]++
+	}
+	return turnedAway
+}
+
+func (l *lossy) set(on bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.on = on
+	clear(l.lost)
+}
+
+// playRefused loses some answers of engines (phase A) while another engine is full, and (phase B) while the address of one that
+// is gone belongs to a server of another service.
+func playRefused(f *fleet, root string, trouble bool) (bool, error) {
+	losses := &lossy{ran: map[string]int{}, lost: map[string]int{}}
+	var isFull atomic.Bool
+	f.declare(func(routes []any) []any {
+		// A draft that may be sent to two servers, still without a resumption.
+		second := maps.Clone(routes[0].(map[string]any))
+		second["name"], second["prefix"], second["maxAttempts"] = "second-draft", "/second-draft/", 2
+		return append(routes, second)
+	})
+	err := f.addTargets(func(t *target, r *http.Request) behaviour {
+		switch {
+		case t.service == plainService:
+			return behaviour{work: 15 * time.Millisecond}
+		case t.id == "i-11" && isFull.Load():
+			return behaviour{full: true}
+		}
+		return behaviour{work: 60 * time.Millisecond, events: 8, interval: 30 * time.Millisecond, loses: losses.loses(t, r.Header.Get("Attempt-Id"))}
+	})
+	if err != nil {
+		return false, err
+	}
+	if err := f.addHosts(root); err != nil {
+		return false, err
+	}
+	var mu sync.Mutex
+	var answers []answer
+	burst := func(path string, perHost int, gap time.Duration) {
+		var clients sync.WaitGroup
+		for range perHost {
+			for _, h := range f.hosts {
+				clients.Go(func() {
+					a := f.send(h, http.MethodPost, path, "a draft", "aa01:40,bb02:30,cc03:900", draftTime)
+					mu.Lock()
+					defer mu.Unlock()
+					answers = append(answers, a)
+				})
+			}
+			time.Sleep(gap)
+		}
+		clients.Wait()
+	}
+	f.record.add("-- ordinary traffic")
+	burst("/lesson-draft/x", 45, 120*time.Millisecond)
+
+	f.record.add("-- phase A: engine i-11 is full; answers lost: %t", trouble)
+	losses.set(trouble)
+	isFull.Store(true)
+	burst("/second-draft/x", 10, 150*time.Millisecond)
+	isFull.Store(false)
+	losses.set(false)
+	first := f.countRefused("phase A", answers)
+	answers = nil
+
+	reused := f.targets[11]
+	f.record.add("-- phase B: server %s ends for good; its entry stays until three heartbeats are missed", reused.id)
+	reused.stop()
+	time.Sleep(reuseAfter)
+	f.record.add("-- the address of %s is used again, by a server of %s; answers lost: %t", reused.id, plainService, trouble)
+	if err := f.addTarget("i-16", plainService, 2, reused.address, f.targets[0].handle); err != nil {
+		return false, err
+	}
+	losses.set(trouble)
+	burst("/lesson-draft/x", 10, 150*time.Millisecond)
+	f.store.Delete("servers/" + reused.id)
+	second := f.countRefused("phase B", answers)
+	return first || second, nil
+}
+
+// countRefused reports whether a request that may run only once was answered with a promise that it has not run, although it
+// has.
+func (f *fleet) countRefused(phase string, answers []answer) bool {
+	broken, statuses := 0, map[string]int{}
+	for _, a := range answers {
+		statuses[fmt.Sprint(a.status)]++
+		promise := a.status == http.StatusTooManyRequests || a.status == http.StatusServiceUnavailable || a.status == http.StatusRequestTimeout || a.status == http.StatusMisdirectedRequest
+		if runs := f.runsOf(a.attempt); promise && len(runs) > 0 {
+			broken++
+			f.record.add("BROKEN: attempt %s was answered %d, which promises that it has not run, and ran at %s", a.attempt, a.status, strings.Join(runs, ", "))
+		}
+	}
+	f.record.add("-- %s: %d requests, answers by status %v, %d answered with a promise although they ran", phase, len(answers), statuses, broken)
+	return broken > 0
+}
