--- a/review/drill/fleet.go
+++ b/review/drill/fleet.go
@@ -128,7 +128,7 @@
 			}},
 			map[string]any{"name": plainService, "healthPath": "/healthz", "maxConns": 110},
 		},
-		"limits":  map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 4194304, "headerTimeoutMs": 5000, "idleTimeoutMs": 20000},
+		"limits":  map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 4194304, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
 		"tenants": []any{map[string]any{"name": tenant, "apiKeys": []string{apiKey}}},
 	})
 }
--- a/review/drill/main.go
+++ b/review/drill/main.go
@@ -28,6 +28,7 @@
 	"refused": playRefused,
 	"stop":    playStop,
 	"expiry":  playExpiry,
+	"early":   playEarly,
 }
 
 func main() { os.Exit(run()) }
