review: case 3, a draft goes on at the holder of its copy while the first engine still works on it (TWICE)

Seen: 4 of 24 drafts went on elsewhere while the engine that had preempted them worked on them for 4 s more. Cause: a stalled run is only abandoned by closing its connection; kv-move with last is never used.

--- a/review/drill/main.go
+++ b/review/drill/main.go
@@ -29,6 +29,8 @@
 	"stop":    playStop,
 	"expiry":  playExpiry,
 	"early":   playEarly,
+	"silent":  playSilent,
+	"twice":   playTwice,
 }
 
 func main() { os.Exit(run()) }
--- a/review/drill/target.go
+++ b/review/drill/target.go
@@ -27,11 +27,15 @@
 		loses bool
 		// crashes begins to run the request and then ends the target's process.
 		crashes bool
+		// dark begins to run the request and then makes the target silent.
+		dark bool
 		// work is the time until the answer of a plain call, or until the first event.
 		work time.Duration
 		// events is the number of events of a stream, interval the time between two of them.
 		events   int
 		interval time.Duration
+		// serve, if set, handles the request in place of all of the above.
+		serve func(w http.ResponseWriter, r *http.Request, attempt string)
 	}
 
 	// target is a stand-in of one server of the users.
@@ -43,6 +47,7 @@
 
 		mu       sync.Mutex
 		server   *http.Server
+		listener net.Listener
 		born     int64
 		seq      int
 		silent   bool
@@ -60,6 +65,7 @@
 	}
 	t.server = &http.Server{Handler: t, ErrorLog: slog.NewLogLogger(slog.DiscardHandler, slog.LevelError)}
 	t.born, t.released, t.silent = time.Now().UnixMilli(), make(chan struct{}), false
+	t.listener = listener
 	server, released := t.server, t.released
 	go func() { _ = server.Serve(listener) }()
 	go t.beat(released)
@@ -132,6 +138,10 @@
 		panic(http.ErrAbortHandler)
 	}
 	b := t.handle(t, r)
+	if b.serve != nil {
+		b.serve(w, r, attempt)
+		return
+	}
 	if b.full || r.Header.Get("Kv-From") != "" {
 		// The stand-in keeps no copies of memory.
 		t.fleet.record.add("server %s  503 Not-Executed to attempt %s (full); not run", t.id, attempt)
@@ -151,6 +161,11 @@
 		t.fleet.crashed(t)
 		panic(http.ErrAbortHandler)
 	}
+	if b.dark {
+		t.fleet.record.add("server %s  goes dark under attempt %s", t.id, attempt)
+		go t.goDark()
+		t.hang(r)
+	}
 	if !t.wait(r, b.work) {
 		t.fleet.record.add("server %s  attempt %s: the host closed the connection after %d events", t.id, attempt, 0)
 		return
@@ -180,10 +195,25 @@
 	t.fleet.record.add("server %s  completed attempt %s", t.id, attempt)
 }
 
+// hang sends nothing more on the connection of a request, until the host closes it or the target starts again.
+func (t *target) hang(r *http.Request) {
+	<-r.Context().Done()
+	panic(http.ErrAbortHandler)
+}
+
+func (t *target) isSilent() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.silent
+}
+
 // wait waits for d and reports whether the caller is still connected.
 func (t *target) wait(r *http.Request, d time.Duration) bool {
 	select {
 	case <-time.After(d):
+		if t.isSilent() {
+			t.hang(r)
+		}
 		return true
 	case <-r.Context().Done():
 		return false
