--- a/review/drill/main.go
+++ b/review/drill/main.go
@@ -31,6 +31,7 @@
 	"early":   playEarly,
 	"silent":  playSilent,
 	"twice":   playTwice,
+	"leave":   playLeave,
 }
 
 func main() { os.Exit(run()) }
