--- a/review/drill/fleet.go
+++ b/review/drill/fleet.go
@@ -61,6 +61,7 @@
 		server    *http.Server
 		hosts     []*host
 		targets   []*target
+		listeners []net.Listener
 		attempts  atomic.Int64
 
 		mu          sync.Mutex
@@ -327,6 +328,9 @@
 	for _, t := range f.targets {
 		t.stop()
 	}
+	for _, l := range f.listeners {
+		_ = l.Close()
+	}
 	_ = f.server.Close()
 	if os.Getenv("KEEP") != "" {
 		fmt.Println("kept:", f.directory)
--- a/review/drill/target.go
+++ b/review/drill/target.go
@@ -42,8 +42,10 @@
 	target struct {
 		id, service, zone string
 		address           string
-		fleet             *fleet
-		handle            func(t *target, r *http.Request) behaviour
+		// published is the address in the target's entry, if another one than address.
+		published string
+		fleet     *fleet
+		handle    func(t *target, r *http.Request) behaviour
 
 		mu       sync.Mutex
 		server   *http.Server
@@ -103,8 +105,12 @@
 		return
 	}
 	t.seq++
+	published := t.published
+	if published == "" {
+		published = t.address
+	}
 	t.fleet.store.PutJSON("servers/"+t.id, map[string]any{
-		"service": t.service, "address": t.address, "zone": t.zone, "version": "v1", "slots": t.fleet.slots(t.service), "state": "ready",
+		"service": t.service, "address": published, "zone": t.zone, "version": "v1", "slots": t.fleet.slots(t.service), "state": "ready",
 		"coldLeftMs": 0, "seq": t.seq, "born": t.born,
 	})
 }
