review: a draft that its engine has preempted is given up for a copy that was never made (LOST)

Seen: eight drafts on sound engines that are short of memory pause for 5 s; after 3.6 s the host closes each run, gets 503 from the holder of the copy, and cuts the caller's stream. Cause: a copy counts as available as soon as it has been asked for, and the run is ended before the copy is tried.

--- a/review/drill/main.go
+++ b/review/drill/main.go
@@ -25,13 +25,14 @@
 type drill func(f *fleet, root string, trouble bool) (broken bool, err error)
 
 var drills = map[string]drill{
-	"refused": playRefused,
-	"stop":    playStop,
-	"expiry":  playExpiry,
-	"early":   playEarly,
-	"silent":  playSilent,
-	"twice":   playTwice,
-	"leave":   playLeave,
+	"refused":   playRefused,
+	"stop":      playStop,
+	"expiry":    playExpiry,
+	"early":     playEarly,
+	"silent":    playSilent,
+	"twice":     playTwice,
+	"leave":     playLeave,
+	"preempted": playPreempted,
 }
 
 func main() { os.Exit(run()) }
