usherhost: end a run before its stream goes on elsewhere

Cause: the host took the close of its connection for the end of the run. An engine behind a silent connection learns nothing of a close. Whatever ended the relay (a stall, a keep-alive without an answer, an event that is too large), the stream was resumed at once from its copy, or in a new run with Last-Event-Id.

The fix orders the engine on a new connection to end the run and copy its KV cache to where the stream goes on. The stream goes on when the engine has ended the run, does not have it, or cannot be reached; else the order is repeated and the stream stays, still read. Where the target closed the connection itself nothing changes.

--- /dev/null
+++ b/cmd/usher-host/daemon/silence_test.go
@@ -0,0 +1,98 @@
+package daemon_test
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/samphireusher/samphireusher/platform/usherstandin"
+)
+
+// overlapAllowed is how long two engines may work on the same request: the time for the order to stop to arrive.
+const overlapAllowed = 400 * time.Millisecond
+
+// silence makes the open connections of a host to all engines carry nothing any more. New ones work.
+func (b *testbed) silence(h *host, detection time.Duration) {
+	for _, target := range b.targets {
+		_, entry := target.Entry("ready")
+		address := netip.MustParseAddrPort(entry.(map[string]any)["address"].(string))
+		b.network.Silence(netip.MustParseAddr(h.ip), address.Addr(), detection)
+	}
+}
+
+// checkOverlap fails the test if an engine worked on an attempt although it had gone on at a later one.
+func (b *testbed) checkOverlap(attempt string) {
+	b.t.Helper()
+	var all []usherstandin.Run
+	for _, runs := range b.runsOf(attempt) {
+		all = append(all, runs...)
+	}
+	for _, earlier := range all {
+		for _, later := range all {
+			if later.StartedAt.After(earlier.StartedAt) && earlier.LastWork.Sub(later.StartedAt) > overlapAllowed {
+				b.t.Errorf("an engine worked on the request for %s after it had gone on at another one", earlier.LastWork.Sub(later.StartedAt))
+			}
+		}
+	}
+}
+
+// Connections to engines go silent without a reset while new ones work. The host closed the silent connection and resumed
+// the stream from its copy, and the first engine, which had not learned of the close, worked on the same request. Found by
+// review/1.
+func TestStreamOnASilentConnectionIsStoppedBeforeItGoesOn(t *testing.T) {
+	for _, c := range []struct {
+		name, path string
+		events     int
+		detection  time.Duration
+		// prepare changes the engines before the connections go silent.
+		prepare func(b *testbed)
+		// noMoves declares engines that take no order to end a run.
+		noMoves bool
+	}{
+		{name: "stream that runs once", path: "/appraisal/250", events: 250},
+		{name: "stream that runs once, on a connection that times out", path: "/appraisal/250", events: 250, detection: 3 * time.Second},
+		{name: "stream that may be resumed", path: "/eligibility/120", events: 120},
+		{name: "stream that may be resumed, on a connection that times out", path: "/eligibility/120", events: 120, detection: 500 * time.Millisecond},
+		{name: "no engine has room for another copy", path: "/appraisal/250", events: 250, prepare: func(b *testbed) {
+			for _, target := range b.targets {
+				_, entry := target.Entry("ready")
+				b.copies.SetFull(entry.(map[string]any)["address"].(string), true)
+			}
+		}},
+		{name: "engines turn the order to stop away", path: "/appraisal/250", events: 250, prepare: refuseMoves},
+		{name: "engines turn the order to stop away, on a connection that times out", path: "/appraisal/250", events: 250, detection: 3 * time.Second, prepare: refuseMoves},
+		{name: "engines turn the order to stop a stream that may be resumed away", path: "/eligibility/90", events: 90, prepare: refuseMoves},
+		{name: "engines take no such order", path: "/appraisal/250", noMoves: true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			withTestbed(t, options{hosts: 1, engines: 4, editDeclarations: func(d map[string]any) {
+				d["services"].([]any)[0].(map[string]any)["engine"].(map[string]any)["moves"] = !c.noMoves
+			}}, func(t *testing.T, b *testbed) {
+				attempt, done := b.startStream(b.hosts[0], c.path)
+				time.Sleep(time.Second)
+				if c.prepare != nil {
+					c.prepare(b)
+				}
+				b.silence(b.hosts[0], c.detection)
+				got := <-done
+				b.checkOverlap(attempt)
+				if c.noMoves {
+					// Nothing shows that the run has ended, so the stream must not go on elsewhere, nor look complete.
+					if got.err == nil {
+						t.Errorf("%d events as a complete stream", len(events(got.body)))
+					}
+					return
+				}
+				if got.err != nil || !isComplete(got.body, attempt, c.events) {
+					t.Errorf("error %v, %d events; want %d", got.err, len(events(got.body)), c.events)
+				}
+			})
+		})
+	}
+}
+
+func refuseMoves(b *testbed) {
+	for _, target := range b.targets {
+		target.RefuseMoves(true)
+	}
+}
--- a/pkg/ushercopies/copies.go
+++ b/pkg/ushercopies/copies.go
@@ -69,6 +69,8 @@
 
 		// backup is the copy that the source extends as the generation grows.
 		backup ResumePoint
+		// final is the copy that was made when the run was ended.
+		final ResumePoint
 		// onDemand is the last complete on-demand copy.
 		onDemand      ResumePoint
 		completedAt   time.Time
@@ -109,6 +111,11 @@
 	t.pendingHolder = ""
 }
 
+// RunEnded records the copy of a run that was ended, at holder.
+func (t *Tracker) RunEnded(holder string, c ushercall.Copy) {
+	t.final = ResumePoint{Target: holder, Copy: c}
+}
+
 // CopyFailed records that the copy in progress failed. An unavailable holder is not asked again, and another one may be
 // asked at once.
 func (t *Tracker) CopyFailed(now time.Time, destinationUnavailable bool) {
@@ -120,10 +127,10 @@
 	t.pendingHolder = ""
 }
 
-// ResumePoint returns where the generation can resume: the backup copy, or else the on-demand copy, if its holder is
-// not leaving.
+// ResumePoint returns where the generation can resume: the copy of the ended run, or else the backup copy or the on-demand
+// copy, if its holder is not leaving.
 func (t *Tracker) ResumePoint(accepts func(target string) bool) (ResumePoint, bool) {
-	for _, p := range []ResumePoint{t.backup, t.onDemand} {
+	for _, p := range []ResumePoint{t.final, t.backup, t.onDemand} {
 		if p.Target != "" && accepts(p.Target) {
 			return p, true
 		}
@@ -132,19 +139,18 @@
 }
 
 // DropCopy removes a copy that the target turned out not to hold.
-func (t *Tracker) DropCopy(target string) {
-	if t.backup.Target == target {
-		t.backup = ResumePoint{}
-	}
-	if t.onDemand.Target == target {
-		t.onDemand = ResumePoint{}
+func (t *Tracker) DropCopy(dropped ResumePoint) {
+	for _, p := range []*ResumePoint{&t.final, &t.backup, &t.onDemand} {
+		if *p == dropped {
+			*p = ResumePoint{}
+		}
 	}
 }
 
 // Holders returns the targets that hold or are receiving a copy.
 func (t *Tracker) Holders() []string {
 	var holders []string
-	for _, target := range []string{t.backup.Target, t.onDemand.Target, t.pendingHolder} {
+	for _, target := range []string{t.final.Target, t.backup.Target, t.onDemand.Target, t.pendingHolder} {
 		if target != "" {
 			holders = append(holders, target)
 		}
--- a/pkg/ushercopies/copies_test.go
+++ b/pkg/ushercopies/copies_test.go
@@ -96,7 +96,7 @@
 	if p, ok := tracker.ResumePoint(acceptingOnly("b")); !ok || p.Target != "b" {
 		t.Errorf("holder a is leaving: resume point %+v, %v", p, ok)
 	}
-	tracker.DropCopy("b")
+	tracker.DropCopy(ushercopies.ResumePoint{Target: "b", Copy: ushercall.Copy{Handle: "h"}})
 	if p, ok := tracker.ResumePoint(acceptingOnly("b")); ok {
 		t.Errorf("no copy left, but the resume point is %+v", p)
 	}
--- a/service/usherhost/failover.go
+++ b/service/usherhost/failover.go
@@ -115,6 +115,12 @@
 	g.closeExchange()
 	g.releaseLoad(g.source.Target.ID)
 	start, from := time.Now(), g.source.Target.ID
+	if !g.mayResume() {
+		return errNotResumed.Wrap(cause, "no further target allowed")
+	}
+	if err := g.awaitRunEnd(ctx, cause); err != nil {
+		return errNotResumed.Wrap(err, "stream not resumed after %s", errorText(cause))
+	}
 	for g.req.resumes < maxResumes && ctx.Err() == nil {
 		if refusal := g.host.refuseSuspect(g.req); refusal != nil {
 			return errNotResumed.Wrap(refusal.cause, "stream not resumed after %s", errorText(cause))
@@ -136,17 +142,26 @@
 			g.host.metrics.streamsResumed.Inc(1)
 			return nil
 		}
-		copies.DropCopy(choice.Target.ID)
+		if !result.ran && point.Copy.Handle != "" {
+			// The target did not have the copy, so a run without it is still allowed.
+			g.req.sends--
+		}
+		copies.DropCopy(point)
 		g.copies = copies
 	}
 	return errNotResumed.Wrap(cause, "stream not resumed after %d tries", g.req.resumes)
 }
 
+// mayResume reports whether the route allows that the stream goes on at another target.
+func (g *generation) mayResume() bool {
+	return g.req.route.AtMostOnce() || g.req.sends < g.req.route.MaxTargets
+}
+
 // reserveResume reports whether the stream could be resumed at another target if its exchange were ended, and reserves
 // the retry for it.
 func (g *generation) reserveResume() bool {
 	if !g.req.route.AtMostOnce() {
-		return g.req.sends < g.req.route.MaxTargets && g.reserveRetry()
+		return g.mayResume() && g.reserveRetry()
 	}
 	_, err := g.resumePoint()
 	return err == nil
@@ -179,6 +194,11 @@
 	if g.req.sends >= g.req.route.MaxTargets || !g.takeRetry() {
 		return usherpool.Choice{}, ushercopies.ResumePoint{}, errNotResumed.New("no further target or retry allowed")
 	}
+	if point, ok := g.copies.ResumePoint(g.host.state.accepts); ok {
+		if target, known := g.host.state.target(point.Target); known {
+			return usherpool.Choice{Target: target}, point, nil
+		}
+	}
 	choice, err := g.host.peers.placement.place(ctx, g.placementRequest(g.req.excludedTargets()))
 	return choice, ushercopies.ResumePoint{}, err
 }
--- a/service/usherhost/metrics.go
+++ b/service/usherhost/metrics.go
@@ -28,7 +28,11 @@
 	streamsResumed metrics.Counter
 	copies         metrics.Counter
 	copiesFailed   metrics.Counter
-	retries        metrics.Counter
+	// stops counts the runs that ended before their stream went on elsewhere, stopsRefused the orders to end one that a
+	// target turned away.
+	stops        metrics.Counter
+	stopsRefused metrics.Counter
+	retries      metrics.Counter
 	// earlyEnds counts the requests whose target closed the connection before it began to answer, crashes those of them
 	// whose target had crashed.
 	earlyEnds metrics.Counter
@@ -49,6 +53,7 @@
 		callersGone: metrics.NewRegisteredCounter("requests.callers_gone", r), streamsCut: metrics.NewRegisteredCounter("streams.cut", r),
 		streamsResumed: metrics.NewRegisteredCounter("streams.resumed", r), copies: metrics.NewRegisteredCounter("streams.copies", r),
 		copiesFailed: metrics.NewRegisteredCounter("streams.copies_failed", r), retries: metrics.NewRegisteredCounter("requests.repeats", r),
+		stops: metrics.NewRegisteredCounter("streams.stops", r), stopsRefused: metrics.NewRegisteredCounter("streams.stops_refused", r),
 		earlyEnds: metrics.NewRegisteredCounter("targets.early_ends", r), crashes: metrics.NewRegisteredCounter("targets.crashes", r), probes: metrics.NewRegisteredCounter("requests.suspect_probes", r),
 		localBytes: metrics.NewRegisteredCounter("targets.near_bytes", r), remoteBytes: metrics.NewRegisteredCounter("targets.far_bytes", r),
 	}
--- a/service/usherhost/relay.go
+++ b/service/usherhost/relay.go
@@ -30,6 +30,12 @@
 		select {
 		case item := <-items:
 			stop()
+			if item.err != nil && !errors.Is(item.err, io.EOF) && g.stopping {
+				// The target closes the stream of a run that it has ended.
+				if result := <-g.stopResults; result.err == nil {
+					g.recordStop(result)
+				}
+			}
 			if errors.Is(item.err, io.EOF) && g.brokenOff(ctx) {
 				item.err = io.ErrUnexpectedEOF
 			}
@@ -39,13 +45,25 @@
 			stall.Reset(g.stallTimeout())
 		case <-stall.C:
 			stop()
+			if g.stopping {
+				continue
+			}
 			if !g.reserveResume() {
 				// No other target can continue the stream, and the engine may only have preempted the generation, which then
 				// continues by itself.
 				stall.Reset(g.stallTimeout())
 				continue
 			}
-			return errStalled.New("target %s sent nothing for %s", g.source.Target.ID, g.stallTimeout())
+			g.beginStop(ctx)
+		case result := <-g.stopResults:
+			stop()
+			g.stopping = false
+			if result.err == nil {
+				g.recordStop(result)
+				return errStalled.New("target %s sent nothing for %s", g.source.Target.ID, g.stallTimeout())
+			}
+			// The stream must not go on elsewhere while the target works on it.
+			stall.Reset(stopRetryInterval)
 		case c := <-g.copyResults:
 			stop()
 			g.handleCopyResult(c)
--- /dev/null
+++ b/service/usherhost/stoprun.go
@@ -0,0 +1,127 @@
+package usherhost
+
+import (
+	"context"
+	"time"
+
+	"github.com/joomcode/errorx"
+
+	"github.com/samphireusher/samphireusher/pkg/ushercall"
+	"github.com/samphireusher/samphireusher/pkg/ushercatalog"
+)
+
+const (
+	// stopTimeout bounds an order to end a run. An engine ends the run before it copies the KV cache, so one that is alive
+	// has ended it by then even if the copy takes longer.
+	stopTimeout = 500 * time.Millisecond
+	// stopRetryInterval is the pause before an order that the engine turned away is repeated.
+	stopRetryInterval = 200 * time.Millisecond
+)
+
+// errStillRunning is the type of errors for runs that may go on at an engine which can be reached.
+var errStillRunning = errNamespace.NewType("still_running")
+
+// stopResult is the outcome of an order to end a run. Without an error the run does not go on at a target that this host
+// can reach.
+type stopResult struct {
+	// holder is the target that has the copy, if one was made.
+	holder string
+	copy   ushercall.Copy
+	err    error
+}
+
+// beginStop orders the engine to end the run and to copy its KV cache to where the stream can go on. The result is sent
+// on stopResults. The connection stays open until then, as a run that its engine has preempted continues by itself.
+//
+// To close the connection is not enough: on one that has gone silent, the engine does not learn of it.
+func (g *generation) beginStop(ctx context.Context) {
+	g.stopping = true
+	results, stop := g.stopResults, g.prepareStop(ctx)
+	go func() { results <- stop(ctx) }()
+}
+
+// prepareStop returns the call that ends the run, which may be made by another goroutine.
+func (g *generation) prepareStop(ctx context.Context) func(ctx context.Context) stopResult {
+	source, attempt, atMostOnce := g.source.Target, g.req.Attempt, g.req.route.AtMostOnce()
+	engine := g.req.service.Engine
+	takesOrders := engine != nil && engine.OnDemandCopies
+	var holder ushercatalog.Target
+	if takesOrders {
+		var err error
+		if holder, err = g.stopDestination(ctx); err != nil {
+			return func(context.Context) stopResult { return stopResult{err: err} }
+		}
+	}
+	return func(ctx context.Context) stopResult {
+		if err := g.host.probeTarget(ctx, source); err != nil {
+			g.host.log.Info("target cannot be reached; its run may go on elsewhere", "attempt", attempt, "source", source.ID, "error", errorText(err))
+			return stopResult{}
+		}
+		switch {
+		case takesOrders:
+			return g.host.orderStop(ctx, source, attempt, holder)
+		case atMostOnce:
+			return stopResult{err: errStillRunning.New("target %s may still work on the request", source.ID)}
+		default:
+			return stopResult{}
+		}
+	}
+}
+
+// orderStop orders an engine to end a run and to copy its KV cache to holder.
+func (h *Host) orderStop(ctx context.Context, source ushercatalog.Target, attempt string, holder ushercatalog.Target) stopResult {
+	ctx, cancel := context.WithTimeout(ctx, stopTimeout)
+	defer cancel()
+	start := time.Now()
+	c, err := h.engines.Stop(ctx, source.Address, attempt, holder.Address)
+	h.log.Info("run ordered to end", "attempt", attempt, "source", source.ID, "holder", holder.ID, "copy", c.Handle != "",
+		"duration_ms", time.Since(start).Milliseconds(), "error", errorTextOrEmpty(err))
+	if err != nil && !h.engines.IsUnreachable(err) {
+		h.metrics.stopsRefused.Inc(1)
+		return stopResult{err: errStillRunning.Wrap(err, "target %s may still work on the request", source.ID)}
+	}
+	h.metrics.stops.Inc(1)
+	return stopResult{holder: holder.ID, copy: c}
+}
+
+// stopDestination returns the target that gets the KV cache of a run that is ended: the one that has a copy already, if
+// there is one.
+func (g *generation) stopDestination(ctx context.Context) (ushercatalog.Target, error) {
+	if point, ok := g.copies.ResumePoint(g.host.state.accepts); ok {
+		if target, known := g.host.state.target(point.Target); known {
+			return target, nil
+		}
+	}
+	r := g.placementRequest(append(g.copies.UnavailableHolders, g.source.Target.ID))
+	r.Copy, r.SourceDataCentre = true, g.source.Target.DataCentre
+	choice, err := g.host.peers.placement.place(ctx, r)
+	return choice.Target, err
+}
+
+// recordStop records that the run has ended, with the copy that was made of it.
+func (g *generation) recordStop(r stopResult) {
+	g.runEnded = true
+	if r.copy.Handle != "" {
+		g.copies.RunEnded(r.holder, r.copy)
+	}
+}
+
+// awaitRunEnd returns once the run does not go on at its target, or the stream cannot go on elsewhere. A target that closed
+// the connection has ended the run itself.
+func (g *generation) awaitRunEnd(ctx context.Context, cause error) error {
+	for !g.runEnded && !endedByTarget(cause) {
+		result := g.prepareStop(ctx)(ctx)
+		if result.err == nil {
+			g.recordStop(result)
+			return nil
+		}
+		if !errorx.IsOfType(result.err, errStillRunning) {
+			return result.err
+		}
+		sleep(ctx, stopRetryInterval)
+		if ctx.Err() != nil {
+			return result.err
+		}
+	}
+	return nil
+}
--- a/service/usherhost/stream.go
+++ b/service/usherhost/stream.go
@@ -64,6 +64,11 @@
 		Release(ctx context.Context, at netip.AddrPort, handle string) error
 		// Leaving reports whether an engine accepts no new work.
 		Leaving(ctx context.Context, at netip.AddrPort) (bool, error)
+		// Stop ends a run and then copies its KV cache to another engine. Without an error the run has ended; the copy is zero
+		// if none could be made.
+		Stop(ctx context.Context, source netip.AddrPort, attempt string, to netip.AddrPort) (ushercall.Copy, error)
+		// IsUnreachable reports whether an error of Stop means that the engine cannot be reached or does not respond.
+		IsUnreachable(err error) bool
 		// IsDestinationUnavailable reports whether an error of Copy means that the destination has no memory for the
 		// copy or cannot be reached.
 		IsDestinationUnavailable(err error) bool
@@ -83,6 +88,11 @@
 		// copies tracks the KV cache copies of the current run.
 		copies      *ushercopies.Tracker
 		copyResults chan copyResult
+		// stopping reports whether the target has been ordered to end the current run, runEnded whether that run goes on
+		// nowhere that this host can reach.
+		stopping    bool
+		runEnded    bool
+		stopResults chan stopResult
 		// releases has the functions that subtract the loads tracked for this request, by target.
 		releases map[string]func()
 		// headerSent reports whether the response header was sent to the caller.
@@ -211,7 +221,7 @@
 
 // reserveRetry takes a retry from the budget ahead of its use.
 func (g *generation) reserveRetry() bool {
-	g.retryReserved = g.host.state.allowRetry(g.req.service.Name)
+	g.retryReserved = g.retryReserved || g.host.state.allowRetry(g.req.service.Name)
 	return g.retryReserved
 }
 
@@ -252,6 +262,7 @@
 	g.source, g.resumeAnnounced, g.runEvents = choice, false, 0
 	// Results of copies that are still in progress belong to the previous run and must not be received.
 	g.copyResults = make(chan copyResult, 1)
+	g.stopping, g.runEnded, g.stopResults = false, false, make(chan stopResult, 1)
 	x, err := g.host.connect(ctx, choice.Target)
 	if err != nil {
 		return sendResult{choice: choice, result: usherpool.Unreachable, err: err}
--- a/standin/ushernet/conn.go
+++ b/standin/ushernet/conn.go
@@ -6,6 +6,7 @@
 	"net/netip"
 	"os"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -17,6 +18,10 @@
 	stream struct {
 		network *Network
 		link    link
+		// number counts the connections of the network from 1.
+		number int
+		// detectsSilence is set for the direction to the end that opened the connection.
+		detectsSilence bool
 
 		mu           sync.Mutex
 		chunks       []chunk
@@ -52,9 +57,11 @@
 	}
 )
 
+// pair returns both ends of a new connection. The caller must hold the lock.
 func (n *Network) pair(a, b netip.AddrPort) (client, server *conn) {
-	toServer := &stream{network: n, link: link{a.Addr(), b.Addr()}, changed: make(chan struct{})}
-	toClient := &stream{network: n, link: link{b.Addr(), a.Addr()}, changed: make(chan struct{})}
+	n.opened++
+	toServer := &stream{network: n, number: n.opened, link: link{a.Addr(), b.Addr()}, changed: make(chan struct{})}
+	toClient := &stream{network: n, number: n.opened, detectsSilence: true, link: link{b.Addr(), a.Addr()}, changed: make(chan struct{})}
 	client = &conn{local: a, remote: b, in: toClient, out: toServer, closed: make(chan struct{}), deadlineChanged: make(chan struct{})}
 	server = &conn{local: b, remote: a, in: toServer, out: toClient, closed: make(chan struct{}), deadlineChanged: make(chan struct{})}
 	return client, server
@@ -69,13 +76,17 @@
 // read copies data that has arrived. If there is none, it returns a channel to wait for and, if data is in transit, the
 // time of its arrival.
 func (s *stream) read(data []byte) (count int, changed <-chan struct{}, due time.Time, err error) {
-	blocked, unblocked := s.network.linkState(s.link)
+	blocked, silenced, unblocked := s.network.connectionState(s.link, s.number)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	switch {
 	case s.readerClosed:
 		return 0, nil, time.Time{}, net.ErrClosed
-	case blocked:
+	case silenced != nil && s.detectsSilence && !silenced.detectedAt.IsZero() && !time.Now().Before(silenced.detectedAt):
+		return 0, nil, time.Time{}, syscall.ETIMEDOUT
+	case silenced != nil && s.detectsSilence:
+		return 0, unblocked, silenced.detectedAt, nil
+	case blocked || silenced != nil:
 		return 0, unblocked, time.Time{}, nil
 	case len(s.chunks) == 0 && s.writerClosed:
 		return 0, nil, time.Time{}, io.EOF
@@ -97,6 +108,10 @@
 
 // write appends data. If the stream is full, it returns a channel to wait for instead.
 func (s *stream) write(data []byte) (done bool, changed <-chan struct{}, err error) {
+	if _, silenced, _ := s.network.connectionState(s.link, s.number); silenced != nil {
+		// The end of the reader is not known here, so the write seems to succeed.
+		return true, nil, nil
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.readerClosed || s.writerClosed {
--- a/standin/ushernet/network.go
+++ b/standin/ushernet/network.go
@@ -3,7 +3,7 @@
 // It provides what a process gets from its host: listeners and connections for HTTP, and packet sockets for QUIC. The
 // addresses exist in the network only. All data arrives after the network's latency. A link from one host to another can
 // be blocked, in one direction or both: packets are lost, and connections stall until the link is unblocked, as those of
-// TCP do. All waiting uses channels and timers, so that tests can run under testing/synctest.
+// TCP do. Open connections can also go silent for good. All waiting uses channels and timers, so that tests can run under testing/synctest.
 //
 // # Usage
 //
@@ -11,6 +11,7 @@
 //	listener, err := network.Listen(netip.MustParseAddrPort("127.0.1.1:80"))
 //	conn, err := network.Dialer(netip.MustParseAddr("127.0.1.2"))(ctx, "tcp", "127.0.1.1:80")
 //	network.Block(a, b) // nothing that a sends reaches b
+//	network.Silence(a, b, 0) // open connections carry nothing any more, new ones work
 //	network.Heal()
 package ushernet
 
@@ -68,6 +69,16 @@
 		held      map[netip.AddrPort][]packet
 		changed   chan struct{}
 		nextPort  uint16
+		// opened counts the connections.
+		opened   int
+		silenced map[link]silence
+	}
+
+	// silence says which connections on a link carry nothing any more: the first ones up to a number. If detectedAt is set,
+	// the end that opened a connection finds out then.
+	silence struct {
+		upTo       int
+		detectedAt time.Time
 	}
 
 	// link is one direction between two hosts.
@@ -92,6 +103,7 @@
 		held:      map[netip.AddrPort][]packet{},
 		changed:   make(chan struct{}),
 		nextPort:  firstEphemeralPort,
+		silenced:  map[link]silence{},
 	}
 }
 
@@ -150,6 +162,20 @@
 	}
 }
 
+// Silence makes the open connections between two hosts carry nothing any more, for good and in both directions: neither
+// data nor the end of a side arrives. New connections work. With a detection time, reads at the end that opened a
+// connection fail after it, as with keep-alive probes that get no answer.
+func (n *Network) Silence(a, b netip.Addr, detection time.Duration) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	s := silence{upTo: n.opened}
+	if detection > 0 {
+		s.detectedAt = time.Now().Add(detection)
+	}
+	n.silenced[link{a, b}], n.silenced[link{b, a}] = s, s
+	n.notify()
+}
+
 // Heal unblocks all links and resumes all hosts.
 func (n *Network) Heal() {
 	n.mu.Lock()
@@ -259,11 +285,15 @@
 	}
 }
 
-// linkState reports whether a link is blocked. It also returns a channel that is closed when any link is unblocked.
-func (n *Network) linkState(l link) (blocked bool, changed <-chan struct{}) {
+// connectionState returns the state of a link for one connection. It also returns a channel that is closed when any link
+// is unblocked.
+func (n *Network) connectionState(l link, number int) (blocked bool, silenced *silence, changed <-chan struct{}) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.isBlocked(l), n.changed
+	if s := n.silenced[l]; number <= s.upTo {
+		silenced = &s
+	}
+	return n.isBlocked(l), silenced, n.changed
 }
 
 // sendPacket passes a packet to its destination socket, unless the link is blocked or the packet is lost. Packets to a
