usherhost: answer a request that ran with its own target's status only

Cause: generation.start kept the latest complete reply of any target, and startFailure passed it on once any target had run the request. An address that belongs to another server answers 421, the next engine runs the draft and its answer is lost: the caller got the 421. A reply now counts only if its target ran the request, and is dropped when a later target may have.

TestRequestThatMayHaveRunGetsNoPromise failed on the old code for streams: status 421 and 503 instead of 502; plain calls passed.

--- /dev/null
+++ b/cmd/usher-host/daemon/promise_test.go
@@ -0,0 +1,44 @@
+package daemon_test
+
+import (
+	"net/http"
+	"testing"
+
+	"github.com/samphireusher/samphireusher/platform/usherstandin"
+)
+
+// A target turns a request away, the next one runs it and its answer is lost. The host passed the first target's status on,
+// which promises that the request has not run, so callers send it again. Found by review/2.
+func TestRequestThatMayHaveRunGetsNoPromise(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		faults []usherstandin.Fault
+		want   int
+	}{
+		{"the address belongs to another target, then the answer is lost", []usherstandin.Fault{usherstandin.Misdirects, usherstandin.DropsConnection}, http.StatusBadGateway},
+		{"the first target is full, then the answer is lost", []usherstandin.Fault{usherstandin.Refuses, usherstandin.DropsConnection}, http.StatusBadGateway},
+		{"the first target is full, the answer of the second one is not signed", []usherstandin.Fault{usherstandin.Refuses, usherstandin.Unsigned}, http.StatusBadGateway},
+		{"the second target fails", []usherstandin.Fault{usherstandin.Misdirects, usherstandin.Fails}, http.StatusInternalServerError},
+		{"both targets turn the request away", []usherstandin.Fault{usherstandin.Misdirects, usherstandin.Refuses, usherstandin.Refuses}, http.StatusServiceUnavailable},
+	} {
+		for _, path := range []string{"/appraisal/5", "/allotment/x"} {
+			t.Run(c.name+" "+path, func(t *testing.T) {
+				o := options{hosts: 1, engines: 4, plainTargets: 4, editDeclarations: func(d map[string]any) {
+					for _, r := range d["routes"].([]any) {
+						r.(map[string]any)["maxAttempts"] = 2
+					}
+				}}
+				withTestbed(t, o, func(t *testing.T, b *testbed) {
+					faults := &faultSequence{faults: c.faults}
+					for _, target := range b.targets {
+						target.SetFaultSource(faults.next)
+					}
+					got := b.post(b.hosts[0], path)
+					if got.err != nil || got.status != c.want {
+						t.Errorf("status %d, error %v; want %d; runs %v", got.status, got.err, c.want, b.runsOf(got.attempt))
+					}
+				})
+			})
+		}
+	}
+}
--- a/service/usherhost/stream.go
+++ b/service/usherhost/stream.go
@@ -189,8 +189,12 @@
 			return nil, nil
 		}
 		cause = result.err
-		if result.reply.status != 0 {
-			last = &result.reply
+		if result.ran {
+			// The replies of earlier targets say nothing about this run.
+			last = nil
+			if result.reply.status != 0 {
+				last = &result.reply
+			}
 		}
 		if result.result == usherpool.Replaced {
 			g.req.sends--
@@ -203,14 +207,15 @@
 	return g.startFailure(ctx, last, cause)
 }
 
-// startFailure returns the response to a request for which no target started a stream.
+// startFailure returns the response to a request for which no target started a stream. last is the reply of the target that
+// ran the request last, or nil if that one sent none.
 func (g *generation) startFailure(ctx context.Context, last *reply, cause error) (*reply, *refusal) {
 	switch {
 	case ctx.Err() != nil && g.req.ran:
 		return nil, refuse(reasonTimeout, noRetryAfter, cause)
 	case ctx.Err() != nil:
 		return nil, refuse(reasonExpired, noRetryAfter, cause)
-	case last != nil && g.req.ran:
+	case last != nil:
 		return last, nil
 	case g.req.ran:
 		return nil, refuse(reasonBroken, noRetryAfter, cause)
