usherhost: pass no promise on from a target that may have run the request

Callers take 408, 421, 429 and 503 for the promise that a request has not run. A target that answers so without Not-Executed states nothing of the kind; its status was passed on unchanged, so a request that may run once was sent again.

TestStatusWithoutProofIsNoPromise failed on the old code in its four cases of requests that may run once: 503, want 502. The host now answers 502, which promises nothing. Requests that may be repeated get the target's status as before.

--- a/cmd/usher-host/daemon/promise_test.go
+++ b/cmd/usher-host/daemon/promise_test.go
@@ -42,3 +42,33 @@
 		}
 	}
 }
+
+// A target answers 503 without the header that states that it did not run the request. The host passed that status on, and
+// the caller takes it for a promise.
+func TestStatusWithoutProofIsNoPromise(t *testing.T) {
+	for _, c := range []struct {
+		name, method, path string
+		faults             []usherstandin.Fault
+		want               int
+	}{
+		{"stream", http.MethodPost, "/appraisal/5", []usherstandin.Fault{usherstandin.RejectsAfterRun}, http.StatusBadGateway},
+		{"stream, at the second target", http.MethodPost, "/appraisal/5", []usherstandin.Fault{usherstandin.Misdirects, usherstandin.RejectsAfterRun}, http.StatusBadGateway},
+		{"call that may run once", http.MethodPost, "/allotment/x", []usherstandin.Fault{usherstandin.RejectsAfterRun}, http.StatusBadGateway},
+		{"call that may run once, at the second target", http.MethodPost, "/allotment/x", []usherstandin.Fault{usherstandin.Misdirects, usherstandin.RejectsAfterRun}, http.StatusBadGateway},
+		// Such requests may run again, so the status does no harm.
+		{"idempotent call", http.MethodGet, "/status/x", []usherstandin.Fault{usherstandin.RejectsAfterRun, usherstandin.RejectsAfterRun}, http.StatusServiceUnavailable},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			withTestbed(t, options{hosts: 1, engines: 4, plainTargets: 4}, func(t *testing.T, b *testbed) {
+				faults := &faultSequence{faults: c.faults}
+				for _, target := range b.targets {
+					target.SetFaultSource(faults.next)
+				}
+				got := b.do(b.request(t.Context(), b.hosts[0], c.method, c.path, ""))
+				if got.err != nil || got.status != c.want {
+					t.Errorf("status %d, error %v; want %d; runs %v", got.status, got.err, c.want, b.runsOf(got.attempt))
+				}
+			})
+		})
+	}
+}
--- a/service/usherhost/ingress.go
+++ b/service/usherhost/ingress.go
@@ -230,6 +230,15 @@
 	}
 }
 
+// refuseFalsePromise returns a refusal in place of a reply whose status promises that the request has not run, although it
+// may have and may run only once.
+func (req *requestState) refuseFalsePromise(r reply) *refusal {
+	if !req.ran || !req.route.AtMostOnce() || !promisesNotRun(r.status) {
+		return nil
+	}
+	return refuse(reasonBroken, noRetryAfter, errStatus.New("a target that may have run the request responded with status %d", r.status))
+}
+
 // relayReply relays a target's response to the caller.
 func (h *Host) relayReply(w http.ResponseWriter, req *requestState, r reply) {
 	for name, values := range r.header {
--- a/service/usherhost/plain.go
+++ b/service/usherhost/plain.go
@@ -60,6 +60,9 @@
 	defer cancel()
 	r := &race{host: h, req: req, results: make(chan sendResult, maxTries+1)}
 	reply, refusal := r.run(ctx)
+	if refusal == nil {
+		refusal = req.refuseFalsePromise(reply)
+	}
 	if refusal != nil {
 		return refusal
 	}
--- a/service/usherhost/refusal.go
+++ b/service/usherhost/refusal.go
@@ -70,6 +70,16 @@
 	reasonBroken:          http.StatusBadGateway,
 }
 
+// promisesNotRun reports whether callers take a status for the promise that the request has not run and never will.
+func promisesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	default:
+		return false
+	}
+}
+
 func refuse(r reason, retryAfter time.Duration, cause error) *refusal {
 	return &refusal{reason: r, retryAfter: retryAfter, cause: cause}
 }
--- a/service/usherhost/stream.go
+++ b/service/usherhost/stream.go
@@ -137,6 +137,9 @@
 	if reply, refusal := g.start(ctx); refusal != nil {
 		return refusal
 	} else if reply != nil {
+		if refusal := req.refuseFalsePromise(*reply); refusal != nil {
+			return refusal
+		}
 		h.relayReply(w, req, *reply)
 		return nil
 	}
