usherhost: refuse streams that a stopping host may not finish

Callers use an answer about hosts for up to 6 s, and a stopping host took streams that may be resumed for as long as it ran.

Cause: the host decided by the kind of the stream and not by its own exit, which it knows. It now refuses, as not run and at once, each stream whose time ends after the exit; one that may run once is judged by the same rule.

Streams that come in time are served as before.

--- a/service/usherhost/host.go
+++ b/service/usherhost/host.go
@@ -91,6 +91,8 @@
 		callerListener net.Listener
 		background     sync.WaitGroup
 		inProgress     atomic.Int64
+		// endsAt is when a stopping host exits at the latest; nil before the stop.
+		endsAt atomic.Pointer[time.Time]
 	}
 )
 
@@ -205,8 +207,9 @@
 // drain finishes the requests in progress and keeps serving callers that do not know yet that this host is stopping.
 func (h *Host) drain(ctx context.Context) {
 	start := time.Now()
-	h.fireEvent(ctx, eventStop)
 	deadline := start.Add(h.state.stopGracePeriod() - killMargin)
+	h.endsAt.Store(&deadline)
+	h.fireEvent(ctx, eventStop)
 	for ctx.Err() == nil && time.Now().Before(deadline) {
 		if h.inProgress.Load() == 0 && time.Since(start) > minDrainTime {
 			break
@@ -233,6 +236,12 @@
 	}
 }
 
+// mayFinish reports whether a request that needs the given time can be answered before this host exits.
+func (h *Host) mayFinish(needed time.Duration) bool {
+	endsAt := h.endsAt.Load()
+	return endsAt == nil || !time.Now().Add(needed).After(*endsAt)
+}
+
 func (h *Host) close() error {
 	failures := []error{h.peers.conn.Close()}
 	for _, s := range h.servers {
--- a/service/usherhost/stream.go
+++ b/service/usherhost/stream.go
@@ -11,7 +11,6 @@
 	"github.com/joomcode/errorx"
 
 	"github.com/samphireusher/samphireusher/pkg/ushercall"
-	"github.com/samphireusher/samphireusher/pkg/ushercluster"
 	"github.com/samphireusher/samphireusher/pkg/ushercopies"
 	"github.com/samphireusher/samphireusher/pkg/usherevent"
 	"github.com/samphireusher/samphireusher/pkg/usherpool"
@@ -126,8 +125,8 @@
 
 // serveStream handles a call whose response is a stream of events.
 func (h *Host) serveStream(ctx context.Context, w http.ResponseWriter, req *requestState) *refusal {
-	if h.state.self().State == ushercluster.Stopping && req.route.AtMostOnce() {
-		// The stream would be cut off when the process exits.
+	if !h.mayFinish(time.Until(req.deadline)) {
+		// The stream might be cut off when the process exits.
 		return refuse(reasonStopping, 0, nil)
 	}
 	g := &generation{
