usherhost: answer calls before a stopping host exits

Callers of a stopping host saw closed connections in place of answers: calls that were taken up to 7.6 s after SIGTERM and that targets were slow to answer, and requests that came on accepted connections after an idle host had closed its listener.

Cause, as for the streams: nothing related a request to the exit. The host now refuses calls whose objective ends after it, ends those in progress 0.2 s before it (504, or 503 if nothing was sent), and after closing the listener waits until one second after the last request in progress instead of one second in all.

TestStoppingHostAnswersEachCallBeforeItExits failed on the old code in the three cases that reach the exit, with EOF; TestStoppingHostFinishesTheLastRequests failed with an unexpected EOF.

--- a/cmd/usher-host/daemon/stop_test.go
+++ b/cmd/usher-host/daemon/stop_test.go
@@ -1,9 +1,15 @@
 package daemon_test
 
 import (
+	"bufio"
+	"fmt"
+	"io"
 	"net/http"
+	"net/netip"
 	"testing"
 	"time"
+
+	"github.com/samphireusher/samphireusher/platform/usherstandin"
 )
 
 // stopAfterStream stops a host while it serves a stream that lasts beyond the grace period, and returns the time of the signal.
@@ -43,3 +49,68 @@
 		})
 	}
 }
+
+// A stopping host passes calls on until it exits. Targets that are slow to answer them then left the callers with a closed
+// connection in place of an answer.
+func TestStoppingHostAnswersEachCallBeforeItExits(t *testing.T) {
+	for _, c := range []struct {
+		method, path string
+		after        time.Duration
+		want         int
+	}{
+		{http.MethodPost, "/allotment/x", 0, http.StatusGatewayTimeout},
+		{http.MethodPost, "/allotment/x", 6 * time.Second, http.StatusGatewayTimeout},
+		{http.MethodGet, "/status/x", 6 * time.Second, http.StatusGatewayTimeout},
+		{http.MethodPost, "/allotment/x", 7350 * time.Millisecond, http.StatusServiceUnavailable},
+		{http.MethodPost, "/eligibility/3", 0, http.StatusGatewayTimeout},
+	} {
+		t.Run(fmt.Sprint(c.path, " after ", c.after), func(t *testing.T) {
+			withTestbed(t, options{hosts: 2, engines: 3, plainTargets: 3}, func(t *testing.T, b *testbed) {
+				stopped := b.stopAfterStream(b.hosts[0])
+				for _, target := range b.targets {
+					target.SetFault(usherstandin.NeverResponds)
+				}
+				time.Sleep(time.Until(stopped.Add(c.after)))
+				got := b.do(b.request(t.Context(), b.hosts[0], c.method, c.path, ""))
+				if got.err != nil || got.status != c.want {
+					t.Errorf("status %d, error %v; want %d", got.status, got.err, c.want)
+				}
+				if elapsed := time.Since(stopped); elapsed > 7600*time.Millisecond {
+					t.Errorf("answered %s after the signal; the host exits after 7.6 s", elapsed)
+				}
+			})
+		})
+	}
+}
+
+// A request arrives, on a connection that was accepted before, after an idle host has closed its listener. The host waited
+// one second for such requests, and exited although it was serving one.
+func TestStoppingHostFinishesTheLastRequests(t *testing.T) {
+	withTestbed(t, options{hosts: 2, plainTargets: 3}, func(t *testing.T, b *testbed) {
+		for _, target := range b.targets {
+			target.SetFault(usherstandin.NeverResponds)
+		}
+		h := b.hosts[0]
+		b.stop(h)
+		time.Sleep(2900 * time.Millisecond)
+		conn, err := b.network.Dialer(netip.MustParseAddr(callerIP))(t.Context(), "tcp", fmt.Sprintf("%s:%d", h.ip, callerPort))
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = conn.Close() }()
+		if _, err := io.WriteString(conn, "GET /status/ HTTP/1.1\r\nHost: "+hostName+"\r\nAttempt-Id: a1\r\nDeadline-Ms: 3000\r\n"); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(500 * time.Millisecond)
+		if _, err := io.WriteString(conn, "Api-Key: "+apiKey+"\r\n\r\n"); err != nil {
+			t.Fatal(err)
+		}
+		response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		if err != nil {
+			t.Fatalf("no response: %v", err)
+		}
+		if response.StatusCode != http.StatusGatewayTimeout {
+			t.Errorf("status %d, want 504 at the caller's timeout", response.StatusCode)
+		}
+	})
+}
--- a/service/usherhost/host.go
+++ b/service/usherhost/host.go
@@ -40,6 +40,9 @@
 	// acceptedConnTimeout is how long a stopping host waits for request headers on connections that it has already
 	// accepted.
 	acceptedConnTimeout = time.Second
+	// answerMargin is how long before its exit a stopping host ends the requests that are still in progress, so that their
+	// callers get an answer in place of a closed connection.
+	answerMargin = 200 * time.Millisecond
 	// drainPollInterval is how often a stopping host checks whether it has drained.
 	drainPollInterval = 20 * time.Millisecond
 	// maxServerHeaderBytes bounds request headers before the configured limit is checked.
@@ -91,8 +94,11 @@
 		callerListener net.Listener
 		background     sync.WaitGroup
 		inProgress     atomic.Int64
-		// endsAt is when a stopping host exits at the latest; nil before the stop.
-		endsAt atomic.Pointer[time.Time]
+		// endsAt is when a stopping host ends the requests in progress; nil before the stop. Then endRequests cancels
+		// requestsCtx.
+		endsAt      atomic.Pointer[time.Time]
+		requestsCtx context.Context
+		endRequests context.CancelFunc
 	}
 )
 
@@ -107,6 +113,7 @@
 		settings: s, platform: p, codec: p.Codec, engines: p.Engines, log: log, state: newSharedState(s, self, uint64(os.Getpid())),
 		conns: newConns(), buffers: newBufferBudget(s.Limits.MemoryMegabytes), metrics: newHostMetrics(registry),
 	}
+	h.requestsCtx, h.endRequests = context.WithCancel(context.Background())
 	var err error
 	if h.peers, err = newPeers(h.state, p.Network, s.Listen.Peers, log, registry); err != nil {
 		return nil, err
@@ -207,31 +214,41 @@
 // drain finishes the requests in progress and keeps serving callers that do not know yet that this host is stopping.
 func (h *Host) drain(ctx context.Context) {
 	start := time.Now()
-	deadline := start.Add(h.state.stopGracePeriod() - killMargin)
-	h.endsAt.Store(&deadline)
+	exitsAt := start.Add(h.state.stopGracePeriod() - killMargin)
+	endsAt := exitsAt.Add(-answerMargin)
+	h.endsAt.Store(&endsAt)
+	defer h.endRequests()
 	h.fireEvent(ctx, eventStop)
-	for ctx.Err() == nil && time.Now().Before(deadline) {
+	for ctx.Err() == nil && time.Now().Before(endsAt) {
 		if h.inProgress.Load() == 0 && time.Since(start) > minDrainTime {
 			break
 		}
 		sleep(ctx, drainPollInterval)
 	}
 	// The listener is closed first; then requests whose headers are still arriving are read and answered.
-	h.drainConnections(ctx, deadline)
+	h.drainConnections(ctx, endsAt, exitsAt)
 	h.log.Info("host drained", "duration_ms", time.Since(start).Milliseconds(), "in_progress", h.inProgress.Load())
 	h.fireEvent(ctx, eventDrained)
 }
 
 // drainConnections closes the listener for callers and their idle connections, and waits for requests on the other
 // connections. http.Server.Shutdown would drop requests whose header it has just read.
-func (h *Host) drainConnections(ctx context.Context, deadline time.Time) {
+func (h *Host) drainConnections(ctx context.Context, endsAt, exitsAt time.Time) {
 	if err := h.callerListener.Close(); err != nil {
 		h.log.Debug("failed to close listener", "error", err.Error())
 	}
-	if bound := time.Now().Add(acceptedConnTimeout); bound.Before(deadline) {
-		deadline = bound
-	}
-	for ctx.Err() == nil && h.conns.closeIdle() > 0 && time.Now().Before(deadline) {
+	lastBusy := time.Now()
+	for ctx.Err() == nil && h.conns.closeIdle() > 0 && time.Now().Before(exitsAt) {
+		switch now := time.Now(); {
+		case h.inProgress.Load() > 0:
+			lastBusy = now
+		case now.Sub(lastBusy) > acceptedConnTimeout:
+			// No request has arrived on the remaining connections.
+			return
+		}
+		if !time.Now().Before(endsAt) {
+			h.endRequests()
+		}
 		sleep(ctx, drainPollInterval)
 	}
 }
--- a/service/usherhost/ingress.go
+++ b/service/usherhost/ingress.go
@@ -97,6 +97,7 @@
 	if refusal == nil {
 		ctx, cancel := context.WithDeadline(r.Context(), req.deadline)
 		defer cancel()
+		defer context.AfterFunc(h.requestsCtx, cancel)()
 		if req.route.Kind == usherroute.Stream {
 			refusal = h.serveStream(ctx, w, req)
 		} else {
--- a/service/usherhost/plain.go
+++ b/service/usherhost/plain.go
@@ -56,6 +56,9 @@
 
 // servePlain handles a call to a plain service.
 func (h *Host) servePlain(ctx context.Context, w http.ResponseWriter, req *requestState) *refusal {
+	if !h.mayFinish(min(req.route.Objective, time.Until(req.deadline))) {
+		return refuse(reasonStopping, 0, nil)
+	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	r := &race{host: h, req: req, results: make(chan sendResult, maxTries+1)}
--- a/service/usherhost/stream.go
+++ b/service/usherhost/stream.go
@@ -352,7 +352,8 @@
 		return refuse(reasonBroken, noRetryAfter, cause)
 	}
 	outcome := "cut"
-	if errorx.IsOfType(cause, errCallerDisconnected) || errors.Is(ctx.Err(), context.Canceled) {
+	endedHere := g.host.requestsCtx.Err() != nil
+	if errorx.IsOfType(cause, errCallerDisconnected) || errors.Is(ctx.Err(), context.Canceled) && !endedHere {
 		outcome = "caller_gone"
 		g.host.metrics.callersGone.Inc(1)
 	} else {
