--- a/service/usherhost/admin.go
+++ b/service/usherhost/admin.go
@@ -62,13 +62,13 @@
 	}
 	body, err := h.codec.EncodeLocate(addresses, LocateLifetime)
 	if err != nil {
-		h.log.Error("failed to encode locate response", "error", err.Error())
+		h.log.Error("failed to encode locate response", "error", errorText(err))
 		w.WriteHeader(http.StatusInternalServerError)
 		return
 	}
 	w.Header().Set("Content-Type", "application/json")
 	if _, err := w.Write(body); err != nil {
-		h.log.Debug("failed to send locate response", "error", err.Error())
+		h.log.Debug("failed to send locate response", "error", errorText(err))
 	}
 }
 
@@ -96,7 +96,7 @@
 	}
 	w.Header().Set("Content-Type", "application/json")
 	if _, err := w.Write(append(data, '\n')); err != nil {
-		h.log.Debug("failed to send dump", "error", err.Error())
+		h.log.Debug("failed to send dump", "error", errorText(err))
 	}
 }
 
--- a/service/usherhost/feed.go
+++ b/service/usherhost/feed.go
@@ -153,7 +153,7 @@
 		f.storeUp = false
 		f.state.setStoreFailing(true)
 		f.peers.reportNow()
-		f.log.Warn("store unavailable; retrying", "error", err.Error(), "revision", f.state.revision())
+		f.log.Warn("store unavailable; retrying", "error", errorText(err), "revision", f.state.revision())
 	}
 	f.storeLost, f.failedAt = true, time.Now()
 	// Changes made during a failed call are found by listing: a watch that was cut off may have missed some.
@@ -178,7 +178,7 @@
 		entries, revision, skipped, err = f.watch(ctx, before)
 	}
 	for _, skippedErr := range skipped {
-		f.log.Warn("published entry could not be decoded; skipping it", "error", skippedErr.Error())
+		f.log.Warn("published entry could not be decoded; skipping it", "error", errorText(skippedErr))
 	}
 	if err != nil {
 		return err
@@ -268,7 +268,7 @@
 	}
 	changed, err := f.peers.pull(ctx, address, f.state.revision())
 	if err != nil {
-		f.log.Warn("failed to pull changes from peer; retrying at the next report", "peer", address.String(), "revision", revision, "error", err.Error())
+		f.log.Warn("failed to pull changes from peer; retrying at the next report", "peer", address.String(), "revision", revision, "error", errorText(err))
 		return
 	}
 	f.logChanges(address.String(), changed)
--- a/service/usherhost/host.go
+++ b/service/usherhost/host.go
@@ -191,7 +191,7 @@
 
 func (h *Host) fireEvent(ctx context.Context, name string) {
 	if err := h.lifecycle.Event(ctx, name); err != nil {
-		h.log.Debug("state transition not applied", "event", name, "state", h.lifecycle.Current(), "error", err.Error())
+		h.log.Debug("state transition not applied", "event", name, "state", h.lifecycle.Current(), "error", errorText(err))
 	}
 }
 
@@ -235,7 +235,7 @@
 // connections. http.Server.Shutdown would drop requests whose header it has just read.
 func (h *Host) drainConnections(ctx context.Context, endsAt, exitsAt time.Time) {
 	if err := h.callerListener.Close(); err != nil {
-		h.log.Debug("failed to close listener", "error", err.Error())
+		h.log.Debug("failed to close listener", "error", errorText(err))
 	}
 	lastBusy := time.Now()
 	for ctx.Err() == nil && h.conns.closeIdle() > 0 && time.Now().Before(exitsAt) {
@@ -291,7 +291,7 @@
 	}
 	if err := h.serve(l.Metrics, alice.New(noStore).Then(metrics)); err != nil {
 		// Requests are served without it, and the admin address serves the same metrics.
-		h.log.Warn("failed to listen on metrics address; metrics remain available at the admin address", "address", l.Metrics.String(), "error", err.Error())
+		h.log.Warn("failed to listen on metrics address; metrics remain available at the admin address", "address", l.Metrics.String(), "error", errorText(err))
 	}
 	return nil
 }
@@ -311,7 +311,7 @@
 	h.servers = append(h.servers, server)
 	h.background.Go(func() {
 		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
-			h.log.Error("HTTP server stopped unexpectedly", "address", address.String(), "error", err.Error())
+			h.log.Error("HTTP server stopped unexpectedly", "address", address.String(), "error", errorText(err))
 		}
 	})
 	return nil
--- a/service/usherhost/ingress.go
+++ b/service/usherhost/ingress.go
@@ -29,6 +29,8 @@
 	// latePriority is the priority of streams that cannot start within their objective: they queue behind those that
 	// can.
 	latePriority = 7
+	// maxErrorBytes bounds the text of an error in a log line.
+	maxErrorBytes = 1 << 10
 	// initialBodyBuffer is the initial buffer size for a body of unknown length.
 	initialBodyBuffer = 4 << 10
 )
@@ -227,7 +229,7 @@
 	}
 	h.logRequest(req, "refused", slog.Group("refusal", "reason", string(refusal.reason), "status", refusal.status(), "retry_after", refusal.retryAfter.String()), refusal.cause)
 	if err := refusal.write(w); err != nil {
-		h.log.Debug("failed to send refusal", "attempt", req.Attempt, "error", err.Error())
+		h.log.Debug("failed to send refusal", "attempt", req.Attempt, "error", errorText(err))
 	}
 }
 
@@ -312,10 +314,14 @@
 	h.log.LogAttrs(context.Background(), slog.LevelInfo, "request", attributes...)
 }
 
-// errorText returns the message of an error without its stack trace.
+// errorText returns the message of an error without its stack trace. Messages that quote what others sent are cut off.
 func errorText(err error) string {
+	text := err.Error()
 	if e := errorx.Cast(err); e != nil {
-		return e.Error()
+		text = e.Error()
 	}
-	return err.Error()
+	if len(text) > maxErrorBytes {
+		return strings.ToValidUTF8(text[:maxErrorBytes], "") + "..."
+	}
+	return text
 }
--- a/service/usherhost/peers.go
+++ b/service/usherhost/peers.go
@@ -153,14 +153,14 @@
 func (p *peers) send(d datagramWire, to ...netip.AddrPort) {
 	data, err := cbor.Marshal(d)
 	if err != nil {
-		p.log.Error("failed to encode datagram", "error", err.Error())
+		p.log.Error("failed to encode datagram", "error", errorText(err))
 		return
 	}
 	for i, remote := range p.state.areRemote(to) {
 		address := to[i]
 		if _, err := p.conn.WriteTo(data, net.UDPAddrFromAddrPort(address)); err != nil {
 			// Handled like a lost datagram: a later one replaces it.
-			p.log.Debug("failed to send datagram", "peer", address.String(), "error", err.Error())
+			p.log.Debug("failed to send datagram", "peer", address.String(), "error", errorText(err))
 			continue
 		}
 		p.sent.Inc(1)
@@ -181,7 +181,7 @@
 			if errors.Is(err, net.ErrClosed) {
 				return
 			}
-			p.log.Warn("failed to receive datagram; retrying", "error", err.Error())
+			p.log.Warn("failed to receive datagram; retrying", "error", errorText(err))
 			time.Sleep(minBackoff)
 			continue
 		}
@@ -315,11 +315,11 @@
 	}
 	var out bytes.Buffer
 	if err := cbor.NewEncoder(&out).Encode(p.state.changesAfter(after)); err != nil {
-		p.log.Error("failed to encode catalog", "error", err.Error())
+		p.log.Error("failed to encode catalog", "error", errorText(err))
 		http.Error(w, "not encoded", http.StatusInternalServerError)
 		return
 	}
 	if _, err := w.Write(out.Bytes()); err != nil {
-		p.log.Debug("failed to send catalog", "error", err.Error())
+		p.log.Debug("failed to send catalog", "error", errorText(err))
 	}
 }
--- a/service/usherhost/reload.go
+++ b/service/usherhost/reload.go
@@ -20,7 +20,7 @@
 	}
 	known, err := h.platform.Settings()
 	if err != nil {
-		h.log.Warn("settings could not be read; current settings remain in effect", "error", err.Error())
+		h.log.Warn("settings could not be read; current settings remain in effect", "error", errorText(err))
 	}
 	ticker := time.NewTicker(settingsCheckInterval)
 	defer ticker.Stop()
@@ -33,7 +33,7 @@
 		}
 		data, err := h.platform.Settings()
 		if err != nil {
-			h.log.Warn("settings could not be read; current settings remain in effect", "error", err.Error())
+			h.log.Warn("settings could not be read; current settings remain in effect", "error", errorText(err))
 			continue
 		}
 		if bytes.Equal(data, known) {
