usherhost: take a refusal only from a response that names the attempt

Operators of similar systems reported that a faulty replica wrote an earlier refusal once more, and callers were told "not run, try again" for requests that ran, or such a request ran at a second replica.

Here connections to targets carry one request, and a response with another attempt's id was skipped, but a failure without any id counted as the answer. The check of the id had been made for successes only.

Evidence: TestRefusalOfAnotherRequestIsNotTakenForThisOne failed on the old code in its four cases without an id, with status 503 and runs at two targets; those with another id passed. A response now counts only if it names the attempt; others are skipped and counted, and if nothing follows the request may have run.

--- a/cmd/usher-host/daemon/promise_test.go
+++ b/cmd/usher-host/daemon/promise_test.go
@@ -72,3 +72,38 @@
 		})
 	}
 }
+
+// A faulty target writes an earlier refusal once more before it answers. Reported by operators of similar systems: callers were
+// told that a request has not run that a target was running, or it ran at a second target. A refusal counts only for the attempt
+// that it names.
+func TestRefusalOfAnotherRequestIsNotTakenForThisOne(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		fault usherstandin.Fault
+		want  int
+	}{
+		{"it names another attempt", usherstandin.RepeatsForeignRefusal, http.StatusOK},
+		{"it names none", usherstandin.RepeatsUnnamedRefusal, http.StatusOK},
+		{"it names none, and the answer is lost", usherstandin.RepeatsUnnamedRefusalOnly, http.StatusBadGateway},
+	} {
+		for _, path := range []string{"/appraisal/5", "/allotment/x"} {
+			t.Run(c.name+" "+path, func(t *testing.T) {
+				o := options{hosts: 1, engines: 3, plainTargets: 3, editDeclarations: func(d map[string]any) {
+					for _, r := range d["routes"].([]any) {
+						r.(map[string]any)["maxAttempts"] = 2
+					}
+				}}
+				withTestbed(t, o, func(t *testing.T, b *testbed) {
+					for _, target := range b.targets {
+						target.SetFault(c.fault)
+					}
+					got := b.post(b.hosts[0], path)
+					if got.err != nil || got.status != c.want {
+						t.Errorf("status %d, error %v; want %d", got.status, got.err, c.want)
+					}
+					b.onlyRun(got.attempt)
+				})
+			})
+		}
+	}
+}
--- a/service/usherhost/exchange.go
+++ b/service/usherhost/exchange.go
@@ -46,14 +46,16 @@
 	// duplicate or mismatched response cannot be taken for the response to another attempt, and no request is lost
 	// because the target dropped an idle connection.
 	exchange struct {
-		conn       net.Conn
-		reader     *bufio.Reader
-		request    *http.Request
-		response   *http.Response
-		info       ushercall.ResponseInfo
-		limiter    *limitedReader
-		limits     responseLimits
-		written    chan error
+		conn     net.Conn
+		reader   *bufio.Reader
+		request  *http.Request
+		response *http.Response
+		info     ushercall.ResponseInfo
+		limiter  *limitedReader
+		limits   responseLimits
+		written  chan error
+		// foreign counts the responses that were skipped as they do not name the attempt.
+		foreign    metrics.Counter
 		stopCancel func() bool
 	}
 
@@ -90,7 +92,7 @@
 	}
 	conn = countedConn{Conn: conn, bytes: bytes}
 	r := &limitedReader{reader: conn}
-	x := &exchange{conn: conn, limiter: r, reader: bufio.NewReaderSize(r, readBufferSize), limits: h.settings.Answers, written: make(chan error, 1)}
+	x := &exchange{conn: conn, limiter: r, reader: bufio.NewReaderSize(r, readBufferSize), limits: h.settings.Answers, written: make(chan error, 1), foreign: h.metrics.foreign}
 	// The connection is closed when the caller leaves or the deadline passes, which ends the target's work as well.
 	x.stopCancel = context.AfterFunc(ctx, func() { conn.Close() })
 	return x, nil
@@ -181,17 +183,19 @@
 		return false, nil
 	}
 	info := codec.DecodeResponse(response.StatusCode, response.Header)
-	if info.Attempt != "" && info.Attempt != attempt {
+	if info.Attempt != attempt {
+		// A response that names no attempt may be one to an earlier request, so not even a refusal counts.
+		x.foreign.Inc(1)
 		if isUnframed(response) {
-			return false, errUnexpectedResponse.New("response to another attempt ends only with the connection")
+			return false, errUnexpectedResponse.New("response with status %d to attempt %q ends only with the connection", response.StatusCode, info.Attempt)
 		}
 		if _, err := io.Copy(io.Discard, response.Body); err != nil {
 			return false, errConnectionLost.Wrap(err, "skip response to another attempt")
 		}
 		return false, nil
 	}
-	if response.StatusCode < http.StatusMultipleChoices && (!info.Signed || info.Attempt == "") {
-		return false, errUnexpectedResponse.New("response with status %d is unsigned or names no attempt", response.StatusCode)
+	if response.StatusCode < http.StatusMultipleChoices && !info.Signed {
+		return false, errUnexpectedResponse.New("response with status %d is unsigned", response.StatusCode)
 	}
 	if err := x.conn.SetReadDeadline(time.Time{}); err != nil {
 		return false, errConnectionLost.Wrap(err, "set read deadline")
--- a/service/usherhost/metrics.go
+++ b/service/usherhost/metrics.go
@@ -37,6 +37,8 @@
 	// whose target had crashed.
 	earlyEnds metrics.Counter
 	crashes   metrics.Counter
+	// foreign counts the responses of targets that do not name the attempt they were sent for.
+	foreign metrics.Counter
 	// probes counts the requests that were tried again although they were blamed for crashes.
 	probes metrics.Counter
 	// localBytes and remoteBytes count the bytes exchanged with targets in this host's data centre and in others.
@@ -55,6 +57,7 @@
 		copiesFailed: metrics.NewRegisteredCounter("streams.copies_failed", r), retries: metrics.NewRegisteredCounter("requests.repeats", r),
 		stops: metrics.NewRegisteredCounter("streams.stops", r), stopsRefused: metrics.NewRegisteredCounter("streams.stops_refused", r),
 		earlyEnds: metrics.NewRegisteredCounter("targets.early_ends", r), crashes: metrics.NewRegisteredCounter("targets.crashes", r), probes: metrics.NewRegisteredCounter("requests.suspect_probes", r),
+		foreign:    metrics.NewRegisteredCounter("targets.foreign_responses", r),
 		localBytes: metrics.NewRegisteredCounter("targets.near_bytes", r), remoteBytes: metrics.NewRegisteredCounter("targets.far_bytes", r),
 	}
 }
