usherhost: pass on only what continues a stream

Operators of similar systems reported that clients found the error of a second replica, at times with its head, in the middle of a stream that had broken off, or a stream that ended as if it were complete. Here that happened where the error came signed and with status 200: a text of another type, an event without an id, the head of a response in a body that ends with its connection, and a regular end without any event.

Cause: whatever a signed response with status 200 had up to its end was taken for the stream.

A continuation now has to be a stream of events, its events have to have ids, and its end counts only if it added an event; else the stream goes on elsewhere or is cut.

--- a/pkg/usherevent/event.go
+++ b/pkg/usherevent/event.go
@@ -55,6 +55,16 @@
 	}
 )
 
+// IsComment reports whether an event consists of comments only, which receivers ignore.
+func (e Event) IsComment() bool {
+	for line := range bytes.Lines(e.Raw) {
+		if line = bytes.TrimRight(line, "\r\n"); len(line) > 0 && line[0] != ':' {
+			return false
+		}
+	}
+	return true
+}
+
 // NewReader returns a Reader for the events in r.
 func NewReader(r io.Reader) *Reader {
 	return &Reader{r: bufio.NewReaderSize(r, bufferSize)}
--- a/service/usherhost/relay.go
+++ b/service/usherhost/relay.go
@@ -36,7 +36,7 @@
 					g.recordStop(result)
 				}
 			}
-			if errors.Is(item.err, io.EOF) && g.brokenOff(ctx) {
+			if errors.Is(item.err, io.EOF) && (g.continuesNothing() || g.brokenOff(ctx)) {
 				item.err = io.ErrUnexpectedEOF
 			}
 			if err := g.relayEvent(item); err != nil || item.err != nil {
@@ -85,6 +85,12 @@
 	return g.host.brokenOff(ctx, g.exchange, g.source.Target)
 }
 
+// continuesNothing reports whether the current run, which was to continue a stream, has not added an event to it. Its end
+// then says nothing about the stream.
+func (g *generation) continuesNothing() bool {
+	return g.req.resumes > 0 && !g.runAdvanced
+}
+
 // ignoreEOF returns nil for the regular end of a stream.
 func ignoreEOF(err error) error {
 	if errors.Is(err, io.EOF) {
@@ -201,9 +207,14 @@
 		g.receiving = true
 		g.trackLoad(g.source.Target.ID, usherpool.Load{Streams: 1, Tokens: g.req.PeakTokens()})
 	}
+	if item.event.ID == "" && g.lastEvent != "" && !item.event.IsComment() {
+		// The events of a stream have ids, so these bytes are none of it: an error, or the head of another response.
+		return errUnexpectedResponse.New("target %s sent an event without an id after event %s", g.source.Target.ID, g.lastEvent)
+	}
 	if !isAfter(item.event.ID, g.lastEvent) {
 		return nil
 	}
+	g.runAdvanced = true
 	if err := g.sendHeader(); err != nil {
 		return err
 	}
--- a/service/usherhost/stream.go
+++ b/service/usherhost/stream.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"log/slog"
+	"mime"
 	"net/http"
 	"net/netip"
 	"time"
@@ -43,6 +44,8 @@
 	// one may still leave a target that crashes when it begins to answer.
 	eventsOfAnswer = 2
 	eventBuffer    = 8
+	// eventStreamType is the media type of server-sent events.
+	eventStreamType = "text/event-stream"
 )
 
 var (
@@ -99,8 +102,11 @@
 		lastEvent  string
 		// receiving reports whether events have started to arrive.
 		receiving bool
-		// runEvents counts the events of the current run.
-		runEvents int
+		// contentType is that of the first run's response.
+		contentType string
+		// runEvents counts the events of the current run; runAdvanced reports whether one of them was relayed.
+		runEvents   int
+		runAdvanced bool
 		// retryReserved reports whether a retry was taken from the budget and not used yet.
 		retryReserved bool
 		// stalledTargets counts the targets that were left because they sent nothing.
@@ -266,7 +272,7 @@
 	g.req.choice = choice
 	g.closeExchange()
 	g.releaseLoads()
-	g.source, g.resumeAnnounced, g.runEvents = choice, false, 0
+	g.source, g.resumeAnnounced, g.runEvents, g.runAdvanced = choice, false, 0, false
 	// Results of copies that are still in progress belong to the previous run and must not be received.
 	g.copyResults = make(chan copyResult, 1)
 	g.stopping, g.runEnded, g.stopResults = false, false, make(chan stopResult, 1)
@@ -304,11 +310,25 @@
 	}
 	status := x.response.StatusCode
 	if status == http.StatusOK {
-		return sendResult{choice: choice, result: usherpool.Answered, ran: true}
+		return g.acceptStream(choice)
 	}
 	return g.readReply(choice, status)
 }
 
+// acceptStream returns the result of a response that begins a stream. One that continues a stream consists of events as well;
+// an error does not.
+func (g *generation) acceptStream(choice usherpool.Choice) sendResult {
+	contentType := g.exchange.response.Header.Get("Content-Type")
+	if g.req.resumes == 0 {
+		g.contentType = contentType
+	}
+	if mediaType, _, _ := mime.ParseMediaType(contentType); contentType != g.contentType && mediaType != eventStreamType {
+		err := errUnexpectedResponse.New("target %s continues a stream with content of type %q", choice.Target.ID, contentType)
+		return sendResult{choice: choice, result: usherpool.Broken, ran: true, err: err}
+	}
+	return sendResult{choice: choice, result: usherpool.Answered, ran: true}
+}
+
 func (g *generation) readReply(choice usherpool.Choice, status int) sendResult {
 	x := g.exchange
 	reservation := &bufferReservation{budget: g.host.buffers}
