ushersuspect: let blame end with its evidence

The result now ends when the first crash that it counts expires, and the look-up bears an empty list.

--- a/pkg/ushersuspect/blame.go
+++ b/pkg/ushersuspect/blame.go
@@ -151,11 +151,12 @@
 
 // currentBlames returns the causes of the known crashes, from the one with the most crashes down.
 func (t *Tracker) currentBlames() []blame {
-	if t.blamesValid {
+	if t.blamesValid && t.clock.Before(t.blamesExpire) {
 		return t.blames
 	}
 	t.blames, t.blamesValid = nil, true
-	traits := t.collectTraits()
+	traits, expire := t.collectTraits()
+	t.blamesExpire = expire
 	explained := make(map[Target]bool)
 	for {
 		most, tied := 0, []Fingerprint(nil)
@@ -204,9 +205,9 @@
 }
 
 // collectTraits returns the traits of the requests that were in progress on crashed targets, without those that have been
-// answered since.
-func (t *Tracker) collectTraits() map[Fingerprint]*trait {
-	traits := make(map[Fingerprint]*trait)
+// answered since, and when the first of these crashes expires.
+func (t *Tracker) collectTraits() (traits map[Fingerprint]*trait, expire time.Time) {
+	traits, expire = make(map[Fingerprint]*trait), t.clock.Add(t.crashTTL())
 	add := func(fingerprint Fingerprint, kind traitKind, target Target, c traitCrash) {
 		if kind != contentTrait && !t.answers[fingerprint].at.Before(c.seenAt) {
 			return
@@ -221,6 +222,9 @@
 			if c.cleared || t.clock.Sub(c.seenAt) >= t.crashTTL() {
 				continue
 			}
+			if at := c.seenAt.Add(t.crashTTL()); at.Before(expire) {
+				expire = at
+			}
 			tc := traitCrash{c.seenAt, r.combination}
 			add(content, contentTrait, target, tc)
 			if len(r.parts) > 0 {
@@ -231,7 +235,7 @@
 			}
 		}
 	}
-	return traits
+	return traits, expire
 }
 
 // unexplained returns the number of crashes that the trait would explain in addition, or 0 if they are too few to blame it.
--- a/pkg/ushersuspect/changes.go
+++ b/pkg/ushersuspect/changes.go
@@ -105,8 +105,8 @@
 			}
 		}
 	}
-	if first := crashes[len(crashes)-1]; !slices.Contains(chosen, first) {
-		chosen = append(chosen, first)
+	if len(crashes) > 0 && !slices.Contains(chosen, crashes[len(crashes)-1]) {
+		chosen = append(chosen, crashes[len(crashes)-1])
 	}
 	return chosen
 }
--- a/pkg/ushersuspect/tracker.go
+++ b/pkg/ushersuspect/tracker.go
@@ -81,9 +81,10 @@
 		answers map[Fingerprint]sighting
 		recent  recentAnswers
 		probes  map[Fingerprint]sighting
-		// blames is up to date if blamesValid is set.
-		blames      []blame
-		blamesValid bool
+		// blames is up to date if blamesValid is set, until a crash that counts expires at blamesExpire.
+		blames       []blame
+		blamesValid  bool
+		blamesExpire time.Time
 		// nextEvidence is the number of the blame with which the next message with evidence begins.
 		nextEvidence int
 	}
