usherhost: contain panics outside the HTTP handlers

Handlers are contained by net/http; other goroutines were not.

Panics in the tests' hosts fail the test.

--- a/cmd/usher-host/daemon/testbed_test.go
+++ b/cmd/usher-host/daemon/testbed_test.go
@@ -100,6 +100,10 @@
 		noRetries bool
 		// unframed lets the store and the targets respond with neither a length nor chunks.
 		unframed bool
+		// editPlatform changes the interfaces through which hosts use the platform.
+		editPlatform func(p *usherhost.Platform)
+		// wantPanics allows panics in the hosts, which fail the test otherwise.
+		wantPanics bool
 	}
 )
 
@@ -285,6 +289,9 @@
 	}
 	platform := daemon.Platform(&s, hostNetwork{network: b.network, ip: netip.MustParseAddr(ip)})
 	platform.Settings = b.settings
+	if b.options.editPlatform != nil {
+		b.options.editPlatform(&platform)
+	}
 	created, err := usherhost.New(&s, platform, log)
 	if err != nil {
 		b.t.Fatal(err)
@@ -315,6 +322,9 @@
 	for _, s := range b.servers {
 		_ = s.Close()
 	}
+	if panics := b.logBuffer.count(`"panic contained"`); panics > 0 && !b.options.wantPanics {
+		b.t.Errorf("%d panics in the hosts", panics)
+	}
 	b.client.CloseIdleConnections()
 	// Wait for the calls that stand-ins hold open. They end with the connections.
 	time.Sleep(time.Minute)
--- a/service/usherhost/exchange.go
+++ b/service/usherhost/exchange.go
@@ -55,8 +55,9 @@
 		limits   responseLimits
 		written  chan error
 		// foreign counts the responses that were skipped as they do not name the attempt.
-		foreign    metrics.Counter
-		stopCancel func() bool
+		foreign     metrics.Counter
+		containment *containment
+		stopCancel  func() bool
 	}
 
 	// countedConn counts the bytes read and written.
@@ -92,7 +93,7 @@
 	}
 	conn = countedConn{Conn: conn, bytes: bytes}
 	r := &limitedReader{reader: conn}
-	x := &exchange{conn: conn, limiter: r, reader: bufio.NewReaderSize(r, readBufferSize), limits: h.settings.Answers, written: make(chan error, 1), foreign: h.metrics.foreign}
+	x := &exchange{conn: conn, limiter: r, reader: bufio.NewReaderSize(r, readBufferSize), limits: h.settings.Answers, written: make(chan error, 1), foreign: h.metrics.foreign, containment: h.containment}
 	// The connection is closed when the caller leaves or the deadline passes, which ends the target's work as well.
 	x.stopCancel = context.AfterFunc(ctx, func() { conn.Close() })
 	return x, nil
@@ -104,7 +105,10 @@
 	x.request = &http.Request{
 		Method: call.Method, URL: &url.URL{Opaque: call.URI}, Host: call.Host, Header: header, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
 	}
-	go func() { x.written <- x.write(call, header) }()
+	go func() {
+		// A request that is not written whole shows by the target's response, or by none.
+		_ = x.containment.run("request to a target", func() { x.written <- x.write(call, header) })
+	}()
 }
 
 func (x *exchange) write(call *ushercall.Call, header http.Header) error {
--- a/service/usherhost/failover.go
+++ b/service/usherhost/failover.go
@@ -90,8 +90,12 @@
 	g.trackLoad(holder, usherpool.Load{Copies: 1, CopyTokens: g.req.PeakTokens(), Incoming: g.req.PeakTokens(), Awaited: 1})
 	source, attempt, start, results := g.source.Target.Address, g.req.Attempt, time.Now(), g.copyResults
 	go func() {
-		c, err := g.host.engines.Copy(ctx, source, attempt, address)
-		results <- copyResult{holder: holder, copy: c, err: err, duration: time.Since(start)}
+		result := copyResult{holder: holder}
+		if err := g.host.containment.run("copy", func() { result.copy, result.err = g.host.engines.Copy(ctx, source, attempt, address) }); err != nil {
+			result.err = err
+		}
+		result.duration = time.Since(start)
+		results <- result
 	}()
 }
 
@@ -207,6 +211,10 @@
 const releaseTimeout = time.Second
 
 func (h *Host) releaseCopy(c ushercall.Copy) {
+	_ = h.containment.run("release of a copy", func() { h.callRelease(c) })
+}
+
+func (h *Host) callRelease(c ushercall.Copy) {
 	ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
 	defer cancel()
 	if err := h.engines.Release(ctx, c.Address, c.Handle); err != nil {
--- a/service/usherhost/host.go
+++ b/service/usherhost/host.go
@@ -93,6 +93,7 @@
 		// callerListener accepts the connections of callers.
 		callerListener net.Listener
 		background     sync.WaitGroup
+		containment    *containment
 		inProgress     atomic.Int64
 		// endsAt is when a stopping host ends the requests in progress; nil before the stop. Then endRequests cancels
 		// requestsCtx.
@@ -113,12 +114,13 @@
 		settings: s, platform: p, codec: p.Codec, engines: p.Engines, log: log, state: newSharedState(s, self, uint64(os.Getpid())),
 		conns: newConns(), buffers: newBufferBudget(s.Limits.MemoryMegabytes), metrics: newHostMetrics(registry),
 	}
+	h.containment = newContainment(log, registry)
 	h.requestsCtx, h.endRequests = context.WithCancel(context.Background())
 	var err error
 	if h.peers, err = newPeers(h.state, p.Network, s.Listen.Peers, log, registry); err != nil {
 		return nil, err
 	}
-	h.targetPoller = newTargetPoller(h.state, h.peers, p.Engines, log, registry)
+	h.targetPoller = newTargetPoller(h.state, h.peers, p.Engines, h.containment, log, registry)
 	h.feed = newFeed(h.state, p.Store, s.Process.FirstStart, h.peers, log, registry)
 	h.lifecycle = fsm.NewFSM(stateStarting, fsm.Events{
 		{Name: eventConfigured, Src: []string{stateStarting}, Dst: stateServing},
@@ -148,15 +150,19 @@
 	}
 	h.log.Info("host starting", "callers", h.settings.Listen.Callers.String(), "peers", h.settings.Listen.Peers.String(),
 		"seeds", len(h.settings.Cluster.Seeds), "store", h.settings.Store.Address.String())
-	h.background.Go(func() { h.peers.runReports(ctx) })
-	h.background.Go(h.peers.receive)
-	h.background.Go(func() { h.feed.run(ctx) })
-	h.background.Go(func() { h.feed.followPeers(ctx) })
-	h.background.Go(func() { h.targetPoller.run(ctx) })
-	h.background.Go(func() { h.conns.run(ctx, h.limits) })
-	h.background.Go(func() { h.serveWhenConfigured(ctx) })
 	reloadRequested := make(chan struct{}, 1)
-	h.background.Go(func() { h.watchSettings(ctx, reloadRequested) })
+	for duty, run := range map[string]func(){
+		"reports to peers":         func() { h.peers.runReports(ctx) },
+		"datagrams of peers":       h.peers.receive,
+		"reading the store":        func() { h.feed.run(ctx) },
+		"following peers":          func() { h.feed.followPeers(ctx) },
+		"polling targets":          func() { h.targetPoller.run(ctx) },
+		"limits of connections":    func() { h.conns.run(ctx, h.limits) },
+		"waiting for declarations": func() { h.serveWhenConfigured(ctx) },
+		"settings":                 func() { h.watchSettings(ctx, reloadRequested) },
+	} {
+		h.background.Go(func() { h.containment.keep(ctx, duty, run) })
+	}
 	h.awaitStop(ctx, signals, reloadRequested)
 	h.drain(ctx)
 	cancel()
--- a/service/usherhost/plain.go
+++ b/service/usherhost/plain.go
@@ -182,7 +182,10 @@
 	ctx, cancel := context.WithCancel(ctx)
 	r.cancels = append(r.cancels, cancel)
 	go func() {
-		result := r.host.sendCall(ctx, r.req, choice)
+		result := sendResult{choice: choice, result: usherpool.Broken, ran: true}
+		if err := r.host.containment.run("call", func() { result = r.host.sendCall(ctx, r.req, choice) }); err != nil {
+			result.err = err
+		}
 		result.index = index
 		r.results <- result
 	}()
--- a/service/usherhost/relay.go
+++ b/service/usherhost/relay.go
@@ -20,7 +20,7 @@
 	items := make(chan streamItem, eventBuffer)
 	done := make(chan struct{})
 	defer close(done)
-	go readEvents(usherevent.NewReader(g.exchange.response.Body), items, done)
+	go g.readEvents(usherevent.NewReader(g.exchange.response.Body), items, done)
 	stall := time.NewTimer(g.stallTimeout())
 	defer stall.Stop()
 	for {
@@ -147,22 +147,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	var watching sync.WaitGroup
 	watching.Go(func() {
-		for changes := g.host.state.watchChanges(); g.host.state.accepts(choice.Target.ID); changes = g.host.state.watchChanges() {
-			select {
-			case <-ctx.Done():
-				return
-			case <-changes:
-			}
-		}
-		extraTime := time.Duration(firstEventFraction * float64(g.req.route.Objective))
-		if choice.PrefillTime-time.Since(start) < extraTime {
-			sleep(ctx, extraTime)
-		}
-		if ctx.Err() == nil {
-			g.host.log.Info("target is leaving before the stream has started; retrying elsewhere if a retry is allowed", "attempt", g.req.Attempt, "target", choice.Target.ID,
-				"expected_ms", choice.PrefillTime.Milliseconds(), "waited_ms", time.Since(start).Milliseconds())
-			x.interrupt()
-		}
+		_ = g.host.containment.run("watch of a target", func() { g.awaitLeaving(ctx, x, choice, start) })
 	})
 	return func() {
 		cancel()
@@ -170,6 +155,26 @@
 	}
 }
 
+// awaitLeaving interrupts the exchange once its target leaves.
+func (g *generation) awaitLeaving(ctx context.Context, x *exchange, choice usherpool.Choice, start time.Time) {
+	for changes := g.host.state.watchChanges(); g.host.state.accepts(choice.Target.ID); changes = g.host.state.watchChanges() {
+		select {
+		case <-ctx.Done():
+			return
+		case <-changes:
+		}
+	}
+	extraTime := time.Duration(firstEventFraction * float64(g.req.route.Objective))
+	if choice.PrefillTime-time.Since(start) < extraTime {
+		sleep(ctx, extraTime)
+	}
+	if ctx.Err() == nil {
+		g.host.log.Info("target is leaving before the stream has started; retrying elsewhere if a retry is allowed", "attempt", g.req.Attempt, "target", choice.Target.ID,
+			"expected_ms", choice.PrefillTime.Milliseconds(), "waited_ms", time.Since(start).Milliseconds())
+		x.interrupt()
+	}
+}
+
 // resultOf maps an error in reading a response to the result that is recorded for the target.
 func resultOf(err error) usherpool.Result {
 	if errorx.IsOfType(err, errStalled) {
@@ -178,9 +183,13 @@
 	return usherpool.Broken
 }
 
-func readEvents(r *usherevent.Reader, items chan<- streamItem, done <-chan struct{}) {
+func (g *generation) readEvents(r *usherevent.Reader, items chan<- streamItem, done <-chan struct{}) {
 	for {
-		event, err := r.Next()
+		var event usherevent.Event
+		var err error
+		if panicked := g.host.containment.run("events of a stream", func() { event, err = r.Next() }); panicked != nil {
+			err = panicked
+		}
 		select {
 		case items <- streamItem{event: event, err: err}:
 		case <-done:
--- a/service/usherhost/stoprun.go
+++ b/service/usherhost/stoprun.go
@@ -37,7 +37,13 @@
 func (g *generation) beginStop(ctx context.Context) {
 	g.stopping = true
 	results, stop := g.stopResults, g.prepareStop(ctx)
-	go func() { results <- stop(ctx) }()
+	go func() {
+		var result stopResult
+		if err := g.host.containment.run("order to end a run", func() { result = stop(ctx) }); err != nil {
+			result.err = errStillRunning.Wrap(err, "order not made")
+		}
+		results <- result
+	}()
 }
 
 // prepareStop returns the call that ends the run, which may be made by another goroutine.
--- a/service/usherhost/targetpoller.go
+++ b/service/usherhost/targetpoller.go
@@ -36,6 +36,8 @@
 		log     *slog.Logger
 		polls   metrics.Counter
 		active  bool
+		// containment guards the polls, which run concurrently.
+		containment *containment
 	}
 
 	// leavingNotice says that one incarnation of a target told a host that it is leaving.
@@ -58,8 +60,8 @@
 	}
 )
 
-func newTargetPoller(s *sharedState, p *peers, engines Engines, log *slog.Logger, registry metrics.Registry) *targetPoller {
-	return &targetPoller{state: s, peers: p, engines: engines, log: log, polls: metrics.NewRegisteredCounter("targets.asked", registry)}
+func newTargetPoller(s *sharedState, p *peers, engines Engines, c *containment, log *slog.Logger, registry metrics.Registry) *targetPoller {
+	return &targetPoller{state: s, peers: p, engines: engines, containment: c, log: log, polls: metrics.NewRegisteredCounter("targets.asked", registry)}
 }
 
 // run polls until ctx ends.
@@ -83,21 +85,23 @@
 	var polling sync.WaitGroup
 	for _, t := range p.state.runningTargets() {
 		p.polls.Inc(1)
-		polling.Go(func() {
-			leaving, err := p.engines.Leaving(ctx, t.address)
-			if err != nil {
-				p.log.Debug("failed to query target state", "target", t.id, "error", errorText(err))
-				return
-			}
-			if leaving && p.state.recordLeaving(t.id) {
-				p.log.Info("target learned", "source", t.address.String(), "target", t.id, "leaving", true)
-				p.peers.reportNow()
-			}
-		})
+		polling.Go(func() { _ = p.containment.run("poll of a target", func() { p.pollTarget(ctx, t) }) })
 	}
 	polling.Wait()
 }
 
+func (p *targetPoller) pollTarget(ctx context.Context, t runningTarget) {
+	leaving, err := p.engines.Leaving(ctx, t.address)
+	if err != nil {
+		p.log.Debug("failed to query target state", "target", t.id, "error", errorText(err))
+		return
+	}
+	if leaving && p.state.recordLeaving(t.id) {
+		p.log.Info("target learned", "source", t.address.String(), "target", t.id, "leaving", true)
+		p.peers.reportNow()
+	}
+}
+
 // storeStale reports whether no host has recently heard from the store, as far as this one knows.
 func (s *sharedState) storeStale() bool {
 	s.mu.Lock()
