usherhost: respect what targets say of themselves

Nothing read either header: callers' requests went to targets that were about to exit until the store told it, and to targets that had asked for a rest, all at once when they came back.

The adapter decodes both for every response, calls of the control interface included. A departure belongs to an incarnation at an address and is never taken back; a rest belongs to this host. Choices, the placer's choices for this host, retries, hedged calls, holders of copies, polls, copies and orders respect them, and a request that was chosen before is withdrawn before it is sent. If all targets rest, callers are refused at once and told when the first is back, each another moment.

--- a/cmd/usher-host/daemon/panic_test.go
+++ b/cmd/usher-host/daemon/panic_test.go
@@ -55,17 +55,17 @@
 	return s.Store.Watch(ctx, after, wait)
 }
 
-func (e faultyEngines) Copy(ctx context.Context, source netip.AddrPort, attempt string, to netip.AddrPort) (ushercall.Copy, error) {
+func (e faultyEngines) Copy(ctx context.Context, source netip.AddrPort, attempt string, to netip.AddrPort) (ushercall.Copy, ushercall.Notice, error) {
 	panicIf(e.armed)
 	return e.Engines.Copy(ctx, source, attempt, to)
 }
 
-func (e faultyEngines) Stop(ctx context.Context, source netip.AddrPort, attempt string, to netip.AddrPort) (ushercall.Copy, error) {
+func (e faultyEngines) Stop(ctx context.Context, source netip.AddrPort, attempt string, to netip.AddrPort) (ushercall.Copy, ushercall.Notice, error) {
 	panicIf(e.armed)
 	return e.Engines.Stop(ctx, source, attempt, to)
 }
 
-func (e faultyEngines) Leaving(ctx context.Context, at netip.AddrPort) (bool, error) {
+func (e faultyEngines) Leaving(ctx context.Context, at netip.AddrPort) (bool, ushercall.Notice, error) {
 	panicIf(e.armed)
 	return e.Engines.Leaving(ctx, at)
 }
--- a/cmd/usher-host/daemon/soak_test.go
+++ b/cmd/usher-host/daemon/soak_test.go
@@ -64,6 +64,7 @@
 		notRun   []string
 		statuses map[int]int
 		failures []string
+		notices  soakNotices
 		// crashes waits for the engines that replace crashed ones.
 		crashes sync.WaitGroup
 	}
@@ -141,6 +142,7 @@
 	s := &soak{
 		t: t, directory: t.TempDir(), subnet: fmt.Sprintf("127.%d.%d.", 64+os.Getpid()>>8&63, os.Getpid()&255),
 		store: usherstandin.NewStore(), copies: usherstandin.NewCopyRegistry(), targets: map[string]*soakTarget{}, version: 1, statuses: map[int]int{},
+		notices: newSoakNotices(),
 	}
 	defer s.shutdown()
 	s.publish()
@@ -161,8 +163,8 @@
 		random := rand.New(rand.NewPCG(seed, uint64(i)+2))
 		callers.Go(func() { s.sendRequests(ctx, random) })
 	}
-	// The two series run concurrently, so that faults of hosts and of the platform overlap.
-	for i, inject := range []func(context.Context, *rand.Rand){s.injectHostFault, s.injectPlatformFault} {
+	// The series run concurrently, so that faults of hosts and of the platform overlap.
+	for i, inject := range []func(context.Context, *rand.Rand){s.injectHostFault, s.injectPlatformFault, s.injectNotice} {
 		random := rand.New(rand.NewPCG(seed, uint64(i)+100))
 		callers.Go(func() {
 			for ctx.Err() == nil {
@@ -175,6 +177,7 @@
 	s.clearFaults()
 	s.awaitServing("after the faults")
 	s.checkRuns()
+	s.checkNotices()
 }
 
 func (s *soak) fail(format string, args ...any) {
@@ -272,7 +275,13 @@
 func (s *soak) injectHostFault(ctx context.Context, random *rand.Rand) {
 	h := s.hosts[random.IntN(len(s.hosts))]
 	pause := time.Duration(200+random.IntN(800)) * time.Millisecond
-	switch random.IntN(3) {
+	fault := random.IntN(3)
+	s.disturb(h.ip, func() { s.disturbHost(ctx, h, fault, pause) })
+	sleepFor(ctx, pause/2)
+}
+
+func (s *soak) disturbHost(ctx context.Context, h *soakHost, fault int, pause time.Duration) {
+	switch fault {
 	case 0:
 		h.signal(syscall.SIGKILL)
 		<-h.exited
@@ -293,7 +302,6 @@
 		}
 		s.start(h)
 	}
-	sleepFor(ctx, pause/2)
 }
 
 // injectPlatformFault injects a fault into a link, the store or a target, publishes new declarations, or replaces an
@@ -304,10 +312,18 @@
 	case 0, 1:
 		s.mu.Lock()
 		p := s.proxies[random.IntN(len(s.proxies))]
+		disturbed := ""
+		for id, target := range s.targets {
+			if target.proxy == p {
+				disturbed = id
+			}
+		}
 		s.mu.Unlock()
-		p.setMode(proxyMode(1 + random.IntN(int(proxyModes)-1)))
-		sleepFor(ctx, pause)
-		p.setMode(proxyPasses)
+		s.disturb(disturbed, func() {
+			p.setMode(proxyMode(1 + random.IntN(int(proxyModes)-1)))
+			sleepFor(ctx, pause)
+			p.setMode(proxyPasses)
+		})
 	case 2:
 		s.store.SetMode("", []usherstandin.Mode{usherstandin.Unavailable, usherstandin.TooManyRequests, usherstandin.Reset, usherstandin.Unresponsive}[random.IntN(4)])
 		sleepFor(ctx, 2*pause)
@@ -459,11 +475,13 @@
 	} {
 		r.Header.Set(name, value)
 	}
+	s.noteSent(attempt, ip)
 	response, err := client.Do(r)
 	if err != nil {
 		return 0, err
 	}
 	defer response.Body.Close()
+	s.notePassedOn(attempt, ip, response.Header)
 	body, err := io.ReadAll(response.Body)
 	s.mu.Lock()
 	s.statuses[response.StatusCode]++
--- a/pkg/ushercall/call.go
+++ b/pkg/ushercall/call.go
@@ -70,6 +70,16 @@
 		LastEventID string
 	}
 
+	// Notice is what a target says of itself in the header of a response.
+	Notice struct {
+		// Leaving is set if the target is about to leave and wants no new work.
+		Leaving bool
+		// Rest is for how long, from the response on, the target wants nothing from this host; zero if it did not say.
+		Rest time.Duration
+		// Unusable describes a value that means nothing and was ignored; empty if there was none.
+		Unusable string
+	}
+
 	// ResponseInfo is the metadata in the header of a target's response.
 	ResponseInfo struct {
 		// Attempt is the attempt that the response belongs to.
@@ -82,6 +92,8 @@
 		Signed bool
 		// ColdRemaining is how much longer the target will be cold, that is, not ready for its full load; zero if not given.
 		ColdRemaining time.Duration
+		// Notice is what the target says of itself. It is empty for a response from another target.
+		Notice Notice
 	}
 )
 
--- a/pkg/usherpool/health.go
+++ b/pkg/usherpool/health.go
@@ -19,6 +19,8 @@
 	Broken
 	// TimedOut is a request that got no response in time.
 	TimedOut
+	// Withdrawn is a request that was not sent, as its target left or asked for a rest after it was chosen.
+	Withdrawn
 	// Replaced is a response stating that the address now belongs to another target.
 	Replaced
 
@@ -54,6 +56,9 @@
 func (p *Pool) RecordResult(now time.Time, id string, r Result) {
 	if t, known := p.targets[id]; known {
 		t.health.record(now, r)
+		if r == Answered {
+			t.rest.answered(now)
+		}
 	}
 }
 
--- a/pkg/usherpool/place.go
+++ b/pkg/usherpool/place.go
@@ -68,7 +68,7 @@
 			continue
 		}
 		cold := !r.Copy && p.isCold(now, t) && !t.cold.ready(now, p.coldRate(t))
-		if cold || t.health.blocked(now) || t.health.failureRate(now) >= maxFailureRate {
+		if cold || t.health.blocked(now) || !t.rest.allows(now) || t.health.failureRate(now) >= maxFailureRate {
 			excluded = append(excluded, id)
 		}
 	}
@@ -80,7 +80,7 @@
 // counts as a request sent to a cold target.
 func (p *Pool) AdoptChoice(now time.Time, r Request, c Choice) (Choice, bool) {
 	t, known := p.targets[c.Target.ID]
-	if !known || !t.accepting || t.entry.Service != r.Service || slices.Contains(r.Exclude, c.Target.ID) {
+	if !known || !t.accepting || !t.rest.allows(now) || t.entry.Service != r.Service || slices.Contains(r.Exclude, c.Target.ID) {
 		return Choice{}, false
 	}
 	c.Target, c.Learned = t.entry, t.learned
--- a/pkg/usherpool/pool.go
+++ b/pkg/usherpool/pool.go
@@ -146,6 +146,12 @@
 		table   *usherroute.Table
 		peers   map[string]peerLoads
 		hosts   int
+		// departed has the incarnations that said themselves that they are leaving, with the time at which their entry was
+		// last published. ended is what EndedNotices returns next.
+		departed map[incarnation]time.Time
+		ended    []EndedNotice
+		// resting has the rests of incarnations whose entry is missing. It may come back.
+		resting map[incarnation]rest
 	}
 
 	target struct {
@@ -160,6 +166,7 @@
 		own     Load
 		cold    tokenBucket
 		health  health
+		rest    rest
 		// reserved holds the choices made for other hosts, which they may not have reported yet.
 		reserved []reservation
 		prompts  promptQueue
@@ -168,7 +175,7 @@
 
 // New returns a pool without targets.
 func New(options Options) *Pool {
-	return &Pool{options: options, targets: map[string]*target{}, peers: map[string]peerLoads{}, hosts: 1}
+	return &Pool{options: options, targets: map[string]*target{}, peers: map[string]peerLoads{}, hosts: 1, departed: map[incarnation]time.Time{}, resting: map[incarnation]rest{}}
 }
 
 // Update replaces the published targets, the evacuated data centres and the declarations. hosts is the number of hosts
@@ -183,7 +190,8 @@
 		entry := *k.Target
 		t, known := p.targets[entry.ID]
 		if !known || t.entry.Incarnation != entry.Incarnation || t.entry.Address != entry.Address {
-			t = &target{cold: newTokenBucket(now, p.options.Random.Float64())}
+			t = &target{cold: newTokenBucket(now, p.options.Random.Float64()), rest: p.resting[incarnationOf(entry)]}
+			delete(p.resting, incarnationOf(entry))
 			p.targets[entry.ID] = t
 		}
 		if !t.learned.Equal(k.Learned) {
@@ -192,13 +200,18 @@
 		}
 		t.entry, t.learned = entry, k.Learned
 		t.evacuated = evacuated(entry.DataCentre)
-		t.accepting = !entry.Leaving && !t.leaving && !t.evacuated
+		_, departed := p.departed[incarnationOf(entry)]
+		t.accepting = !entry.Leaving && !t.leaving && !t.evacuated && !departed
 	}
 	for id, t := range p.targets {
 		if !t.accepting && t.own == (Load{}) && !slices.ContainsFunc(published, func(k ushercatalog.KnownEntry) bool { return k.Target.ID == id }) {
 			delete(p.targets, id)
+			if now.Before(t.rest.until) && len(p.resting) < maxDepartures {
+				p.resting[incarnationOf(t.entry)] = t.rest
+			}
 		}
 	}
+	p.sweepNotices(now)
 }
 
 // MarkLeaving records that the given incarnation of a target announced, at the given time, that it is leaving, and reports
@@ -279,6 +292,7 @@
 	if p.isCold(now, t) {
 		t.cold.take()
 	}
+	t.rest.sent(now)
 	if !c.Late {
 		t.prompts.add(now, r.PromptTokens)
 	}
@@ -288,7 +302,7 @@
 func (p *Pool) shuffledCandidates(now time.Time, r Request) []*target {
 	var candidates []*target
 	for _, t := range p.targets {
-		if t.entry.Service == r.Service && t.accepting && !slices.Contains(r.Exclude, t.entry.ID) && !t.health.blocked(now) {
+		if t.entry.Service == r.Service && t.accepting && !slices.Contains(r.Exclude, t.entry.ID) && !t.health.blocked(now) && t.rest.allows(now) {
 			candidates = append(candidates, t)
 		}
 	}
--- a/pkg/usherpool/summary.go
+++ b/pkg/usherpool/summary.go
@@ -8,12 +8,16 @@
 
 // Summary describes a target for operators.
 type Summary struct {
-	ID          string `json:"id"`
-	Service     string `json:"service"`
-	Address     string `json:"address"`
-	DataCentre  string `json:"data_centre"`
-	Accepts     bool   `json:"accepts"`
-	Evacuated   bool   `json:"evacuated"`
+	ID         string `json:"id"`
+	Service    string `json:"service"`
+	Address    string `json:"address"`
+	DataCentre string `json:"data_centre"`
+	Accepts    bool   `json:"accepts"`
+	Evacuated  bool   `json:"evacuated"`
+	// Leaving reports that the target said itself that it is leaving, RestsForMs for how much longer it wants nothing from this
+	// host.
+	Leaving     bool   `json:"leaving"`
+	RestsForMs  int64  `json:"rests_for_ms"`
 	Cold        bool   `json:"cold"`
 	Blocked     bool   `json:"blocked"`
 	FailureRate string `json:"failure_rate"`
@@ -26,9 +30,10 @@
 func (p *Pool) Summaries(now time.Time) []Summary {
 	summaries := make([]Summary, 0, len(p.targets))
 	for id, t := range p.targets {
+		_, departed := p.departed[incarnationOf(t.entry)]
 		summaries = append(summaries, Summary{
 			ID: id, Service: t.entry.Service, Address: t.entry.Address.String(), DataCentre: t.entry.DataCentre, Accepts: t.accepting,
-			Evacuated: t.evacuated, Cold: p.isCold(now, t), Blocked: t.health.blocked(now), FailureRate: percent(t.health.failureRate(now)),
+			Evacuated: t.evacuated, Leaving: t.leaving || departed, RestsForMs: max(t.rest.until.Sub(now), 0).Milliseconds(), Cold: p.isCold(now, t), Blocked: t.health.blocked(now), FailureRate: percent(t.health.failureRate(now)),
 			Own: t.own, All: p.totalLoad(now, t), AgeMs: now.Sub(t.learned).Milliseconds(),
 		})
 	}
--- a/service/usherhost/failover.go
+++ b/service/usherhost/failover.go
@@ -39,7 +39,7 @@
 
 // maintainCopies makes and renews the on-demand copies that the run needs.
 func (g *generation) maintainCopies(ctx context.Context) {
-	if e := g.copyEngine(); e == nil || !e.OnDemandCopies || !g.receiving {
+	if e := g.copyEngine(); e == nil || !e.OnDemandCopies || !g.receiving || g.host.state.rests(g.source.Target.ID) {
 		return
 	}
 	g.announceResume()
@@ -91,7 +91,7 @@
 	source, attempt, start, results := g.source.Target.Address, g.req.Attempt, time.Now(), g.copyResults
 	go func() {
 		result := copyResult{holder: holder}
-		if err := g.host.containment.run("copy", func() { result.copy, result.err = g.host.engines.Copy(ctx, source, attempt, address) }); err != nil {
+		if err := g.host.containment.run("copy", func() { result.copy, result.notice, result.err = g.host.engines.Copy(ctx, source, attempt, address) }); err != nil {
 			result.err = err
 		}
 		result.duration = time.Since(start)
@@ -101,6 +101,7 @@
 
 func (g *generation) handleCopyResult(c copyResult) {
 	attributes := []any{"attempt", g.req.Attempt, "source", g.source.Target.ID, "holder", c.holder, "duration_ms", c.duration.Milliseconds(), "events", g.req.events}
+	g.host.noteTarget(g.source.Target, g.req.Attempt, c.notice)
 	if c.err != nil {
 		g.copies.CopyFailed(time.Now(), g.host.engines.IsDestinationUnavailable(c.err))
 		g.releaseLoad(c.holder)
@@ -146,11 +147,13 @@
 			g.host.metrics.streamsResumed.Inc(1)
 			return nil
 		}
-		if !result.ran && point.Copy.Handle != "" {
+		if result.result == usherpool.Full && point.Copy.Handle != "" {
 			// The target did not have the copy, so a run without it is still allowed.
 			g.req.sends--
 		}
-		copies.DropCopy(point)
+		if result.result != usherpool.Withdrawn {
+			copies.DropCopy(point)
+		}
 		g.copies = copies
 	}
 	return errNotResumed.Wrap(cause, "stream not resumed after %d tries", g.req.resumes)
@@ -173,7 +176,7 @@
 
 // resumePoint returns the copy from which a generation that may run only once is resumed.
 func (g *generation) resumePoint() (ushercopies.ResumePoint, error) {
-	point, ok := g.copies.ResumePoint(g.host.state.accepts)
+	point, ok := g.copies.ResumePoint(g.host.state.mayHold)
 	if !ok {
 		return point, errNoCopy.New("no copy of the generation is available")
 	}
@@ -188,6 +191,7 @@
 			return usherpool.Choice{}, point, err
 		}
 		target, known := g.host.state.target(point.Target)
+		g.awaitRest(ctx, point.Target)
 		if !known {
 			return usherpool.Choice{}, point, errNoCopy.New("copy holder %s is no longer known", point.Target)
 		}
@@ -198,8 +202,9 @@
 	if g.req.sends >= g.req.route.MaxTargets || !g.takeRetry() {
 		return usherpool.Choice{}, ushercopies.ResumePoint{}, errNotResumed.New("no further target or retry allowed")
 	}
-	if point, ok := g.copies.ResumePoint(g.host.state.accepts); ok {
+	if point, ok := g.copies.ResumePoint(g.host.state.mayHold); ok {
 		if target, known := g.host.state.target(point.Target); known {
+			g.awaitRest(ctx, point.Target)
 			return usherpool.Choice{Target: target}, point, nil
 		}
 	}
@@ -217,7 +222,7 @@
 func (h *Host) callRelease(c ushercall.Copy) {
 	ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
 	defer cancel()
-	if err := h.engines.Release(ctx, c.Address, c.Handle); err != nil {
+	if _, err := h.engines.Release(ctx, c.Address, c.Handle); err != nil {
 		h.log.Debug("failed to release copy; it will expire", "address", c.Address.String(), "error", errorText(err))
 	}
 }
--- a/service/usherhost/host.go
+++ b/service/usherhost/host.go
@@ -121,6 +121,7 @@
 		return nil, err
 	}
 	h.targetPoller = newTargetPoller(h.state, h.peers, p.Engines, h.containment, log, registry)
+	h.targetPoller.note = h.noteTarget
 	h.feed = newFeed(h.state, p.Store, s.Process.FirstStart, h.peers, log, registry)
 	h.lifecycle = fsm.NewFSM(stateStarting, fsm.Events{
 		{Name: eventConfigured, Src: []string{stateStarting}, Dst: stateServing},
--- a/service/usherhost/metrics.go
+++ b/service/usherhost/metrics.go
@@ -37,6 +37,12 @@
 	// whose target had crashed.
 	earlyEnds metrics.Counter
 	crashes   metrics.Counter
+	// departures and rests count what targets said of themselves, noticesIgnored what they said that means nothing, withdrawn
+	// the requests that were not sent to the target chosen for them because of it.
+	departures     metrics.Counter
+	rests          metrics.Counter
+	noticesIgnored metrics.Counter
+	withdrawn      metrics.Counter
 	// foreign counts the responses of targets that do not name the attempt they were sent for.
 	foreign metrics.Counter
 	// probes counts the requests that were tried again although they were blamed for crashes.
@@ -57,6 +63,8 @@
 		copiesFailed: metrics.NewRegisteredCounter("streams.copies_failed", r), retries: metrics.NewRegisteredCounter("requests.repeats", r),
 		stops: metrics.NewRegisteredCounter("streams.stops", r), stopsRefused: metrics.NewRegisteredCounter("streams.stops_refused", r),
 		earlyEnds: metrics.NewRegisteredCounter("targets.early_ends", r), crashes: metrics.NewRegisteredCounter("targets.crashes", r), probes: metrics.NewRegisteredCounter("requests.suspect_probes", r),
+		departures: metrics.NewRegisteredCounter("targets.departures", r), rests: metrics.NewRegisteredCounter("targets.rests", r),
+		noticesIgnored: metrics.NewRegisteredCounter("targets.notices_ignored", r), withdrawn: metrics.NewRegisteredCounter("requests.withdrawn", r),
 		foreign:    metrics.NewRegisteredCounter("targets.foreign_responses", r),
 		localBytes: metrics.NewRegisteredCounter("targets.near_bytes", r), remoteBytes: metrics.NewRegisteredCounter("targets.far_bytes", r),
 	}
--- a/service/usherhost/peers.go
+++ b/service/usherhost/peers.go
@@ -132,6 +132,7 @@
 	for {
 		// Blame also ends by answers and with time.
 		logBlamed(p.state, p.log, p.state.self().Name)
+		p.logEndedNotices()
 		for _, r := range p.state.nextReports(urgent) {
 			p.send(r.datagram, r.to...)
 		}
--- a/service/usherhost/plain.go
+++ b/service/usherhost/plain.go
@@ -121,7 +121,7 @@
 	h := r.host
 	h.state.recordResult(result.choice.Target.ID, result.result)
 	r.req.ran = r.req.ran || result.ran
-	if result.result == usherpool.Unreachable || result.result == usherpool.Replaced {
+	if result.result == usherpool.Unreachable || result.result == usherpool.Replaced || result.result == usherpool.Withdrawn {
 		// The call did not reach the intended target.
 		r.req.sends--
 	}
@@ -146,6 +146,9 @@
 		return false
 	}
 	switch result.result {
+	case usherpool.Withdrawn:
+		// Nothing has reached a target.
+		return true
 	case usherpool.Unreachable:
 		return r.host.state.allowRetry(r.req.service.Name)
 	case usherpool.Replaced:
@@ -173,7 +176,7 @@
 		choice, err = r.host.state.choose(usherpool.Request{Service: r.req.service.Name})
 	}
 	if err != nil {
-		return refuse(reasonNoTarget, r.host.retryAfter(err), err)
+		return refuse(reasonNoTarget, r.host.retryAfter(r.req.service.Name, err), err)
 	}
 	r.tries++
 	r.pending++
@@ -217,7 +220,7 @@
 	case r.req.ran:
 		return reply{}, refuse(reasonBroken, noRetryAfter, r.lastErr)
 	default:
-		return reply{}, refuse(reasonNotRun, retryAfterShort, r.lastErr)
+		return reply{}, refuse(reasonNotRun, r.host.retryAfterRejection(r.req.service.Name), r.lastErr)
 	}
 }
 
@@ -243,6 +246,11 @@
 		releaseLoad()
 		return sendResult{choice: choice, result: usherpool.Unreachable, err: err}
 	}
+	if result, withdrawn := h.withdrawn(choice); withdrawn {
+		x.close()
+		releaseLoad()
+		return result
+	}
 	reservation := &bufferReservation{budget: h.buffers}
 	result := h.exchange(ctx, x, req, choice, reservation)
 	if result.result == usherpool.Broken {
@@ -288,6 +296,7 @@
 	if x.info.ColdRemaining > 0 {
 		h.state.markCold(id, x.info.ColdRemaining)
 	}
+	h.noteTarget(choice.Target, req.Attempt, x.info.Notice)
 	return sendResult{choice: choice, result: classify(status, x.info), ran: !x.info.NotRun, reply: r, err: statusError(id, status)}
 }
 
@@ -314,13 +323,24 @@
 }
 
 // retryAfter returns the advice for callers after an error in choosing a target.
-func (h *Host) retryAfter(err error) time.Duration {
+func (h *Host) retryAfter(service string, err error) time.Duration {
+	if wait, rests := h.state.back(service); rests {
+		return wait
+	}
 	if errorx.IsOfType(err, usherpool.ErrNoTarget) {
 		return retryAfterNoTarget
 	}
 	return retryAfterShort
 }
 
+// retryAfterRejection returns the advice for callers whose request each target rejected that it was sent to.
+func (h *Host) retryAfterRejection(service string) time.Duration {
+	if wait, rests := h.state.back(service); rests {
+		return wait
+	}
+	return retryAfterShort
+}
+
 // excludedTargets returns the targets that the request was sent to and more.
 func (req *requestState) excludedTargets(more ...string) []string {
 	return append(slices.Clone(req.targets), more...)
--- a/service/usherhost/stoprun.go
+++ b/service/usherhost/stoprun.go
@@ -79,7 +79,11 @@
 	ctx, cancel := context.WithTimeout(ctx, stopTimeout)
 	defer cancel()
 	start := time.Now()
-	c, err := h.engines.Stop(ctx, source.Address, attempt, holder.Address)
+	if h.state.rests(source.ID) {
+		return stopResult{err: errStillRunning.New("target %s rests", source.ID)}
+	}
+	c, notice, err := h.engines.Stop(ctx, source.Address, attempt, holder.Address)
+	h.noteTarget(source, attempt, notice)
 	h.log.Info("run ordered to end", "attempt", attempt, "source", source.ID, "holder", holder.ID, "copy", c.Handle != "",
 		"duration_ms", time.Since(start).Milliseconds(), "error", errorTextOrEmpty(err))
 	if err != nil && !h.engines.IsUnreachable(err) {
@@ -93,7 +97,7 @@
 // stopDestination returns the target that gets the KV cache of a run that is ended: the one that has a copy already, if
 // there is one.
 func (g *generation) stopDestination(ctx context.Context) (ushercatalog.Target, error) {
-	if point, ok := g.copies.ResumePoint(g.host.state.accepts); ok {
+	if point, ok := g.copies.ResumePoint(g.host.state.mayHold); ok {
 		if target, known := g.host.state.target(point.Target); known {
 			return target, nil
 		}
--- a/service/usherhost/stream.go
+++ b/service/usherhost/stream.go
@@ -60,15 +60,15 @@
 )
 
 type (
-	// Engines calls the control interface of model engines.
+	// Engines calls the control interface of model engines. Each call also returns what the engine says of itself.
 	Engines interface {
-		Copy(ctx context.Context, source netip.AddrPort, attempt string, to netip.AddrPort) (ushercall.Copy, error)
-		Release(ctx context.Context, at netip.AddrPort, handle string) error
+		Copy(ctx context.Context, source netip.AddrPort, attempt string, to netip.AddrPort) (ushercall.Copy, ushercall.Notice, error)
+		Release(ctx context.Context, at netip.AddrPort, handle string) (ushercall.Notice, error)
 		// Leaving reports whether an engine accepts no new work.
-		Leaving(ctx context.Context, at netip.AddrPort) (bool, error)
+		Leaving(ctx context.Context, at netip.AddrPort) (bool, ushercall.Notice, error)
 		// Stop ends a run and then copies its KV cache to another engine. Without an error the run has ended; the copy is zero
 		// if none could be made.
-		Stop(ctx context.Context, source netip.AddrPort, attempt string, to netip.AddrPort) (ushercall.Copy, error)
+		Stop(ctx context.Context, source netip.AddrPort, attempt string, to netip.AddrPort) (ushercall.Copy, ushercall.Notice, error)
 		// IsUnreachable reports whether an error of Stop means that the engine cannot be reached or does not respond.
 		IsUnreachable(err error) bool
 		// IsDestinationUnavailable reports whether an error of Copy means that the destination has no memory for the
@@ -119,6 +119,7 @@
 	copyResult struct {
 		holder   string
 		copy     ushercall.Copy
+		notice   ushercall.Notice
 		err      error
 		duration time.Duration
 	}
@@ -184,7 +185,7 @@
 		}
 		choice, err := g.host.peers.placement.place(ctx, g.placementRequest(g.req.excludedTargets()))
 		if err != nil && cause == nil {
-			return nil, refuse(reasonNoTarget, g.host.retryAfter(err), err)
+			return nil, refuse(reasonNoTarget, g.host.retryAfter(g.req.service.Name, err), err)
 		}
 		if err != nil {
 			break
@@ -228,7 +229,7 @@
 	case g.req.ran:
 		return nil, refuse(reasonBroken, noRetryAfter, cause)
 	default:
-		return nil, refuse(reasonNotRun, retryAfterShort, cause)
+		return nil, refuse(reasonNotRun, g.host.retryAfterRejection(g.req.service.Name), cause)
 	}
 }
 
@@ -248,6 +249,10 @@
 }
 
 func (g *generation) takeRetryFor(result sendResult) bool {
+	if result.result == usherpool.Withdrawn {
+		// Nothing has reached a target.
+		return true
+	}
 	unsent := result.result == usherpool.Unreachable || result.result == usherpool.Replaced
 	if !unsent && (g.req.sends >= g.req.route.MaxTargets || result.ran && g.req.route.AtMostOnce()) {
 		return false
@@ -281,6 +286,9 @@
 		return sendResult{choice: choice, result: usherpool.Unreachable, err: err}
 	}
 	g.exchange = x
+	if result, withdrawn := g.host.withdrawn(choice); withdrawn {
+		return result
+	}
 	dispatch := g.req.dispatch(id)
 	if choice.Late {
 		// It queues behind streams that can still start in time, and uses no KV cache until then.
@@ -326,6 +334,7 @@
 		err := errUnexpectedResponse.New("target %s continues a stream with content of type %q", choice.Target.ID, contentType)
 		return sendResult{choice: choice, result: usherpool.Broken, ran: true, err: err}
 	}
+	g.host.noteTarget(choice.Target, g.req.Attempt, g.exchange.info.Notice)
 	return sendResult{choice: choice, result: usherpool.Answered, ran: true}
 }
 
@@ -337,6 +346,7 @@
 	if err != nil {
 		return sendResult{choice: choice, result: usherpool.Broken, ran: !x.info.NotRun, err: err}
 	}
+	g.host.noteTarget(choice.Target, g.req.Attempt, x.info.Notice)
 	return sendResult{
 		choice: choice, result: classify(status, x.info), ran: !x.info.NotRun, err: errStatus.New("target %s responded with status %d", choice.Target.ID, status),
 		reply: reply{status: status, header: g.host.codec.ResponseHeader(x.response.Header), body: body},
@@ -358,7 +368,7 @@
 	h.state.recordAnswer(g.req)
 	h.metrics.recordResponse(g.req, time.Since(g.req.received))
 	h.logRequest(g.req, "answered", slog.Int("status", g.exchange.response.StatusCode), nil)
-	if point, made := g.copies.OnDemandCopy(); made {
+	if point, made := g.copies.OnDemandCopy(); made && !h.state.rests(g.source.Target.ID) {
 		go h.releaseCopy(point.Copy)
 	}
 }
--- a/service/usherhost/targetpoller.go
+++ b/service/usherhost/targetpoller.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"log/slog"
-	"net/netip"
 	"slices"
 	"sync"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
+
+	"github.com/samphireusher/samphireusher/pkg/ushercall"
+	"github.com/samphireusher/samphireusher/pkg/ushercatalog"
 )
 
 const (
@@ -36,6 +38,8 @@
 		log     *slog.Logger
 		polls   metrics.Counter
 		active  bool
+		// note records what a target says of itself.
+		note func(target ushercatalog.Target, attempt string, n ushercall.Notice)
 		// containment guards the polls, which run concurrently.
 		containment *containment
 	}
@@ -52,12 +56,6 @@
 		Incarnation int64         `cbor:"2,keyasint,omitempty"`
 		Age         time.Duration `cbor:"3,keyasint"`
 	}
-
-	// runningTarget is a target that runs streams of this host.
-	runningTarget struct {
-		id      string
-		address netip.AddrPort
-	}
 )
 
 func newTargetPoller(s *sharedState, p *peers, engines Engines, c *containment, log *slog.Logger, registry metrics.Registry) *targetPoller {
@@ -90,14 +88,15 @@
 	polling.Wait()
 }
 
-func (p *targetPoller) pollTarget(ctx context.Context, t runningTarget) {
-	leaving, err := p.engines.Leaving(ctx, t.address)
+func (p *targetPoller) pollTarget(ctx context.Context, t ushercatalog.Target) {
+	leaving, notice, err := p.engines.Leaving(ctx, t.Address)
+	p.note(t, "", notice)
 	if err != nil {
-		p.log.Debug("failed to query target state", "target", t.id, "error", errorText(err))
+		p.log.Debug("failed to query target state", "target", t.ID, "error", errorText(err))
 		return
 	}
-	if leaving && p.state.recordLeaving(t.id) {
-		p.log.Info("target learned", "source", t.address.String(), "target", t.id, "leaving", true)
+	if leaving && p.state.recordLeaving(t.ID) {
+		p.log.Info("target learned", "source", t.Address.String(), "target", t.ID, "leaving", true)
 		p.peers.reportNow()
 	}
 }
@@ -109,14 +108,16 @@
 	return s.catalog.Table() != nil && (s.latestContact.at.IsZero() || time.Since(s.latestContact.at) >= staleAfter)
 }
 
-// runningTargets returns the targets that run streams of this host.
-func (s *sharedState) runningTargets() []runningTarget {
+// runningTargets returns the targets that run streams of this host and may be polled.
+func (s *sharedState) runningTargets() []ushercatalog.Target {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	var targets []runningTarget
+	var targets []ushercatalog.Target
+	now := time.Now()
 	for id, load := range s.pool.OwnLoads() {
-		if t, known := s.pool.Target(id); known && load.Streams > 0 {
-			targets = append(targets, runningTarget{id: id, address: t.Address})
+		_, rests := s.pool.Rests(now, id)
+		if t, known := s.pool.Target(id); known && load.Streams > 0 && !rests {
+			targets = append(targets, t)
 		}
 	}
 	return targets
