usherhost: pull from another peer, or read the store, when a pull fails

Cause: a host that is behind always pulled from the first peer by name with the newest catalog. A failed pull changed nothing, so hosts that could not reach the reader, or whose reader had lost power, asked it again and again, and its reports kept them from reading the store.

A peer from which a pull failed is left out for 2 s and another one that is ahead is asked; if there is none, the hosts of each data centre make one call to the store in turn.

--- /dev/null
+++ b/cmd/usher-host/daemon/catalog_test.go
@@ -0,0 +1,129 @@
+package daemon_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/samphireusher/samphireusher/service/usherhost"
+)
+
+// declareLarge publishes declarations that do not fit a datagram, with the route /new/.
+func (b *testbed) declareLarge(version int) {
+	b.declare(version, func(d map[string]any) {
+		addRoute("new")(d)
+		for i := range 50 {
+			d["tenants"] = append(d["tenants"].([]any), map[string]any{"name": fmt.Sprint("workspace-", i), "apiKeys": []string{fmt.Sprintf("key-of-workspace-%020d", i)}})
+		}
+	})
+}
+
+// versionOf returns the version of the declarations at a host.
+func (b *testbed) versionOf(h *host) (version int) {
+	b.t.Helper()
+	var dump struct {
+		Version int `json:"version"`
+	}
+	if err := json.Unmarshal([]byte(b.getAt(h, adminPort, usherhost.DumpPath).body), &dump); err != nil {
+		b.t.Fatal(err)
+	}
+	return dump.Version
+}
+
+// storeReader returns the host that calls the store.
+func (b *testbed) storeReader() *host {
+	b.t.Helper()
+	before := b.store.Calls()
+	time.Sleep(3 * time.Second)
+	for _, h := range b.hosts {
+		if b.store.Calls()[h.ip] > before[h.ip] {
+			return h
+		}
+	}
+	b.t.Fatal("no host reads the store")
+	return nil
+}
+
+func address(h *host) netip.Addr { return netip.MustParseAddr(h.ip) }
+
+// Packets from one data centre to that of the reader are lost, the other way they pass. The hosts there saw that the reader had newer
+// declarations, failed to pull them from it again and again, and asked neither the hosts that had them nor the store. Found by
+// review/4.
+func TestHostsThatCannotReachTheReaderGetTheDeclarations(t *testing.T) {
+	for _, hosts := range []int{9, 12} {
+		for _, after := range []time.Duration{0, 200 * time.Millisecond, 500 * time.Millisecond, time.Second, 3 * time.Second} {
+			t.Run(fmt.Sprint(hosts, " hosts, after ", after), func(t *testing.T) {
+				withTestbed(t, options{hosts: hosts, plainTargets: 3}, func(t *testing.T, b *testbed) {
+					reader := dataCentreOf(b, b.storeReader())
+					other := (reader + 1) % len(dataCentres)
+					for i, from := range b.hosts {
+						for j, to := range b.hosts {
+							if i%len(dataCentres) == other && j%len(dataCentres) == reader {
+								b.network.Block(address(from), address(to))
+							}
+						}
+					}
+					time.Sleep(after)
+					b.declareLarge(5)
+					time.Sleep(maxConfigDelay)
+					for _, h := range b.hosts {
+						if v := b.versionOf(h); v != 5 {
+							t.Errorf("%s: version %d after %s, want 5", h.name, v, maxConfigDelay)
+						}
+					}
+				})
+			})
+		}
+	}
+}
+
+func dataCentreOf(b *testbed, h *host) int {
+	for i, other := range b.hosts {
+		if other == h {
+			return i % len(dataCentres)
+		}
+	}
+	return -1
+}
+
+// The reader loses power right after it has read declarations. The other hosts had heard that it has them and pulled from it until
+// it counted as gone, for 4.5 s where there are more than ten others. Found by the review, reader-lost-after-a-change.
+func TestDeclarationsOfALostReaderAreReadFromTheStore(t *testing.T) {
+	for _, hosts := range []int{9, 12, 24} {
+		t.Run(fmt.Sprint(hosts, " hosts"), func(t *testing.T) {
+			withTestbed(t, options{hosts: hosts, plainTargets: 3}, func(t *testing.T, b *testbed) {
+				reader := b.storeReader()
+				b.declareLarge(5)
+				published := time.Now()
+				for b.versionOf(reader) != 5 {
+					time.Sleep(time.Millisecond)
+				}
+				// Its report that it has them is on its way.
+				time.Sleep(40 * time.Millisecond)
+				b.network.Pause(address(reader))
+				before := b.store.Calls()
+				time.Sleep(time.Until(published.Add(maxConfigDelay)))
+				late := 0
+				for _, h := range b.hosts {
+					if h != reader && b.versionOf(h) != 5 {
+						late++
+					}
+				}
+				if late > 0 {
+					t.Errorf("%d of %d hosts have old declarations after %s", late, hosts, maxConfigDelay)
+				}
+				readers := 0
+				for ip, n := range b.store.Calls() {
+					if n > before[ip] {
+						readers++
+					}
+				}
+				if readers > 6 {
+					t.Errorf("%d hosts called the store, want few", readers)
+				}
+			})
+		})
+	}
+}
--- a/service/usherhost/feed.go
+++ b/service/usherhost/feed.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"maps"
 	"net/netip"
 	"time"
 
@@ -41,6 +42,14 @@
 	// pullDelay is how long a host waits before it pulls the changes that a peer has and it lacks, as changes are also
 	// pushed.
 	pullDelay = 200 * time.Millisecond
+	// unreachableTime is how long a peer is not asked again from which a pull has failed, and maxPulls the number of pulls
+	// after which a host that is behind reads the store itself.
+	unreachableTime = 2 * time.Second
+	maxPulls        = 3
+	// storeTurnStep is how long a host leaves the reading of the store to each of up to maxStoreTurns hosts of its data centre,
+	// if nobody can be reached who has the changes. What one of them reads is reported to the next ones in that time.
+	storeTurnStep = 100 * time.Millisecond
+	maxStoreTurns = 5
 )
 
 type (
@@ -77,12 +86,24 @@
 		failedCalls   metrics.Counter
 		isStoreReader bool
 		storeUp       bool
+
+		// unreachable has the peers from which a pull has failed, and until when they are not asked. Only followPeers uses it.
+		unreachable map[string]time.Time
+		// readOnce makes a host that does not read the store make one call.
+		readOnce chan struct{}
+	}
+
+	// aheadPeer is a peer with a newer catalog than this host's.
+	aheadPeer struct {
+		name     string
+		address  netip.AddrPort
+		revision uint64
 	}
 )
 
 func newFeed(s *sharedState, store Store, firstStart bool, p *peers, log *slog.Logger, registry metrics.Registry) *feed {
 	return &feed{
-		state: s, store: store, allowStale: firstStart, peers: p, log: log, storeUp: true,
+		state: s, store: store, allowStale: firstStart, peers: p, log: log, storeUp: true, unreachable: map[string]time.Time{}, readOnce: make(chan struct{}, 1),
 		calls: metrics.NewRegisteredCounter("store.calls", registry), failedCalls: metrics.NewRegisteredCounter("store.failed_calls", registry),
 	}
 }
@@ -90,14 +111,28 @@
 // run reads the store while this host has to, until ctx ends.
 func (f *feed) run(ctx context.Context) {
 	for ctx.Err() == nil {
-		if f.listed && f.relistAt.IsZero() && !f.updateReader() {
-			waitFor(ctx, readerCheckInterval, f.state.readerFailed)
+		if f.listed && f.relistAt.IsZero() && !f.updateReader() && !f.awaitTurn(ctx) {
 			continue
 		}
 		f.poll(ctx)
 	}
 }
 
+// awaitTurn waits until it is time to check again whether this host has to read the store. It reports whether one call is
+// requested meanwhile.
+func (f *feed) awaitTurn(ctx context.Context) bool {
+	timer := time.NewTimer(readerCheckInterval)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	case <-f.state.readerFailed:
+	case <-f.readOnce:
+		return true
+	}
+	return false
+}
+
 // followPeers pulls missing changes from peers that are ahead, until ctx ends. It does not wait for calls to the store,
 // which may get no response.
 func (f *feed) followPeers(ctx context.Context) {
@@ -261,17 +296,42 @@
 	return changed
 }
 
+// pullFromPeer pulls the changes that peers have and this host lacks. If none of these peers can be reached, one host after the
+// other reads the store, until the changes are at a peer that can be.
 func (f *feed) pullFromPeer(ctx context.Context) {
-	address, revision, ahead := f.state.peerAhead()
-	if !ahead {
-		return
+	now := time.Now()
+	maps.DeleteFunc(f.unreachable, func(_ string, until time.Time) bool { return now.After(until) })
+	waited := false
+	for range maxPulls {
+		peer, reachable, behind := f.state.peerAhead(f.unreachable)
+		switch {
+		case !behind || ctx.Err() != nil:
+			return
+		case reachable && f.pull(ctx, peer):
+			return
+		case !reachable && !waited:
+			waited = true
+			sleep(ctx, f.state.storeTurn())
+		case !reachable:
+			f.log.Info("no peer that is ahead can be reached; reading the store", "revision", f.state.revision(), "peer_revision", peer.revision)
+			notify(f.readOnce)
+			return
+		}
 	}
-	changed, err := f.peers.pull(ctx, address, f.state.revision())
+	notify(f.readOnce)
+}
+
+// pull pulls from one peer and reports whether that succeeded.
+func (f *feed) pull(ctx context.Context, peer aheadPeer) bool {
+	changed, err := f.peers.pull(ctx, peer.address, f.state.revision())
 	if err != nil {
-		f.log.Warn("failed to pull changes from peer; retrying at the next report", "peer", address.String(), "revision", revision, "error", errorText(err))
-		return
+		f.unreachable[peer.name] = time.Now().Add(unreachableTime)
+		f.log.Warn("failed to pull changes from peer; asking another one", "peer", peer.name, "revision", peer.revision, "error", errorText(err))
+		return false
 	}
-	f.logChanges(address.String(), changed)
+	delete(f.unreachable, peer.name)
+	f.logChanges(peer.address.String(), changed)
+	return true
 }
 
 // logChanges logs what this host learned.
@@ -295,17 +355,6 @@
 	}
 }
 
-// waitFor returns after d, or when wake is notified.
-func waitFor(ctx context.Context, d time.Duration, wake <-chan struct{}) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	case <-wake:
-	}
-}
-
 func sleep(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
@@ -379,22 +428,34 @@
 	return known && !r.storeFailing && now.Sub(r.lastStoreResponse) < readerTimeout
 }
 
-// peerAhead returns the peer with the newest catalog, if it is newer than this host's; one of the same data centre if
-// possible.
-func (s *sharedState) peerAhead() (address netip.AddrPort, revision uint64, ahead bool) {
+// peerAhead returns the peer with the newest catalog that is not known to be unreachable, one of the same data centre if
+// possible, and whether there is one. behind reports whether any peer has a newer catalog than this host; if all of them are
+// unreachable, peer is one of these.
+func (s *sharedState) peerAhead(unreachable map[string]time.Time) (peer aheadPeer, reachable, behind bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	revision = s.catalog.Revision()
+	now := time.Now()
 	self := s.cluster.Self()
-	for _, local := range []bool{true, false} {
-		for _, m := range s.cluster.Alive(time.Now()) {
-			if r, known := s.peerStatuses[m.Name]; known && (m.DataCentre == self.DataCentre) == local && r.revision > revision {
-				address, revision, ahead = m.Address, r.revision, true
-			}
+	local := false
+	for _, m := range s.cluster.Alive(now) {
+		status, known := s.peerStatuses[m.Name]
+		if !known || status.revision <= s.catalog.Revision() {
+			continue
 		}
-		if ahead {
-			return address, revision, true
+		behind = true
+		mayReach := !now.Before(unreachable[m.Name])
+		isLocal := m.DataCentre == self.DataCentre
+		better := peer.name == "" || mayReach && !reachable || mayReach == reachable && (isLocal && !local || isLocal == local && status.revision > peer.revision)
+		if better {
+			peer, reachable, local = aheadPeer{name: m.Name, address: m.Address, revision: status.revision}, mayReach, isLocal
 		}
 	}
-	return netip.AddrPort{}, 0, false
+	return peer, reachable, behind
+}
+
+// storeTurn returns how long this host leaves it to others of its data centre to read the store.
+func (s *sharedState) storeTurn() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return storeTurnStep * time.Duration(min(max(s.cluster.LocalRank(time.Now()), 0), maxStoreTurns))
 }
