usherhost: notice standstills and drop what waited meanwhile

Cause: a host that goes on reads datagrams that waited in its socket as if they had just been sent, and tells the others so, who take its word. On a suspended machine the steady clock misses the time, so every age is too small. Nothing noticed a standstill.

Two clocks now show gaps of a second or more; datagrams that waited are dropped, beliefs become older by what the steady clock missed, and callers that ask for hosts are sent elsewhere for 0.3 s.

--- a/cmd/usher-host/daemon/daemon.go
+++ b/cmd/usher-host/daemon/daemon.go
@@ -55,6 +55,7 @@
 	logWriter := usherhost.NewLogWriter(os.Stdout)
 	defer logWriter.Close()
 	platform := Platform(settings, usherhost.OSNetwork{})
+	platform.Uptime = usherhost.Uptime
 	platform.Settings = func() ([]byte, error) { return os.ReadFile(args.Settings) }
 	host, err := usherhost.New(settings, platform, settings.NewLogger(logWriter))
 	if err != nil {
--- a/pkg/ushercluster/cluster.go
+++ b/pkg/ushercluster/cluster.go
@@ -236,6 +236,16 @@
 	return changed
 }
 
+// PassTime makes all news of other hosts older, by time that the clock of the calls has not counted.
+func (c *Cluster) PassTime(missed time.Duration) {
+	for _, m := range c.members {
+		m.lastHeard, m.changedAt = m.lastHeard.Add(-missed), m.changedAt.Add(-missed)
+		if !m.lastDirect.IsZero() {
+			m.lastDirect = m.lastDirect.Add(-missed)
+		}
+	}
+}
+
 // failureTimeout returns how long a host may not be heard of before it counts as gone.
 func (c *Cluster) failureTimeout() time.Duration {
 	if len(c.members) > smallFleet {
--- a/pkg/ushercluster/cluster_test.go
+++ b/pkg/ushercluster/cluster_test.go
@@ -355,3 +355,21 @@
 		t.Errorf("%d of 9 hosts know all others", n)
 	}
 }
+
+// A machine is suspended and its steady clock does not count the time. What it had heard before must not look fresh to others.
+func TestSuspendedHostDoesNotTellFreshAges(t *testing.T) {
+	now := time.Unix(1000, 0)
+	c := ushercluster.New(ushercluster.Member{Name: "a", DataCentre: "x", Incarnation: 1}, nil, rand.New(rand.NewPCG(1, 1)))
+	c.Receive(now, ushercluster.Report{From: ushercluster.Member{Name: "b", DataCentre: "x", Incarnation: 1}})
+	if len(c.Alive(now)) != 1 {
+		t.Fatal("a host that was just heard of counts as gone")
+	}
+	c.PassTime(500 * time.Millisecond)
+	if peers := c.Report(now).Peers; len(peers) != 1 || peers[0].Age != 500*time.Millisecond {
+		t.Errorf("told %+v after a suspension of 0.5 s", peers)
+	}
+	c.PassTime(ushercluster.FailureTimeout)
+	if alive, told := c.Alive(now), c.Report(now).Peers; len(alive) > 0 || len(told) > 0 {
+		t.Errorf("alive %v, told %+v after a suspension beyond the failure time-out", alive, told)
+	}
+}
--- a/service/usherhost/admin.go
+++ b/service/usherhost/admin.go
@@ -50,6 +50,11 @@
 
 // locate tells a caller which hosts to use, those of its data centre first.
 func (h *Host) locate(w http.ResponseWriter, r *http.Request) {
+	if !h.peers.standstill.isSettled() {
+		// Callers ask another host.
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	var addresses []string
 	for _, m := range h.state.servingHosts(h.codec.DecodeLocate(r)) {
 		if len(addresses) < maxLocateAddresses {
--- a/service/usherhost/host.go
+++ b/service/usherhost/host.go
@@ -61,6 +61,9 @@
 		Network Network
 		// Settings returns the current content of the settings file. It is nil if the settings never change.
 		Settings func() ([]byte, error)
+		// Uptime returns the time of a clock that also counts the time in which the machine is suspended. It is nil if there is
+		// none.
+		Uptime func() time.Duration
 		// LocatePath is the HTTP path where callers ask for hosts, ReadyPath the one where the platform checks
 		// readiness.
 		LocatePath string
@@ -117,7 +120,7 @@
 	h.containment = newContainment(log, registry)
 	h.requestsCtx, h.endRequests = context.WithCancel(context.Background())
 	var err error
-	if h.peers, err = newPeers(h.state, p.Network, s.Listen.Peers, log, registry); err != nil {
+	if h.peers, err = newPeers(h.state, p, s.Listen.Peers, log, registry); err != nil {
 		return nil, err
 	}
 	h.targetPoller = newTargetPoller(h.state, h.peers, p.Engines, h.containment, log, registry)
@@ -155,6 +158,7 @@
 	for duty, run := range map[string]func(){
 		"reports to peers":         func() { h.peers.runReports(ctx) },
 		"datagrams of peers":       h.peers.receive,
+		"standstills":              func() { h.peers.runPulse(ctx) },
 		"reading the store":        func() { h.feed.run(ctx) },
 		"following peers":          func() { h.feed.followPeers(ctx) },
 		"polling targets":          func() { h.targetPoller.run(ctx) },
--- a/service/usherhost/network.go
+++ b/service/usherhost/network.go
@@ -42,6 +42,16 @@
 	return dialer.DialContext(ctx, network, address)
 }
 
+// Uptime returns the time since the machine was started, including that in which it was suspended.
+func Uptime() time.Duration {
+	var t unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &t); err != nil {
+		// Without the clock, standstills are seen by the steady one only.
+		return 0
+	}
+	return time.Duration(t.Nano())
+}
+
 func setUserTimeout(_, _ string, raw syscall.RawConn) error {
 	var err error
 	if controlErr := raw.Control(func(fd uintptr) {
--- a/service/usherhost/peers.go
+++ b/service/usherhost/peers.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"net/netip"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -53,6 +54,10 @@
 		// reportDue makes the host report at once.
 		reportDue chan struct{}
 		placement *placement
+		// standstill detects that this process stood still; until discardUntil, in Unix nanoseconds, datagrams are dropped.
+		standstill   *standstill
+		discardUntil atomic.Int64
+		stale        metrics.Counter
 	}
 
 	datagramWire struct {
@@ -105,7 +110,8 @@
 	}
 )
 
-func newPeers(s *sharedState, network Network, address netip.AddrPort, log *slog.Logger, registry metrics.Registry) (*peers, error) {
+func newPeers(s *sharedState, platform Platform, address netip.AddrPort, log *slog.Logger, registry metrics.Registry) (*peers, error) {
+	network := platform.Network
 	conn, err := network.ListenPacket(address)
 	if err != nil {
 		return nil, err
@@ -118,7 +124,7 @@
 		sent: metrics.NewRegisteredCounter("peers.sent", registry), received: metrics.NewRegisteredCounter("peers.received", registry),
 		unreadable: metrics.NewRegisteredCounter("peers.unreadable", registry),
 		localBytes: metrics.NewRegisteredCounter("peers.near_bytes", registry), remoteBytes: metrics.NewRegisteredCounter("peers.far_bytes", registry),
-		reportDue: make(chan struct{}, 1),
+		reportDue: make(chan struct{}, 1), standstill: newStandstill(platform.Uptime), stale: metrics.NewRegisteredCounter("peers.stale", registry),
 	}
 	p.placement = newPlacement(s, p, registry)
 	return p, nil
@@ -186,6 +192,10 @@
 			time.Sleep(minBackoff)
 			continue
 		}
+		if p.isStale() {
+			p.stale.Inc(1)
+			continue
+		}
 		var d datagramWire
 		if err := cbor.Unmarshal(buffer[:n], &d); err != nil || d.Version != protocolVersion {
 			p.unreadable.Inc(1)
--- /dev/null
+++ b/service/usherhost/standstill.go
@@ -0,0 +1,118 @@
+package usherhost
+
+import (
+	"context"
+	"sync"
+	"time"
+)
+
+const (
+	// pulseInterval is how often a host checks that it has not stood still, and standstillTime the gap between two checks from
+	// which it has: scheduling and throttling delay a check for less.
+	pulseInterval  = 100 * time.Millisecond
+	standstillTime = time.Second
+	// settleTime is how long after a standstill a host knows too little of the others to name them to callers: a round of
+	// reports.
+	settleTime = 300 * time.Millisecond
+	// discardTime is how long a host reads and drops datagrams after a standstill: what its socket has kept is read within.
+	discardTime = 20 * time.Millisecond
+)
+
+type (
+	// standstill detects that the process, or the whole machine, stood still: by the steady clock, and by one that also counts
+	// the time in which a machine is suspended.
+	standstill struct {
+		mu sync.Mutex
+		// uptime returns the time of the second clock; nil if there is none.
+		uptime     func() time.Duration
+		last       time.Time
+		lastUptime time.Duration
+		settled    time.Time
+	}
+
+	// gap is a time in which the process stood still. missed is the part of it that the steady clock has not counted.
+	gap struct {
+		length, missed time.Duration
+	}
+)
+
+func newStandstill(uptime func() time.Duration) *standstill {
+	s := &standstill{uptime: uptime, last: time.Now()}
+	if uptime != nil {
+		s.lastUptime = uptime()
+	}
+	return s
+}
+
+// check returns the gap since the last check if the process stood still.
+func (s *standstill) check() (gap, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	g := gap{length: now.Sub(s.last)}
+	s.last = now
+	if s.uptime != nil {
+		uptime := s.uptime()
+		g.missed = max(uptime-s.lastUptime-g.length, 0)
+		g.length += g.missed
+		s.lastUptime = uptime
+	}
+	if g.length < standstillTime {
+		return gap{}, false
+	}
+	s.settled = now.Add(settleTime)
+	return g, true
+}
+
+// isSettled reports whether the process has been running for long enough to know the other hosts again.
+func (s *standstill) isSettled() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return !time.Now().Before(s.settled)
+}
+
+// runPulse checks for standstills until ctx ends.
+func (p *peers) runPulse(ctx context.Context) {
+	for ctx.Err() == nil {
+		sleep(ctx, pulseInterval)
+		p.checkStandstill()
+	}
+}
+
+// checkStandstill corrects what this host believes if it stood still, and reports whether it did. What arrived meanwhile waited
+// in the socket, so its ages are not true any more; what this host knew is older than the steady clock says if it stood still,
+// too.
+func (p *peers) checkStandstill() bool {
+	g, stood := p.standstill.check()
+	if !stood {
+		return false
+	}
+	p.state.passTime(g.missed)
+	p.discardUntil.Store(time.Now().Add(discardTime).UnixNano())
+	p.log.Warn("process stood still; dropping the datagrams that have waited", "duration_ms", g.length.Milliseconds(), "missed_ms", g.missed.Milliseconds())
+	return true
+}
+
+// isStale reports whether a datagram that has just been read may have waited while the process stood still.
+func (p *peers) isStale() bool {
+	p.checkStandstill()
+	return time.Now().UnixNano() < p.discardUntil.Load()
+}
+
+// passTime makes what is known of others older by time that the steady clock has not counted.
+func (s *sharedState) passTime(missed time.Duration) {
+	if missed <= 0 {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.cluster.PassTime(missed)
+	for name, status := range s.peerStatuses {
+		status.lastStoreResponse = status.lastStoreResponse.Add(-missed)
+		s.peerStatuses[name] = status
+	}
+	s.lastStoreResponse = s.lastStoreResponse.Add(-missed)
+	if !s.latestContact.at.IsZero() {
+		s.latestContact.at = s.latestContact.at.Add(-missed)
+	}
+}
