usherhost: let a stream go on at its own engine if no other takes it

What the source keeps is now the last resume point of a stream that may run once.

Evidence: TestStreamThatNoOtherEngineTakesGoesOnAtItsOwn failed without it (unexpected EOF after 33 events), with and without backup copies. The stand-in network wakes readers when a connection goes silent, so that a time-out shows at its time.

--- a/cmd/usher-host/daemon/panic_test.go
+++ b/cmd/usher-host/daemon/panic_test.go
@@ -60,7 +60,7 @@
 	return e.Engines.Copy(ctx, source, attempt, to)
 }
 
-func (e faultyEngines) Stop(ctx context.Context, source netip.AddrPort, attempt string, to netip.AddrPort) (ushercall.Copy, ushercall.Notice, error) {
+func (e faultyEngines) Stop(ctx context.Context, source netip.AddrPort, attempt string, to netip.AddrPort) (ushercall.StoppedRun, ushercall.Notice, error) {
 	panicIf(e.armed)
 	return e.Engines.Stop(ctx, source, attempt, to)
 }
--- a/cmd/usher-host/daemon/silence_test.go
+++ b/cmd/usher-host/daemon/silence_test.go
@@ -1,6 +1,7 @@
 package daemon_test
 
 import (
+	"fmt"
 	"net/netip"
 	"testing"
 	"time"
@@ -96,3 +97,33 @@
 		target.RefuseMoves(true)
 	}
 }
+
+// The engine ends the run on request, and then no other engine takes the stream. It was cut although the engine that had run it
+// keeps its KV cache.
+func TestStreamThatNoOtherEngineTakesGoesOnAtItsOwn(t *testing.T) {
+	for _, backups := range []bool{true, false} {
+		t.Run(fmt.Sprint("backup copies ", backups), func(t *testing.T) {
+			withTestbed(t, options{hosts: 1, engines: 4, editDeclarations: func(d map[string]any) {
+				d["services"].([]any)[0].(map[string]any)["engine"].(map[string]any)["backups"] = backups
+			}}, func(t *testing.T, b *testbed) {
+				attempt, done := b.startStream(b.hosts[0], "/appraisal/250")
+				time.Sleep(time.Second)
+				source := b.currentEngine(attempt)
+				for id, target := range b.targets {
+					if id == source {
+						continue
+					}
+					target.SetFault(usherstandin.Refuses)
+					_, entry := target.Entry("ready")
+					b.copies.SetFull(entry.(map[string]any)["address"].(string), true)
+				}
+				// Only the host's end of the connection finds out that it is silent.
+				b.silence(b.hosts[0], 3*time.Second)
+				if got := <-done; got.err != nil || !isComplete(got.body, attempt, 250) {
+					t.Errorf("error %v, %d events; want 250", got.err, len(events(got.body)))
+				}
+				b.checkOverlap(attempt)
+			})
+		})
+	}
+}
--- a/pkg/ushercall/call.go
+++ b/pkg/ushercall/call.go
@@ -53,6 +53,14 @@
 		Handle string
 	}
 
+	// StoppedRun is a run that its target has ended on request.
+	StoppedRun struct {
+		// Kept is the run's KV cache at that target; zero if the target did not have the run any more.
+		Kept Copy
+		// Copied reports whether the KV cache is at the destination of the request as well.
+		Copied bool
+	}
+
 	// Dispatch is the data that is sent to a target in addition to the call itself.
 	Dispatch struct {
 		// Target is the id of the only target that may run the call. Any other target at the same address refuses it.
--- a/pkg/ushercopies/copies.go
+++ b/pkg/ushercopies/copies.go
@@ -71,6 +71,8 @@
 		backup ResumePoint
 		// final is the copy that was made when the run was ended.
 		final ResumePoint
+		// kept is what the source of a run that was ended keeps of it.
+		kept ResumePoint
 		// onDemand is the last complete on-demand copy.
 		onDemand      ResumePoint
 		completedAt   time.Time
@@ -116,6 +118,11 @@
 	t.final = ResumePoint{Target: holder, Copy: c}
 }
 
+// KeptAtSource records what the source keeps of a run that was ended.
+func (t *Tracker) KeptAtSource(c ushercall.Copy) {
+	t.kept = ResumePoint{Target: t.Source, Copy: c}
+}
+
 // CopyFailed records that the copy in progress failed. An unavailable holder is not asked again, and another one may be
 // asked at once.
 func (t *Tracker) CopyFailed(now time.Time, destinationUnavailable bool) {
@@ -127,10 +134,10 @@
 	t.pendingHolder = ""
 }
 
-// ResumePoint returns where the generation can resume: the copy of the ended run, or else the backup copy or the on-demand
-// copy, if its holder is not leaving.
+// ResumePoint returns where the generation can resume: the copy of the ended run, or else the backup copy, the on-demand
+// copy or what the source keeps, if the holder is not leaving.
 func (t *Tracker) ResumePoint(accepts func(target string) bool) (ResumePoint, bool) {
-	for _, p := range []ResumePoint{t.final, t.backup, t.onDemand} {
+	for _, p := range []ResumePoint{t.final, t.backup, t.onDemand, t.kept} {
 		if p.Target != "" && accepts(p.Target) {
 			return p, true
 		}
@@ -140,7 +147,7 @@
 
 // DropCopy removes a copy that the target turned out not to hold.
 func (t *Tracker) DropCopy(dropped ResumePoint) {
-	for _, p := range []*ResumePoint{&t.final, &t.backup, &t.onDemand} {
+	for _, p := range []*ResumePoint{&t.final, &t.backup, &t.onDemand, &t.kept} {
 		if *p == dropped {
 			*p = ResumePoint{}
 		}
--- a/service/usherhost/stoprun.go
+++ b/service/usherhost/stoprun.go
@@ -24,9 +24,9 @@
 // stopResult is the outcome of an order to end a run. Without an error the run does not go on at a target that this host
 // can reach.
 type stopResult struct {
-	// holder is the target that has the copy, if one was made.
+	// holder is the target to which the KV cache was to be copied.
 	holder string
-	copy   ushercall.Copy
+	run    ushercall.StoppedRun
 	err    error
 }
 
@@ -82,16 +82,16 @@
 	if h.state.rests(source.ID) {
 		return stopResult{err: errStillRunning.New("target %s rests", source.ID)}
 	}
-	c, notice, err := h.engines.Stop(ctx, source.Address, attempt, holder.Address)
+	run, notice, err := h.engines.Stop(ctx, source.Address, attempt, holder.Address)
 	h.noteTarget(source, attempt, notice)
-	h.log.Info("run ordered to end", "attempt", attempt, "source", source.ID, "holder", holder.ID, "copy", c.Handle != "",
+	h.log.Info("run ordered to end", "attempt", attempt, "source", source.ID, "holder", holder.ID, "copy", run.Copied, "kept", run.Kept.Handle != "",
 		"duration_ms", time.Since(start).Milliseconds(), "error", errorTextOrEmpty(err))
 	if err != nil && !h.engines.IsUnreachable(err) {
 		h.metrics.stopsRefused.Inc(1)
 		return stopResult{err: errStillRunning.Wrap(err, "target %s may still work on the request", source.ID)}
 	}
 	h.metrics.stops.Inc(1)
-	return stopResult{holder: holder.ID, copy: c}
+	return stopResult{holder: holder.ID, run: run}
 }
 
 // stopDestination returns the target that gets the KV cache of a run that is ended: the one that has a copy already, if
@@ -108,11 +108,15 @@
 	return choice.Target, err
 }
 
-// recordStop records that the run has ended, with the copy that was made of it.
+// recordStop records that the run has ended, with what is left of it. A stream that may run once goes on at its own target if no
+// other one takes it; others are better off in a new run than at a target that has sent nothing for long.
 func (g *generation) recordStop(r stopResult) {
 	g.runEnded = true
-	if r.copy.Handle != "" {
-		g.copies.RunEnded(r.holder, r.copy)
+	if r.run.Copied {
+		g.copies.RunEnded(r.holder, r.run.Kept)
+	}
+	if r.run.Kept.Handle != "" && g.req.route.AtMostOnce() {
+		g.copies.KeptAtSource(r.run.Kept)
 	}
 }
 
--- a/service/usherhost/stream.go
+++ b/service/usherhost/stream.go
@@ -66,9 +66,8 @@
 		Release(ctx context.Context, at netip.AddrPort, handle string) (ushercall.Notice, error)
 		// Leaving reports whether an engine accepts no new work.
 		Leaving(ctx context.Context, at netip.AddrPort) (bool, ushercall.Notice, error)
-		// Stop ends a run and then copies its KV cache to another engine. Without an error the run has ended; the copy is zero
-		// if none could be made.
-		Stop(ctx context.Context, source netip.AddrPort, attempt string, to netip.AddrPort) (ushercall.Copy, ushercall.Notice, error)
+		// Stop ends a run and then copies its KV cache to another engine. Without an error the run has ended.
+		Stop(ctx context.Context, source netip.AddrPort, attempt string, to netip.AddrPort) (ushercall.StoppedRun, ushercall.Notice, error)
 		// IsUnreachable reports whether an error of Stop means that the engine cannot be reached or does not respond.
 		IsUnreachable(err error) bool
 		// IsDestinationUnavailable reports whether an error of Copy means that the destination has no memory for the
--- a/standin/ushernet/conn.go
+++ b/standin/ushernet/conn.go
@@ -73,27 +73,27 @@
 	s.changed = make(chan struct{})
 }
 
-// read copies data that has arrived. If there is none, it returns a channel to wait for and, if data is in transit, the
-// time of its arrival.
-func (s *stream) read(data []byte) (count int, changed <-chan struct{}, due time.Time, err error) {
+// read copies data that has arrived. If there is none, it returns channels to wait for, of the stream and of the network, and,
+// if data is in transit, the time of its arrival.
+func (s *stream) read(data []byte) (count int, changed, unblocked <-chan struct{}, due time.Time, err error) {
 	blocked, silenced, unblocked := s.network.connectionState(s.link, s.number)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	switch {
 	case s.readerClosed:
-		return 0, nil, time.Time{}, net.ErrClosed
+		return 0, nil, nil, time.Time{}, net.ErrClosed
 	case silenced != nil && s.detectsSilence && !silenced.detectedAt.IsZero() && !time.Now().Before(silenced.detectedAt):
-		return 0, nil, time.Time{}, syscall.ETIMEDOUT
+		return 0, nil, nil, time.Time{}, syscall.ETIMEDOUT
 	case silenced != nil && s.detectsSilence:
-		return 0, unblocked, silenced.detectedAt, nil
+		return 0, nil, unblocked, silenced.detectedAt, nil
 	case blocked || silenced != nil:
-		return 0, unblocked, time.Time{}, nil
+		return 0, nil, unblocked, time.Time{}, nil
 	case len(s.chunks) == 0 && s.writerClosed:
-		return 0, nil, time.Time{}, io.EOF
+		return 0, nil, nil, time.Time{}, io.EOF
 	case len(s.chunks) == 0:
-		return 0, s.changed, time.Time{}, nil
+		return 0, s.changed, unblocked, time.Time{}, nil
 	case time.Now().Before(s.chunks[0].arrival):
-		return 0, s.changed, s.chunks[0].arrival, nil
+		return 0, s.changed, unblocked, s.chunks[0].arrival, nil
 	}
 	first := &s.chunks[0]
 	count = copy(data, first.data)
@@ -103,7 +103,7 @@
 	}
 	s.size -= count
 	s.notify()
-	return count, nil, time.Time{}, nil
+	return count, nil, nil, time.Time{}, nil
 }
 
 // write appends data. If the stream is full, it returns a channel to wait for instead.
@@ -143,11 +143,11 @@
 // Read implements net.Conn.
 func (c *conn) Read(data []byte) (int, error) {
 	for {
-		count, changed, due, err := c.in.read(data)
+		count, changed, unblocked, due, err := c.in.read(data)
 		if count > 0 || err != nil {
 			return count, err
 		}
-		if err := c.waitForChange(changed, due, func() time.Time { return c.readDeadline }); err != nil {
+		if err := c.waitForChange(changed, unblocked, due, func() time.Time { return c.readDeadline }); err != nil {
 			return 0, err
 		}
 	}
@@ -163,15 +163,15 @@
 		if done {
 			return len(data), nil
 		}
-		if err := c.waitForChange(changed, time.Time{}, func() time.Time { return c.writeDeadline }); err != nil {
+		if err := c.waitForChange(changed, nil, time.Time{}, func() time.Time { return c.writeDeadline }); err != nil {
 			return 0, err
 		}
 	}
 }
 
-// waitForChange returns at a change of the stream or deadline, or when data is due. It fails if the deadline has passed
+// waitForChange returns at a change of the stream, the network or the deadline, or when data is due. It fails if the deadline has passed
 // or the connection is closed.
-func (c *conn) waitForChange(changed <-chan struct{}, due time.Time, deadlineOf func() time.Time) error {
+func (c *conn) waitForChange(changed, unblocked <-chan struct{}, due time.Time, deadlineOf func() time.Time) error {
 	c.mu.Lock()
 	deadline, deadlineChanged := deadlineOf(), c.deadlineChanged
 	c.mu.Unlock()
@@ -188,6 +188,7 @@
 	defer stop()
 	select {
 	case <-changed:
+	case <-unblocked:
 	case <-timeout:
 	case <-deadlineChanged:
 	case <-c.closed:
