usherhost: abort the connection of a caller that is gone

Cause: the host takes the caller for gone and returned from the handler without a response, for which the HTTP server sends an empty success. The handler now aborts the connection.

Evidence: TestCallerThatStopsSendingGetsNoSuccess failed on the old code in its four cases with that response.

--- a/service/usherhost/ingress.go
+++ b/service/usherhost/ingress.go
@@ -225,7 +225,9 @@
 	if r.Context().Err() != nil {
 		h.metrics.callersGone.Inc(1)
 		h.logRequest(req, "caller_gone", slog.String("reason", string(refusal.reason)), refusal.cause)
-		return
+		// A handler that returns without a response makes the server send an empty success, which a caller that has closed only
+		// its sending side reads.
+		panic(http.ErrAbortHandler)
 	}
 	h.logRequest(req, "refused", slog.Group("refusal", "reason", string(refusal.reason), "status", refusal.status(), "retry_after", refusal.retryAfter.String()), refusal.cause)
 	if err := refusal.write(w); err != nil {
--- a/standin/ushernet/conn.go
+++ b/standin/ushernet/conn.go
@@ -211,6 +211,12 @@
 	return nil
 }
 
+// CloseWrite closes the sending side, as net.TCPConn does.
+func (c *conn) CloseWrite() error {
+	c.out.closeWriter()
+	return nil
+}
+
 // LocalAddr implements net.Conn.
 func (c *conn) LocalAddr() net.Addr { return net.TCPAddrFromAddrPort(c.local) }
 
