usherhost: end the run at each engine that a stream leaves

Cause: the order to end a run was given before the first try to resume only. It is now given after each try at which a run may have begun. The destination of the copy is no target that the request has left before.

--- a/cmd/usher-host/daemon/silence_test.go
+++ b/cmd/usher-host/daemon/silence_test.go
@@ -127,3 +127,31 @@
 		})
 	}
 }
+
+// A stream goes on at a second engine, which sends nothing, and the connection to it is silent. It went on at a third one at once, and
+// the second one worked on the same request later.
+func TestStreamIsStoppedAtEachEngineBeforeItGoesOn(t *testing.T) {
+	withTestbed(t, options{hosts: 1, engines: 5, editDeclarations: func(d map[string]any) {
+		d["routes"].([]any)[1].(map[string]any)["maxAttempts"], d["routes"].([]any)[1].(map[string]any)["timeoutMs"] = 4, 20000
+	}}, func(t *testing.T, b *testbed) {
+		attempt, done := b.startStream(b.hosts[0], "/eligibility/100")
+		time.Sleep(time.Second)
+		first := b.currentEngine(attempt)
+		faults := &faultSequence{faults: []usherstandin.Fault{usherstandin.StallsBeforeFirstEvent}}
+		for _, target := range b.targets {
+			target.SetFaultSource(faults.next)
+		}
+		b.kill(first)
+		time.Sleep(100 * time.Millisecond)
+		if b.currentEngine(attempt) == first {
+			t.Fatal("the stream has not gone on at a second engine")
+		}
+		b.silence(b.hosts[0], 0)
+		if got := <-done; got.err != nil || !isComplete(got.body, attempt, 100) {
+			t.Errorf("error %v, %d events; want 100", got.err, len(events(got.body)))
+		}
+		// The second engine begins to work after its stall.
+		time.Sleep(5 * time.Second)
+		b.checkOverlap(attempt)
+	})
+}
--- a/pkg/ushercopies/copies.go
+++ b/pkg/ushercopies/copies.go
@@ -118,9 +118,9 @@
 	t.final = ResumePoint{Target: holder, Copy: c}
 }
 
-// KeptAtSource records what the source keeps of a run that was ended.
-func (t *Tracker) KeptAtSource(c ushercall.Copy) {
-	t.kept = ResumePoint{Target: t.Source, Copy: c}
+// KeptAtSource records what the target of a run that was ended keeps of it.
+func (t *Tracker) KeptAtSource(source string, c ushercall.Copy) {
+	t.kept = ResumePoint{Target: source, Copy: c}
 }
 
 // CopyFailed records that the copy in progress failed. An unavailable holder is not asked again, and another one may be
--- a/service/usherhost/failover.go
+++ b/service/usherhost/failover.go
@@ -155,6 +155,11 @@
 			copies.DropCopy(point)
 		}
 		g.copies = copies
+		if result.ran {
+			if err := g.awaitRunEnd(ctx, result.err); err != nil {
+				return errNotResumed.Wrap(err, "stream not resumed after %s", errorText(result.err))
+			}
+		}
 	}
 	return errNotResumed.Wrap(cause, "stream not resumed after %d tries", g.req.resumes)
 }
--- a/service/usherhost/stoprun.go
+++ b/service/usherhost/stoprun.go
@@ -102,7 +102,7 @@
 			return target, nil
 		}
 	}
-	r := g.placementRequest(append(g.copies.UnavailableHolders, g.source.Target.ID))
+	r := g.placementRequest(g.req.excludedTargets(append(g.copies.UnavailableHolders, g.source.Target.ID)...))
 	r.Copy, r.SourceDataCentre = true, g.source.Target.DataCentre
 	choice, err := g.host.peers.placement.place(ctx, r)
 	return choice.Target, err
@@ -116,7 +116,7 @@
 		g.copies.RunEnded(r.holder, r.run.Kept)
 	}
 	if r.run.Kept.Handle != "" && g.req.route.AtMostOnce() {
-		g.copies.KeptAtSource(r.run.Kept)
+		g.copies.KeptAtSource(g.source.Target.ID, r.run.Kept)
 	}
 }
 
