--- a/service/ushergateway/resume.go
+++ b/service/ushergateway/resume.go
@@ -47,8 +47,10 @@
 		}
 		handle = handle.WithNextIndex(index)
 	}
-	g.requests.Add(1)
-	defer g.requests.Done()
+	if !g.requests.begin() {
+		return g.refuseNotRun(workspaceOf(r), usherrequest.ReasonStopping)
+	}
+	defer g.requests.end()
 	g.notifyTakeover(r.Context(), handle)
 	to := newEventSink(w, "")
 	answer, err := g.relayResumed(r.Context(), handle, to)
