usherhost: drop log lines after the log writer is closed

Work that ends late logs while the process exits, more of it since a stopping host ends requests in progress.

Such lines are counted as dropped.

--- a/service/usherhost/log.go
+++ b/service/usherhost/log.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"sync"
 	"sync/atomic"
 
 	"github.com/samphireusher/samphireusher/pkg/usherring"
@@ -20,6 +21,9 @@
 	lines   *usherring.Ring[[]byte]
 	dropped atomic.Int64
 	done    chan struct{}
+	// mu guards closed. It is held for the time of queueing a line.
+	mu     sync.RWMutex
+	closed bool
 }
 
 // NewLogWriter returns a writer of lines to out. Close flushes it.
@@ -31,7 +35,9 @@
 
 // Write queues one line.
 func (w *LogWriter) Write(line []byte) (int, error) {
-	if !w.lines.Offer(append([]byte(nil), line...)) {
+	w.mu.RLock()
+	defer w.mu.RUnlock()
+	if w.closed || !w.lines.Offer(append([]byte(nil), line...)) {
 		w.dropped.Add(1)
 	}
 	return len(line), nil
@@ -40,8 +46,11 @@
 // Dropped returns the number of lines that were dropped.
 func (w *LogWriter) Dropped() int64 { return w.dropped.Load() }
 
-// Close writes the queued lines. Nothing may be logged after it.
+// Close writes the queued lines. Later ones are dropped.
 func (w *LogWriter) Close() {
+	w.mu.Lock()
+	w.closed = true
+	w.mu.Unlock()
 	w.lines.Close()
 	<-w.done
 }
--- a/service/usherhost/log_test.go
+++ b/service/usherhost/log_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"fmt"
+	"sync"
 	"testing"
 
 	"github.com/samphireusher/samphireusher/service/usherhost"
@@ -39,3 +40,24 @@
 		t.Errorf("%d lines written and %d dropped, want %d in total", got, w.Dropped(), lines)
 	}
 }
+
+// Work that ends late logs while the process exits. A line after Close ended the process with a panic.
+func TestLogWriterDropsLinesAfterClose(t *testing.T) {
+	var out bytes.Buffer
+	w := usherhost.NewLogWriter(&out)
+	var logging sync.WaitGroup
+	for range 8 {
+		logging.Go(func() {
+			for range 2000 {
+				if _, err := fmt.Fprintln(w, "line"); err != nil {
+					t.Error(err)
+				}
+			}
+		})
+	}
+	w.Close()
+	logging.Wait()
+	if got := int64(bytes.Count(out.Bytes(), []byte("\n"))); got+w.Dropped() != 16_000 {
+		t.Errorf("%d lines written and %d dropped, want 16000 in total", got, w.Dropped())
+	}
+}
