Revert "ushergateway: count requests and close the count under one lock"

The change refused forwarded requests, and resumes, that come after the count is closed as not run, although an earlier send of the same ID may have run; the ledger that knows was not asked.

The right answer there is that the outcome is unknown.

--- a/service/ushergateway/once.go
+++ b/service/ushergateway/once.go
@@ -210,14 +210,12 @@
 
 // serveForward runs a request that another gateway received with an ID issued by this one.
 func (g *Gateway) serveForward(ctx context.Context, from usherlink.Peer, body usherlink.Payload) (any, error) {
+	g.requests.Add(1)
+	defer g.requests.Done()
 	var wire forwardWire
 	if err := body.Decode(&wire); err != nil {
 		return nil, err
 	}
-	if !g.requests.begin() {
-		return forwardReplyOf(usherledger.Result{}, g.refuseNotRun(wire.Workspace, usherrequest.ReasonStopping)), nil
-	}
-	defer g.requests.end()
 	if err := g.Config.WaitForRevision(ctx, wire.Revision, from.Address.String()); err != nil {
 		return nil, err
 	}
--- a/service/ushergateway/resume.go
+++ b/service/ushergateway/resume.go
@@ -47,10 +47,8 @@
 		}
 		handle = handle.WithNextIndex(index)
 	}
-	if !g.requests.begin() {
-		return g.refuseNotRun(workspaceOf(r), usherrequest.ReasonStopping)
-	}
-	defer g.requests.end()
+	g.requests.Add(1)
+	defer g.requests.Done()
 	g.notifyTakeover(r.Context(), handle)
 	to := newEventSink(w, "")
 	answer, err := g.relayResumed(r.Context(), handle, to)
--- a/service/ushergateway/submit.go
+++ b/service/ushergateway/submit.go
@@ -117,10 +117,8 @@
 
 // submit runs a request that has an ID until it ends.
 func (g *Gateway) submit(ctx context.Context, resolved usherconfig.ResolvedRequest, id usherrequest.ID, idText string, to sink) (answer, error) {
-	if !g.requests.begin() {
-		return answer{}, g.refuseNotRun(resolved.Workspace.Name, usherrequest.ReasonStopping)
-	}
-	defer g.requests.end()
+	g.requests.Add(1)
+	defer g.requests.Done()
 	if g.stopping.Load() {
 		return answer{}, g.refuseNotRun(resolved.Workspace.Name, usherrequest.ReasonStopping)
 	}
