--- a/_scripts/test.sh
+++ b/_scripts/test.sh
@@ -7,7 +7,18 @@
 names=$(printf '%s\n' "${entries[@]}" | awk -F' *[|] *' 'NF > 1 { printf "%s%s", separator, $2; separator = "|" }')
 skip=()
 [ -z "$names" ] || skip=(-skip "^($names)\$")
-go test -race -timeout 20m ${skip[@]+"${skip[@]}"} "$@"
+# On arm64 the race detector's own runtime has crashed (SIGSEGV) in the many virtual-time tests of usher-host, so they run
+# without it there.
+with_race=() without_race=()
+for package in "$@"; do
+	if [ "$(go env GOARCH)" = arm64 ] && [ "$package" = ./cmd/usher-host/... ]; then
+		without_race+=("$package")
+	else
+		with_race+=("$package")
+	fi
+done
+[ ${#with_race[@]} -eq 0 ] || go test -race -timeout 20m ${skip[@]+"${skip[@]}"} "${with_race[@]}"
+[ ${#without_race[@]} -eq 0 ] || go test -timeout 20m ${skip[@]+"${skip[@]}"} "${without_race[@]}"
 for entry in ${entries[@]+"${entries[@]}"}; do
 	IFS='|' read -r package test _ <<<"$entry"
 	package=${package// /}
