usherhost: log and count the state of callers' connections

The line `host drained` and the dump now have the callers' connections by state (new, idle, handling, flushing), the counter `requests.orphaned` the requests whose handler begins after the host has closed their connection, and `connections.closed_idle` the connections closed as idle. No change of logic.

go test ./service/usherhost passes.

--- a/service/usherhost/admin.go
+++ b/service/usherhost/admin.go
@@ -24,15 +24,17 @@
 
 type (
 	dumpWire struct {
-		Process    string              `json:"process"`
-		DataCentre string              `json:"data_centre"`
-		State      string              `json:"state"`
-		Revision   uint64              `json:"revision"`
-		Version    int64               `json:"version"`
-		Reading    bool                `json:"reads_store"`
-		InProgress int64               `json:"in_progress"`
-		Hosts      []hostWire          `json:"hosts"`
-		Targets    []usherpool.Summary `json:"targets"`
+		Process    string `json:"process"`
+		DataCentre string `json:"data_centre"`
+		State      string `json:"state"`
+		Revision   uint64 `json:"revision"`
+		Version    int64  `json:"version"`
+		Reading    bool   `json:"reads_store"`
+		InProgress int64  `json:"in_progress"`
+		// Connections are those of callers.
+		Connections connCounts          `json:"connections"`
+		Hosts       []hostWire          `json:"hosts"`
+		Targets     []usherpool.Summary `json:"targets"`
 		// Suspects is the number of requests that were in progress on crashed targets, as far as they are remembered. Blamed
 		// is what crashes are attributed to, each as the fingerprints of what a request must have.
 		Suspects int      `json:"suspects"`
@@ -112,7 +114,7 @@
 	now := time.Now()
 	d := dumpWire{
 		Process: s.cluster.Self().Name, DataCentre: s.cluster.Self().DataCentre, State: h.lifecycle.Current(), Revision: s.catalog.Revision(),
-		InProgress: h.inProgress.Load(), Targets: s.pool.Summaries(now),
+		InProgress: h.inProgress.Load(), Connections: h.conns.counts(), Targets: s.pool.Summaries(now),
 		Suspects: s.suspicion.tracker.Len(), Blamed: s.suspicion.describeBlamed(now),
 	}
 	if t := s.catalog.Table(); t != nil {
--- a/service/usherhost/conns.go
+++ b/service/usherhost/conns.go
@@ -2,11 +2,14 @@
 
 import (
 	"context"
+	"log/slog"
 	"net"
 	"net/http"
 	"sync"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
+
 	"github.com/samphireusher/samphireusher/pkg/usherroute"
 )
 
@@ -23,17 +26,51 @@
 	// not used.
 	conns struct {
 		mu    sync.Mutex
-		conns map[net.Conn]*connState
+		conns map[net.Conn]*callerConn
+
+		closedIdle metrics.Counter
+		// orphaned counts the requests whose handler began after the host had closed their connection.
+		orphaned metrics.Counter
 	}
 
-	connState struct {
+	// callerConn is one connection of a caller.
+	callerConn struct {
 		state http.ConnState
 		since time.Time
+		// handling reports whether a handler works on a request of this connection.
+		handling bool
+		// closed reports whether this host has closed the connection.
+		closed bool
+	}
+
+	// connCounts are the numbers of open connections by what they wait for.
+	connCounts struct {
+		// New connections have not sent a whole request header, idle ones are between two requests.
+		New  int `json:"new"`
+		Idle int `json:"idle"`
+		// Handling is the number of connections with a request in progress, Flushing of those whose handler has returned
+		// and whose response is not yet sent to its end.
+		Handling int `json:"handling"`
+		Flushing int `json:"flushing"`
 	}
+
+	callerConnKey struct{}
 )
 
-func newConns() *conns {
-	return &conns{conns: map[net.Conn]*connState{}}
+func newConns(r metrics.Registry) *conns {
+	return &conns{
+		conns:      map[net.Conn]*callerConn{},
+		closedIdle: metrics.NewRegisteredCounter("connections.closed_idle", r), orphaned: metrics.NewRegisteredCounter("requests.orphaned", r),
+	}
+}
+
+// add records a new connection; it is the server's ConnContext hook.
+func (c *conns) add(ctx context.Context, conn net.Conn) context.Context {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	cc := &callerConn{state: http.StateNew, since: time.Now()}
+	c.conns[conn] = cc
+	return context.WithValue(ctx, callerConnKey{}, cc)
 }
 
 // track records the state of a connection; it is the server's ConnState hook.
@@ -44,7 +81,53 @@
 		delete(c.conns, conn)
 		return
 	}
-	c.conns[conn] = &connState{state: state, since: time.Now()}
+	if cc, open := c.conns[conn]; open {
+		cc.state, cc.since = state, time.Now()
+	}
+}
+
+// begin records that a handler works on a request; ctx is the request's context. The returned function records that it has
+// returned.
+func (c *conns) begin(ctx context.Context) (end func()) {
+	cc, known := ctx.Value(callerConnKey{}).(*callerConn)
+	if !known {
+		return func() {}
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if cc.closed {
+		c.orphaned.Inc(1)
+	}
+	cc.handling = true
+	return func() {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		cc.handling = false
+	}
+}
+
+func (c *conns) counts() connCounts {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var n connCounts
+	for _, cc := range c.conns {
+		switch {
+		case cc.handling:
+			n.Handling++
+		case cc.state == http.StateIdle:
+			n.Idle++
+		case cc.state == http.StateNew:
+			n.New++
+		default:
+			n.Flushing++
+		}
+	}
+	return n
+}
+
+// LogValue implements slog.LogValuer.
+func (n connCounts) LogValue() slog.Value {
+	return slog.GroupValue(slog.Int("new", n.New), slog.Int("idle", n.Idle), slog.Int("handling", n.Handling), slog.Int("flushing", n.Flushing))
 }
 
 // run closes connections that exceed the limits until ctx ends.
@@ -67,14 +150,23 @@
 	defer c.mu.Unlock()
 	for conn, s := range c.conns {
 		if s.state == http.StateIdle {
-			// The server detects the closed connection and removes it.
-			_ = conn.Close()
-			delete(c.conns, conn)
+			c.close(conn, s)
 		}
 	}
 	return len(c.conns)
 }
 
+// close closes a connection. The caller must hold the lock.
+func (c *conns) close(conn net.Conn, cc *callerConn) {
+	if cc.state == http.StateIdle {
+		c.closedIdle.Inc(1)
+	}
+	cc.closed = true
+	// The server detects the closed connection.
+	_ = conn.Close()
+	delete(c.conns, conn)
+}
+
 func (c *conns) sweep(l usherroute.Limits) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -85,9 +177,7 @@
 		// The server marks a connection as active only once it has read a whole header.
 		slow := s.state == http.StateNew && l.HeaderTimeout > 0 && age > l.HeaderTimeout+idleMargin
 		if idle || slow {
-			// The server detects the closed connection and removes it.
-			_ = conn.Close()
-			delete(c.conns, conn)
+			c.close(conn, s)
 		}
 	}
 }
--- a/service/usherhost/host.go
+++ b/service/usherhost/host.go
@@ -115,7 +115,7 @@
 	}
 	h := &Host{
 		settings: s, platform: p, codec: p.Codec, engines: p.Engines, log: log, state: newSharedState(s, self, uint64(os.Getpid())),
-		conns: newConns(), buffers: newBufferBudget(s.Limits.MemoryMegabytes), metrics: newHostMetrics(registry),
+		conns: newConns(registry), buffers: newBufferBudget(s.Limits.MemoryMegabytes), metrics: newHostMetrics(registry),
 	}
 	h.containment = newContainment(log, registry)
 	h.requestsCtx, h.endRequests = context.WithCancel(context.Background())
@@ -238,7 +238,8 @@
 	}
 	// The listener is closed first; then requests whose headers are still arriving are read and answered.
 	h.drainConnections(ctx, endsAt, exitsAt)
-	h.log.Info("host drained", "duration_ms", time.Since(start).Milliseconds(), "in_progress", h.inProgress.Load())
+	h.log.Info("host drained", "duration_ms", time.Since(start).Milliseconds(), "in_progress", h.inProgress.Load(),
+		"connections", h.conns.counts())
 	h.fireEvent(ctx, eventDrained)
 }
 
@@ -316,7 +317,7 @@
 		Handler: handler, MaxHeaderBytes: maxServerHeaderBytes, ErrorLog: slog.NewLogLogger(h.log.Handler(), slog.LevelDebug),
 	}
 	if address == h.settings.Listen.Callers {
-		server.ConnState = h.conns.track
+		server.ConnContext, server.ConnState = h.conns.add, h.conns.track
 		h.callerListener = listener
 	}
 	h.servers = append(h.servers, server)
--- a/service/usherhost/ingress.go
+++ b/service/usherhost/ingress.go
@@ -91,6 +91,7 @@
 func (h *Host) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	h.inProgress.Add(1)
 	defer h.inProgress.Add(-1)
+	defer h.conns.begin(r.Context())()
 	received := time.Now()
 	if h.state.self().State == ushercluster.Stopping {
 		w.Header().Set("Connection", "close")
