--- a/cmd/usher-host/daemon/testbed_test.go
+++ b/cmd/usher-host/daemon/testbed_test.go
@@ -94,6 +94,8 @@
 		plainTargets int
 		// eventInterval is the time between two events of a stream, the stand-in's default if zero.
 		eventInterval time.Duration
+		// serviceTime is the duration of a plain call, 15 ms if zero.
+		serviceTime time.Duration
 		// editDeclarations changes the declarations before they are published.
 		editDeclarations func(d map[string]any)
 		// noRetries sets a retry budget of zero.
@@ -242,8 +244,12 @@
 		kind = 2
 	}
 	address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 128, byte(kind), byte(number + 1)}), targetPort)
+	serviceTime := b.options.serviceTime
+	if serviceTime == 0 {
+		serviceTime = 15 * time.Millisecond
+	}
 	t := usherstandin.NewTarget(usherstandin.TargetOptions{
-		ID: id, Service: service, Address: address.String(), DataCentre: dataCentres[number%len(dataCentres)], Engine: service == engineService, ServiceTime: 15 * time.Millisecond,
+		ID: id, Service: service, Address: address.String(), DataCentre: dataCentres[number%len(dataCentres)], Engine: service == engineService, ServiceTime: serviceTime,
 		EventInterval: eventInterval,
 	}, b.copies)
 	b.targets[id] = t
