usherhost: pass no request on whose connection was closed as idle

Callers got a closed connection, without an answer, for a request that a target ran: on a kept connection, at a planned stop or when the configured idle time is over or gets shorter.

Cause: http.Server reports a connection as active only once it has decoded a whole header. Until then the host saw it as idle and closed it, although the next request was in the process already, and its handler began work for which there was no connection. The lock under which all idle connections were closed widened that window, as the report of an active connection waits for it.

A handler now claims its connection under the same lock. If the host has closed it, the request is dropped, counted and logged, and nothing has run. A connection that has been claimed is not idle, so it is not closed.

--- a/service/usherhost/conns.go
+++ b/service/usherhost/conns.go
@@ -86,24 +86,26 @@
 	}
 }
 
-// begin records that a handler works on a request; ctx is the request's context. The returned function records that it has
-// returned.
-func (c *conns) begin(ctx context.Context) (end func()) {
+// begin records that a handler works on a request, until end is called; ctx is the request's context. It reports false if the
+// host has closed the connection, so that there is none for a response: the server reports a connection as active only once it has
+// decoded a whole header.
+func (c *conns) begin(ctx context.Context) (end func(), open bool) {
 	cc, known := ctx.Value(callerConnKey{}).(*callerConn)
 	if !known {
-		return func() {}
+		return func() {}, true
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if cc.closed {
 		c.orphaned.Inc(1)
+		return nil, false
 	}
 	cc.handling = true
 	return func() {
 		c.mu.Lock()
 		defer c.mu.Unlock()
 		cc.handling = false
-	}
+	}, true
 }
 
 func (c *conns) counts() connCounts {
--- a/service/usherhost/ingress.go
+++ b/service/usherhost/ingress.go
@@ -91,7 +91,12 @@
 func (h *Host) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	h.inProgress.Add(1)
 	defer h.inProgress.Add(-1)
-	defer h.conns.begin(r.Context())()
+	end, open := h.conns.begin(r.Context())
+	if !open {
+		h.log.Info("request dropped: its connection was closed as idle", "path", r.URL.Path)
+		panic(http.ErrAbortHandler)
+	}
+	defer end()
 	received := time.Now()
 	if h.state.self().State == ushercluster.Stopping {
 		w.Header().Set("Connection", "close")
