usherhost: exit only after responses are sent to their end

Callers that are slow to read got a closed connection, in a planned stop, for a request that a target had run.

Cause: a stopping host counted the handlers that run. net/http sends the last bytes of a response, and reads what is left of a request's body, after the handler has returned, and a host without handlers exited one second later. At the end of the grace period only 0.2 s were left between the end of the requests and the exit.

Evidence: TestStoppingHostSendsItsResponsesToTheEnd failed in its three cases before (status 0, error unexpected EOF; want 200, 404 and 504).

The host now waits until no connection has a request or a response. Before it looks a last time it refuses further requests, so none begins between that look and the exit; connections without any request are closed after one second as before, under the lock by which handlers claim theirs. Requests still end 0.6 s before SIGKILL; the exit is 0.2 s before it in place of 0.4 s.

--- a/cmd/usher-host/daemon/answer_test.go
+++ b/cmd/usher-host/daemon/answer_test.go
@@ -97,23 +97,33 @@
 	}
 }
 
-// The handler of a request has returned, and its response is still on the way to a caller that is slow to read. A stopping host
-// that served nothing else waited one second and exited.
+// A response is on its way to a caller that is slow to read, and its handler has returned. A stopping host that served nothing else
+// waited one second and exited.
 func TestStoppingHostSendsItsResponsesToTheEnd(t *testing.T) {
-	for name, request := range map[string]string{
-		"call": head("POST", "/allotment/x", "a1", "1000") + chunkedBody, "refusal": head("POST", "/nowhere/", "a1", "1000") + chunkedBody,
+	for _, c := range []struct {
+		name, request string
+		after, write  time.Duration
+		fault         usherstandin.Fault
+		want          int
+	}{
+		{"call", head("POST", "/allotment/x", "a1", "1000") + chunkedBody, 2950 * time.Millisecond, 3 * time.Second, usherstandin.NoFault, http.StatusOK},
+		{"refusal", head("POST", "/nowhere/", "a1", "1000") + chunkedBody, 2950 * time.Millisecond, 3 * time.Second, usherstandin.NoFault, http.StatusNotFound},
+		{"call that takes until the exit", head("POST", "/allotment/x", "a1", "5000") + chunkedBody, 2300 * time.Millisecond, 400 * time.Millisecond, usherstandin.NeverResponds, http.StatusGatewayTimeout},
 	} {
-		t.Run(name, func(t *testing.T) {
+		t.Run(c.name, func(t *testing.T) {
 			var d delays
 			withTestbed(t, options{hosts: 2, plainTargets: 2, editPlatform: d.hold}, func(t *testing.T, b *testbed) {
+				for _, target := range b.targets {
+					target.SetFault(c.fault)
+				}
 				b.stop(b.hosts[0])
-				time.Sleep(2950 * time.Millisecond)
-				d.write.Store(int64(3 * time.Second))
+				time.Sleep(c.after)
+				d.write.Store(int64(c.write))
 				conn := b.connect(b.hosts[0])
 				defer func() { _ = conn.Close() }()
-				conn.send(t, request)
-				if status, _, err := conn.receive(); status == 0 || err != nil {
-					t.Errorf("status %d, error %v; want a whole response", status, err)
+				conn.send(t, c.request)
+				if status, _, err := conn.receive(); status != c.want || err != nil {
+					t.Errorf("status %d, error %v; want %d", status, err, c.want)
 				}
 			})
 		})
--- a/service/usherhost/conns.go
+++ b/service/usherhost/conns.go
@@ -146,16 +146,23 @@
 	}
 }
 
-// closeIdle closes the connections that are between two requests and returns how many others are open.
-func (c *conns) closeIdle() int {
+// closeIdle closes the connections that are between two requests and returns the number of the others.
+func (c *conns) closeIdle() connCounts {
+	c.closeAll(http.StateIdle)
+	return c.counts()
+}
+
+// closeNew closes the connections on which no request has arrived.
+func (c *conns) closeNew() { c.closeAll(http.StateNew) }
+
+func (c *conns) closeAll(state http.ConnState) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for conn, s := range c.conns {
-		if s.state == http.StateIdle {
+		if s.state == state {
 			c.close(conn, s)
 		}
 	}
-	return len(c.conns)
 }
 
 // close closes a connection. The caller must hold the lock.
--- a/service/usherhost/host.go
+++ b/service/usherhost/host.go
@@ -36,13 +36,13 @@
 	// lifetime of a locate response that names it, and the time for its report to reach its peers.
 	minDrainTime = LocateLifetime + time.Second
 	// killMargin is how long before SIGKILL a stopping host exits by itself.
-	killMargin = 400 * time.Millisecond
+	killMargin = 200 * time.Millisecond
 	// acceptedConnTimeout is how long a stopping host waits for request headers on connections that it has already
 	// accepted.
 	acceptedConnTimeout = time.Second
 	// answerMargin is how long before its exit a stopping host ends the requests that are still in progress, so that their
-	// callers get an answer in place of a closed connection.
-	answerMargin = 200 * time.Millisecond
+	// callers get an answer in place of a closed connection, and slow callers get it to its end.
+	answerMargin = 400 * time.Millisecond
 	// drainPollInterval is how often a stopping host checks whether it has drained.
 	drainPollInterval = 20 * time.Millisecond
 	// maxServerHeaderBytes bounds request headers before the configured limit is checked.
@@ -243,20 +243,27 @@
 	h.fireEvent(ctx, eventDrained)
 }
 
-// drainConnections closes the listener for callers and their idle connections, and waits for requests on the other
-// connections. http.Server.Shutdown would drop requests whose header it has just read.
+// drainConnections closes the listener for callers and their idle connections, and returns when every response is sent to its end.
+// On connections that were accepted before, it waits for requests. http.Server.Shutdown would drop requests whose header it has just
+// read.
 func (h *Host) drainConnections(ctx context.Context, endsAt, exitsAt time.Time) {
 	if err := h.callerListener.Close(); err != nil {
 		h.log.Debug("failed to close listener", "error", errorText(err))
 	}
 	lastBusy := time.Now()
-	for ctx.Err() == nil && h.conns.closeIdle() > 0 && time.Now().Before(exitsAt) {
-		switch now := time.Now(); {
-		case h.inProgress.Load() > 0:
+	for ctx.Err() == nil && time.Now().Before(exitsAt) {
+		switch open, now := h.conns.closeIdle(), time.Now(); {
+		case open.Handling+open.Flushing > 0:
 			lastBusy = now
-		case now.Sub(lastBusy) > acceptedConnTimeout:
-			// No request has arrived on the remaining connections.
+		case open.New == 0 && !h.mayFinish(0):
 			return
+		case open.New == 0:
+			// A request that arrives from here on is refused, so none is in progress once there is no connection left.
+			h.endsAt.Store(&now)
+			continue
+		case now.Sub(lastBusy) > acceptedConnTimeout:
+			h.conns.closeNew()
+			continue
 		}
 		if !time.Now().Before(endsAt) {
 			h.endRequests()
@@ -268,7 +275,7 @@
 // mayFinish reports whether a request that needs the given time can be answered before this host exits.
 func (h *Host) mayFinish(needed time.Duration) bool {
 	endsAt := h.endsAt.Load()
-	return endsAt == nil || !time.Now().Add(needed).After(*endsAt)
+	return endsAt == nil || time.Now().Add(needed).Before(*endsAt)
 }
 
 func (h *Host) close() error {
