usherhost: refuse calls that run once and may not be answered before the exit

Callers of a stopping host sent calls that may run once late in the grace period. The host passed them on if their objective (0.1 s) ended before its exit. Where the target took longer the call ran, and at the exit the caller got 504 or a closed connection, after which it may not send the call again.

Cause: the host counted on the objective, which targets need not keep; a call has until its deadline.

Evidence: TestStoppingHostTakesNoCallThatItCannotFinish failed in its cases of POST later than the deadline allows (status 504, error <nil>; want 503).

Such a call is now taken only if its deadline is before the end of the requests; else it is refused at once as not run, and another host serves it. Retries need no check of their own, as the deadline bounds them. A call that may be repeated is taken as before, if its objective fits: it gets 504 at the exit and may be sent again.

TestStoppingHostAnswersStreamsThatHaveNotBegun passes before and after; it shows 30 streams that end at once.

--- a/service/usherhost/plain.go
+++ b/service/usherhost/plain.go
@@ -56,7 +56,7 @@
 
 // servePlain handles a call to a plain service.
 func (h *Host) servePlain(ctx context.Context, w http.ResponseWriter, req *requestState) *refusal {
-	if !h.mayFinish(min(req.route.Objective, time.Until(req.deadline))) {
+	if !h.mayFinish(req.answerTime()) {
 		return refuse(reasonStopping, 0, nil)
 	}
 	ctx, cancel := context.WithCancel(ctx)
@@ -73,6 +73,15 @@
 	return nil
 }
 
+// answerTime returns how long a call may take to be answered. One that may be repeated is expected to keep its objective.
+func (req *requestState) answerTime() time.Duration {
+	remaining := time.Until(req.deadline)
+	if req.route.AtMostOnce() || req.route.Objective == 0 {
+		return remaining
+	}
+	return min(req.route.Objective, remaining)
+}
+
 func (r *race) run(ctx context.Context) (reply, *refusal) {
 	if refusal := r.start(ctx, false); refusal != nil {
 		return reply{}, refusal
