usherhost: answer callers that close their sending side

A caller that closes its sending side after its request and reads on got a closed connection, also where a target had run the request, at any time and on each kind of route.

Cause: the context of a request ends as soon as the HTTP server reads the end of the connection. The host took that for the caller's departure, cut the target off and aborted the connection. Whether the caller has left shows only when the host writes.

The work on a request now has a context of its own. After the end of the caller's side it goes on for 0.25 s, so that targets still stop within half a second if the caller has left. Then it ends, but for a stream of which two more events could be written, a response that is being written, and a call that may run once: that one ends by itself and is not sent to another target any more. The host's own answers are written in any case.

--- /dev/null
+++ b/service/usherhost/departure.go
@@ -0,0 +1,56 @@
+package usherhost
+
+import (
+	"context"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/samphireusher/samphireusher/pkg/usherroute"
+)
+
+const (
+	// departureDelay is how long a request goes on after its caller has closed its sending side. The caller has left, or it
+	// sends nothing more and reads on; the host cannot tell before it writes.
+	departureDelay = 250 * time.Millisecond
+	// eventsOfReader is the number of events that are written after that before the caller counts as reading on: the first
+	// one makes the system of a caller that has left reset the connection.
+	eventsOfReader = 2
+)
+
+// departure tracks a request whose caller has closed its sending side.
+type departure struct {
+	// final is set once the request must not be sent to another target.
+	final atomic.Bool
+	// responding is set when the response to a call is about to be written, events counts those written of a stream.
+	responding atomic.Bool
+	events     atomic.Int64
+}
+
+// requestContext returns the context of the work on a request.
+func (h *Host) requestContext(r *http.Request, req *requestState) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithDeadline(context.WithoutCancel(r.Context()), req.deadline)
+	keepEnding := context.AfterFunc(h.requestsCtx, cancel)
+	keepWatching := context.AfterFunc(r.Context(), func() {
+		events := req.departure.events.Load()
+		sleep(ctx, departureDelay)
+		req.departure.final.Store(true)
+		if !req.outlivesDeparture(events) {
+			cancel()
+		}
+	})
+	return ctx, func() {
+		keepEnding()
+		keepWatching()
+		cancel()
+	}
+}
+
+// outlivesDeparture reports whether a request goes on although its caller has closed its sending side, when events had been
+// written. To cut off a call that may run only once would save little, and its caller could not send it again.
+func (req *requestState) outlivesDeparture(events int64) bool {
+	if req.route.Kind == usherroute.Stream {
+		return req.departure.events.Load() >= events+eventsOfReader
+	}
+	return req.route.AtMostOnce() || req.departure.responding.Load()
+}
--- a/service/usherhost/ingress.go
+++ b/service/usherhost/ingress.go
@@ -71,6 +71,7 @@
 		// between two events.
 		firstEvent   time.Duration
 		longestPause time.Duration
+		departure    departure
 	}
 
 	// reply is a target's response, ready to be relayed.
@@ -103,9 +104,8 @@
 	}
 	req, refusal := h.admit(r, received)
 	if refusal == nil {
-		ctx, cancel := context.WithDeadline(r.Context(), req.deadline)
+		ctx, cancel := h.requestContext(r, req)
 		defer cancel()
-		defer context.AfterFunc(h.requestsCtx, cancel)()
 		if req.route.Kind == usherroute.Stream {
 			refusal = h.serveStream(ctx, w, req)
 		} else {
@@ -228,14 +228,13 @@
 // writeRefusal responds to a request with a refusal.
 func (h *Host) writeRefusal(w http.ResponseWriter, r *http.Request, req *requestState, refusal *refusal) {
 	h.metrics.recordRefusal(refusal.reason)
-	if r.Context().Err() != nil {
+	outcome := "refused"
+	if r.Context().Err() != nil && h.requestsCtx.Err() == nil {
 		h.metrics.callersGone.Inc(1)
-		h.logRequest(req, "caller_gone", slog.String("reason", string(refusal.reason)), refusal.cause)
-		// A handler that returns without a response makes the server send an empty success, which a caller that has closed only
-		// its sending side reads.
-		panic(http.ErrAbortHandler)
+		outcome = "caller_gone"
 	}
-	h.logRequest(req, "refused", slog.Group("refusal", "reason", string(refusal.reason), "status", refusal.status(), "retry_after", refusal.retryAfter.String()), refusal.cause)
+	h.logRequest(req, outcome, slog.Group("refusal", "reason", string(refusal.reason), "status", refusal.status(), "retry_after", refusal.retryAfter.String()), refusal.cause)
+	// A caller that has closed only its sending side reads the refusal.
 	if err := refusal.write(w); err != nil {
 		h.log.Debug("failed to send refusal", "attempt", req.Attempt, "error", errorText(err))
 	}
@@ -263,6 +262,7 @@
 	if r.rest != nil && r.length >= 0 {
 		w.Header().Set("Content-Length", strconv.FormatInt(r.length, 10))
 	}
+	req.departure.responding.Store(true)
 	w.WriteHeader(r.status)
 	_, err := w.Write(r.body)
 	if err == nil && r.rest != nil {
