usherhost: refuse requests whose body is late for the exit

A caller whose request body was still arriving at the exit of a stopping host got a closed connection, with no word whether the request had run.

Cause: nothing ended the read of a body; only requests that had been admitted ended before the exit.

Evidence: TestStoppingHostRefusesRequestsWhoseBodyIsLate failed before (status 0, error unexpected EOF; want 503).

The read now ends when a stopping host ends its requests, and the request is refused as not run.

--- a/service/usherhost/ingress.go
+++ b/service/usherhost/ingress.go
@@ -6,6 +6,7 @@
 	"io"
 	"log/slog"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"time"
@@ -102,7 +103,14 @@
 	if h.state.self().State == ushercluster.Stopping {
 		w.Header().Set("Connection", "close")
 	}
+	// A stopping host does not wait for the rest of a body.
+	stopReading := context.AfterFunc(h.requestsCtx, func() {
+		if err := http.NewResponseController(w).SetReadDeadline(time.Now()); err != nil {
+			h.log.Debug("failed to set read deadline", "error", errorText(err))
+		}
+	})
 	req, refusal := h.admit(r, received)
+	stopReading()
 	if refusal == nil {
 		ctx, cancel := h.requestContext(r, req)
 		defer cancel()
@@ -204,6 +212,9 @@
 		if errors.Is(err, io.EOF) {
 			break
 		}
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			return nil, refuse(reasonStopping, 0, err)
+		}
 		if err != nil {
 			return nil, refuse(reasonBodyIncomplete, noRetryAfter, err)
 		}
