usherhost: give streams whose caller stops sending time for a second event

A caller that closed its sending side lost its stream if only one event came within the 0.25 s after that: 19 streams in a trial with real processes, two stops of three hosts, events 100 ms apart (status 200, got 41 bytes, unexpected EOF).

Cause: two events are needed to see that the caller reads on, and a first one may come late.

After one event the stream now goes on for another 0.15 s, which still ends it 0.4 s after a caller has left.

--- a/cmd/usher-host/daemon/answer_test.go
+++ b/cmd/usher-host/daemon/answer_test.go
@@ -197,17 +197,19 @@
 func TestCallerThatStopsSendingGetsItsAnswer(t *testing.T) {
 	for _, c := range []struct {
 		method, path string
-		serviceTime  time.Duration
-		events       int
+		// interval is the time of a call or between two events.
+		interval time.Duration
+		events   int
 	}{
 		{"POST", "/allotment/x", 15 * time.Millisecond, 0},
 		{"POST", "/allotment/x", 900 * time.Millisecond, 0},
 		{"GET", "/status/x", 15 * time.Millisecond, 0},
-		{"POST", "/appraisal/100", 0, 100},
-		{"POST", "/eligibility/100", 0, 100},
+		{"POST", "/appraisal/100", 30 * time.Millisecond, 100},
+		{"POST", "/appraisal/20", 180 * time.Millisecond, 20},
+		{"POST", "/eligibility/20", 180 * time.Millisecond, 20},
 	} {
-		t.Run(fmt.Sprint(c.path, " ", c.serviceTime), func(t *testing.T) {
-			withTestbed(t, options{hosts: 1, engines: 2, plainTargets: 2, serviceTime: c.serviceTime}, func(t *testing.T, b *testbed) {
+		t.Run(fmt.Sprint(c.path, " ", c.interval), func(t *testing.T) {
+			withTestbed(t, options{hosts: 1, engines: 2, plainTargets: 2, serviceTime: c.interval, eventInterval: c.interval}, func(t *testing.T, b *testbed) {
 				conn := b.connect(b.hosts[0])
 				defer func() { _ = conn.Close() }()
 				body := chunkedBody
--- a/service/usherhost/departure.go
+++ b/service/usherhost/departure.go
@@ -13,6 +13,8 @@
 	// departureDelay is how long a request goes on after its caller has closed its sending side. The caller has left, or it
 	// sends nothing more and reads on; the host cannot tell before it writes.
 	departureDelay = 250 * time.Millisecond
+	// nextEventDelay is how much longer a stream goes on of which one event could be written since.
+	nextEventDelay = 150 * time.Millisecond
 	// eventsOfReader is the number of events that are written after that before the caller counts as reading on: the first
 	// one makes the system of a caller that has left reset the connection.
 	eventsOfReader = 2
@@ -35,6 +37,10 @@
 		events := req.departure.events.Load()
 		sleep(ctx, departureDelay)
 		req.departure.final.Store(true)
+		if req.departure.events.Load() > events && !req.outlivesDeparture(events) {
+			// The next event shows whether the caller is there.
+			sleep(ctx, nextEventDelay)
+		}
 		if !req.outlivesDeparture(events) {
 			cancel()
 		}
