usherhost: refuse late calls that may be repeated by their deadline, too

Calls that may be repeated were taken until 0.1 s (their objective) before the requests end. Those that targets answer more slowly got 504, and long responses, which are passed on as they come, would be cut.

Cause: the same as for calls that run once: the host counted on the objective.

The objective counts only for the 4 s in which callers cannot know of the stop (the lifetime of their locate response, the time of reports, and the second for connections that were accepted); after that the deadline does. TestPlannedStopServesJustAcceptedRequests, which wants such calls served, passes unchanged. TestStoppingHostAnswersEachCallBeforeItExits expected 504 for a GET 6 s after the signal; it now expects 503 without a run there, and 504 for one at 3.9 s.

--- a/cmd/usher-host/daemon/answer_test.go
+++ b/cmd/usher-host/daemon/answer_test.go
@@ -130,9 +130,8 @@
 	}
 }
 
-// Calls that reach a stopping host late were taken if their objective ended before the exit. Those that may run once and that targets
-// were slow to answer ran and got 504 at the exit, although another host could have served them. Calls that may be repeated
-// are answered by then, too.
+// Calls that reach a stopping host late were taken if their objective ended before the exit. Those that targets were slow to answer ran
+// and got 504 at the exit, although another host could have served them, or a part of a long response.
 func TestStoppingHostTakesNoCallThatItCannotFinish(t *testing.T) {
 	const (
 		unsafe = "POST /allotment/x"
@@ -149,10 +148,12 @@
 		{unsafe, "1000", 7450 * time.Millisecond, http.StatusServiceUnavailable},
 		{unsafe, "5000", 2300 * time.Millisecond, http.StatusGatewayTimeout},
 		{unsafe, "5000", 2500 * time.Millisecond, http.StatusServiceUnavailable},
-		{safe, "1000", 6500 * time.Millisecond, http.StatusGatewayTimeout},
-		{safe, "1000", 7200 * time.Millisecond, http.StatusGatewayTimeout},
-		{safe, "1000", 7350 * time.Millisecond, http.StatusServiceUnavailable},
+		{safe, "1000", 6300 * time.Millisecond, http.StatusGatewayTimeout},
+		{safe, "1000", 6500 * time.Millisecond, http.StatusServiceUnavailable},
+		{safe, "1000", 7200 * time.Millisecond, http.StatusServiceUnavailable},
 		{safe, "1000", 7450 * time.Millisecond, http.StatusServiceUnavailable},
+		{safe, "5000", 3900 * time.Millisecond, http.StatusGatewayTimeout},
+		{safe, "5000", 4100 * time.Millisecond, http.StatusServiceUnavailable},
 	} {
 		t.Run(fmt.Sprint(c.call, " ", c.timeout, " ms after ", c.after), func(t *testing.T) {
 			withTestbed(t, options{hosts: 2, engines: 2, plainTargets: 3}, func(t *testing.T, b *testbed) {
--- a/cmd/usher-host/daemon/stop_test.go
+++ b/cmd/usher-host/daemon/stop_test.go
@@ -61,7 +61,8 @@
 		{http.MethodPost, "/allotment/x", 0, http.StatusGatewayTimeout},
 		{http.MethodPost, "/allotment/x", 2300 * time.Millisecond, http.StatusGatewayTimeout},
 		{http.MethodPost, "/allotment/x", 6 * time.Second, http.StatusServiceUnavailable},
-		{http.MethodGet, "/status/x", 6 * time.Second, http.StatusGatewayTimeout},
+		{http.MethodGet, "/status/x", 3900 * time.Millisecond, http.StatusGatewayTimeout},
+		{http.MethodGet, "/status/x", 6 * time.Second, http.StatusServiceUnavailable},
 		{http.MethodPost, "/allotment/x", 7350 * time.Millisecond, http.StatusServiceUnavailable},
 		{http.MethodPost, "/eligibility/3", 0, http.StatusGatewayTimeout},
 	} {
--- a/service/usherhost/host.go
+++ b/service/usherhost/host.go
@@ -98,12 +98,18 @@
 		background     sync.WaitGroup
 		containment    *containment
 		inProgress     atomic.Int64
-		// endsAt is when a stopping host ends the requests in progress; nil before the stop. Then endRequests cancels
-		// requestsCtx.
-		endsAt      atomic.Pointer[time.Time]
+		// stop is nil before a planned stop. At its endsAt, endRequests cancels requestsCtx.
+		stop        atomic.Pointer[stopTimes]
 		requestsCtx context.Context
 		endRequests context.CancelFunc
 	}
+
+	// stopTimes are the times of a planned stop.
+	stopTimes struct {
+		// callersKnowAt is when no caller that keeps to the lifetime of its locate response sends requests any more, endsAt
+		// when the requests in progress are ended.
+		callersKnowAt, endsAt time.Time
+	}
 )
 
 // New returns a host whose socket for peers is open; Run serves.
@@ -227,7 +233,7 @@
 	start := time.Now()
 	exitsAt := start.Add(h.state.stopGracePeriod() - killMargin)
 	endsAt := exitsAt.Add(-answerMargin)
-	h.endsAt.Store(&endsAt)
+	h.stop.Store(&stopTimes{callersKnowAt: start.Add(minDrainTime + acceptedConnTimeout), endsAt: endsAt})
 	defer h.endRequests()
 	h.fireEvent(ctx, eventStop)
 	for ctx.Err() == nil && time.Now().Before(endsAt) {
@@ -259,7 +265,7 @@
 			return
 		case open.New == 0:
 			// A request that arrives from here on is refused, so none is in progress once there is no connection left.
-			h.endsAt.Store(&now)
+			h.stop.Store(&stopTimes{callersKnowAt: now, endsAt: now})
 			continue
 		case now.Sub(lastBusy) > acceptedConnTimeout:
 			h.conns.closeNew()
@@ -274,8 +280,14 @@
 
 // mayFinish reports whether a request that needs the given time can be answered before this host exits.
 func (h *Host) mayFinish(needed time.Duration) bool {
-	endsAt := h.endsAt.Load()
-	return endsAt == nil || time.Now().Add(needed).Before(*endsAt)
+	stop := h.stop.Load()
+	return stop == nil || time.Now().Add(needed).Before(stop.endsAt)
+}
+
+// callersKnow reports whether this host is stopping and callers have had the time to learn of it.
+func (h *Host) callersKnow() bool {
+	stop := h.stop.Load()
+	return stop != nil && time.Now().After(stop.callersKnowAt)
 }
 
 func (h *Host) close() error {
--- a/service/usherhost/plain.go
+++ b/service/usherhost/plain.go
@@ -56,7 +56,7 @@
 
 // servePlain handles a call to a plain service.
 func (h *Host) servePlain(ctx context.Context, w http.ResponseWriter, req *requestState) *refusal {
-	if !h.mayFinish(req.answerTime()) {
+	if !h.mayFinish(h.answerTime(req)) {
 		return refuse(reasonStopping, 0, nil)
 	}
 	ctx, cancel := context.WithCancel(ctx)
@@ -73,10 +73,11 @@
 	return nil
 }
 
-// answerTime returns how long a call may take to be answered. One that may be repeated is expected to keep its objective.
-func (req *requestState) answerTime() time.Duration {
+// answerTime returns how long a call may take to be answered. One that may be repeated is expected to keep its objective while callers
+// cannot know better than to send it to a stopping host.
+func (h *Host) answerTime(req *requestState) time.Duration {
 	remaining := time.Until(req.deadline)
-	if req.route.AtMostOnce() || req.route.Objective == 0 {
+	if req.route.AtMostOnce() || req.route.Objective == 0 || h.callersKnow() {
 		return remaining
 	}
 	return min(req.route.Objective, remaining)
