--- a/service/usherhost/departure.go
+++ b/service/usherhost/halfclose.go
@@ -10,9 +10,9 @@
 )
 
 const (
-	// departureDelay is how long a request goes on after its caller has closed its sending side. The caller has left, or it
+	// halfCloseDelay is how long a request goes on after its caller has closed its sending side. The caller has left, or it
 	// sends nothing more and reads on; the host cannot tell before it writes.
-	departureDelay = 250 * time.Millisecond
+	halfCloseDelay = 250 * time.Millisecond
 	// nextEventDelay is how much longer a stream goes on of which one event could be written since.
 	nextEventDelay = 150 * time.Millisecond
 	// eventsOfReader is the number of events that are written after that before the caller counts as reading on: the first
@@ -20,8 +20,8 @@
 	eventsOfReader = 2
 )
 
-// departure tracks a request whose caller has closed its sending side.
-type departure struct {
+// halfClose tracks a request whose caller has closed its sending side.
+type halfClose struct {
 	// final is set once the request must not be sent to another target.
 	final atomic.Bool
 	// responding is set when the response to a call is about to be written, events counts those written of a stream.
@@ -34,14 +34,14 @@
 	ctx, cancel := context.WithDeadline(context.WithoutCancel(r.Context()), req.deadline)
 	keepEnding := context.AfterFunc(h.requestsCtx, cancel)
 	keepWatching := context.AfterFunc(r.Context(), func() {
-		events := req.departure.events.Load()
-		sleep(ctx, departureDelay)
-		req.departure.final.Store(true)
-		if req.departure.events.Load() > events && !req.outlivesDeparture(events) {
+		events := req.halfClose.events.Load()
+		sleep(ctx, halfCloseDelay)
+		req.halfClose.final.Store(true)
+		if req.halfClose.events.Load() > events && !req.outlivesHalfClose(events) {
 			// The next event shows whether the caller is there.
 			sleep(ctx, nextEventDelay)
 		}
-		if !req.outlivesDeparture(events) {
+		if !req.outlivesHalfClose(events) {
 			cancel()
 		}
 	})
@@ -52,11 +52,11 @@
 	}
 }
 
-// outlivesDeparture reports whether a request goes on although its caller has closed its sending side, when events had been
+// outlivesHalfClose reports whether a request goes on although its caller has closed its sending side, when events had been
 // written. To cut off a call that may run only once would save little, and its caller could not send it again.
-func (req *requestState) outlivesDeparture(events int64) bool {
+func (req *requestState) outlivesHalfClose(events int64) bool {
 	if req.route.Kind == usherroute.Stream {
-		return req.departure.events.Load() >= events+eventsOfReader
+		return req.halfClose.events.Load() >= events+eventsOfReader
 	}
-	return req.route.AtMostOnce() || req.departure.responding.Load()
+	return req.route.AtMostOnce() || req.halfClose.responding.Load()
 }
--- a/service/usherhost/ingress.go
+++ b/service/usherhost/ingress.go
@@ -72,7 +72,7 @@
 		// between two events.
 		firstEvent   time.Duration
 		longestPause time.Duration
-		departure    departure
+		halfClose    halfClose
 	}
 
 	// reply is a target's response, ready to be relayed.
@@ -273,7 +273,7 @@
 	if r.rest != nil && r.length >= 0 {
 		w.Header().Set("Content-Length", strconv.FormatInt(r.length, 10))
 	}
-	req.departure.responding.Store(true)
+	req.halfClose.responding.Store(true)
 	w.WriteHeader(r.status)
 	_, err := w.Write(r.body)
 	if err == nil && r.rest != nil {
