usher-host: a success that may have been cut after its head is none

What callers saw here: where the head has neither a length nor chunks, and the target closed after the head's last byte and lived on, an empty 200 with Content-Length: 0. In all other places of the head callers got 502 or another target's response before, too.

Cause: an unframed body ends with the connection, and its end was questioned only by a new connection to the target, which works. Streams had asked for a first event; calls for nothing.

Evidence: TestResponseCutInItsHeadIsNoSuccess, new, cuts responses after each byte, with three framings, by targets that stay, reset, leave or crash.

Now a success (not for HEAD) that ends with its connection and has no body counts as broken. A target that has nothing to send says so by a length.

--- /dev/null
+++ b/cmd/usher-host/daemon/cut_test.go
@@ -0,0 +1,260 @@
+package daemon_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/samphireusher/samphireusher/platform/usherstandin"
+	"github.com/samphireusher/samphireusher/service/usherhost"
+)
+
+const (
+	interimResponse = "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n"
+	foreignResponse = "HTTP/1.1 200 OK\r\nAttempt-Id: another\r\nServer-Seal: s\r\nContent-Length: 4\r\n\r\nelse"
+)
+
+type (
+	// cutSequence breaks off the responses to the next requests, at whichever target, one after the other.
+	cutSequence struct {
+		mu   sync.Mutex
+		cuts []usherstandin.Cut
+		// crashed has the targets that have crashed since they were taken, restarts counts those that came in their place.
+		crashed  []string
+		restarts int
+	}
+
+	// resettingNetwork is a network on which targets reset the connections that they close.
+	resettingNetwork struct{ usherhost.Network }
+
+	resetConn struct{ net.Conn }
+)
+
+var (
+	cutFramings = map[string]usherstandin.Framing{"length": usherstandin.WithLength, "chunks": usherstandin.WithChunks, "connection": usherstandin.WithConnection}
+	// cutEnds are what targets do as they break off a response.
+	cutEnds = map[string]func(b *testbed, cuts *cutSequence, id string){
+		"stays":  nil,
+		"resets": nil,
+		"leaves": func(b *testbed, _ *cutSequence, id string) { b.publish(id, "draining") },
+		"crashes": func(b *testbed, cuts *cutSequence, id string) {
+			cuts.addCrashed(id)
+			b.kill(id)
+		},
+	}
+)
+
+func (s *cutSequence) set(cuts ...usherstandin.Cut) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.cuts = cuts
+}
+
+// next returns the cut for a request. Calls to the control interface are whole.
+func (s *cutSequence) next(r *http.Request) (usherstandin.Cut, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.cuts) == 0 || r.Header.Get("Attempt-Id") == "" {
+		return usherstandin.Cut{}, false
+	}
+	cut := s.cuts[0]
+	s.cuts = s.cuts[1:]
+	return cut, true
+}
+
+func (s *cutSequence) addCrashed(id string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.crashed = append(s.crashed, id)
+}
+
+func (s *cutSequence) takeCrashed() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	crashed := s.crashed
+	s.crashed = nil
+	return crashed
+}
+
+func (n resettingNetwork) Dial(ctx context.Context, network, address string) (net.Conn, error) {
+	conn, err := n.Network.Dial(ctx, network, address)
+	if err != nil || netip.MustParseAddrPort(address).Port() != targetPort {
+		return conn, err
+	}
+	return resetConn{conn}, nil
+}
+
+func (c resetConn) Read(data []byte) (int, error) {
+	n, err := c.Conn.Read(data)
+	if errors.Is(err, io.EOF) {
+		err = &net.OpError{Op: "read", Net: "tcp", Err: syscall.ECONNRESET}
+	}
+	return n, err
+}
+
+// withCuts runs a test with a testbed whose targets break off responses. end is one of cutEnds.
+func withCuts(t *testing.T, o options, end string, test func(t *testing.T, b *testbed, cuts *cutSequence)) {
+	t.Helper()
+	cuts := &cutSequence{}
+	var b *testbed
+	o.wrapTarget = func(id string, target http.Handler) http.Handler {
+		return usherstandin.CutOff(target, func(r *http.Request) (usherstandin.Cut, bool) {
+			cut, ok := cuts.next(r)
+			if closing := cutEnds[end]; closing != nil {
+				cut.Closing = func() { closing(b, cuts, id) }
+			}
+			return cut, ok
+		})
+	}
+	if end == "resets" {
+		o.editPlatform = func(p *usherhost.Platform) { p.Network = resettingNetwork{p.Network} }
+	}
+	withTestbed(t, o, func(t *testing.T, started *testbed) {
+		b = started
+		test(t, b, cuts)
+	})
+}
+
+// A target stops in the middle of its response's head, or after it, and closes the connection. Reported by operators of similar
+// systems: callers got a 200 with an empty or short body that was framed as whole.
+func TestResponseCutInItsHeadIsNoSuccess(t *testing.T) {
+	for _, c := range []struct {
+		name, method, path string
+		fault              usherstandin.Fault
+		// want is the status, and runs the number of runs, after a cut in the head.
+		want, runs int
+		before     string
+	}{
+		{name: "call that may run once", method: http.MethodPost, path: "/allotment/", want: http.StatusBadGateway, runs: 1},
+		{name: "idempotent call", method: http.MethodGet, path: "/status/", want: http.StatusOK, runs: 2},
+		{name: "stream that runs once", method: http.MethodPost, path: "/appraisal/2", want: http.StatusBadGateway, runs: 1},
+		{name: "stream that may be resumed", method: http.MethodPost, path: "/eligibility/2", want: http.StatusOK, runs: 2},
+		{name: "failure", method: http.MethodPost, path: "/allotment/", fault: usherstandin.RejectsAfterRun, want: http.StatusBadGateway, runs: 1},
+		{name: "refusal", method: http.MethodPost, path: "/allotment/", fault: usherstandin.Refuses, want: http.StatusBadGateway},
+		{name: "interim response first", method: http.MethodPost, path: "/allotment/", want: http.StatusBadGateway, runs: 1, before: interimResponse},
+		{name: "response to another attempt first", method: http.MethodPost, path: "/allotment/", want: http.StatusBadGateway, runs: 1, before: foreignResponse},
+	} {
+		for framing := range cutFramings {
+			for end := range cutEnds {
+				if end != "stays" && (c.fault != usherstandin.NoFault || c.before != "") {
+					continue
+				}
+				t.Run(c.name+", "+framing+", "+end, func(t *testing.T) {
+					withCuts(t, options{hosts: 1, engines: 3, plainTargets: 3}, end, func(t *testing.T, b *testbed, cuts *cutSequence) {
+						b.eachCut(cuts, usherstandin.Cut{Framing: cutFramings[framing], Before: c.before}, func(cut usherstandin.Cut) result {
+							for _, target := range b.targets {
+								target.SetFault(c.fault)
+							}
+							cuts.set(cut)
+							return b.do(b.request(t.Context(), b.hosts[0], c.method, fmt.Sprint(c.path, "?", cut.After), ""))
+						}, func(got result, cut usherstandin.Cut, inHead bool) {
+							if got.err == nil && got.status == http.StatusOK && !b.isWhole(got, c.path) {
+								t.Errorf("cut after %d bytes: status 200 with body %q", cut.After, got.body)
+							}
+							if n := b.countRuns(got.attempt); inHead && (got.err != nil || got.status != c.want || n != c.runs) {
+								t.Errorf("cut after %d bytes: status %d, error %v, %d runs; want %d, %d runs", cut.After, got.status, got.err, n, c.want, c.runs)
+							}
+						})
+					})
+				})
+			}
+		}
+	}
+}
+
+// The same where the next target of a stream stops in the head of its response.
+func TestStreamWhoseNextTargetStopsInItsHeadIsNotComplete(t *testing.T) {
+	for _, path := range []string{"/appraisal/6", "/eligibility/6"} {
+		for framing := range cutFramings {
+			for end := range cutEnds {
+				t.Run(path+", "+framing+", "+end, func(t *testing.T) {
+					withCuts(t, options{hosts: 1, engines: 4}, end, func(t *testing.T, b *testbed, cuts *cutSequence) {
+						next := usherstandin.Cut{Framing: cutFramings[framing]}
+						b.eachCut(cuts, next, func(cut usherstandin.Cut) result {
+							first := usherstandin.Cut{Framing: usherstandin.WithLength, Inside: "data: piece 3"}
+							cuts.set(first, cut)
+							return b.do(b.request(t.Context(), b.hosts[0], http.MethodPost, fmt.Sprint(path, "?", cut.After), ""))
+						}, func(got result, cut usherstandin.Cut, _ bool) {
+							n := len(events(got.body))
+							if got.err == nil && !isComplete(got.body, got.attempt, 6) || !isComplete(got.body, got.attempt, n) || n < 2 {
+								t.Errorf("cut after %d bytes: status %d, error %v, body %q", cut.After, got.status, got.err, got.body)
+							}
+						})
+					})
+				})
+			}
+		}
+	}
+}
+
+// eachCut calls request and check for each number of bytes after which a response can be broken off. inHead reports whether that is
+// before the end of the header.
+func (b *testbed) eachCut(cuts *cutSequence, cut usherstandin.Cut, request func(cut usherstandin.Cut) result, check func(got result, cut usherstandin.Cut, inHead bool)) {
+	b.t.Helper()
+	header, all := 0, 1
+	cut.Sizes = func(h, a int) { header, all = h, a }
+	for cut.After = 0; cut.After < all; cut.After++ {
+		if cut.Framing == usherstandin.WithConnection && cut.After > header {
+			// Nothing on the wire shows where the body should have ended.
+			break
+		}
+		got := request(cut)
+		cuts.set()
+		check(got, cut, cut.After < header)
+		b.restore(cuts)
+	}
+	if header == 0 {
+		b.t.Error("no response was broken off")
+	}
+}
+
+// restore replaces the targets that have crashed, publishes the others again, and waits until the next request may be retried.
+func (b *testbed) restore(cuts *cutSequence) {
+	b.t.Helper()
+	for _, id := range cuts.takeCrashed() {
+		b.store.Delete("servers/" + id)
+		delete(b.targets, id)
+		service := plainService
+		if strings.HasPrefix(id, "engine-") {
+			service = engineService
+		}
+		cuts.restarts++
+		kind, _, _ := strings.Cut(id, "-")
+		b.addTarget(fmt.Sprint(kind, "-r", cuts.restarts), service, 10+cuts.restarts%200)
+	}
+	for id := range b.targets {
+		b.publish(id, "ready")
+	}
+	// The budget of one host allows a retry every two seconds.
+	time.Sleep(2 * time.Second)
+}
+
+func (b *testbed) countRuns(attempt string) int {
+	n := 0
+	for _, runs := range b.runsOf(attempt) {
+		n += len(runs)
+	}
+	return n
+}
+
+// isWhole reports whether a body is all that a target sends.
+func (b *testbed) isWhole(got result, path string) bool {
+	if strings.HasSuffix(path, "/2") {
+		return isComplete(got.body, got.attempt, 2)
+	}
+	for id, runs := range b.runsOf(got.attempt) {
+		if got.body == fmt.Sprintf("%s %s by %s", runs[0].Method, runs[0].URI, id) {
+			return true
+		}
+	}
+	return false
+}
--- a/cmd/usher-host/daemon/framing_test.go
+++ b/cmd/usher-host/daemon/framing_test.go
@@ -38,6 +38,7 @@
 		want               int
 	}{
 		{"idempotent call", http.MethodGet, "/status/", usherstandin.NoFault, http.StatusOK},
+		{"idempotent call for a header only", http.MethodHead, "/status/", usherstandin.NoFault, http.StatusOK},
 		{"call that may run once", http.MethodPost, "/allotment/", usherstandin.NoFault, http.StatusOK},
 		{"failure of a call that may run once", http.MethodPost, "/allotment/", usherstandin.Fails, http.StatusInternalServerError},
 		{"rejection", http.MethodPost, "/allotment/", usherstandin.Refuses, http.StatusServiceUnavailable},
--- a/cmd/usher-host/daemon/testbed_test.go
+++ b/cmd/usher-host/daemon/testbed_test.go
@@ -100,6 +100,8 @@
 		noRetries bool
 		// unframed lets the store and the targets respond with neither a length nor chunks.
 		unframed bool
+		// wrapTarget changes how a target serves requests.
+		wrapTarget func(id string, target http.Handler) http.Handler
 		// editPlatform changes the interfaces through which hosts use the platform.
 		editPlatform func(p *usherhost.Platform)
 		// wantPanics allows panics in the hosts, which fail the test otherwise.
@@ -247,7 +249,11 @@
 		EventInterval: eventInterval,
 	}, b.copies)
 	b.targets[id] = t
-	b.serve(address, id, t)
+	var handler http.Handler = t
+	if b.options.wrapTarget != nil {
+		handler = b.options.wrapTarget(id, t)
+	}
+	b.serve(address, id, handler)
 	b.publish(id, "ready")
 	return t
 }
--- a/service/usherhost/crash.go
+++ b/service/usherhost/crash.go
@@ -81,10 +81,13 @@
 	}
 }
 
-// brokenOff reports whether a response that has ended is incomplete although its framing does not show that: a target that
-// has crashed ends its connections as well.
-func (h *Host) brokenOff(ctx context.Context, x *exchange, target ushercatalog.Target) bool {
-	return isUnframed(x.response) && h.probeTarget(ctx, target) != nil
+// brokenOff reports whether a response that has ended after the given number of bytes or events is incomplete although its
+// framing does not show that: a target that stops after the header, or crashes, ends its connection as well.
+func (h *Host) brokenOff(ctx context.Context, x *exchange, target ushercatalog.Target, received int64) bool {
+	if !isUnframed(x.response) {
+		return false
+	}
+	return received == 0 && x.promisesBody() || h.probeTarget(ctx, target) != nil
 }
 
 // probeTarget returns an error if a target accepts no connection.
--- a/service/usherhost/exchange.go
+++ b/service/usherhost/exchange.go
@@ -214,6 +214,11 @@
 	return r.ContentLength < 0 && len(r.TransferEncoding) == 0
 }
 
+// promisesBody reports whether a response is a success that has a body. A target that has none to send says so by a length.
+func (x *exchange) promisesBody() bool {
+	return x.response.StatusCode < http.StatusMultipleChoices && x.request.Method != http.MethodHead
+}
+
 // readBody reads as much of the response body as may be buffered, and reports whether that is the complete body.
 func (x *exchange) readBody(reservation *bufferReservation) (body []byte, complete bool, err error) {
 	step := bufferStep
--- a/service/usherhost/ingress.go
+++ b/service/usherhost/ingress.go
@@ -80,8 +80,8 @@
 		// body is the whole body, or its beginning if rest has the part that was not read yet.
 		body []byte
 		rest io.Reader
-		// brokenOff reports, at the end of rest, whether the body is incomplete.
-		brokenOff func() bool
+		// brokenOff reports, at the end of rest, whether the body is incomplete after the bytes relayed.
+		brokenOff func(relayed int64) bool
 		// length is the length of the whole body, or negative if the target did not send it.
 		length int64
 	}
@@ -286,7 +286,7 @@
 			return err
 		}
 		relayed += int64(n)
-		if errors.Is(err, io.EOF) && relayed < int64(h.settings.Answers.BodyBytes) && !r.brokenOff() {
+		if errors.Is(err, io.EOF) && relayed < int64(h.settings.Answers.BodyBytes) && !r.brokenOff(relayed) {
 			return control.SetWriteDeadline(time.Time{})
 		}
 		if err != nil {
--- a/service/usherhost/plain.go
+++ b/service/usherhost/plain.go
@@ -289,8 +289,8 @@
 			return broken(errUnexpectedResponse.New("response with status %d has a body of more than %d bytes", status, len(body)))
 		}
 		r.rest = io.LimitReader(x.response.Body, int64(x.limits.BodyBytes-len(body)))
-		r.brokenOff = func() bool { return h.brokenOff(ctx, x, choice.Target) }
-	} else if h.brokenOff(ctx, x, choice.Target) {
+		r.brokenOff = func(relayed int64) bool { return h.brokenOff(ctx, x, choice.Target, relayed) }
+	} else if h.brokenOff(ctx, x, choice.Target, int64(len(body))) {
 		return broken(io.ErrUnexpectedEOF)
 	}
 	if x.info.ColdRemaining > 0 {
--- a/service/usherhost/relay.go
+++ b/service/usherhost/relay.go
@@ -79,10 +79,7 @@
 
 // brokenOff reports whether a stream that has ended after an event, or without any, is incomplete.
 func (g *generation) brokenOff(ctx context.Context) bool {
-	if g.req.events == 0 && isUnframed(g.exchange.response) {
-		return true
-	}
-	return g.host.brokenOff(ctx, g.exchange, g.source.Target)
+	return g.host.brokenOff(ctx, g.exchange, g.source.Target, int64(g.req.events))
 }
 
 // continuesNothing reports whether the current run, which was to continue a stream, has not added an event to it. Its end
