--- a/cmd/usher-host/daemon/cut_test.go
+++ b/cmd/usher-host/daemon/cut_test.go
@@ -196,6 +196,33 @@
 	}
 }
 
+// An engine turns the order to end a run away, and breaks off that answer in its head. It was taken for unreachable, so the stream went on
+// at a second engine while the first worked on.
+func TestEngineWhoseAnswerToAnOrderBreaksOffStillRuns(t *testing.T) {
+	for _, path := range []string{"/appraisal/250", "/eligibility/90"} {
+		for _, after := range []int{0, 1, len("HTTP/1.1 50"), len("HTTP/1.1 503 Service Unavailable\r\n"), len("HTTP/1.1 503 Service Unavailable\r\nConten")} {
+			t.Run(fmt.Sprint(path, ", after ", after), func(t *testing.T) {
+				o := options{hosts: 1, engines: 4, wrapTarget: func(_ string, target http.Handler) http.Handler {
+					return usherstandin.CutOff(target, func(r *http.Request) (usherstandin.Cut, bool) {
+						return usherstandin.Cut{After: after}, r.URL.Path == "/kv-move"
+					})
+				}}
+				withTestbed(t, o, func(t *testing.T, b *testbed) {
+					refuseMoves(b)
+					attempt, done := b.startStream(b.hosts[0], path)
+					time.Sleep(time.Second)
+					b.silence(b.hosts[0], 0)
+					got := <-done
+					b.checkOverlap(attempt)
+					if n := len(events(got.body)); !isComplete(got.body, attempt, n) || n == 0 {
+						t.Errorf("error %v, body %q", got.err, got.body)
+					}
+				})
+			})
+		}
+	}
+}
+
 // eachCut calls request and check for each number of bytes after which a response can be broken off. inHead reports whether that is
 // before the end of the header.
 func (b *testbed) eachCut(cuts *cutSequence, cut usherstandin.Cut, request func(cut usherstandin.Cut) result, check func(got result, cut usherstandin.Cut, inHead bool)) {
