usher-host: see that a target ended the connection in the middle of a line

A stream whose next engine broke off its head so, at engines that take no orders to end a run, got neither the rest nor its end for 39 s.

Cause: net/http takes a line that the end of the connection cuts off for a whole one and calls it malformed; the end of a trailer is an error of its own. endedByTarget saw neither EOF nor a reset, so no crash was looked for, and the run was taken to go on at a target that had closed.

The reader under the response keeps the error that ended the connection, and what it led to is reported with that as its cause. Regular ends and malformed responses on connections that are still open stay as they were.

--- a/service/usherhost/buffer.go
+++ b/service/usherhost/buffer.go
@@ -1,6 +1,7 @@
 package usherhost
 
 import (
+	"errors"
 	"io"
 	"sync/atomic"
 )
@@ -20,6 +21,14 @@
 		reader    io.Reader
 		limited   bool
 		remaining int64
+		// end is the error by which the target ended the connection.
+		end error
+	}
+
+	// responseBody is the body of a response that was read through a limitedReader.
+	responseBody struct {
+		io.ReadCloser
+		limiter *limitedReader
 	}
 
 	// bufferBudget is the memory that a host may use to buffer responses while they are read.
@@ -65,13 +74,35 @@
 
 // Read implements io.Reader. It fails once the limit is reached.
 func (r *limitedReader) Read(b []byte) (int, error) {
-	if !r.limited {
-		return r.reader.Read(b)
-	}
-	if r.remaining <= 0 {
+	if r.limited && r.remaining <= 0 {
 		return 0, errUnexpectedResponse.New("too many bytes before the response")
 	}
-	n, err := r.reader.Read(b[:min(int64(len(b)), r.remaining)])
+	if r.limited {
+		b = b[:min(int64(len(b)), r.remaining)]
+	}
+	n, err := r.reader.Read(b)
 	r.remaining -= int64(n)
+	if endedByTarget(err) {
+		r.end = err
+	}
 	return n, err
 }
+
+// cause returns the end of the connection in place of an error that it led to: net/http takes a line that is cut off for a whole
+// one, and reports it as malformed.
+func (r *limitedReader) cause(err error) error {
+	switch {
+	case err == nil || r.end == nil || endedByTarget(err):
+		return err
+	case errors.Is(r.end, io.EOF):
+		return errConnectionLost.Wrap(io.ErrUnexpectedEOF, "%s", err)
+	default:
+		return errConnectionLost.Wrap(r.end, "%s", err)
+	}
+}
+
+// Read implements io.Reader.
+func (b responseBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	return n, b.limiter.cause(err)
+}
--- a/service/usherhost/exchange.go
+++ b/service/usherhost/exchange.go
@@ -181,8 +181,9 @@
 	}
 	response, err := http.ReadResponse(x.reader, x.request)
 	if err != nil {
-		return false, errConnectionLost.Wrap(err, "read response header")
+		return false, errConnectionLost.Wrap(x.limiter.cause(err), "read response header")
 	}
+	response.Body = responseBody{response.Body, x.limiter}
 	if response.StatusCode < http.StatusOK {
 		return false, nil
 	}
