--- a/cmd/usher-host/daemon/testbed_test.go
+++ b/cmd/usher-host/daemon/testbed_test.go
@@ -98,6 +98,8 @@
 		editDeclarations func(d map[string]any)
 		// noRetries sets a retry budget of zero.
 		noRetries bool
+		// manyRetries sets a retry budget that no test uses up.
+		manyRetries bool
 		// unframed lets the store and the targets respond with neither a length nor chunks.
 		unframed bool
 		// wrapTarget changes how a target serves requests.
@@ -287,6 +289,9 @@
 	if b.options.noRetries {
 		s.Retries.Ratio, s.Retries.Allowance = 0, 0
 	}
+	if b.options.manyRetries {
+		s.Retries.Allowance = 1e6
+	}
 	s.Log.Level = "info"
 	s.Answers.HeaderBytes, s.Answers.HeaderTime, s.Answers.StrayBytes, s.Answers.HeldBytes, s.Answers.BodyBytes = 64<<10, 2*time.Second, 256<<10, 256<<10, 1<<30
 	log := slog.New(slog.NewJSONHandler(&b.logBuffer, nil)).With("host", s.Process.Name)
