test: declarations of peers that break off are not taken

Hosts pull declarations that are too large for a datagram from their peers. The test ends these responses after 0 to 8000 bytes, every 29th in eight parts.

--- a/cmd/usher-host/daemon/cut_test.go
+++ b/cmd/usher-host/daemon/cut_test.go
@@ -10,6 +10,7 @@
 	"net/netip"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -47,6 +48,25 @@
 	resettingNetwork struct{ usherhost.Network }
 
 	resetConn struct{ net.Conn }
+
+	// cutNetwork ends connections to peers after limit-1 bytes have been read, if limit is not zero.
+	cutNetwork struct {
+		limit atomic.Int64
+		cuts  atomic.Int64
+	}
+
+	// cutHostNetwork is a cutNetwork from the point of view of one host.
+	cutHostNetwork struct {
+		usherhost.Network
+		cut *cutNetwork
+	}
+
+	cutConn struct {
+		net.Conn
+		cut *cutNetwork
+		// limit is one more than the number of bytes still to be read, or zero for no limit.
+		limit atomic.Int64
+	}
 )
 
 var (
@@ -123,6 +143,35 @@
 	return n, err
 }
 
+func (n *cutNetwork) of(network usherhost.Network) usherhost.Network {
+	return cutHostNetwork{network, n}
+}
+
+func (n cutHostNetwork) Dial(ctx context.Context, network, address string) (net.Conn, error) {
+	conn, err := n.Network.Dial(ctx, network, address)
+	if err != nil || netip.MustParseAddrPort(address).Port() != peerPort {
+		return conn, err
+	}
+	return &cutConn{Conn: conn, cut: n.cut}, nil
+}
+
+// Write begins a request.
+func (c *cutConn) Write(data []byte) (int, error) {
+	c.limit.Store(c.cut.limit.Load())
+	return c.Conn.Write(data)
+}
+
+func (c *cutConn) Read(data []byte) (int, error) {
+	n, err := c.Conn.Read(data)
+	limit := c.limit.Load()
+	if limit == 0 || int64(n) < limit {
+		c.limit.Add(-min(int64(n), limit))
+		return n, err
+	}
+	c.cut.cuts.Add(1)
+	return int(limit - 1), io.EOF
+}
+
 // withCuts runs a test with a testbed whose targets break off responses. end is one of cutEnds.
 func withCuts(t *testing.T, o options, end string, test func(t *testing.T, b *testbed, cuts *cutSequence)) {
 	t.Helper()
@@ -348,3 +397,35 @@
 	}
 	return false
 }
+
+// Hosts get declarations that are too large for a datagram from their peers, and these break off their responses. What has come
+// must not be taken for the whole.
+func TestDeclarationsThatBreakOffAreNotTaken(t *testing.T) {
+	for part := range 8 {
+		t.Run(fmt.Sprint("part ", part), func(t *testing.T) {
+			network := &cutNetwork{}
+			o := options{hosts: 3, plainTargets: 1, editPlatform: func(p *usherhost.Platform) { p.Network = network.of(p.Network) }}
+			withTestbed(t, o, func(t *testing.T, b *testbed) {
+				version := 1
+				for bytes := int64(part); bytes < 8000; bytes += 8 * 29 {
+					version++
+					network.limit.Store(bytes + 1)
+					b.declareLarge(version)
+					time.Sleep(500 * time.Millisecond)
+					network.limit.Store(0)
+					time.Sleep(2 * time.Second)
+					for _, h := range b.hosts {
+						r := b.request(t.Context(), h, http.MethodGet, "/status/", "")
+						r.Header.Set("Api-Key", fmt.Sprintf("key-of-workspace-%020d", 49))
+						if got, v := b.do(r), b.versionOf(h); v != version || got.status != http.StatusOK {
+							t.Errorf("after %d bytes: version %d at %s, status %d; want %d, 200", bytes, v, h.name, got.status, version)
+						}
+					}
+				}
+				if network.cuts.Load() < 20 {
+					t.Errorf("only %d responses were broken off", network.cuts.Load())
+				}
+			})
+		})
+	}
+}
