usher-host: count the responses that end with their connection

Nothing told how many responses a target sends with neither a length nor chunks, so nobody could say whether a short body may come from one that closed early. targets.unframed_responses counts them, and the line of a request whose target closed after the head says so in its error (before: "unexpected EOF").

--- a/service/usherhost/exchange.go
+++ b/service/usherhost/exchange.go
@@ -55,7 +55,9 @@
 		limits   responseLimits
 		written  chan error
 		// foreign counts the responses that were skipped as they do not name the attempt.
-		foreign     metrics.Counter
+		foreign metrics.Counter
+		// unframed counts the responses whose end only that of their connection shows.
+		unframed    metrics.Counter
 		containment *containment
 		stopCancel  func() bool
 	}
@@ -93,7 +95,7 @@
 	}
 	conn = countedConn{Conn: conn, bytes: bytes}
 	r := &limitedReader{reader: conn}
-	x := &exchange{conn: conn, limiter: r, reader: bufio.NewReaderSize(r, readBufferSize), limits: h.settings.Answers, written: make(chan error, 1), foreign: h.metrics.foreign, containment: h.containment}
+	x := &exchange{conn: conn, limiter: r, reader: bufio.NewReaderSize(r, readBufferSize), limits: h.settings.Answers, written: make(chan error, 1), foreign: h.metrics.foreign, unframed: h.metrics.unframed, containment: h.containment}
 	// The connection is closed when the caller leaves or the deadline passes, which ends the target's work as well.
 	x.stopCancel = context.AfterFunc(ctx, func() { conn.Close() })
 	return x, nil
@@ -205,6 +207,9 @@
 	if err := x.conn.SetReadDeadline(time.Time{}); err != nil {
 		return false, errConnectionLost.Wrap(err, "set read deadline")
 	}
+	if isUnframed(response) {
+		x.unframed.Inc(1)
+	}
 	x.response, x.info = response, info
 	return true, nil
 }
--- a/service/usherhost/metrics.go
+++ b/service/usherhost/metrics.go
@@ -45,6 +45,8 @@
 	withdrawn      metrics.Counter
 	// foreign counts the responses of targets that do not name the attempt they were sent for.
 	foreign metrics.Counter
+	// unframed counts the responses whose end only that of their connection shows.
+	unframed metrics.Counter
 	// probes counts the requests that were tried again although they were blamed for crashes.
 	probes metrics.Counter
 	// localBytes and remoteBytes count the bytes exchanged with targets in this host's data centre and in others.
@@ -65,7 +67,7 @@
 		earlyEnds: metrics.NewRegisteredCounter("targets.early_ends", r), crashes: metrics.NewRegisteredCounter("targets.crashes", r), probes: metrics.NewRegisteredCounter("requests.suspect_probes", r),
 		departures: metrics.NewRegisteredCounter("targets.departures", r), rests: metrics.NewRegisteredCounter("targets.rests", r),
 		noticesIgnored: metrics.NewRegisteredCounter("targets.notices_ignored", r), withdrawn: metrics.NewRegisteredCounter("requests.withdrawn", r),
-		foreign:    metrics.NewRegisteredCounter("targets.foreign_responses", r),
+		foreign: metrics.NewRegisteredCounter("targets.foreign_responses", r), unframed: metrics.NewRegisteredCounter("targets.unframed_responses", r),
 		localBytes: metrics.NewRegisteredCounter("targets.near_bytes", r), remoteBytes: metrics.NewRegisteredCounter("targets.far_bytes", r),
 	}
 }
--- a/service/usherhost/plain.go
+++ b/service/usherhost/plain.go
@@ -291,7 +291,7 @@
 		r.rest = io.LimitReader(x.response.Body, int64(x.limits.BodyBytes-len(body)))
 		r.brokenOff = func(relayed int64) bool { return h.brokenOff(ctx, x, choice.Target, relayed) }
 	} else if h.brokenOff(ctx, x, choice.Target, int64(len(body))) {
-		return broken(io.ErrUnexpectedEOF)
+		return broken(errConnectionLost.Wrap(io.ErrUnexpectedEOF, "response ended with its connection after %d bytes of its body", len(body)))
 	}
 	if x.info.ColdRemaining > 0 {
 		h.state.markCold(id, x.info.ColdRemaining)
