usher-host: a stream whose run was ended on request is not complete

What callers saw: an engine that sends neither a length nor chunks stalls in a stream, and is ordered to end the run so that the stream can go on elsewhere.

Cause: the end of such a connection looks regular, and the engine lives. relay took what came while the order was under way for the end of a run on request only if it was an error.

Evidence, before: TestStreamThatIsEndedOnRequestIsNotComplete/ends_with_the_end_of_the_connection: error <nil>, events [1]; want 1 to 20. With chunks it passed. Found in the search for the cause of the empty success elsewhere.

Now such an end waits for the result of the order. If the run was ended, the stream goes on; if the order was turned away, the end counts as before.

--- a/cmd/usher-host/daemon/framing_test.go
+++ b/cmd/usher-host/daemon/framing_test.go
@@ -181,3 +181,22 @@
 		})
 	}
 }
+
+// An engine stalls, is ordered to end the run, and closes the stream without its end. Where the stream ends with its connection, that
+// looked like its end, so callers got the part before the stall as the whole.
+func TestStreamThatIsEndedOnRequestIsNotComplete(t *testing.T) {
+	for framing, o := range framings {
+		t.Run("ends "+framing, func(t *testing.T) {
+			o.hosts, o.engines = 1, 4
+			withTestbed(t, o, func(t *testing.T, b *testbed) {
+				faults := &faultSequence{faults: []usherstandin.Fault{usherstandin.StallsAfterFirstEvent}}
+				for _, target := range b.targets {
+					target.SetFaultSource(faults.next)
+				}
+				if got := b.post(b.hosts[0], "/eligibility/20"); got.err != nil || !isComplete(got.body, got.attempt, 20) {
+					t.Errorf("error %v, events %v; want 1 to 20", got.err, events(got.body))
+				}
+			})
+		})
+	}
+}
--- a/service/usherhost/relay.go
+++ b/service/usherhost/relay.go
@@ -30,10 +30,13 @@
 		select {
 		case item := <-items:
 			stop()
-			if item.err != nil && !errors.Is(item.err, io.EOF) && g.stopping {
+			if g.stopping && item.err != nil && (!errors.Is(item.err, io.EOF) || isUnframed(g.exchange.response)) {
 				// The target closes the stream of a run that it has ended.
 				if result := <-g.stopResults; result.err == nil {
 					g.recordStop(result)
+					if errors.Is(item.err, io.EOF) {
+						item.err = errConnectionLost.Wrap(io.ErrUnexpectedEOF, "the run was ended on request")
+					}
 				}
 			}
 			if errors.Is(item.err, io.EOF) && (g.continuesNothing() || g.brokenOff(ctx)) {
