--- a/service/usherhost/relay.go
+++ b/service/usherhost/relay.go
@@ -30,10 +30,13 @@
 		select {
 		case item := <-items:
 			stop()
-			if item.err != nil && !errors.Is(item.err, io.EOF) && g.stopping {
+			if g.stopping && item.err != nil && (!errors.Is(item.err, io.EOF) || isUnframed(g.exchange.response)) {
 				// The target closes the stream of a run that it has ended.
 				if result := <-g.stopResults; result.err == nil {
 					g.recordStop(result)
+					if errors.Is(item.err, io.EOF) {
+						item.err = errConnectionLost.Wrap(io.ErrUnexpectedEOF, "the run was ended on request")
+					}
 				}
 			}
 			if errors.Is(item.err, io.EOF) && (g.continuesNothing() || g.brokenOff(ctx)) {
@@ -79,10 +82,7 @@
 
 // brokenOff reports whether a stream that has ended after an event, or without any, is incomplete.
 func (g *generation) brokenOff(ctx context.Context) bool {
-	if g.req.events == 0 && isUnframed(g.exchange.response) {
-		return true
-	}
-	return g.host.brokenOff(ctx, g.exchange, g.source.Target)
+	return g.host.brokenOff(ctx, g.exchange, g.source.Target, int64(g.req.events))
 }
 
 // continuesNothing reports whether the current run, which was to continue a stream, has not added an event to it. Its end
