--- a/pkg/ushercall/call.go
+++ b/pkg/ushercall/call.go
@@ -84,7 +84,12 @@
 		Leaving bool
 		// Rest is for how long, from the response on, the target wants nothing from this host; zero if it did not say.
 		Rest time.Duration
-		// Unusable describes a value that means nothing and was ignored; empty if there was none.
+		// Limited is set if the target names a limit: Limit requests a second from all hosts together.
+		Limited bool
+		Limit   float64
+		// Unlimited is set if the response shows that the target names no limit any more.
+		Unlimited bool
+		// Unusable describes the values that mean nothing and were ignored; empty if there were none.
 		Unusable string
 	}
 
