usherpool: limits of targets, kept by all hosts together

A limit belongs to one incarnation at one address, outlasts the loss of its entry for ten minutes and ends with the incarnation. A lower one counts at once; a higher one or none only from a request sent after the latest answer that names one, as answers overtake each other.

Each host may send one request in its turn. Turns follow each other by the time of day at even distances of 1/(0.8 x limit) s, the hosts in the order of their names; a turn lapses after a second, or when the next one begins. So at most 0.8 x limit x (4 + 1) + 1 turns begin in 4 s or the second before, for any number of hosts and after any lull; the rule's 6 x limit + 5 leaves room for clocks that differ by 1.25 s and for requests on their way. With phases at random, as first planned, the mean after a lull is the same but the number is a Poisson number: for a limit of 2 on 195 hosts more than 17 have a chance of 1.6e-3 (mean 8) in each such window. A clock that jumps moves one host's turns; it still uses one in nine tenths of a period at most.

The rate is never below one in 4 s for the whole fleet, so that the end of a limit of 0 is noticed. Nothing names limits to the pool yet.

--- a/pkg/ushercluster/cluster.go
+++ b/pkg/ushercluster/cluster.go
@@ -29,6 +29,7 @@
 
 import (
 	"cmp"
+	"hash/fnv"
 	"maps"
 	"math/rand/v2"
 	"net/netip"
@@ -132,7 +133,10 @@
 		// maxHosts is the largest number of hosts seen recently, including this one.
 		maxHosts   int
 		maxHostsAt time.Time
-		heardAny   bool
+		// place is the place of this host among placedAmong hosts by name.
+		place       int
+		placedAmong int
+		heardAny    bool
 		// collector is the host to which this one reports, since collectorSince.
 		collector      string
 		collectorSince time.Time
@@ -439,13 +443,29 @@
 // LimitDivisor returns the number of hosts by which a fleet-wide limit is divided. It decreases only slowly, because a
 // host that hears from no other may be cut off while the others keep serving.
 func (c *Cluster) LimitDivisor(now time.Time) int {
+	_, hosts := c.LimitShare(now)
+	return hosts
+}
+
+// LimitShare returns the number of hosts by which a fleet-wide limit is divided and the place of this one among them, from 0.
+// A host that loses others from sight keeps its place, or all that are cut off would have the same one.
+func (c *Cluster) LimitShare(now time.Time) (place, hosts int) {
 	if !c.heardAny {
-		return initialLimitDivisor
-	}
-	if n := 1 + len(c.Alive(now)); n >= c.maxHosts || now.Sub(c.maxHostsAt) > limitDivisorRetention {
+		name := fnv.New32a()
+		_, _ = name.Write([]byte(c.self.Name))
+		return int(name.Sum32() % initialLimitDivisor), initialLimitDivisor
+	}
+	alive := c.Alive(now)
+	n := 1 + len(alive)
+	expired := now.Sub(c.maxHostsAt) > limitDivisorRetention
+	if n >= c.maxHosts || expired {
 		c.maxHosts, c.maxHostsAt = n, now
 	}
-	return c.maxHosts
+	if n >= c.placedAmong || expired {
+		c.placedAmong = n
+		c.place, _ = slices.BinarySearchFunc(alive, c.self.Name, func(m Member, name string) int { return strings.Compare(m.Name, name) })
+	}
+	return c.place, c.maxHosts
 }
 
 func compareAddresses(a, b netip.AddrPort) int {
--- /dev/null
+++ b/pkg/usherpool/limit_test.go
@@ -0,0 +1,268 @@
+package usherpool_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/joomcode/errorx"
+
+	"github.com/samphireusher/samphireusher/pkg/ushercatalog"
+	"github.com/samphireusher/samphireusher/pkg/usherpool"
+	"pgregory.net/rapid"
+)
+
+const (
+	// limitWindow, limitFactor and limitSlack bound the requests to a limited target, from the users' pages.
+	limitWindow = 4 * time.Second
+	limitFactor = 1.5
+	limitSlack  = 5
+	limitStep   = 50 * time.Millisecond
+)
+
+var request = usherpool.Request{Service: engines}
+
+// newFleet returns the pools of hosts that share one target, which has named a limit to all of them.
+func newFleet(hosts int, limit float64) []*usherpool.Pool {
+	pools := make([]*usherpool.Pool, hosts)
+	for i := range pools {
+		pools[i] = newPool(uint64(i), targets(1), hosts)
+		pools[i].SetPlace(i)
+		pools[i].Limit(start, *target(0).Target, start, limit)
+	}
+	return pools
+}
+
+// Any number of hosts with clocks that differ, lulls, surges, changes of the limit and of the number of hosts: in no window of 4 s do
+// more requests reach the target than one and a half times the highest limit then in force, and five.
+func TestHostsTogetherKeepTheLimit(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		hosts := rapid.IntRange(1, 400).Draw(t, "hosts")
+		limit := rapid.Float64Range(0, 50).Draw(t, "limit")
+		random := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "walk"), 1))
+		said := *target(0).Target
+		pools := newFleet(hosts, limit)
+		offsets, believed := make([]time.Duration, hosts), make([]float64, hosts)
+		for i := range pools {
+			offsets[i] = time.Duration((2*random.Float64() - 1) * float64(time.Second))
+			believed[i] = limit
+		}
+		type arrival struct {
+			at    time.Time
+			limit float64
+		}
+		var window []arrival
+		demand := random.Float64()
+		for now := start.Add(time.Second + time.Duration(random.IntN(1e9))); now.Before(start.Add(40 * time.Second)); now = now.Add(limitStep) {
+			switch random.IntN(60) {
+			case 0:
+				// A lull.
+				demand = 0
+			case 1, 2:
+				// All hosts have requests at once.
+				demand = 1
+			case 3:
+				demand = random.Float64() * 0.1
+			case 4:
+				limit = random.Float64() * 50
+			case 5:
+				limit *= random.Float64()
+			}
+			for i, p := range pools {
+				if random.Float64() >= demand {
+					continue
+				}
+				hostNow := now.Add(offsets[i])
+				if _, err := p.Choose(hostNow, request); err != nil {
+					if !errorx.IsOfType(err, usherpool.ErrLimited) {
+						t.Fatal(err)
+					}
+					continue
+				}
+				window = append(window, arrival{at: now, limit: max(believed[i], limit)})
+				p.Limit(hostNow.Add(time.Millisecond), said, hostNow, limit)
+				believed[i] = limit
+			}
+			for len(window) > 0 && now.Sub(window[0].at) > limitWindow {
+				window = window[1:]
+			}
+			highest := 0.0
+			for _, a := range window {
+				highest = max(highest, a.limit)
+			}
+			if allowed := limitFactor*highest*limitWindow.Seconds() + limitSlack; float64(len(window)) > allowed {
+				t.Fatalf("%d requests in 4 s with limits up to %.1f, %.1f allowed", len(window), highest, allowed)
+			}
+		}
+	})
+}
+
+// A host that always has requests gets its share of the limit, and none starves.
+func TestEachHostGetsItsTurns(t *testing.T) {
+	for _, c := range []struct {
+		hosts int
+		limit float64
+	}{{1, 0.2}, {1, 50}, {3, 0}, {9, 3.5}, {40, 4.9}, {195, 20}} {
+		pools, sent := newFleet(c.hosts, c.limit), make([]int, c.hosts)
+		rate := max(0.8*c.limit, 0.25)
+		duration := time.Duration(20 * float64(c.hosts) / rate * float64(time.Second))
+		for now := start; now.Before(start.Add(duration)); now = now.Add(min(limitStep, duration/400)) {
+			for i, p := range pools {
+				if _, err := p.Choose(now, request); err == nil {
+					sent[i]++
+				}
+			}
+		}
+		for i, n := range sent {
+			if n < 19 || n > 21 {
+				t.Errorf("%d hosts, limit %g: host %d sent %d requests in 20 of its turns", c.hosts, c.limit, i, n)
+			}
+		}
+	}
+}
+
+// Responses of different connections overtake each other. A lower limit counts at once, a higher one or none only if the request
+// was sent after the latest response that names one.
+func TestOvertakingResponsesRaiseNoLimit(t *testing.T) {
+	said := *target(0).Target
+	at := func(seconds int) time.Time { return start.Add(time.Duration(seconds) * time.Second) }
+	for _, c := range []struct {
+		name            string
+		received, sent  int
+		limit           float64
+		want            float64
+		changed, absent bool
+	}{
+		{name: "the same", received: 12, sent: 11, limit: 3, want: 3},
+		{name: "lower, sent before", received: 12, sent: 5, limit: 2, want: 2, changed: true},
+		{name: "lower, sent after", received: 12, sent: 11, limit: 2, want: 2, changed: true},
+		{name: "higher, sent before", received: 12, sent: 5, limit: 4, want: 3},
+		{name: "higher, sent after", received: 12, sent: 11, limit: 4, want: 4, changed: true},
+		{name: "none, sent before", sent: 5, absent: true, want: 3},
+		{name: "none, sent after", sent: 11, absent: true, want: -1, changed: true},
+	} {
+		p := newPool(1, targets(1), 1)
+		p.Limit(at(10), said, at(9), 3)
+		changed := false
+		if c.absent {
+			changed = p.Unlimit(said, at(c.sent))
+		} else {
+			changed = p.Limit(at(c.received), said, at(c.sent), c.limit)
+		}
+		if got := limitInForce(p, at(13)); got != c.want || changed != c.changed {
+			t.Errorf("%s: limit %g, changed %t; want %g, %t", c.name, got, changed, c.want, c.changed)
+		}
+	}
+}
+
+// limitInForce returns the limit of the first target, or -1 if there is none.
+func limitInForce(p *usherpool.Pool, now time.Time) float64 {
+	for _, s := range p.Summaries(now) {
+		if s.Limit != nil {
+			return *s.Limit
+		}
+	}
+	return -1
+}
+
+// A limit belongs to one incarnation at one address. It outlasts the loss of the entry, and ends with the incarnation.
+func TestLimitBelongsToOneIncarnation(t *testing.T) {
+	restarted, moved := *target(0).Target, *target(0).Target
+	restarted.Incarnation++
+	moved.Address = target(7).Target.Address
+	for _, c := range []struct {
+		name string
+		next *ushercatalog.Target
+		want float64
+	}{{"the same after a while", target(0).Target, 3}, {"restarted", &restarted, -1}, {"at another address", &moved, -1}} {
+		p := newPool(1, targets(1), 1)
+		p.Limit(start, *target(0).Target, start, 3)
+		p.Update(start.Add(time.Second), nil, noneEvacuated, table(), 1)
+		next := target(0)
+		next.Target = c.next
+		p.Update(start.Add(time.Minute), []ushercatalog.KnownEntry{next}, noneEvacuated, table(), 1)
+		if got := limitInForce(p, start.Add(time.Minute)); got != c.want {
+			t.Errorf("%s: limit %g, want %g", c.name, got, c.want)
+		}
+		// What is told of an incarnation that is gone says nothing about this one.
+		if changed := p.Limit(start.Add(time.Minute), *target(0).Target, start, 2); changed != (c.want == 3) {
+			t.Errorf("%s: a late response changes the limit: %t", c.name, changed)
+		}
+	}
+}
+
+// What is remembered of limits must not grow with each target that comes and goes.
+func TestLimitsAreForgotten(t *testing.T) {
+	p := newPool(1, nil, 1)
+	now, ended := start, 0
+	for i := range 5_000 {
+		now = now.Add(time.Second)
+		known := target(i % 200)
+		known.Target.ID = fmt.Sprint("t", i)
+		p.Update(now, []ushercatalog.KnownEntry{known}, noneEvacuated, table(), 1)
+		p.Limit(now, *known.Target, now, 3)
+		ended += len(p.EndedNotices(now))
+	}
+	if remembered := 5_000 - ended; remembered > 1000 {
+		t.Errorf("%d limits are remembered after 5,000 targets in as many seconds, want those of ten minutes", remembered)
+	}
+}
+
+// Each way to send a request uses the turn, and none is left for another one.
+func TestEachWayToSendUsesTheTurn(t *testing.T) {
+	said := *target(0).Target
+	ways := map[string]func(p *usherpool.Pool, now time.Time) bool{
+		"choice": func(p *usherpool.Pool, now time.Time) bool {
+			c, err := p.Choose(now, request)
+			return err == nil && c.HasTurn
+		},
+		"own placement": func(p *usherpool.Pool, now time.Time) bool {
+			return len(p.ExcludedTargets(now, request)) == 0 && place(p, now)
+		},
+		"adopted choice": func(p *usherpool.Pool, now time.Time) bool {
+			_, ok := p.AdoptChoice(now, request, usherpool.Choice{Target: said})
+			return ok
+		},
+		"earlier choice": func(p *usherpool.Pool, now time.Time) bool { return p.Claim(now, usherpool.Choice{Target: said}) },
+		"resume":         func(p *usherpool.Pool, now time.Time) bool { _, ok := p.TakeTurn(now, said.ID); return ok },
+		"poll":           func(p *usherpool.Pool, now time.Time) bool { return p.TakeTurnForPoll(now, said.ID) },
+	}
+	for first, use := range ways {
+		for second, again := range ways {
+			p := newPool(1, targets(1), 1)
+			p.Limit(start, said, start, 1)
+			// The only host has a turn each 1.25 s, counted from the epoch.
+			if !use(p, start) || again(p, start.Add(100*time.Millisecond)) {
+				t.Errorf("%s, then %s: want one, and not the other", first, second)
+			}
+			if !p.Claim(start, usherpool.Choice{Target: said, HasTurn: true}) {
+				t.Errorf("%s: a choice with a turn may not be sent", first)
+			}
+			if next := p.NextTurn(start.Add(100*time.Millisecond), said.ID); !next.Equal(start.Add(1250 * time.Millisecond)) {
+				t.Errorf("%s: the next turn is in %s, want 1.25 s", first, next.Sub(start))
+			}
+			if at, all := p.Back(start.Add(100*time.Millisecond), engines); !all || !at.Equal(start.Add(1250*time.Millisecond)) {
+				t.Errorf("%s: the target is back in %s (%t), want 1.25 s", first, at.Sub(start), all)
+			}
+		}
+	}
+	// What may not wait uses the next turn as well.
+	p := newPool(1, targets(1), 1)
+	p.Limit(start, said, start, 1)
+	p.SpendTurn(start, said.ID)
+	p.SpendTurn(start, said.ID)
+	for _, c := range []struct {
+		after time.Duration
+		want  bool
+	}{{500 * time.Millisecond, false}, {1300 * time.Millisecond, false}, {2600 * time.Millisecond, true}} {
+		if _, ok := p.TakeTurn(start.Add(c.after), said.ID); ok != c.want {
+			t.Errorf("a turn %s after two requests at once: %t, want %t", c.after, ok, c.want)
+		}
+	}
+}
+
+func place(p *usherpool.Pool, now time.Time) bool {
+	c, err := p.Place(now, request, true)
+	return err == nil && c.HasTurn
+}
--- a/pkg/usherpool/notice.go
+++ b/pkg/usherpool/notice.go
@@ -85,7 +85,7 @@
 			p.departed[key] = now
 		case known, now.Sub(published) > departureRetention:
 			delete(p.departed, key)
-			p.ended = append(p.ended, EndedNotice{Target: key.id, Incarnation: key.born, Departure: true})
+			p.ended = append(p.ended, EndedNotice{Target: key.id, Incarnation: key.born, Kind: DepartureEnded})
 		}
 	}
 }
@@ -99,12 +99,24 @@
 	t.rest = rest{until: until, spacing: restSpacing, next: until}
 }
 
-// EndedNotice is the end of what a target said of itself: of a rest, or of a departure, as the incarnation is gone.
-type EndedNotice struct {
-	Target      string
-	Incarnation int64
-	Departure   bool
-}
+// RestEnded, DepartureEnded and LimitEnded are the kinds of what can end; the last two as the incarnation is gone.
+const (
+	RestEnded      NoticeKind = "rest"
+	DepartureEnded NoticeKind = "departure"
+	LimitEnded     NoticeKind = "limit"
+)
+
+type (
+	// NoticeKind is what a target said of itself, as logs name it.
+	NoticeKind string
+
+	// EndedNotice is the end of what a target said of itself.
+	EndedNotice struct {
+		Target      string
+		Incarnation int64
+		Kind        NoticeKind
+	}
+)
 
 // EndedNotices returns what has ended since the last call.
 func (p *Pool) EndedNotices(now time.Time) []EndedNotice {
@@ -113,7 +125,7 @@
 	for _, t := range p.targets {
 		if !t.rest.until.IsZero() && !now.Before(t.rest.until) {
 			t.rest.until = time.Time{}
-			ended = append(ended, EndedNotice{Target: t.entry.ID, Incarnation: t.entry.Incarnation})
+			ended = append(ended, EndedNotice{Target: t.entry.ID, Incarnation: t.entry.Incarnation, Kind: RestEnded})
 		}
 	}
 	slices.SortFunc(ended, func(a, b EndedNotice) int { return strings.Compare(a.Target, b.Target) })
@@ -140,13 +152,17 @@
 	return t.accepting && !now.Before(t.rest.until)
 }
 
-// Back returns when the first target of a service that takes no request now only because it rests takes one again.
+// Back returns when the first target of a service takes a request again, if none takes one now only because each rests or it is
+// not this host's turn.
 func (p *Pool) Back(now time.Time, service string) (at time.Time, rests bool) {
 	for _, t := range p.targets {
 		if t.entry.Service != service || !t.accepting {
 			continue
 		}
 		opens := t.rest.opens(now)
+		if turn := p.opens(now, t.limit); turn.After(opens) {
+			opens = turn
+		}
 		if opens.IsZero() {
 			return time.Time{}, false
 		}
--- a/pkg/usherpool/place.go
+++ b/pkg/usherpool/place.go
@@ -51,16 +51,15 @@
 	}
 	choice = p.estimatePrefill(now, best, r, choice)
 	if own {
-		p.recordSend(now, best, r, choice)
-	} else {
-		best.reserve(now, r, choice)
+		return p.recordSend(now, best, r, choice), nil
 	}
+	best.reserve(now, r, choice)
 	return choice, nil
 }
 
 // ExcludedTargets returns the targets of the service of r that must not be used for this host now, whichever host
 // chooses: those that it cannot reach or that fail and, except for copies, cold ones that have received its share of
-// the requests they tolerate.
+// the requests they tolerate and limited ones without a turn of this host.
 func (p *Pool) ExcludedTargets(now time.Time, r Request) []string {
 	var excluded []string
 	for id, t := range p.targets {
@@ -68,7 +67,8 @@
 			continue
 		}
 		cold := !r.Copy && p.isCold(now, t) && !t.cold.ready(now, p.coldRate(t))
-		if cold || t.health.blocked(now) || !t.rest.allows(now) || t.health.failureRate(now) >= maxFailureRate {
+		limited := !r.Copy && !p.mayTake(now, t)
+		if cold || limited || t.health.blocked(now) || !t.rest.allows(now) || t.health.failureRate(now) >= maxFailureRate {
 			excluded = append(excluded, id)
 		}
 	}
@@ -80,12 +80,11 @@
 // counts as a request sent to a cold target.
 func (p *Pool) AdoptChoice(now time.Time, r Request, c Choice) (Choice, bool) {
 	t, known := p.targets[c.Target.ID]
-	if !known || !t.accepting || !t.rest.allows(now) || t.entry.Service != r.Service || slices.Contains(r.Exclude, c.Target.ID) {
+	if !known || !t.accepting || !t.rest.allows(now) || !r.Copy && !p.mayTake(now, t) || t.entry.Service != r.Service || slices.Contains(r.Exclude, c.Target.ID) {
 		return Choice{}, false
 	}
 	c.Target, c.Learned = t.entry, t.learned
-	p.recordSend(now, t, r, c)
-	return c, true
+	return p.recordSend(now, t, r, c), true
 }
 
 func (t *target) reserve(now time.Time, r Request, c Choice) {
--- a/pkg/usherpool/pool.go
+++ b/pkg/usherpool/pool.go
@@ -13,7 +13,7 @@
 //	pool.Update(now, targets, evacuated, table, hosts)
 //	choice, err := pool.Choose(now, usherpool.Request{Service: "appraiser", PromptTokens: 3000, OutputTokens: 900})
 //	if err != nil {
-//		return err // ErrNoTarget, ErrCold, ErrFull
+//		return err // ErrNoTarget, ErrCold, ErrLimited, ErrFull
 //	}
 //	pool.AddLoad(choice.Target.ID, usherpool.Load{Streams: 1, Tokens: 3900})
 //	pool.RecordResult(now, choice.Target.ID, usherpool.Answered)
@@ -77,6 +77,8 @@
 	prefillWaitFactor = 1.35
 	// typicalPromptTokens is the prompt length in the users' data sheets.
 	typicalPromptTokens = 2600
+	// limitedCopyCost is added for a copy at a target that names a limit: a stream may have to wait there for a turn, or find none.
+	limitedCopyCost = 2 * time.Second
 	// failureCost is the delay of a request to a target that always fails.
 	failureCost = 2 * time.Second
 )
@@ -89,6 +91,8 @@
 	// ErrCold is the type of errors returned if the remaining targets are cold and have received this host's share of the
 	// requests they tolerate.
 	ErrCold = Errors.NewType("cold")
+	// ErrLimited is the type of errors returned if the remaining targets have named a limit and it is not this host's turn.
+	ErrLimited = Errors.NewType("limited")
 	// ErrFull is the type of errors returned if every target is full.
 	ErrFull = Errors.NewType("full")
 )
@@ -137,6 +141,8 @@
 		Load Load
 		// Placer is the host that chose for the fleet; empty if the host that relays the request chose by itself.
 		Placer string
+		// HasTurn reports that the target has named a limit and that this request has used a turn.
+		HasTurn bool
 	}
 
 	// Pool is one host's view of all targets.
@@ -146,12 +152,16 @@
 		table   *usherroute.Table
 		peers   map[string]peerLoads
 		hosts   int
+		// place is the place of this host among hosts.
+		place int
 		// departed has the incarnations that said themselves that they are leaving, with the time at which their entry was
 		// last published. ended is what EndedNotices returns next.
 		departed map[incarnation]time.Time
 		ended    []EndedNotice
 		// resting has the rests of incarnations whose entry is missing. It may come back.
 		resting map[incarnation]rest
+		// limits has the limits of incarnations whose entry is missing.
+		limits map[incarnation]*limit
 	}
 
 	target struct {
@@ -167,6 +177,8 @@
 		cold    tokenBucket
 		health  health
 		rest    rest
+		// limit is nil for a target that names none.
+		limit *limit
 		// reserved holds the choices made for other hosts, which they may not have reported yet.
 		reserved []reservation
 		prompts  promptQueue
@@ -175,7 +187,7 @@
 
 // New returns a pool without targets.
 func New(options Options) *Pool {
-	return &Pool{options: options, targets: map[string]*target{}, peers: map[string]peerLoads{}, hosts: 1, departed: map[incarnation]time.Time{}, resting: map[incarnation]rest{}}
+	return &Pool{options: options, targets: map[string]*target{}, peers: map[string]peerLoads{}, hosts: 1, departed: map[incarnation]time.Time{}, resting: map[incarnation]rest{}, limits: map[incarnation]*limit{}}
 }
 
 // Update replaces the published targets, the evacuated data centres and the declarations. hosts is the number of hosts
@@ -190,8 +202,12 @@
 		entry := *k.Target
 		t, known := p.targets[entry.ID]
 		if !known || t.entry.Incarnation != entry.Incarnation || t.entry.Address != entry.Address {
-			t = &target{cold: newTokenBucket(now, p.options.Random.Float64()), rest: p.resting[incarnationOf(entry)]}
+			if known {
+				p.keepLimit(now, t)
+			}
+			t = &target{cold: newTokenBucket(now, p.options.Random.Float64()), rest: p.resting[incarnationOf(entry)], limit: p.limits[incarnationOf(entry)]}
 			delete(p.resting, incarnationOf(entry))
+			delete(p.limits, incarnationOf(entry))
 			p.targets[entry.ID] = t
 		}
 		if !t.learned.Equal(k.Learned) {
@@ -209,9 +225,11 @@
 			if now.Before(t.rest.until) && len(p.resting) < maxDepartures {
 				p.resting[incarnationOf(t.entry)] = t.rest
 			}
+			p.keepLimit(now, t)
 		}
 	}
 	p.sweepNotices(now)
+	p.sweepLimits(now)
 }
 
 // MarkLeaving records that the given incarnation of a target announced, at the given time, that it is leaving, and reports
@@ -254,6 +272,10 @@
 			reason = ErrCold
 			continue
 		}
+		if !r.Copy && !p.mayTake(now, t) {
+			reason = ErrLimited
+			continue
+		}
 		load := p.totalLoad(now, t)
 		if p.isFull(t, r, load) {
 			reason = ErrFull
@@ -269,8 +291,7 @@
 		return Choice{}, reason.New("no target of service %q accepts the request", r.Service)
 	}
 	choice = p.estimatePrefill(now, best, r, choice)
-	p.recordSend(now, best, r, choice)
-	return choice, nil
+	return p.recordSend(now, best, r, choice), nil
 }
 
 // estimatePrefill sets the expected prefill time of the choice and whether it misses the objective.
@@ -284,10 +305,10 @@
 	return c
 }
 
-// recordSend accounts for a request that this host is about to send.
-func (p *Pool) recordSend(now time.Time, t *target, r Request, c Choice) {
+// recordSend accounts for a request that this host is about to send, and returns the choice for it.
+func (p *Pool) recordSend(now time.Time, t *target, r Request, c Choice) Choice {
 	if r.Copy {
-		return
+		return c
 	}
 	if p.isCold(now, t) {
 		t.cold.take()
@@ -296,6 +317,8 @@
 	if !c.Late {
 		t.prompts.add(now, r.PromptTokens)
 	}
+	c.HasTurn = t.limit != nil && p.takeTurn(now, t.limit)
+	return c
 }
 
 // shuffledCandidates returns the targets that may be chosen, in random order.
@@ -353,6 +376,9 @@
 	tokens := r.PromptTokens + r.OutputTokens
 	if r.Copy {
 		delay += p.copyDelay(t, r, load)
+		if t.limit != nil {
+			delay += limitedCopyCost
+		}
 	} else {
 		delay += time.Duration(load.Awaited) * pendingResumeCost
 	}
--- a/pkg/usherpool/summary.go
+++ b/pkg/usherpool/summary.go
@@ -16,14 +16,18 @@
 	Evacuated  bool   `json:"evacuated"`
 	// Leaving reports that the target said itself that it is leaving, RestsForMs for how much longer it wants nothing from this
 	// host.
-	Leaving     bool   `json:"leaving"`
-	RestsForMs  int64  `json:"rests_for_ms"`
-	Cold        bool   `json:"cold"`
-	Blocked     bool   `json:"blocked"`
-	FailureRate string `json:"failure_rate"`
-	Own         Load   `json:"own"`
-	All         Load   `json:"all"`
-	AgeMs       int64  `json:"age_ms"`
+	Leaving    bool  `json:"leaving"`
+	RestsForMs int64 `json:"rests_for_ms"`
+	// Limit is how many requests a second the target said that it takes from all hosts together; nil for no limit. TurnInMs is the time
+	// until this host may send it the next one.
+	Limit       *float64 `json:"limit,omitempty"`
+	TurnInMs    int64    `json:"turn_in_ms,omitempty"`
+	Cold        bool     `json:"cold"`
+	Blocked     bool     `json:"blocked"`
+	FailureRate string   `json:"failure_rate"`
+	Own         Load     `json:"own"`
+	All         Load     `json:"all"`
+	AgeMs       int64    `json:"age_ms"`
 }
 
 // Summaries returns the summaries of all targets, sorted by id.
@@ -31,11 +35,19 @@
 	summaries := make([]Summary, 0, len(p.targets))
 	for id, t := range p.targets {
 		_, departed := p.departed[incarnationOf(t.entry)]
-		summaries = append(summaries, Summary{
+		summary := Summary{
 			ID: id, Service: t.entry.Service, Address: t.entry.Address.String(), DataCentre: t.entry.DataCentre, Accepts: t.accepting,
 			Evacuated: t.evacuated, Leaving: t.leaving || departed, RestsForMs: max(t.rest.until.Sub(now), 0).Milliseconds(), Cold: p.isCold(now, t), Blocked: t.health.blocked(now), FailureRate: percent(t.health.failureRate(now)),
 			Own: t.own, All: p.totalLoad(now, t), AgeMs: now.Sub(t.learned).Milliseconds(),
-		})
+		}
+		if t.limit != nil {
+			perSecond := t.limit.perSecond
+			summary.Limit = &perSecond
+			if opens := p.opens(now, t.limit); !opens.IsZero() {
+				summary.TurnInMs = opens.Sub(now).Milliseconds()
+			}
+		}
+		summaries = append(summaries, summary)
 	}
 	slices.SortFunc(summaries, func(a, b Summary) int { return strings.Compare(a.ID, b.ID) })
 	return summaries
--- a/service/usherhost/notice.go
+++ b/service/usherhost/notice.go
@@ -46,7 +46,7 @@
 // logEndedNotices logs what has ended of what targets said of themselves.
 func (p *peers) logEndedNotices() {
 	for _, e := range p.state.endedNotices() {
-		p.log.Info("what a target said of itself has ended", "target", e.Target, "incarnation", e.Incarnation, "leaving", e.Departure)
+		p.log.Info("what a target said of itself has ended", "target", e.Target, "incarnation", e.Incarnation, "kind", e.Kind)
 	}
 }
 
