usherhost: keep the limits that targets name

Callers: a target in need that named its limit got what it would have got anyway, and failed requests of theirs.

Cause: no code read Server-Limit. Class: what the other side says in its answers is not taken as input, as with departures and rests before (DRAIN, BUDGET).

Each way to send takes a turn now: choices, placements, requests that were chosen before the limit was known, streams that go on at a copy, copies, releases and polls. Orders to end a run are not held back, but use the next turn up. Where no target of a service is at its turn, callers are refused at once as not run (503 "limited"), with the time until the next turn. A limit is no failure of the target.

--- a/pkg/usherpool/limit.go
+++ b/pkg/usherpool/limit.go
@@ -16,6 +16,8 @@
 	// minTurnDistance is the least part of the period between two turns that one host uses. Turns move when the limit or the
 	// number of hosts changes, and with the time of day.
 	minTurnDistance = 0.9
+	// maxTurnAdvice bounds the time after which callers are advised to return. Other hosts have turns before that.
+	maxTurnAdvice = 2 * time.Second
 )
 
 // limit is how many requests a target takes from all hosts together. Each host may send one in its turn. The turns of all hosts
@@ -127,6 +129,15 @@
 	return next
 }
 
+// advisedTurn returns when callers may return for a turn, or zero for now.
+func (p *Pool) advisedTurn(now time.Time, l *limit) time.Time {
+	next := p.opens(now, l)
+	if latest := now.Add(maxTurnAdvice); next.After(latest) {
+		return latest
+	}
+	return next
+}
+
 // mayTake reports whether a request may be sent to a target now by its limit.
 func (p *Pool) mayTake(now time.Time, t *target) bool {
 	return t.limit == nil || p.opens(now, t.limit).IsZero()
--- a/pkg/usherpool/notice.go
+++ b/pkg/usherpool/notice.go
@@ -160,7 +160,7 @@
 			continue
 		}
 		opens := t.rest.opens(now)
-		if turn := p.opens(now, t.limit); turn.After(opens) {
+		if turn := p.advisedTurn(now, t.limit); turn.After(opens) {
 			opens = turn
 		}
 		if opens.IsZero() {
--- a/service/usherhost/exchange.go
+++ b/service/usherhost/exchange.go
@@ -55,7 +55,9 @@
 		limits   responseLimits
 		written  chan error
 		// foreign counts the responses that were skipped as they do not name the attempt.
-		foreign     metrics.Counter
+		foreign metrics.Counter
+		// sentAt is when the request was begun to be sent.
+		sentAt      time.Time
 		containment *containment
 		stopCancel  func() bool
 	}
@@ -105,6 +107,7 @@
 	x.request = &http.Request{
 		Method: call.Method, URL: &url.URL{Opaque: call.URI}, Host: call.Host, Header: header, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
 	}
+	x.sentAt = time.Now()
 	go func() {
 		// A request that is not written whole shows by the target's response, or by none.
 		_ = x.containment.run("request to a target", func() { x.written <- x.write(call, header) })
--- a/service/usherhost/failover.go
+++ b/service/usherhost/failover.go
@@ -44,6 +44,12 @@
 	}
 	g.announceResume()
 	action := g.copies.Next(time.Now(), g.host.state.accepts)
+	if action.Kind == ushercopies.Place || action.Kind == ushercopies.Renew {
+		if _, ok := g.host.state.takeTurn(g.source.Target.ID); !ok {
+			// The next event is the next occasion.
+			return
+		}
+	}
 	switch action.Kind {
 	case ushercopies.Place:
 		r := g.placementRequest(append(g.copies.Holders(), append(g.copies.UnavailableHolders, g.source.Target.ID)...))
@@ -101,7 +107,7 @@
 
 func (g *generation) handleCopyResult(c copyResult) {
 	attributes := []any{"attempt", g.req.Attempt, "source", g.source.Target.ID, "holder", c.holder, "duration_ms", c.duration.Milliseconds(), "events", g.req.events}
-	g.host.noteTarget(g.source.Target, g.req.Attempt, c.notice)
+	g.host.noteTarget(g.source.Target, g.req.Attempt, time.Now().Add(-c.duration), c.notice)
 	if c.err != nil {
 		g.copies.CopyFailed(time.Now(), g.host.engines.IsDestinationUnavailable(c.err))
 		g.releaseLoad(c.holder)
@@ -188,21 +194,36 @@
 	return point, nil
 }
 
+// awaitResumePoint returns the copy from which a generation that may run only once is resumed, once its holder takes the request. A
+// holder that does not soon is passed over.
+func (g *generation) awaitResumePoint(ctx context.Context) (ushercopies.ResumePoint, error) {
+	for {
+		point, err := g.resumePoint()
+		if err != nil {
+			return point, err
+		}
+		g.awaitRest(ctx, point.Target)
+		if g.awaitTurn(ctx, point.Target) {
+			return point, nil
+		}
+		g.copies.DropCopy(point)
+	}
+}
+
 // nextTarget returns the target where a broken stream is resumed.
 func (g *generation) nextTarget(ctx context.Context) (usherpool.Choice, ushercopies.ResumePoint, error) {
 	if g.req.route.AtMostOnce() {
-		point, err := g.resumePoint()
+		point, err := g.awaitResumePoint(ctx)
 		if err != nil {
 			return usherpool.Choice{}, point, err
 		}
 		target, known := g.host.state.target(point.Target)
-		g.awaitRest(ctx, point.Target)
 		if !known {
 			return usherpool.Choice{}, point, errNoCopy.New("copy holder %s is no longer known", point.Target)
 		}
 		// The retry is counted but never refused: losing the generation costs more than the retries that saving it uses up.
 		g.host.state.allowRetry(g.req.service.Name)
-		return usherpool.Choice{Target: target}, point, nil
+		return usherpool.Choice{Target: target, HasTurn: true}, point, nil
 	}
 	if g.req.sends >= g.req.route.MaxTargets || !g.takeRetry() {
 		return usherpool.Choice{}, ushercopies.ResumePoint{}, errNotResumed.New("no further target or retry allowed")
@@ -210,7 +231,9 @@
 	if point, ok := g.copies.ResumePoint(g.host.state.mayHold); ok {
 		if target, known := g.host.state.target(point.Target); known {
 			g.awaitRest(ctx, point.Target)
-			return usherpool.Choice{Target: target}, point, nil
+			if g.awaitTurn(ctx, point.Target) {
+				return usherpool.Choice{Target: target, HasTurn: true}, point, nil
+			}
 		}
 	}
 	choice, err := g.host.peers.placement.place(ctx, g.placementRequest(g.req.excludedTargets()))
--- a/service/usherhost/metrics.go
+++ b/service/usherhost/metrics.go
@@ -37,6 +37,10 @@
 	// whose target had crashed.
 	earlyEnds metrics.Counter
 	crashes   metrics.Counter
+	// limits counts the responses that name a limit, heldOff the requests, polls and calls to engines that were not sent because
+	// of one.
+	limits  metrics.Counter
+	heldOff metrics.Counter
 	// departures and rests count what targets said of themselves, noticesIgnored what they said that means nothing, withdrawn
 	// the requests that were not sent to the target chosen for them because of it.
 	departures     metrics.Counter
@@ -65,6 +69,7 @@
 		earlyEnds: metrics.NewRegisteredCounter("targets.early_ends", r), crashes: metrics.NewRegisteredCounter("targets.crashes", r), probes: metrics.NewRegisteredCounter("requests.suspect_probes", r),
 		departures: metrics.NewRegisteredCounter("targets.departures", r), rests: metrics.NewRegisteredCounter("targets.rests", r),
 		noticesIgnored: metrics.NewRegisteredCounter("targets.notices_ignored", r), withdrawn: metrics.NewRegisteredCounter("requests.withdrawn", r),
+		limits: metrics.NewRegisteredCounter("targets.limits", r), heldOff: metrics.NewRegisteredCounter("requests.held_off", r),
 		foreign:    metrics.NewRegisteredCounter("targets.foreign_responses", r),
 		localBytes: metrics.NewRegisteredCounter("targets.near_bytes", r), remoteBytes: metrics.NewRegisteredCounter("targets.far_bytes", r),
 	}
--- a/service/usherhost/notice.go
+++ b/service/usherhost/notice.go
@@ -19,12 +19,13 @@
 	minRestSpread = 200 * time.Millisecond
 )
 
-// errWithdrawn is the type of errors for requests that were not sent, as their target left or asked for a rest after it was
-// chosen.
+// errWithdrawn is the type of errors for requests that were not sent, as their target left, asked for a rest or named
+// a limit after it was chosen.
 var errWithdrawn = errNamespace.NewType("withdrawn")
 
-// noteTarget records what a target says of itself in a response. attempt is the one that the response belongs to.
-func (h *Host) noteTarget(target ushercatalog.Target, attempt string, n ushercall.Notice) {
+// noteTarget records what a target says of itself in a response. attempt is the one that the response belongs to, sent when the
+// request was sent.
+func (h *Host) noteTarget(target ushercatalog.Target, attempt string, sent time.Time, n ushercall.Notice) {
 	if n.Unusable != "" {
 		h.metrics.noticesIgnored.Inc(1)
 		h.log.Info("target said something about itself that cannot be used", "target", target.ID, "incarnation", target.Incarnation, "attempt", attempt, "header", n.Unusable)
@@ -36,6 +37,7 @@
 			h.log.Info("target asks for a rest", "target", target.ID, "incarnation", target.Incarnation, "attempt", attempt, "until", until, "duration_ms", n.Rest.Milliseconds())
 		}
 	}
+	h.noteLimit(target, attempt, sent, n)
 	if n.Leaving && h.state.recordDeparture(target) {
 		h.metrics.departures.Inc(1)
 		h.log.Info("target says that it is leaving", "target", target.ID, "incarnation", target.Incarnation, "attempt", attempt)
@@ -52,11 +54,11 @@
 
 // withdrawn returns the result for a request that may not be sent any more to the target that was chosen for it.
 func (h *Host) withdrawn(choice usherpool.Choice) (sendResult, bool) {
-	if h.state.mayReceive(choice.Target) {
+	if h.state.mayReceive(choice) {
 		return sendResult{}, false
 	}
 	h.metrics.withdrawn.Inc(1)
-	return sendResult{choice: choice, result: usherpool.Withdrawn, err: errWithdrawn.New("target %s takes no new work any more", choice.Target.ID)}, true
+	return sendResult{choice: choice, result: usherpool.Withdrawn, err: errWithdrawn.New("target %s does not take the request any more", choice.Target.ID)}, true
 }
 
 // awaitRest waits until the target that holds the copy of a stream takes requests again, if that is soon.
@@ -97,18 +99,19 @@
 	return until
 }
 
-// mayHold reports whether a stream may go on from its copy at a target: now, or after a rest that ends soon.
+// mayHold reports whether a stream may go on from its copy at a target: now, or after a rest that ends or a turn that comes soon.
 func (s *sharedState) mayHold(target string) bool {
-	return s.accepts(target) && time.Until(s.restEnd(target)) <= maxRestWait
+	return s.accepts(target) && time.Until(s.restEnd(target)) <= maxRestWait && time.Until(s.nextTurn(target)) <= maxRestWait
 }
 
 // rests reports whether a target wants nothing from this host now.
 func (s *sharedState) rests(target string) bool { return !s.restEnd(target).IsZero() }
 
-func (s *sharedState) mayReceive(chosen ushercatalog.Target) bool {
+func (s *sharedState) mayReceive(choice usherpool.Choice) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.pool.MayReceive(time.Now(), chosen)
+	now := time.Now()
+	return s.pool.MayReceive(now, choice.Target) && s.pool.Claim(now, choice)
 }
 
 func (s *sharedState) endedNotices() []usherpool.EndedNotice {
@@ -117,7 +120,7 @@
 	return s.pool.EndedNotices(time.Now())
 }
 
-// back returns after what time callers may return to a service all of whose targets rest. Callers get different times, or
+// back returns after what time callers may return to a service all of whose targets rest or take no request of this host now. Callers get different times, or
 // they would all return at the same moment.
 func (s *sharedState) back(service string) (time.Duration, bool) {
 	s.mu.Lock()
--- a/service/usherhost/plain.go
+++ b/service/usherhost/plain.go
@@ -176,7 +176,7 @@
 		choice, err = r.host.state.choose(usherpool.Request{Service: r.req.service.Name})
 	}
 	if err != nil {
-		return refuse(reasonNoTarget, r.host.retryAfter(r.req.service.Name, err), err)
+		return r.host.refuseUnplaced(r.req.service.Name, err)
 	}
 	r.tries++
 	r.pending++
@@ -296,7 +296,7 @@
 	if x.info.ColdRemaining > 0 {
 		h.state.markCold(id, x.info.ColdRemaining)
 	}
-	h.noteTarget(choice.Target, req.Attempt, x.info.Notice)
+	h.noteTarget(choice.Target, req.Attempt, x.sentAt, x.info.Notice)
 	return sendResult{choice: choice, result: classify(status, x.info), ran: !x.info.NotRun, reply: r, err: statusError(id, status)}
 }
 
--- a/service/usherhost/refusal.go
+++ b/service/usherhost/refusal.go
@@ -30,6 +30,8 @@
 	reasonStopping        reason = "stopping"
 	reasonNoTarget        reason = "no_target"
 	reasonOverloaded      reason = "overloaded"
+	// reasonLimited means that the remaining targets take few requests and that another host has the turn.
+	reasonLimited reason = "limited"
 	// reasonSuspect means that requests with the same parts of a prompt, or the same content, crashed targets.
 	reasonSuspect reason = "suspect"
 	// reasonNotRun means that every target the request was sent to reported that it did not run it.
@@ -62,6 +64,7 @@
 	reasonNoConfiguration: http.StatusServiceUnavailable,
 	reasonStopping:        http.StatusServiceUnavailable,
 	reasonNoTarget:        http.StatusServiceUnavailable,
+	reasonLimited:         http.StatusServiceUnavailable,
 	reasonOverloaded:      http.StatusServiceUnavailable,
 	reasonSuspect:         http.StatusServiceUnavailable,
 	reasonNotRun:          http.StatusServiceUnavailable,
--- a/service/usherhost/state.go
+++ b/service/usherhost/state.go
@@ -134,7 +134,9 @@
 }
 
 func (s *sharedState) updatePool(now time.Time) {
-	s.pool.Update(now, s.catalog.Targets(), s.catalog.Evacuated, s.catalog.Table(), s.cluster.LimitDivisor(now))
+	place, hosts := s.cluster.LimitShare(now)
+	s.pool.SetPlace(place)
+	s.pool.Update(now, s.catalog.Targets(), s.catalog.Evacuated, s.catalog.Table(), hosts)
 }
 
 // choose selects a target for r.
--- a/service/usherhost/stoprun.go
+++ b/service/usherhost/stoprun.go
@@ -82,8 +82,10 @@
 	if h.state.rests(source.ID) {
 		return stopResult{err: errStillRunning.New("target %s rests", source.ID)}
 	}
+	// Callers lose more if the run goes on than the target does by one request.
+	h.state.spendTurn(source.ID)
 	run, notice, err := h.engines.Stop(ctx, source.Address, attempt, holder.Address)
-	h.noteTarget(source, attempt, notice)
+	h.noteTarget(source, attempt, start, notice)
 	h.log.Info("run ordered to end", "attempt", attempt, "source", source.ID, "holder", holder.ID, "copy", run.Copied, "kept", run.Kept.Handle != "",
 		"duration_ms", time.Since(start).Milliseconds(), "error", errorTextOrEmpty(err))
 	if err != nil && !h.engines.IsUnreachable(err) {
--- a/service/usherhost/stream.go
+++ b/service/usherhost/stream.go
@@ -184,7 +184,7 @@
 		}
 		choice, err := g.host.peers.placement.place(ctx, g.placementRequest(g.req.excludedTargets()))
 		if err != nil && cause == nil {
-			return nil, refuse(reasonNoTarget, g.host.retryAfter(g.req.service.Name, err), err)
+			return nil, g.host.refuseUnplaced(g.req.service.Name, err)
 		}
 		if err != nil {
 			break
@@ -333,7 +333,7 @@
 		err := errUnexpectedResponse.New("target %s continues a stream with content of type %q", choice.Target.ID, contentType)
 		return sendResult{choice: choice, result: usherpool.Broken, ran: true, err: err}
 	}
-	g.host.noteTarget(choice.Target, g.req.Attempt, g.exchange.info.Notice)
+	g.host.noteTarget(choice.Target, g.req.Attempt, g.exchange.sentAt, g.exchange.info.Notice)
 	return sendResult{choice: choice, result: usherpool.Answered, ran: true}
 }
 
@@ -345,7 +345,7 @@
 	if err != nil {
 		return sendResult{choice: choice, result: usherpool.Broken, ran: !x.info.NotRun, err: err}
 	}
-	g.host.noteTarget(choice.Target, g.req.Attempt, x.info.Notice)
+	g.host.noteTarget(choice.Target, g.req.Attempt, x.sentAt, x.info.Notice)
 	return sendResult{
 		choice: choice, result: classify(status, x.info), ran: !x.info.NotRun, err: errStatus.New("target %s responded with status %d", choice.Target.ID, status),
 		reply: reply{status: status, header: g.host.codec.ResponseHeader(x.response.Header), body: body},
@@ -367,7 +367,7 @@
 	h.state.recordAnswer(g.req)
 	h.metrics.recordResponse(g.req, time.Since(g.req.received))
 	h.logRequest(g.req, "answered", slog.Int("status", g.exchange.response.StatusCode), nil)
-	if point, made := g.copies.OnDemandCopy(); made && !h.state.rests(g.source.Target.ID) {
+	if point, made := g.copies.OnDemandCopy(); made && !h.state.rests(g.source.Target.ID) && h.takeTurn(g.source.Target.ID) {
 		go h.releaseCopy(point.Copy)
 	}
 }
--- a/service/usherhost/targetpoller.go
+++ b/service/usherhost/targetpoller.go
@@ -39,7 +39,7 @@
 		polls   metrics.Counter
 		active  bool
 		// note records what a target says of itself.
-		note func(target ushercatalog.Target, attempt string, n ushercall.Notice)
+		note func(target ushercatalog.Target, attempt string, sent time.Time, n ushercall.Notice)
 		// containment guards the polls, which run concurrently.
 		containment *containment
 	}
@@ -82,6 +82,9 @@
 	defer cancel()
 	var polling sync.WaitGroup
 	for _, t := range p.state.runningTargets() {
+		if !p.state.takeTurnForPoll(t.ID) {
+			continue
+		}
 		p.polls.Inc(1)
 		polling.Go(func() { _ = p.containment.run("poll of a target", func() { p.pollTarget(ctx, t) }) })
 	}
@@ -89,8 +92,9 @@
 }
 
 func (p *targetPoller) pollTarget(ctx context.Context, t ushercatalog.Target) {
+	sent := time.Now()
 	leaving, notice, err := p.engines.Leaving(ctx, t.Address)
-	p.note(t, "", notice)
+	p.note(t, "", sent, notice)
 	if err != nil {
 		p.log.Debug("failed to query target state", "target", t.ID, "error", errorText(err))
 		return
