test: places among the hosts that share limits; limited targets are excluded for placers

In a partition each host keeps a place of its own. A scratch copy without the limit in ExcludedTargets passed all tests before; it fails now.

--- a/pkg/ushercluster/cluster_test.go
+++ b/pkg/ushercluster/cluster_test.go
@@ -172,9 +172,23 @@
 	}
 }
 
+// checkPlaces checks that each host of a fleet has a place of its own among those that share limits.
+func (f *fleet) checkPlaces(t *testing.T) {
+	t.Helper()
+	taken := map[int]bool{}
+	for a, h := range f.hosts {
+		place, hosts := h.LimitShare(f.now)
+		if place < 0 || place >= hosts || taken[place] {
+			t.Errorf("%s has place %d of %d; taken: %t", a, place, hosts, taken[place])
+		}
+		taken[place] = true
+	}
+}
+
 func TestPartitionedFleetReunites(t *testing.T) {
 	f := newFleet(9, 3)
 	f.run(3 * time.Second)
+	f.checkPlaces(t)
 	for i := range 4 {
 		for j := 4; j < 9; j++ {
 			f.blocked[[2]netip.AddrPort{address(i), address(j)}], f.blocked[[2]netip.AddrPort{address(j), address(i)}] = true, true
@@ -187,6 +201,7 @@
 	if s := f.hosts[address(0)].LimitDivisor(f.now); s != 9 {
 		t.Errorf("limits are divided by %d in a partition, want 9, as the others keep serving", s)
 	}
+	f.checkPlaces(t)
 	clear(f.blocked)
 	f.run(5 * time.Second)
 	if n := f.countKnowing(8); n != 9 {
--- a/pkg/usherpool/limit_test.go
+++ b/pkg/usherpool/limit_test.go
@@ -236,6 +236,9 @@
 			if !use(p, start) || again(p, start.Add(100*time.Millisecond)) {
 				t.Errorf("%s, then %s: want one, and not the other", first, second)
 			}
+			if excluded := p.ExcludedTargets(start.Add(100*time.Millisecond), request); len(excluded) != 1 {
+				t.Errorf("%s: %v are excluded from the choices of others", first, excluded)
+			}
 			if !p.Claim(start, usherpool.Choice{Target: said, HasTurn: true}) {
 				t.Errorf("%s: a choice with a turn may not be sent", first)
 			}
