test: soak with planned work only, kept connections and limits of targets

The soak lacked callers that keep a connection until its host closes it (its callers took turns among hosts, with the connections of http.Client, which also sends some requests once more by itself), overlapping signals, and any check that accepted requests are answered: faults went on all the time and excused that.

TestSoakPlannedWork has planned work only: hosts stop one or several at a time, with SIGHUP shortly before and SIGHUP or a second SIGTERM during the stop, restart while others stop, declarations change idle times, timeouts and routes, targets leave and rest. Callers send raw HTTP on kept connections: bodies of a length and in chunks, late last chunks, heads in two pieces, large answers read slowly, the sending side closed after the request, and connections left idle until some time in the grace period. checkLost applies the rule LOST with its excuses. Every other run has targets that name limits, and checkLimits applies the rule LIMIT. Both callers and limits are in TestSoak, too. Responses are checked for the id of another request and for the status of another target's proof, and 408 and 421 count as promises.

soak_test.go is split by concern; the faults of TestSoak are as before.

--- a/cmd/usher-host/daemon/soak_notice_test.go
+++ b/cmd/usher-host/daemon/soak_notice_test.go
@@ -72,8 +72,9 @@
 	s.notices.hostOf[attempt], s.notices.sentAt[attempt] = host, time.Now()
 }
 
-// notePassedOn records a response that says that its target is leaving.
+// notePassedOn records what a response says of its target.
 func (s *soak) notePassedOn(attempt, host string, header http.Header) {
+	s.notePassedOnLimit(attempt, host, header)
 	target := strings.TrimSuffix(header.Get("Server-Seal"), "."+attempt)
 	if header.Get("Server-Leaving") != "1" || target == "" {
 		return
@@ -103,9 +104,7 @@
 	s.addTarget(target.engine)
 	target.SayLeaving(true)
 	sleepFor(ctx, 3*time.Second)
-	target.Kill()
-	_ = target.server.Close()
-	s.store.Delete(key)
+	s.remove(target, key)
 }
 
 // checkNotices compares what reached targets with what they had said of themselves.
