--- a/cmd/usher-host/daemon/soak_kept_test.go
+++ b/cmd/usher-host/daemon/soak_kept_test.go
@@ -34,8 +34,7 @@
 )
 
 type (
-	// keptCaller uses each connection to a host until that host closes it, and then connects to the same host again while
-	// that is possible.
+	// keptCaller uses each connection to a host until that host closes it, and then connects to the same host or to another.
 	keptCaller struct {
 		s      *soak
 		random *rand.Rand
@@ -166,6 +165,9 @@
 	}
 	if err != nil || response.Close || r.form == halfClosedForm {
 		c.close()
+		if c.random.IntN(2) == 0 {
+			c.host = nil
+		}
 	}
 }
 
