--- a/service/usherhost/host.go
+++ b/service/usherhost/host.go
@@ -36,13 +36,13 @@
 	// lifetime of a locate response that names it, and the time for its report to reach its peers.
 	minDrainTime = LocateLifetime + time.Second
 	// killMargin is how long before SIGKILL a stopping host exits by itself.
-	killMargin = 400 * time.Millisecond
+	killMargin = 250 * time.Millisecond
 	// acceptedConnTimeout is how long a stopping host waits for request headers on connections that it has already
 	// accepted.
 	acceptedConnTimeout = time.Second
 	// answerMargin is how long before its exit a stopping host ends the requests that are still in progress, so that their
-	// callers get an answer in place of a closed connection.
-	answerMargin = 200 * time.Millisecond
+	// callers get an answer in place of a closed connection, and slow callers get it to its end.
+	answerMargin = 350 * time.Millisecond
 	// drainPollInterval is how often a stopping host checks whether it has drained.
 	drainPollInterval = 20 * time.Millisecond
 	// maxServerHeaderBytes bounds request headers before the configured limit is checked.
@@ -98,12 +98,18 @@
 		background     sync.WaitGroup
 		containment    *containment
 		inProgress     atomic.Int64
-		// endsAt is when a stopping host ends the requests in progress; nil before the stop. Then endRequests cancels
-		// requestsCtx.
-		endsAt      atomic.Pointer[time.Time]
+		// stop is nil before a planned stop. At its endsAt, endRequests cancels requestsCtx.
+		stop        atomic.Pointer[stopTimes]
 		requestsCtx context.Context
 		endRequests context.CancelFunc
 	}
+
+	// stopTimes are the times of a planned stop.
+	stopTimes struct {
+		// callersKnowAt is when no caller that keeps to the lifetime of its locate response sends requests any more, endsAt
+		// when the requests in progress are ended.
+		callersKnowAt, endsAt time.Time
+	}
 )
 
 // New returns a host whose socket for peers is open; Run serves.
@@ -115,7 +121,7 @@
 	}
 	h := &Host{
 		settings: s, platform: p, codec: p.Codec, engines: p.Engines, log: log, state: newSharedState(s, self, uint64(os.Getpid())),
-		conns: newConns(), buffers: newBufferBudget(s.Limits.MemoryMegabytes), metrics: newHostMetrics(registry),
+		conns: newConns(registry), buffers: newBufferBudget(s.Limits.MemoryMegabytes), metrics: newHostMetrics(registry),
 	}
 	h.containment = newContainment(log, registry)
 	h.requestsCtx, h.endRequests = context.WithCancel(context.Background())
@@ -227,7 +233,7 @@
 	start := time.Now()
 	exitsAt := start.Add(h.state.stopGracePeriod() - killMargin)
 	endsAt := exitsAt.Add(-answerMargin)
-	h.endsAt.Store(&endsAt)
+	h.stop.Store(&stopTimes{callersKnowAt: start.Add(minDrainTime + acceptedConnTimeout), endsAt: endsAt})
 	defer h.endRequests()
 	h.fireEvent(ctx, eventStop)
 	for ctx.Err() == nil && time.Now().Before(endsAt) {
@@ -238,24 +244,32 @@
 	}
 	// The listener is closed first; then requests whose headers are still arriving are read and answered.
 	h.drainConnections(ctx, endsAt, exitsAt)
-	h.log.Info("host drained", "duration_ms", time.Since(start).Milliseconds(), "in_progress", h.inProgress.Load())
+	h.log.Info("host drained", "duration_ms", time.Since(start).Milliseconds(), "in_progress", h.inProgress.Load(),
+		"connections", h.conns.counts())
 	h.fireEvent(ctx, eventDrained)
 }
 
-// drainConnections closes the listener for callers and their idle connections, and waits for requests on the other
-// connections. http.Server.Shutdown would drop requests whose header it has just read.
+// drainConnections closes the listener for callers and their idle connections, and returns when every response is sent to its end.
+// On connections that were accepted before, it waits for requests. http.Server.Shutdown would drop requests whose header it has just
+// read.
 func (h *Host) drainConnections(ctx context.Context, endsAt, exitsAt time.Time) {
 	if err := h.callerListener.Close(); err != nil {
 		h.log.Debug("failed to close listener", "error", errorText(err))
 	}
 	lastBusy := time.Now()
-	for ctx.Err() == nil && h.conns.closeIdle() > 0 && time.Now().Before(exitsAt) {
-		switch now := time.Now(); {
-		case h.inProgress.Load() > 0:
+	for ctx.Err() == nil && time.Now().Before(exitsAt) {
+		switch open, now := h.conns.closeIdle(), time.Now(); {
+		case open.Handling+open.Flushing > 0:
 			lastBusy = now
-		case now.Sub(lastBusy) > acceptedConnTimeout:
-			// No request has arrived on the remaining connections.
+		case open.New == 0 && !h.mayFinish(0):
 			return
+		case open.New == 0:
+			// A request that arrives from here on is refused, so none is in progress once there is no connection left.
+			h.stop.Store(&stopTimes{callersKnowAt: now, endsAt: now})
+			continue
+		case now.Sub(lastBusy) > acceptedConnTimeout:
+			h.conns.closeNew()
+			continue
 		}
 		if !time.Now().Before(endsAt) {
 			h.endRequests()
@@ -266,8 +280,14 @@
 
 // mayFinish reports whether a request that needs the given time can be answered before this host exits.
 func (h *Host) mayFinish(needed time.Duration) bool {
-	endsAt := h.endsAt.Load()
-	return endsAt == nil || !time.Now().Add(needed).After(*endsAt)
+	stop := h.stop.Load()
+	return stop == nil || time.Now().Add(needed).Before(stop.endsAt)
+}
+
+// callersKnow reports whether this host is stopping and callers have had the time to learn of it.
+func (h *Host) callersKnow() bool {
+	stop := h.stop.Load()
+	return stop != nil && time.Now().After(stop.callersKnowAt)
 }
 
 func (h *Host) close() error {
@@ -316,7 +336,7 @@
 		Handler: handler, MaxHeaderBytes: maxServerHeaderBytes, ErrorLog: slog.NewLogLogger(h.log.Handler(), slog.LevelDebug),
 	}
 	if address == h.settings.Listen.Callers {
-		server.ConnState = h.conns.track
+		server.ConnContext, server.ConnState = h.conns.add, h.conns.track
 		h.callerListener = listener
 	}
 	h.servers = append(h.servers, server)
--- a/service/usherhost/plain.go
+++ b/service/usherhost/plain.go
@@ -56,7 +56,7 @@
 
 // servePlain handles a call to a plain service.
 func (h *Host) servePlain(ctx context.Context, w http.ResponseWriter, req *requestState) *refusal {
-	if !h.mayFinish(min(req.route.Objective, time.Until(req.deadline))) {
+	if !h.mayFinish(h.answerTime(req)) {
 		return refuse(reasonStopping, 0, nil)
 	}
 	ctx, cancel := context.WithCancel(ctx)
@@ -73,6 +73,16 @@
 	return nil
 }
 
+// answerTime returns how long a call may take to be answered. One that may be repeated is expected to keep its objective while callers
+// cannot know better than to send it to a stopping host.
+func (h *Host) answerTime(req *requestState) time.Duration {
+	remaining := time.Until(req.deadline)
+	if req.route.AtMostOnce() || req.route.Objective == 0 || h.callersKnow() {
+		return remaining
+	}
+	return min(req.route.Objective, remaining)
+}
+
 func (r *race) run(ctx context.Context) (reply, *refusal) {
 	if refusal := r.start(ctx, false); refusal != nil {
 		return reply{}, refusal
@@ -142,7 +152,7 @@
 
 // takeRetryFor reports whether another target may be tried after a result, and takes the retry from the budget.
 func (r *race) takeRetryFor(result sendResult) bool {
-	if r.tries >= maxTries {
+	if r.tries >= maxTries || r.req.departure.final.Load() {
 		return false
 	}
 	switch result.result {
