--- a/cmd/usher-host/daemon/soak_lost_test.go
+++ b/cmd/usher-host/daemon/soak_lost_test.go
@@ -41,15 +41,15 @@
 	arrived, stillWorked, brokeOff := false, time.Time{}, false
 	for _, target := range s.targets {
 		for _, a := range target.Arrivals() {
-			if a.Attempt == r.attempt {
-				arrived = true
-				brokeOff = brokeOff || !target.gone.IsZero() && target.gone.Before(r.ended)
-			}
+			arrived = arrived || a.Attempt == r.attempt
 		}
 		for _, run := range target.Runs() {
 			if run.Attempt != r.attempt {
 				continue
 			}
+			if gone := target.gone; !gone.IsZero() && gone.Before(r.ended) && (run.Ended.IsZero() || !run.Ended.Before(gone)) {
+				brokeOff = true
+			}
 			if worked := run.Ended; worked.IsZero() || worked.After(r.ended) {
 				stillWorked = r.ended
 			} else if worked.After(stillWorked) {
