usher-host: SIGHUP does not end a process that is starting

A host that got SIGHUP just after it had been started ended, and served nobody until it was started again.

Cause: the program asked for its signals only after it had read its settings and opened its socket for peers. Until then the Go runtime ends a process on SIGHUP. SIGTERM and SIGINT still end it at once there: nothing runs yet that has to be drained.

TestReloadDuringStartDoesNotEndTheHost failed before:

signal_test.go:37: the process ended with signal: hangup, want an error about its empty settings

It is now asked for before anything else. Before a Go program has started, nothing can be done about it.

--- a/cmd/usher-host/daemon/daemon.go
+++ b/cmd/usher-host/daemon/daemon.go
@@ -38,16 +38,20 @@
 
 // Main parses the command line, runs the daemon and returns the exit code.
 func Main() int {
+	// SIGHUP would end a process that is still starting.
+	signals := make(chan os.Signal, signalBuffer)
+	signal.Notify(signals, syscall.SIGHUP)
+	defer signal.Stop(signals)
 	var args arguments
 	kong.Parse(&args, kong.Name("usher-host"), kong.Description("The daemon on every host. SIGTERM is a planned stop."))
-	if err := run(args); err != nil {
+	if err := run(args, signals); err != nil {
 		fmt.Fprintf(os.Stderr, "usher-host: %v\n", err)
 		return exitFailure
 	}
 	return 0
 }
 
-func run(args arguments) error {
+func run(args arguments, signals chan os.Signal) error {
 	settings, err := usherhost.LoadSettings(args.Settings)
 	if err != nil || args.Check {
 		return err
@@ -61,9 +65,7 @@
 	if err != nil {
 		return err
 	}
-	signals := make(chan os.Signal, signalBuffer)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
-	defer signal.Stop(signals)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	return host.Run(context.Background(), signals)
 }
 
