test: hosts of the soak that end by themselves fail it; SIGHUP right after a restart

The signal is sent as soon as the host accepts connections: before a program has begun it cannot handle signals.

--- a/cmd/usher-host/daemon/soak_planned_test.go
+++ b/cmd/usher-host/daemon/soak_planned_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"math/rand/v2"
+	"net"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -100,6 +102,13 @@
 	operators.Wait()
 	endCallers()
 	callers.Wait()
+	for _, h := range s.hosts {
+		select {
+		case <-h.exited:
+			s.fail("host %s ended by itself: %v", h.ip, h.command.ProcessState)
+		default:
+		}
+	}
 }
 
 func randomTime(random *rand.Rand, milliseconds int) time.Duration {
@@ -124,7 +133,7 @@
 func (s *soak) stopHosts(random *rand.Rand, n int) {
 	var stopping sync.WaitGroup
 	for _, h := range s.reserve(random, n) {
-		before, apart := random.IntN(3) == 0, randomTime(random, 200)
+		before, early, apart := random.IntN(3) == 0, random.IntN(3) == 0, randomTime(random, 200)
 		later := make([]syscall.Signal, random.IntN(3))
 		pauses := make([]time.Duration, len(later))
 		for i := range later {
@@ -144,6 +153,9 @@
 				}
 			})
 			s.start(h)
+			if early {
+				s.reloadEarly(h)
+			}
 			s.mu.Lock()
 			h.busy = false
 			s.mu.Unlock()
@@ -181,6 +193,18 @@
 	h.signal(syscall.SIGHUP)
 }
 
+// reloadEarly signals a changed settings file to a host that has just opened its listener.
+func (s *soak) reloadEarly(h *soakHost) {
+	for begin := time.Now(); time.Since(begin) < soakGrace; {
+		if conn, err := net.Dial("tcp4", net.JoinHostPort(h.ip, strconv.Itoa(soakPort))); err == nil {
+			_ = conn.Close()
+			s.reload(h)
+			return
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
 // reloadHost signals a changed settings file to a host that may be stopping.
 func (s *soak) reloadHost(_ context.Context, random *rand.Rand) {
 	reserved := s.reserve(random, 1)
