--- a/pkg/usherpool/limit_test.go
+++ b/pkg/usherpool/limit_test.go
@@ -44,7 +44,7 @@
 	return ok
 }
 
-// Any number of hosts with clocks that differ, lulls, surges, changes of the limit and of the number of hosts: in no window of 4 s do
+// Any number of hosts with clocks that differ, lulls, surges and changes of the limit: in no window of 4 s do
 // more requests reach the target than one and a half times the highest limit then in force, and five.
 func TestHostsTogetherKeepTheLimit(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
@@ -105,6 +105,33 @@
 	})
 }
 
+// The limit, the number of hosts and the place of this one change again and again, which moves its turns. The requests of one host
+// stay nine tenths of a period apart, less the time in which a turn may be used.
+func TestMovedTurnsStayApart(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		random := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "walk"), 1))
+		hosts, limit := 1+random.IntN(50), 5*random.Float64()
+		pool := newFleet(hosts, limit)[0]
+		var latest time.Time
+		for now := start.Add(time.Second); now.Before(start.Add(10 * time.Minute)); now = now.Add(limitStep) {
+			if random.IntN(100) == 0 {
+				hosts, limit = 1+random.IntN(50), 5*random.Float64()
+				pool.SetPlace(random.IntN(hosts))
+				pool.Update(now, targets(1), noneEvacuated, table(), hosts)
+				pool.Limit(now, *target(0).Target, now, limit)
+			}
+			if !send(pool, now) {
+				continue
+			}
+			period := time.Duration(float64(hosts) / max(0.8*limit, 0.25) * float64(time.Second))
+			if distance := now.Sub(latest); distance < period*9/10-min(period, time.Second) {
+				t.Fatalf("%s between two requests of a host with a turn each %s", distance, period)
+			}
+			latest = now
+		}
+	})
+}
+
 // A host that always has requests gets its share of the limit, and none starves.
 func TestEachHostGetsItsTurns(t *testing.T) {
 	for _, c := range []struct {
@@ -161,6 +188,13 @@
 			t.Errorf("%s: limit %g, changed %t; want %g, %t", c.name, got, changed, c.want, c.changed)
 		}
 	}
+	// The latest response that names a limit counts, even if it is the same one.
+	p := newPool(1, targets(1), 1)
+	p.Limit(at(10), said, at(9), 3)
+	p.Limit(at(20), said, at(19), 3)
+	if p.Unlimit(said, at(15)) {
+		t.Error("the limit ends by a response to a request sent before the latest one that names it")
+	}
 }
 
 // limitInForce returns the limit of the first target, or -1 if there is none.
