usherhost: cancel targets inside a long response when the caller has left

A caller left while a target paused inside a response that is too long to be buffered. The target of a call that may be repeated worked on, until its next bytes or the deadline.

Cause: took a caller whose response had begun for one that only sends nothing more. That shows only in what it takes.

Long bodies are now treated like streams: they go on if two parts were written since, or if one is being written, as a write to a caller that has left fails. Each part is flushed, so that a part in a buffer of the HTTP server does not count as taken.

--- a/cmd/usher-host/daemon/leave_test.go
+++ b/cmd/usher-host/daemon/leave_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"net/netip"
+	"strings"
 	"testing"
 	"time"
 
@@ -64,3 +65,61 @@
 		}
 	})
 }
+
+// A caller leaves while a target pauses, or is slow, inside a response that is too long to be buffered. The host took a caller whose
+// response had begun for one that only sends nothing more, and the target worked on.
+func TestTargetOfALongResponseIsCancelledWhenTheCallerLeaves(t *testing.T) {
+	for name, fault := range map[string]usherstandin.Fault{"pause": usherstandin.StallsInsideLargeBody, "single bytes": usherstandin.TricklesInsideLargeBody} {
+		t.Run(name, func(t *testing.T) {
+			withTestbed(t, options{hosts: 1, plainTargets: 2}, func(t *testing.T, b *testbed) {
+				for _, target := range b.targets {
+					target.SetFault(fault)
+				}
+				conn := b.connect(b.hosts[0])
+				conn.send(t, head("GET", "/status/x", "a1", "5000")+"\r\n")
+				received := make(chan int64)
+				go func() {
+					n, _ := io.Copy(io.Discard, conn.reader)
+					received <- n
+				}()
+				time.Sleep(time.Second)
+				_ = conn.Close()
+				left := time.Now()
+				if n := <-received; n < usherstandin.LargeBytes/2 {
+					t.Fatalf("%d bytes received before the caller left, want half of the response", n)
+				}
+				time.Sleep(4 * time.Second)
+				id, run := b.onlyRun("a1")
+				if run.Cancelled.IsZero() || run.Cancelled.Sub(left) > 400*time.Millisecond {
+					t.Errorf("%s was not cancelled within 400 ms of the caller's departure, but after %s", id, run.Cancelled.Sub(left))
+				}
+			})
+		})
+	}
+}
+
+// A caller closes its sending side and is slow to read a response that is too long to be buffered. Only the host's writes show that
+// it is there; one of them takes longer than a departure.
+func TestSlowCallerThatStopsSendingGetsItsLongResponse(t *testing.T) {
+	for _, call := range []string{"GET /status/x", "POST /allotment/x"} {
+		t.Run(call, func(t *testing.T) {
+			withTestbed(t, options{hosts: 1, plainTargets: 2}, func(t *testing.T, b *testbed) {
+				for _, target := range b.targets {
+					target.SetFault(usherstandin.LargeBody)
+				}
+				conn := b.connect(b.hosts[0])
+				defer func() { _ = conn.Close() }()
+				method, path, _ := strings.Cut(call, " ")
+				conn.send(t, head(method, path, "a1", "5000")+chunkedBody)
+				time.Sleep(5 * time.Millisecond)
+				if err := conn.Conn.(interface{ CloseWrite() error }).CloseWrite(); err != nil {
+					t.Fatal(err)
+				}
+				time.Sleep(3 * time.Second)
+				if status, body, err := conn.receive(); status != http.StatusOK || err != nil || len(body) != usherstandin.LargeBytes {
+					t.Errorf("status %d, %d bytes, error %v; want the whole response", status, len(body), err)
+				}
+			})
+		})
+	}
+}
--- a/service/usherhost/departure.go
+++ b/service/usherhost/departure.go
@@ -13,20 +13,38 @@
 	// departureDelay is how long a request goes on after its caller has closed its sending side. The caller has left, or it
 	// sends nothing more and reads on; the host cannot tell before it writes.
 	departureDelay = 250 * time.Millisecond
-	// nextEventDelay is how much longer a stream goes on of which one event could be written since.
-	nextEventDelay = 150 * time.Millisecond
-	// eventsOfReader is the number of events that are written after that before the caller counts as reading on: the first
-	// one makes the system of a caller that has left reset the connection.
-	eventsOfReader = 2
+	// nextPartDelay is how much longer a request goes on if one part of its response could be written since.
+	nextPartDelay = 150 * time.Millisecond
+	// partsOfReader is the number of parts that are written after that before the caller counts as reading on: the first
+	// one makes the operating system of a caller that has left reset the connection.
+	partsOfReader = 2
 )
 
 // departure tracks a request whose caller has closed its sending side.
 type departure struct {
 	// final is set once the request must not be sent to another target.
 	final atomic.Bool
-	// responding is set when the response to a call is about to be written, events counts those written of a stream.
-	responding atomic.Bool
-	events     atomic.Int64
+	// parts counts the writes of a response that is passed on as it comes: the events of a stream, the reads of a long body.
+	parts atomic.Int64
+	// writing is set while a part of a long body is being written. A write that waits for a caller that has left fails.
+	writing atomic.Bool
+}
+
+// write sends a part of a long body to the caller.
+func (d *departure) write(w http.ResponseWriter, part []byte) error {
+	if len(part) == 0 {
+		return nil
+	}
+	d.writing.Store(true)
+	defer d.writing.Store(false)
+	if _, err := w.Write(part); err != nil {
+		return err
+	}
+	if err := http.NewResponseController(w).Flush(); err != nil {
+		return err
+	}
+	d.parts.Add(1)
+	return nil
 }
 
 // requestContext returns the context of the work on a request.
@@ -34,14 +52,14 @@
 	ctx, cancel := context.WithDeadline(context.WithoutCancel(r.Context()), req.deadline)
 	keepEnding := context.AfterFunc(h.requestsCtx, cancel)
 	keepWatching := context.AfterFunc(r.Context(), func() {
-		events := req.departure.events.Load()
+		parts := req.departure.parts.Load()
 		sleep(ctx, departureDelay)
 		req.departure.final.Store(true)
-		if req.departure.events.Load() > events && !req.outlivesDeparture(events) {
-			// The next event shows whether the caller is there.
-			sleep(ctx, nextEventDelay)
+		if req.departure.parts.Load() > parts && !req.outlivesDeparture(parts) {
+			// The next part shows whether the caller is there.
+			sleep(ctx, nextPartDelay)
 		}
-		if !req.outlivesDeparture(events) {
+		if !req.outlivesDeparture(parts) {
 			cancel()
 		}
 	})
@@ -52,11 +70,10 @@
 	}
 }
 
-// outlivesDeparture reports whether a request goes on although its caller has closed its sending side, when events had been
-// written. To cut off a call that may run only once would save little, and its caller could not send it again.
-func (req *requestState) outlivesDeparture(events int64) bool {
-	if req.route.Kind == usherroute.Stream {
-		return req.departure.events.Load() >= events+eventsOfReader
-	}
-	return req.route.AtMostOnce() || req.departure.responding.Load()
+// outlivesDeparture reports whether a request goes on although its caller has closed its sending side, when the given number of
+// parts of its response had been written. To cut off a call that may run only once would save little, and its caller could not
+// send it again.
+func (req *requestState) outlivesDeparture(parts int64) bool {
+	d := &req.departure
+	return req.route.Kind == usherroute.Once || d.writing.Load() || d.parts.Load() >= parts+partsOfReader
 }
--- a/service/usherhost/ingress.go
+++ b/service/usherhost/ingress.go
@@ -273,11 +273,12 @@
 	if r.rest != nil && r.length >= 0 {
 		w.Header().Set("Content-Length", strconv.FormatInt(r.length, 10))
 	}
-	req.departure.responding.Store(true)
 	w.WriteHeader(r.status)
-	_, err := w.Write(r.body)
-	if err == nil && r.rest != nil {
-		err = h.relayRest(w, req, r)
+	var err error
+	if r.rest == nil {
+		_, err = w.Write(r.body)
+	} else {
+		err = h.relayLongBody(w, req, r)
 	}
 	if err != nil {
 		h.metrics.callersGone.Inc(1)
@@ -288,18 +289,21 @@
 	h.logRequest(req, "answered", slog.Int("status", r.status), nil)
 }
 
-// relayRest relays the unread rest of a response. If the target does not complete it, the caller's connection is
-// aborted. The returned error means that the caller has disconnected.
-func (h *Host) relayRest(w http.ResponseWriter, req *requestState, r reply) error {
+// relayLongBody relays a response body of which only the beginning was read. If the target does not complete it, the caller's
+// connection is aborted. The returned error means that the caller has disconnected.
+func (h *Host) relayLongBody(w http.ResponseWriter, req *requestState, r reply) error {
 	control := http.NewResponseController(w)
 	if err := control.SetWriteDeadline(req.deadline); err != nil {
 		return err
 	}
+	if err := req.departure.write(w, r.body); err != nil {
+		return err
+	}
 	buffer := make([]byte, bufferStep)
 	relayed := int64(len(r.body))
 	for {
 		n, err := r.rest.Read(buffer)
-		if _, err := w.Write(buffer[:n]); err != nil {
+		if err := req.departure.write(w, buffer[:n]); err != nil {
 			return err
 		}
 		relayed += int64(n)
--- a/service/usherhost/relay.go
+++ b/service/usherhost/relay.go
@@ -237,7 +237,7 @@
 		return errCallerDisconnected.Wrap(err, "flush event")
 	}
 	g.recordEvent()
-	g.req.departure.events.Add(1)
+	g.req.departure.parts.Add(1)
 	if item.event.ID != "" {
 		g.lastEvent = item.event.ID
 	}
