daemon: test that an unused connection does not hold up the exit

A planned stop closes connections on which no request arrives one second after its last request. No test failed where it did not: with closeNew without effect all tests of stops passed. With it TestStoppingHostDoesNotWaitForUnusedConnections does not end (600 s), as the loop then never pauses. It passes on the code as it is.

--- a/cmd/usher-host/daemon/stop_test.go
+++ b/cmd/usher-host/daemon/stop_test.go
@@ -109,6 +109,23 @@
 	})
 }
 
+// A connection on which no request arrives must not hold up the exit until the end of the grace period.
+func TestStoppingHostDoesNotWaitForUnusedConnections(t *testing.T) {
+	withTestbed(t, options{hosts: 2, plainTargets: 1}, func(t *testing.T, b *testbed) {
+		h := b.hosts[0]
+		b.stop(h)
+		stopped := time.Now()
+		time.Sleep(2900 * time.Millisecond)
+		conn := b.connect(h)
+		defer func() { _ = conn.Close() }()
+		err := <-h.done
+		h.done <- err
+		if elapsed := time.Since(stopped); elapsed > 4500*time.Millisecond {
+			t.Errorf("the host ended %s after the signal, want about 4 s", elapsed)
+		}
+	})
+}
+
 // A request arrives, on a connection that was accepted before, after an idle host has closed its listener. The host waited
 // one second for such requests, and exited although it was serving one.
 func TestStoppingHostFinishesTheLastRequests(t *testing.T) {
