usherhost: send refusals of requests whose body is late before the exit

A caller whose request was refused before its body was read (404, 401, 503 of a host without a configuration), and whose body was late, got a closed connection at the exit of a stopping host. The request has not run.

Cause: on a connection that is kept, the HTTP server reads the rest of the body before it sends the response. It did so after the handler had returned, and what ends reads before the exit covered only the body of requests that are admitted.

Evidence: TestStoppingHostSendsRefusalsOfRequestsWhoseBodyIsLate failed before (status 0, error unexpected EOF; want 404).

The refusal is now flushed by the handler, and the read that this waits for ends with the requests in progress. The refusal gets a length, as the server adds none to a response that was flushed.

--- a/cmd/usher-host/daemon/answer_test.go
+++ b/cmd/usher-host/daemon/answer_test.go
@@ -193,6 +193,20 @@
 	})
 }
 
+// A request is refused before its body is read, and the rest of the body is late. The refusal waited for it, and the host exited.
+func TestStoppingHostSendsRefusalsOfRequestsWhoseBodyIsLate(t *testing.T) {
+	withTestbed(t, options{hosts: 2, plainTargets: 2}, func(t *testing.T, b *testbed) {
+		conn := b.connect(b.hosts[0])
+		defer func() { _ = conn.Close() }()
+		conn.send(t, head("POST", "/nowhere/", "a1", "1000")+"Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n")
+		time.Sleep(time.Second)
+		b.stop(b.hosts[0])
+		if status, _, err := conn.receive(); status != http.StatusNotFound || err != nil {
+			t.Errorf("status %d, error %v; want 404", status, err)
+		}
+	})
+}
+
 // A caller closes its sending side after its request, as some do that send only one, and reads on. The host took it for gone, cut
 // the target off and closed the connection without the answer.
 func TestCallerThatStopsSendingGetsItsAnswer(t *testing.T) {
--- a/service/usherhost/ingress.go
+++ b/service/usherhost/ingress.go
@@ -104,14 +104,15 @@
 		w.Header().Set("Connection", "close")
 	}
 	// A stopping host does not wait for the rest of a body.
-	stopReading := context.AfterFunc(h.requestsCtx, func() {
+	stop := context.AfterFunc(h.requestsCtx, func() {
 		if err := http.NewResponseController(w).SetReadDeadline(time.Now()); err != nil {
 			h.log.Debug("failed to set read deadline", "error", errorText(err))
 		}
 	})
+	defer stop()
 	req, refusal := h.admit(r, received)
-	stopReading()
 	if refusal == nil {
+		stop()
 		ctx, cancel := h.requestContext(r, req)
 		defer cancel()
 		if req.route.Kind == usherroute.Stream {
--- a/service/usherhost/refusal.go
+++ b/service/usherhost/refusal.go
@@ -1,6 +1,7 @@
 package usherhost
 
 import (
+	"io"
 	"net/http"
 	"strconv"
 	"time"
@@ -86,13 +87,17 @@
 
 func (r *refusal) status() int { return statusByReason[r.reason] }
 
-// write sends the refusal to the caller.
+// write sends the refusal to the caller. It may wait for the rest of the request's body, which the HTTP server reads first.
 func (r *refusal) write(w http.ResponseWriter) error {
+	body := `{"error":"` + string(r.reason) + `"}` + "\n"
 	if r.retryAfter >= 0 {
 		w.Header().Set("Retry-After", strconv.FormatFloat(r.retryAfter.Seconds(), 'f', 3, 64))
 	}
 	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	w.WriteHeader(r.status())
-	_, err := w.Write([]byte(`{"error":"` + string(r.reason) + `"}` + "\n"))
-	return err
+	if _, err := io.WriteString(w, body); err != nil {
+		return err
+	}
+	return http.NewResponseController(w).Flush()
 }
