usherhost: clearer names and comments around callers' connections

No change of logic. The functions that undo context.AfterFunc are named for that (stopEnding, stopWatching), departure.final for its effect (noRetry), and loop variables of conns as elsewhere in the file. The log line of a dropped request no longer says that its connection was idle, which may also have been new.

--- a/service/usherhost/conns.go
+++ b/service/usherhost/conns.go
@@ -21,9 +21,9 @@
 )
 
 type (
-	// conns closes callers' connections that are idle, or have not completed a request header, for longer than the
-	// configuration in force allows. The limits change while connections are open, so the timeouts of http.Server are
-	// not used.
+	// conns tracks callers' connections. It closes those that are idle, or have not completed a request header, for longer
+	// than the configuration in force allows. The limits change while connections are open, so the timeouts of http.Server
+	// are not used.
 	conns struct {
 		mu    sync.Mutex
 		conns map[net.Conn]*callerConn
@@ -33,8 +33,9 @@
 		orphaned metrics.Counter
 	}
 
-	// callerConn is one connection of a caller.
+	// callerConn is one connection of a caller. The lock of conns guards its fields.
 	callerConn struct {
+		// state is what the server reported last, at the time since.
 		state http.ConnState
 		since time.Time
 		// handling reports whether a handler works on a request of this connection.
@@ -146,7 +147,7 @@
 	}
 }
 
-// closeIdle closes the connections that are between two requests and returns the number of the others.
+// closeIdle closes the connections that are between two requests and returns the numbers of those that are left.
 func (c *conns) closeIdle() connCounts {
 	c.closeAll(http.StateIdle)
 	return c.counts()
@@ -158,9 +159,9 @@
 func (c *conns) closeAll(state http.ConnState) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for conn, s := range c.conns {
-		if s.state == state {
-			c.close(conn, s)
+	for conn, cc := range c.conns {
+		if cc.state == state {
+			c.close(conn, cc)
 		}
 	}
 }
@@ -171,7 +172,7 @@
 		c.closedIdle.Inc(1)
 	}
 	cc.closed = true
-	// The server detects the closed connection.
+	// The server's next read fails, and it reports the connection as closed.
 	_ = conn.Close()
 	delete(c.conns, conn)
 }
@@ -180,13 +181,13 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := time.Now()
-	for conn, s := range c.conns {
-		age := now.Sub(s.since)
-		idle := s.state == http.StateIdle && l.IdleTimeout > 0 && age > l.IdleTimeout+idleMargin
+	for conn, cc := range c.conns {
+		age := now.Sub(cc.since)
+		idle := cc.state == http.StateIdle && l.IdleTimeout > 0 && age > l.IdleTimeout+idleMargin
 		// The server marks a connection as active only once it has read a whole header.
-		slow := s.state == http.StateNew && l.HeaderTimeout > 0 && age > l.HeaderTimeout+idleMargin
+		slow := cc.state == http.StateNew && l.HeaderTimeout > 0 && age > l.HeaderTimeout+idleMargin
 		if idle || slow {
-			c.close(conn, s)
+			c.close(conn, cc)
 		}
 	}
 }
--- a/service/usherhost/departure.go
+++ b/service/usherhost/departure.go
@@ -20,10 +20,11 @@
 	partsOfReader = 2
 )
 
-// departure tracks a request whose caller has closed its sending side.
+// departure tells, once the caller of a request has closed its sending side, whether it has left or reads on. The zero value is ready
+// to use.
 type departure struct {
-	// final is set once the request must not be sent to another target.
-	final atomic.Bool
+	// noRetry is set once the request must not be sent to another target, as its caller may have left.
+	noRetry atomic.Bool
 	// parts counts the writes of a response that is passed on as it comes: the events of a stream, the reads of a long body.
 	parts atomic.Int64
 	// writing is set while a part of a long body is being written. A write that waits for a caller that has left fails.
@@ -47,14 +48,15 @@
 	return nil
 }
 
-// requestContext returns the context of the work on a request.
+// requestContext returns the context of the work on a request. Unlike that of r, it does not end as soon as the caller closes its
+// sending side.
 func (h *Host) requestContext(r *http.Request, req *requestState) (context.Context, context.CancelFunc) {
 	ctx, cancel := context.WithDeadline(context.WithoutCancel(r.Context()), req.deadline)
-	keepEnding := context.AfterFunc(h.requestsCtx, cancel)
-	keepWatching := context.AfterFunc(r.Context(), func() {
+	stopEnding := context.AfterFunc(h.requestsCtx, cancel)
+	stopWatching := context.AfterFunc(r.Context(), func() {
 		parts := req.departure.parts.Load()
 		sleep(ctx, departureDelay)
-		req.departure.final.Store(true)
+		req.departure.noRetry.Store(true)
 		if req.departure.parts.Load() > parts && !req.outlivesDeparture(parts) {
 			// The next part shows whether the caller is there.
 			sleep(ctx, nextPartDelay)
@@ -64,8 +66,8 @@
 		}
 	})
 	return ctx, func() {
-		keepEnding()
-		keepWatching()
+		stopEnding()
+		stopWatching()
 		cancel()
 	}
 }
--- a/service/usherhost/ingress.go
+++ b/service/usherhost/ingress.go
@@ -95,7 +95,7 @@
 	defer h.inProgress.Add(-1)
 	end, open := h.conns.begin(r.Context())
 	if !open {
-		h.log.Info("request dropped: its connection was closed as idle", "path", r.URL.Path)
+		h.log.Info("request dropped: the host had closed its connection", "path", r.URL.Path)
 		panic(http.ErrAbortHandler)
 	}
 	defer end()
--- a/service/usherhost/plain.go
+++ b/service/usherhost/plain.go
@@ -152,7 +152,7 @@
 
 // takeRetryFor reports whether another target may be tried after a result, and takes the retry from the budget.
 func (r *race) takeRetryFor(result sendResult) bool {
-	if r.tries >= maxTries || r.req.departure.final.Load() {
+	if r.tries >= maxTries || r.req.departure.noRetry.Load() {
 		return false
 	}
 	switch result.result {
