--- a/service/usherhost/halfclose.go
+++ b/service/usherhost/halfclose.go
@@ -13,50 +13,69 @@
 	// halfCloseDelay is how long a request goes on after its caller has closed its sending side. The caller has left, or it
 	// sends nothing more and reads on; the host cannot tell before it writes.
 	halfCloseDelay = 250 * time.Millisecond
-	// nextEventDelay is how much longer a stream goes on of which one event could be written since.
-	nextEventDelay = 150 * time.Millisecond
-	// eventsOfReader is the number of events that are written after that before the caller counts as reading on: the first
-	// one makes the system of a caller that has left reset the connection.
-	eventsOfReader = 2
+	// nextPartDelay is how much longer a request goes on if one part of its response could be written since.
+	nextPartDelay = 150 * time.Millisecond
+	// partsOfReader is the number of parts that are written after that before the caller counts as reading on: the first
+	// one makes the operating system of a caller that has left reset the connection.
+	partsOfReader = 2
 )
 
-// halfClose tracks a request whose caller has closed its sending side.
+// halfClose tells, once the caller of a request has closed its sending side, whether it has left or reads on. The zero value is ready
+// to use.
 type halfClose struct {
-	// final is set once the request must not be sent to another target.
-	final atomic.Bool
-	// responding is set when the response to a call is about to be written, events counts those written of a stream.
-	responding atomic.Bool
-	events     atomic.Int64
+	// noRetry is set once the request must not be sent to another target, as its caller may have left.
+	noRetry atomic.Bool
+	// parts counts the writes of a response that is passed on as it comes: the events of a stream, the reads of a long body.
+	parts atomic.Int64
+	// writing is set while a part of a long body is being written. A write that waits for a caller that has left fails.
+	writing atomic.Bool
 }
 
-// requestContext returns the context of the work on a request.
+// write sends a part of a long body to the caller.
+func (d *halfClose) write(w http.ResponseWriter, part []byte) error {
+	if len(part) == 0 {
+		return nil
+	}
+	d.writing.Store(true)
+	defer d.writing.Store(false)
+	if _, err := w.Write(part); err != nil {
+		return err
+	}
+	if err := http.NewResponseController(w).Flush(); err != nil {
+		return err
+	}
+	d.parts.Add(1)
+	return nil
+}
+
+// requestContext returns the context of the work on a request. Unlike that of r, it does not end as soon as the caller closes its
+// sending side.
 func (h *Host) requestContext(r *http.Request, req *requestState) (context.Context, context.CancelFunc) {
 	ctx, cancel := context.WithDeadline(context.WithoutCancel(r.Context()), req.deadline)
-	keepEnding := context.AfterFunc(h.requestsCtx, cancel)
-	keepWatching := context.AfterFunc(r.Context(), func() {
-		events := req.halfClose.events.Load()
+	stopEnding := context.AfterFunc(h.requestsCtx, cancel)
+	stopWatching := context.AfterFunc(r.Context(), func() {
+		parts := req.halfClose.parts.Load()
 		sleep(ctx, halfCloseDelay)
-		req.halfClose.final.Store(true)
-		if req.halfClose.events.Load() > events && !req.outlivesHalfClose(events) {
-			// The next event shows whether the caller is there.
-			sleep(ctx, nextEventDelay)
+		req.halfClose.noRetry.Store(true)
+		if req.halfClose.parts.Load() > parts && !req.outlivesHalfClose(parts) {
+			// The next part shows whether the caller is there.
+			sleep(ctx, nextPartDelay)
 		}
-		if !req.outlivesHalfClose(events) {
+		if !req.outlivesHalfClose(parts) {
 			cancel()
 		}
 	})
 	return ctx, func() {
-		keepEnding()
-		keepWatching()
+		stopEnding()
+		stopWatching()
 		cancel()
 	}
 }
 
-// outlivesHalfClose reports whether a request goes on although its caller has closed its sending side, when events had been
-// written. To cut off a call that may run only once would save little, and its caller could not send it again.
-func (req *requestState) outlivesHalfClose(events int64) bool {
-	if req.route.Kind == usherroute.Stream {
-		return req.halfClose.events.Load() >= events+eventsOfReader
-	}
-	return req.route.AtMostOnce() || req.halfClose.responding.Load()
+// outlivesHalfClose reports whether a request goes on although its caller has closed its sending side, when the given number of
+// parts of its response had been written. To cut off a call that may run only once would save little, and its caller could not
+// send it again.
+func (req *requestState) outlivesHalfClose(parts int64) bool {
+	d := &req.halfClose
+	return req.route.Kind == usherroute.Once || d.writing.Load() || d.parts.Load() >= parts+partsOfReader
 }
