--- a/cmd/usher-host/daemon/answer_test.go
+++ b/cmd/usher-host/daemon/answer_test.go
@@ -22,11 +22,16 @@
 
 func (b *testbed) connect(h *host) callerConn {
 	b.t.Helper()
-	conn, err := b.network.Dialer(netip.MustParseAddr(callerIP))(b.t.Context(), "tcp", fmt.Sprintf("%s:%d", h.ip, callerPort))
+	conn, err := b.dial(h)
 	if err != nil {
 		b.t.Fatal(err)
 	}
-	return callerConn{Conn: conn, reader: bufio.NewReader(conn)}
+	return conn
+}
+
+func (b *testbed) dial(h *host) (callerConn, error) {
+	conn, err := b.network.Dialer(netip.MustParseAddr(callerIP))(b.t.Context(), "tcp", fmt.Sprintf("%s:%d", h.ip, callerPort))
+	return callerConn{Conn: conn, reader: bufio.NewReader(conn)}, err
 }
 
 func (c callerConn) send(t *testing.T, text string) {
