ushergateway: don't bound requests without a body by the time to send one

A caller that resumed a stream at another gateway lost it after 10 s: ran_in_part, cancelled.

Cause: the gateway sets a read deadline of 10 s for the body and clears it at the end of the body. GET /v1/resume has none. The HTTP server watches the connection by a read, which then failed and ended the request's context, as if the caller had left.

--- a/service/ushergateway/api.go
+++ b/service/ushergateway/api.go
@@ -104,7 +104,10 @@
 			w.Header().Set("Connection", "close") // so that callers do not reuse a connection that is about to close
 		}
 		control := http.NewResponseController(w)
-		_ = control.SetReadDeadline(time.Now().Add(bodyTimeout))
+		// Without a body no read clears the deadline, which would end the request's context.
+		if r.ContentLength != 0 {
+			_ = control.SetReadDeadline(time.Now().Add(bodyTimeout))
+		}
 		r.Body = &limitedBody{ReadCloser: http.MaxBytesReader(w, r.Body, g.Limits.BodyBytes), control: control}
 		next.ServeHTTP(w, r)
 	})
--- a/service/ushergateway/stream_test.go
+++ b/service/ushergateway/stream_test.go
@@ -204,6 +204,31 @@
 	checkText(t, fleet, r.text)
 }
 
+// A resumed stream takes longer than the time that callers have to send a body. Its request has none, so nothing cleared the read
+// deadline, which ended the request.
+func TestResumedStreamOutlastsTheBodyTimeout(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		fleet := startFleet(t, usherfleet.Config{Gateways: 2, Engines: 1})
+		client := fleet.NewClient()
+		r := newReader(t, 10)
+		disconnected := make(chan error, 1)
+		go func() {
+			_, err := client.Send(t.Context(), fleet.Gateways[0].Address(), appraisal(3000), r.callbacks())
+			disconnected <- err
+		}()
+		<-r.reached
+		if err := fleet.Gateways[0].Kill(); err != nil {
+			t.Fatal(err)
+		}
+		<-disconnected
+		start, first := time.Now(), r.next
+		_, err := client.Resume(t.Context(), fleet.Gateways[1].Address(), r.handle, r.next, r.callbacks())
+		if err != nil || r.next != 3000 {
+			t.Errorf("resumed at token %d, ended after %s at token %d: %v", first, time.Since(start), r.next, err)
+		}
+	})
+}
+
 func TestCallerDisconnects(t *testing.T) {
 	inBubble(t, testCallerDisconnects)
 }
