usherhost: pass on only the reply of the target that ran a call last

What callers saw: an idempotent call that a first target had answered with 500, or with 503 without proof, and that a second target ran as well, was answered with the first target's status: also if the second one's answer was lost, or if it was still running the call at the deadline.

Cause: race.lastReply kept the latest failure response whichever target it came from, and finish relayed it even with a send in progress.

Evidence: TestReplyOfTheTargetThatRanACallLast failed in three of its five cases: "status 500, error <nil>; want 502", "status 503, error <nil>; want 502", "status 500, error <nil>; want 504". The other two keep what was right.

Why this works: a run without a reply drops the replies before it, so the call ends with 502; while a send is in progress nobody knows how it ends, so the deadline gives 504. Targets that did not run the call leave the reply as it is.

--- a/cmd/usher-host/daemon/promise_test.go
+++ b/cmd/usher-host/daemon/promise_test.go
@@ -73,6 +73,39 @@
 	}
 }
 
+// The status of a target was passed on although a later one had run the call, or was running it.
+func TestReplyOfTheTargetThatRanACallLast(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		faults []usherstandin.Fault
+		want   int
+	}{
+		{"a target fails, then an answer is lost", []usherstandin.Fault{usherstandin.Fails, usherstandin.DropsConnection}, http.StatusBadGateway},
+		{"a status without proof, then an answer is lost", []usherstandin.Fault{usherstandin.RejectsAfterRun, usherstandin.DropsConnection}, http.StatusBadGateway},
+		{"a target fails, then one hangs", []usherstandin.Fault{usherstandin.Fails, usherstandin.NeverResponds}, http.StatusGatewayTimeout},
+		{"an answer is lost, then a target fails", []usherstandin.Fault{usherstandin.DropsConnection, usherstandin.Fails}, http.StatusInternalServerError},
+		{"a target fails, then one turns the call away", []usherstandin.Fault{usherstandin.Fails, usherstandin.Refuses}, http.StatusInternalServerError},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			o := options{hosts: 1, plainTargets: 4, editDeclarations: func(d map[string]any) {
+				for _, r := range d["routes"].([]any) {
+					r.(map[string]any)["maxAttempts"] = 2
+				}
+			}}
+			withTestbed(t, o, func(t *testing.T, b *testbed) {
+				faults := &faultSequence{faults: c.faults}
+				for _, target := range b.targets {
+					target.SetFaultSource(faults.next)
+				}
+				got := b.do(b.request(t.Context(), b.hosts[0], http.MethodGet, "/status/x", ""))
+				if got.err != nil || got.status != c.want {
+					t.Errorf("status %d, error %v; want %d; runs %v", got.status, got.err, c.want, b.runsOf(got.attempt))
+				}
+			})
+		})
+	}
+}
+
 // A faulty target writes an earlier refusal once more before it answers. Reported by operators of similar systems: callers were
 // told that a request has not run that a target was running, or it ran at a second target. A refusal counts only for the attempt
 // that it names.
--- a/service/usherhost/plain.go
+++ b/service/usherhost/plain.go
@@ -48,7 +48,8 @@
 		cancels []context.CancelFunc
 		pending int
 		tries   int
-		// lastReply is the latest failure response of a target, relayed if no other target gives a better one.
+		// lastReply is the failure response of the target that has run the call last, or nil if that one sent none. It is relayed
+		// if no other target gives a better one.
 		lastReply *reply
 		lastErr   error
 	}
@@ -145,6 +146,10 @@
 		// A call that may run only once is not sent again; its failure response is relayed.
 		return r.req.route.AtMostOnce()
 	default:
+		if result.ran {
+			// The replies of earlier targets say nothing about this run.
+			r.lastReply = nil
+		}
 		r.lastErr = result.err
 		return false
 	}
@@ -221,7 +226,7 @@
 // finish returns the response when nothing more can be tried.
 func (r *race) finish(ctx context.Context) (reply, *refusal) {
 	switch {
-	case r.lastReply != nil:
+	case r.lastReply != nil && r.pending == 0:
 		return *r.lastReply, nil
 	case ctx.Err() != nil && (r.pending > 0 || r.req.ran):
 		return reply{}, refuse(reasonTimeout, noRetryAfter, r.lastErr)
