usherhost: an unanswered order ends no run at an engine that is alive

What callers saw: nothing at once; an engine worked on a request after its stream had gone on at another one (TWICE), if the order to end the run, made since the connection had gone silent, got no answer.

Cause: an order without an answer within 500 ms counted as one to an engine that cannot be reached, and so as a run that has ended. That holds for an engine that hangs, but not for one that did not get the order or does not carry it out.

Evidence: TestUnansweredOrderEndsNoRun failed in its two cases of engines that are alive: "an engine worked on the request for 2.407s after it had gone on at another one" (a stream that may run once, which came to its caller as complete) and "for 1.027s" (one that may be resumed). Its two cases of engines that hang passed before and pass now: the stream goes on elsewhere.

Why this works: an engine that does not answer the order within 500 ms is asked for its report. One that gives none within 250 ms hangs and works on nothing; for one that gives it, the host waits up to 2.5 s for the answer, and repeats the order then, as if it had been turned away. Copies that take longer than 500 ms are not given up any more for the same reason.

Tests: ./service/usherhost/... and ./cmd/usher-host/daemon passed; the tests of silent connections three times with the race detector, too.

--- a/cmd/usher-host/daemon/silence_test.go
+++ b/cmd/usher-host/daemon/silence_test.go
@@ -155,3 +155,38 @@
 		b.checkOverlap(attempt)
 	})
 }
+
+// An engine accepts the order to end a run and does not answer it. One that answers other calls meanwhile may still work on the
+// request, so the stream must stay; one that answers none does not, and the stream goes on elsewhere.
+func TestUnansweredOrderEndsNoRun(t *testing.T) {
+	for _, c := range []struct {
+		name, path string
+		events     int
+		hangs      bool
+	}{
+		{"stream that runs once, the engine is alive", "/appraisal/250", 250, false},
+		{"stream that may be resumed, the engine is alive", "/eligibility/120", 120, false},
+		{"stream that runs once, the engine hangs", "/appraisal/250", 250, true},
+		{"stream that may be resumed, the engine hangs", "/eligibility/100", 100, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			withTestbed(t, options{hosts: 1, engines: 4}, func(t *testing.T, b *testbed) {
+				attempt, done := b.startStream(b.hosts[0], c.path)
+				time.Sleep(time.Second)
+				source := b.targets[b.currentEngine(attempt)]
+				source.IgnoreMoves()
+				if c.hangs {
+					source.Hang()
+				}
+				b.silence(b.hosts[0], 0)
+				got := <-done
+				if complete := got.err == nil && isComplete(got.body, attempt, c.events); complete != c.hangs {
+					t.Errorf("error %v, %d events; want a complete stream: %t", got.err, len(events(got.body)), c.hangs)
+				}
+				if !c.hangs {
+					b.checkOverlap(attempt)
+				}
+			})
+		})
+	}
+}
--- a/service/usherhost/stoprun.go
+++ b/service/usherhost/stoprun.go
@@ -11,9 +11,11 @@
 )
 
 const (
-	// stopTimeout bounds an order to end a run. An engine ends the run before it copies the KV cache, so one that is alive
-	// has ended it by then even if the copy takes longer.
-	stopTimeout = 500 * time.Millisecond
+	// stopTimeout bounds an order to end a run, whose response comes once the KV cache has been copied. An engine that has not
+	// answered within stopPatience is asked for a report: one that gives none within reportTimeout hangs and works on nothing.
+	stopTimeout   = 2500 * time.Millisecond
+	stopPatience  = 500 * time.Millisecond
+	reportTimeout = 250 * time.Millisecond
 	// stopRetryInterval is the pause before an order that the engine turned away is repeated.
 	stopRetryInterval = 200 * time.Millisecond
 )
@@ -60,7 +62,7 @@
 	}
 	return func(ctx context.Context) stopResult {
 		if err := g.host.probeTarget(ctx, source); err != nil {
-			g.host.log.Info("target cannot be reached; its run may go on elsewhere", "attempt", attempt, "source", source.ID, "error", errorText(err))
+			g.host.logUnreachable(source, attempt, err)
 			return stopResult{}
 		}
 		switch {
@@ -82,18 +84,72 @@
 	if h.state.rests(source.ID) {
 		return stopResult{err: errStillRunning.New("target %s rests", source.ID)}
 	}
+	result := h.awaitStopAnswer(ctx, source, attempt, holder)
+	h.log.Info("run ordered to end", "attempt", attempt, "source", source.ID, "holder", holder.ID, "copy", result.run.Copied, "kept", result.run.Kept.Handle != "",
+		"duration_ms", time.Since(start).Milliseconds(), "error", errorTextOrEmpty(result.err))
+	if result.err != nil {
+		h.metrics.stopsRefused.Inc(1)
+	} else {
+		h.metrics.stops.Inc(1)
+	}
+	return result
+}
+
+// awaitStopAnswer waits for the response to an order to end a run. Without one the run counts as ended only if the engine gives no
+// report either.
+func (h *Host) awaitStopAnswer(ctx context.Context, source ushercatalog.Target, attempt string, holder ushercatalog.Target) stopResult {
+	results := make(chan stopResult, 1)
+	go func() {
+		result := stopResult{holder: holder.ID}
+		if err := h.containment.run("order to end a run", func() { result = h.callStop(ctx, source, attempt, holder) }); err != nil {
+			result.err = errStillRunning.Wrap(err, "no answer of target %s", source.ID)
+		}
+		results <- result
+	}()
+	patience := time.NewTimer(stopPatience)
+	defer patience.Stop()
+	select {
+	case result := <-results:
+		return result
+	case <-patience.C:
+	}
+	if !h.isResponsive(ctx, source) {
+		h.logUnreachable(source, attempt, errStillRunning.New("no answer within %s, and no report", stopPatience))
+		return stopResult{holder: holder.ID}
+	}
+	return <-results
+}
+
+func (h *Host) logUnreachable(source ushercatalog.Target, attempt string, err error) {
+	h.log.Info("target cannot be reached; its run may go on elsewhere", "attempt", attempt, "source", source.ID, "error", errorText(err))
+}
+
+// callStop makes the call that orders an engine to end a run.
+func (h *Host) callStop(ctx context.Context, source ushercatalog.Target, attempt string, holder ushercatalog.Target) stopResult {
 	// Callers lose more if the run goes on than the target does by one request.
 	h.state.spendTurn(source.ID)
+	sent := time.Now()
 	run, notice, err := h.engines.Stop(ctx, source.Address, attempt, holder.Address)
-	h.noteTarget(source, attempt, start, notice)
-	h.log.Info("run ordered to end", "attempt", attempt, "source", source.ID, "holder", holder.ID, "copy", run.Copied, "kept", run.Kept.Handle != "",
-		"duration_ms", time.Since(start).Milliseconds(), "error", errorTextOrEmpty(err))
-	if err != nil && !h.engines.IsUnreachable(err) {
-		h.metrics.stopsRefused.Inc(1)
+	h.noteTarget(source, attempt, sent, notice)
+	if err == nil {
+		return stopResult{holder: holder.ID, run: run}
+	}
+	if !h.engines.IsUnreachable(err) || h.isResponsive(context.WithoutCancel(ctx), source) {
 		return stopResult{err: errStillRunning.Wrap(err, "target %s may still work on the request", source.ID)}
 	}
-	h.metrics.stops.Inc(1)
-	return stopResult{holder: holder.ID, run: run}
+	h.logUnreachable(source, attempt, err)
+	return stopResult{holder: holder.ID}
+}
+
+// isResponsive reports whether an engine gives a report.
+func (h *Host) isResponsive(ctx context.Context, target ushercatalog.Target) bool {
+	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
+	defer cancel()
+	h.state.spendTurn(target.ID)
+	sent := time.Now()
+	_, notice, err := h.engines.Leaving(ctx, target.Address)
+	h.noteTarget(target, "", sent, notice)
+	return err == nil || !h.engines.IsUnreachable(err)
 }
 
 // stopDestination returns the target that gets the KV cache of a run that is ended: the one that has a copy already, if
