usherhost: one lost packet does not make an engine one that cannot be reached

Cause: an engine that takes no connection within 250 ms counted as one that cannot be reached, after a single try. A lost first packet is sent again only after a second.

Evidence: TestLostPacketEndsNoRun failed: "an engine worked on the request for 2.658s after it had gone on at another one". As found, the test lost no packet (the route's streams count as stalled after 3.6 s, not 3 s) and passed on the old code; its times are mended, and it fails now if no packet of an order was lost.

Why this works: a second connection is tried before an engine counts as one that cannot be reached; a refused connection is not tried again. Two lost first packets in a row remain possible.

--- a/cmd/usher-host/daemon/silence_test.go
+++ b/cmd/usher-host/daemon/silence_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
@@ -190,3 +191,29 @@
 		})
 	}
 }
+
+// The first packet of the connection on which an engine would be ordered to end a run is lost. The engine counted as one that cannot
+// be reached, and worked on the stream while it went on at another one.
+func TestLostPacketEndsNoRun(t *testing.T) {
+	withTestbed(t, options{hosts: 1, engines: 4}, func(t *testing.T, b *testbed) {
+		attempt, done := b.startStream(b.hosts[0], "/appraisal/250")
+		time.Sleep(time.Second)
+		engine := b.targets[b.currentEngine(attempt)]
+		_, entry := engine.Entry("ready")
+		host, source := netip.MustParseAddr(b.hosts[0].ip), netip.MustParseAddrPort(entry.(map[string]any)["address"].(string)).Addr()
+		b.network.Silence(host, source, 0)
+		// The stream counts as stalled 3.6 s after its last event, and a connection may take 0.25 s.
+		time.Sleep(3500 * time.Millisecond)
+		b.network.Block(host, source)
+		time.Sleep(400 * time.Millisecond)
+		b.network.Unblock(host, source)
+		unblocked := time.Now()
+		if got := <-done; got.err != nil || !isComplete(got.body, attempt, 250) {
+			t.Errorf("error %v, %d events; want 250", got.err, len(events(got.body)))
+		}
+		b.checkOverlap(attempt)
+		if orders := slices.DeleteFunc(engine.Arrivals(), func(a usherstandin.Arrival) bool { return a.Path != "/kv-move" }); len(orders) > 0 && orders[0].At.Before(unblocked) {
+			t.Error("no packet of an order was lost, so the test shows nothing")
+		}
+	})
+}
--- a/service/usherhost/stoprun.go
+++ b/service/usherhost/stoprun.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"syscall"
 	"time"
 
 	"github.com/joomcode/errorx"
@@ -61,7 +63,7 @@
 		}
 	}
 	return func(ctx context.Context) stopResult {
-		if err := g.host.probeTarget(ctx, source); err != nil {
+		if err := g.host.probeTwice(ctx, source); err != nil {
 			g.host.logUnreachable(source, attempt, err)
 			return stopResult{}
 		}
@@ -76,6 +78,15 @@
 	}
 }
 
+// probeTwice returns an error if a target refuses a connection or does not accept two in a row: one packet can get lost.
+func (h *Host) probeTwice(ctx context.Context, target ushercatalog.Target) error {
+	err := h.probeTarget(ctx, target)
+	if err == nil || errors.Is(err, syscall.ECONNREFUSED) {
+		return err
+	}
+	return h.probeTarget(ctx, target)
+}
+
 // orderStop orders an engine to end a run and to copy its KV cache to holder.
 func (h *Host) orderStop(ctx context.Context, source ushercatalog.Target, attempt string, holder ushercatalog.Target) stopResult {
 	ctx, cancel := context.WithTimeout(ctx, stopTimeout)
