usherhost: a stream without framing that was stopped is not complete

Cause: the host orders the engine to end the run of a stalled stream; the engine closes the response, and in one without framing that reads as io.EOF. relay looked at the outcome of the order only for other errors, so that end counted as the stream's.

Evidence: TestUnframedStreamThatIsStoppedIsNotComplete failed in all four cases, "error <nil>, events [1]; want 20", for streams that may be resumed and those that run once, with and without an answer to the order.

Why this works: the end of a response without framing is checked against the order: if that has ended the run, or may have since its answer was lost, the stream goes on elsewhere. An engine that did not have the run any more has ended it itself, and one that has turned the order away too.

Tests: ./service/usherhost/..., ./platform/... and ./cmd/usher-host/daemon passed.

--- a/cmd/usher-host/daemon/silence_test.go
+++ b/cmd/usher-host/daemon/silence_test.go
@@ -217,3 +217,35 @@
 		}
 	})
 }
+
+// An engine that ends a run on request ends the response with its connection, as it ends all of them. That looked like the end of
+// the stream.
+func TestUnframedStreamThatIsStoppedIsNotComplete(t *testing.T) {
+	for _, path := range []string{"/eligibility/20", "/appraisal/20"} {
+		for _, loses := range []bool{false, true} {
+			t.Run(fmt.Sprint(path, ", the answer to the order is lost: ", loses), func(t *testing.T) {
+				withTestbed(t, options{hosts: 1, engines: 4, unframed: true, editDeclarations: func(d map[string]any) {
+					// The stall lasts longer than both routes wait.
+					for _, r := range d["routes"].([]any)[:2] {
+						r.(map[string]any)["gapTargetMs"], r.(map[string]any)["goalMs"] = 100, 500
+					}
+				}}, func(t *testing.T, b *testbed) {
+					faults := &faultSequence{faults: []usherstandin.Fault{usherstandin.StallsAfterFirstEvent}}
+					for _, target := range b.targets {
+						target.SetFaultSource(faults.next)
+						if loses {
+							target.LoseMoves()
+						}
+					}
+					got := b.post(b.hosts[0], path)
+					if got.err != nil || !isComplete(got.body, got.attempt, 20) {
+						t.Errorf("error %v, events %v; want 20", got.err, events(got.body))
+					}
+					if b.logBuffer.count("run ordered to end") == 0 {
+						t.Error("no run was ordered to end, so the test shows nothing")
+					}
+				})
+			})
+		}
+	}
+}
--- a/service/usherhost/relay.go
+++ b/service/usherhost/relay.go
@@ -30,17 +30,8 @@
 		select {
 		case item := <-items:
 			stop()
-			if g.stopping && item.err != nil && (!errors.Is(item.err, io.EOF) || isUnframed(g.exchange.response)) {
-				// The target closes the stream of a run that it has ended.
-				if result := <-g.stopResults; result.err == nil {
-					g.recordStop(result)
-					if errors.Is(item.err, io.EOF) {
-						item.err = errConnectionLost.Wrap(io.ErrUnexpectedEOF, "the run was ended on request")
-					}
-				}
-			}
-			if errors.Is(item.err, io.EOF) && (g.continuesNothing() || g.brokenOff(ctx)) {
-				item.err = io.ErrUnexpectedEOF
+			if item.err != nil {
+				item.err = g.endOfRun(ctx, item.err)
 			}
 			if err := g.relayEvent(item); err != nil || item.err != nil {
 				return ignoreEOF(err)
@@ -61,6 +52,7 @@
 		case result := <-g.stopResults:
 			stop()
 			g.stopping = false
+			g.mayBeStopped = g.mayBeStopped || result.unanswered
 			if result.err == nil {
 				g.recordStop(result)
 				return errStalled.New("target %s sent nothing for %s", g.source.Target.ID, g.stallTimeout())
@@ -80,6 +72,32 @@
 	}
 }
 
+// endOfRun returns the error with which the current run has ended: io.EOF only if the stream is complete.
+func (g *generation) endOfRun(ctx context.Context, err error) error {
+	stopped := g.endedOnRequest(err)
+	if errors.Is(err, io.EOF) && (stopped || g.continuesNothing() || g.brokenOff(ctx)) {
+		return io.ErrUnexpectedEOF
+	}
+	return err
+}
+
+// endedOnRequest reports whether a response may have ended, with err, because the target has been ordered to end the run. A target
+// that did not have the run any more has ended it itself, and the end of a response with a length or chunks is its own.
+func (g *generation) endedOnRequest(err error) bool {
+	if errors.Is(err, io.EOF) && !isUnframed(g.exchange.response) {
+		return false
+	}
+	if g.stopping {
+		result := <-g.stopResults
+		g.stopping = false
+		g.mayBeStopped = g.mayBeStopped || result.unanswered || result.run.Kept.Handle != ""
+		if result.err == nil {
+			g.recordStop(result)
+		}
+	}
+	return g.mayBeStopped
+}
+
 // brokenOff reports whether a stream that has ended after an event, or without any, is incomplete.
 func (g *generation) brokenOff(ctx context.Context) bool {
 	return g.host.brokenOff(ctx, g.exchange, g.source.Target, int64(g.req.events))
--- a/service/usherhost/stoprun.go
+++ b/service/usherhost/stoprun.go
@@ -32,6 +32,8 @@
 	holder string
 	run    ushercall.StoppedRun
 	err    error
+	// unanswered reports that the order got no answer, so that the target may have ended the run or not.
+	unanswered bool
 }
 
 // beginStop orders the engine to end the run and to copy its KV cache to where the stream can go on. The result is sent
@@ -126,7 +128,7 @@
 	}
 	if !h.isResponsive(ctx, source) {
 		h.logUnreachable(source, attempt, errStillRunning.New("no answer within %s, and no report", stopPatience))
-		return stopResult{holder: holder.ID}
+		return stopResult{holder: holder.ID, unanswered: true}
 	}
 	return <-results
 }
@@ -145,11 +147,12 @@
 	if err == nil {
 		return stopResult{holder: holder.ID, run: run}
 	}
-	if !h.engines.IsUnreachable(err) || h.isResponsive(context.WithoutCancel(ctx), source) {
-		return stopResult{err: errStillRunning.Wrap(err, "target %s may still work on the request", source.ID)}
+	unanswered := h.engines.IsUnreachable(err)
+	if !unanswered || h.isResponsive(context.WithoutCancel(ctx), source) {
+		return stopResult{err: errStillRunning.Wrap(err, "target %s may still work on the request", source.ID), unanswered: unanswered}
 	}
 	h.logUnreachable(source, attempt, err)
-	return stopResult{holder: holder.ID}
+	return stopResult{holder: holder.ID, unanswered: true}
 }
 
 // isResponsive reports whether an engine gives a report.
--- a/service/usherhost/stream.go
+++ b/service/usherhost/stream.go
@@ -94,6 +94,9 @@
 		stopping    bool
 		runEnded    bool
 		stopResults chan stopResult
+		// mayBeStopped reports whether the target may have ended the current run because of an order, so that the end of a
+		// response without framing is not that of the stream.
+		mayBeStopped bool
 		// releases has the functions that subtract the loads tracked for this request, by target.
 		releases map[string]func()
 		// headerSent reports whether the response header was sent to the caller.
@@ -279,7 +282,7 @@
 	g.source, g.resumeAnnounced, g.runEvents, g.runAdvanced = choice, false, 0, false
 	// Results of copies that are still in progress belong to the previous run and must not be received.
 	g.copyResults = make(chan copyResult, 1)
-	g.stopping, g.runEnded, g.stopResults = false, false, make(chan stopResult, 1)
+	g.stopping, g.runEnded, g.mayBeStopped, g.stopResults = false, false, false, make(chan stopResult, 1)
 	x, err := g.host.connect(ctx, choice.Target)
 	if err != nil {
 		return sendResult{choice: choice, result: usherpool.Unreachable, err: err}
