usherhost: a whole failure of a copy's holder ends the run there

What callers saw: a stream whose target died and whose copy's holder answered with 500 was held until the caller's time was over, and cut then, at engines that take no order to end a run.

Cause: after a send that continues a stream and fails, the host makes sure that the run has ended at its target before it goes on. It did so also if the target had sent a whole response, after which nothing runs there.

Evidence: TestFailureOfTheHolderEndsTheStreamAtOnce failed: "error unexpected EOF after 39.0015s; want a stream that is cut at once".

Why this works: a whole failure is the end of the run, as for plain calls; only a lost answer leaves it open.

Tests: ./service/usherhost/... and ./cmd/usher-host/daemon passed.

--- a/cmd/usher-host/daemon/silence_test.go
+++ b/cmd/usher-host/daemon/silence_test.go
@@ -249,3 +249,21 @@
 		}
 	}
 }
+
+// The holder of a stream's copy answers with a whole failure, and its engines take no order to end a run. The failure ends the run;
+// the caller was held until its time was over.
+func TestFailureOfTheHolderEndsTheStreamAtOnce(t *testing.T) {
+	withTestbed(t, options{hosts: 1, engines: 3, editDeclarations: func(d map[string]any) {
+		d["services"].([]any)[0].(map[string]any)["engine"].(map[string]any)["moves"] = false
+	}}, func(t *testing.T, b *testbed) {
+		attempt, done := b.startStream(b.hosts[0], "/appraisal/100")
+		time.Sleep(time.Second)
+		for _, target := range b.targets {
+			target.SetFault(usherstandin.Fails)
+		}
+		b.kill(b.currentEngine(attempt))
+		if got := <-done; got.err == nil || got.elapsed > 3*time.Second {
+			t.Errorf("error %v after %s; want a stream that is cut at once", got.err, got.elapsed)
+		}
+	})
+}
--- a/service/usherhost/failover.go
+++ b/service/usherhost/failover.go
@@ -161,7 +161,8 @@
 			copies.DropCopy(point)
 		}
 		g.copies = copies
-		if result.ran {
+		if result.ran && result.reply.status == 0 {
+			// A target that has sent a whole failure has ended the run.
 			if err := g.awaitRunEnd(ctx, result.err); err != nil {
 				return errNotResumed.Wrap(err, "stream not resumed after %s", errorText(result.err))
 			}
