usherhost: show that requests chosen before a target withdrew go elsewhere

What callers saw: nothing; no fault. No test covered the path of a request that waits for a connection to a target while that target says to another one that it is leaving (DRAIN), and the host logged nothing there, so that a trace could not show it.

Evidence: with the check before the send switched off, TestRequestThatWasChosenBeforeIsWithdrawn fails: 'body "POST /allotment/second by plain-0"; want an answer of the other target'. On the code before this commit it fails only by its check for the new log line, which shows that the path was taken.

Now: one log line for each such request, with the attempt, the target and its incarnation.

--- a/cmd/usher-host/daemon/notice_test.go
+++ b/cmd/usher-host/daemon/notice_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"net/netip"
 	"strconv"
 	"strings"
 	"sync"
@@ -328,3 +329,27 @@
 		}
 	})
 }
+
+// A target says that it is leaving while another request, for which it has been chosen, waits for a connection to it. That request
+// must go elsewhere, and no retry is needed for it.
+func TestRequestThatWasChosenBeforeIsWithdrawn(t *testing.T) {
+	withTestbed(t, options{hosts: 1, plainTargets: 2, noRetries: true}, func(t *testing.T, b *testbed) {
+		h, leaving := b.hosts[0], "plain-0"
+		b.targets[leaving].SayLeaving(true)
+		go b.post(h, "/allotment/first")
+		time.Sleep(5 * time.Millisecond)
+		_, entry := b.targets[leaving].Entry("ready")
+		target := netip.MustParseAddrPort(entry.(map[string]any)["address"].(string)).Addr()
+		b.network.Block(mustAddr(h.ip), target)
+		second := make(chan result, 1)
+		go func() { second <- b.post(h, "/allotment/second") }()
+		time.Sleep(50 * time.Millisecond)
+		b.network.Unblock(mustAddr(h.ip), target)
+		if got := <-second; got.status != http.StatusOK || !strings.HasSuffix(got.body, "by plain-1") {
+			t.Errorf("status %d, error %v, body %q; want an answer of the other target", got.status, got.err, got.body)
+		}
+		if b.logBuffer.count("choosing again") != 1 {
+			t.Error("the request was not chosen for the leaving target, so the test shows nothing")
+		}
+	})
+}
--- a/service/usherhost/notice.go
+++ b/service/usherhost/notice.go
@@ -53,11 +53,12 @@
 }
 
 // withdrawn returns the result for a request that may not be sent any more to the target that was chosen for it.
-func (h *Host) withdrawn(choice usherpool.Choice) (sendResult, bool) {
+func (h *Host) withdrawn(req *requestState, choice usherpool.Choice) (sendResult, bool) {
 	if h.state.mayReceive(choice) {
 		return sendResult{}, false
 	}
 	h.metrics.withdrawn.Inc(1)
+	h.log.Info("chosen target does not take the request any more; choosing again", "attempt", req.Attempt, "target", choice.Target.ID, "incarnation", choice.Target.Incarnation)
 	return sendResult{choice: choice, result: usherpool.Withdrawn, err: errWithdrawn.New("target %s does not take the request any more", choice.Target.ID)}, true
 }
 
--- a/service/usherhost/plain.go
+++ b/service/usherhost/plain.go
@@ -261,7 +261,7 @@
 		releaseLoad()
 		return sendResult{choice: choice, result: usherpool.Unreachable, err: err}
 	}
-	if result, withdrawn := h.withdrawn(choice); withdrawn {
+	if result, withdrawn := h.withdrawn(req, choice); withdrawn {
 		x.close()
 		releaseLoad()
 		return result
--- a/service/usherhost/stream.go
+++ b/service/usherhost/stream.go
@@ -288,7 +288,7 @@
 		return sendResult{choice: choice, result: usherpool.Unreachable, err: err}
 	}
 	g.exchange = x
-	if result, withdrawn := g.host.withdrawn(choice); withdrawn {
+	if result, withdrawn := g.host.withdrawn(g.req, choice); withdrawn {
 		return result
 	}
 	dispatch := g.req.dispatch(id)
