usherpool: keep the rest of a target whose entry is missing

Cause: Pool.Rest ignored targets without an entry, though a rest that had begun before the entry went is kept. The host logged a rest by the target's id, also where another incarnation had asked for it, and a rest that ended while the entry was missing had no line for its end.

Evidence: TestRestOfATargetWithoutEntryIsKept, with Rest only reporting what it did, failed on the old code: "chose e0 in its rest", "ended [], want one rest".

Why this works: such a rest is kept with those of targets whose entry goes, by incarnation and within the same bound, and goes with the entry when it comes back. Rest says itself whether it is news.

Tests: ./service/usherhost/..., ./pkg/usherpool and ./cmd/usher-host/daemon passed.

--- a/pkg/usherpool/notice.go
+++ b/pkg/usherpool/notice.go
@@ -76,6 +76,7 @@
 	for key, r := range p.resting {
 		if _, replaced := p.targets[key.id]; replaced || !now.Before(r.until) {
 			delete(p.resting, key)
+			p.ended = append(p.ended, EndedNotice{Target: key.id, Incarnation: key.born, Kind: RestEnded})
 		}
 	}
 	for key, published := range p.departed {
@@ -90,13 +91,21 @@
 	}
 }
 
-// Rest records that an incarnation of a target wants nothing from this host until the given time.
-func (p *Pool) Rest(said ushercatalog.Target, until time.Time) {
-	t, known := p.targets[said.ID]
-	if !known || incarnationOf(t.entry) != incarnationOf(said) || !until.After(t.rest.until) {
-		return
-	}
-	t.rest = rest{until: until, spacing: restSpacing, next: until}
+// Rest records that an incarnation of a target wants nothing from this host until the given time, and reports whether that is
+// later than known.
+func (p *Pool) Rest(said ushercatalog.Target, until time.Time) bool {
+	key, r := incarnationOf(said), rest{until: until, spacing: restSpacing, next: until}
+	switch t, known := p.targets[said.ID]; {
+	case known && incarnationOf(t.entry) != key:
+		return false
+	case known && until.After(t.rest.until):
+		t.rest = r
+		return true
+	case !known && until.After(p.resting[key].until) && len(p.resting) < maxDepartures:
+		p.resting[key] = r
+		return true
+	}
+	return false
 }
 
 // RestEnded, DepartureEnded and LimitEnded are the kinds of what can end; the last two as the incarnation is gone.
--- a/pkg/usherpool/notice_test.go
+++ b/pkg/usherpool/notice_test.go
@@ -120,6 +120,29 @@
 	}
 }
 
+// A target asks for a rest in its last response, after its entry has gone, and the entry comes back. The rest is still what it
+// asked for, and its end is told once.
+func TestRestOfATargetWithoutEntryIsKept(t *testing.T) {
+	published := targets(1)
+	p := newPool(1, published, 1)
+	p.Update(start, nil, noneEvacuated, table(), 1)
+	if !p.Rest(*published[0].Target, start.Add(time.Minute)) || p.Rest(*published[0].Target, start.Add(time.Second)) {
+		t.Error("want a longer rest to count and a shorter one not to")
+	}
+	p.Update(start.Add(time.Second), published, noneEvacuated, table(), 1)
+	if choice, err := p.Choose(start.Add(2*time.Second), usherpool.Request{Service: engines, PromptTokens: 100}); err == nil {
+		t.Errorf("chose %s in its rest", choice.Target.ID)
+	}
+	other := target(0)
+	other.Target.Incarnation = 7
+	if p.Rest(*other.Target, start.Add(time.Hour)) {
+		t.Error("a rest of another incarnation counts")
+	}
+	if ended := p.EndedNotices(start.Add(2 * time.Minute)); len(ended) != 1 || ended[0].Kind != usherpool.RestEnded {
+		t.Errorf("ended %+v, want one rest", ended)
+	}
+}
+
 func BenchmarkChoose(b *testing.B) {
 	for _, n := range []int{12, 64, 1200} {
 		b.Run(fmt.Sprint(n, " targets"), func(b *testing.B) {
--- a/service/usherhost/notice.go
+++ b/service/usherhost/notice.go
@@ -87,9 +87,7 @@
 func (s *sharedState) recordRest(target ushercatalog.Target, until time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	known, _ := s.pool.Rests(time.Now(), target.ID)
-	s.pool.Rest(target, until)
-	return until.After(known)
+	return s.pool.Rest(target, until)
 }
 
 // restEnd returns until when a target wants nothing from this host; zero if it does not rest.
