usher-host: the soak says how much of its two notice rules it has checked

The soak's line on targets that say that they are leaving or ask for a rest counted what it had seen, not what its checks had judged: requests for a rest that a fault excuses counted as well, so a soak whose every case was excused looked like one that had shown something.

Now the line has both, and the late requests with the excused ones. No check or bound changes.

--- a/cmd/usher-host/daemon/soak_notice_test.go
+++ b/cmd/usher-host/daemon/soak_notice_test.go
@@ -110,31 +110,37 @@
 // checkNotices compares what reached targets with what they had said of themselves.
 func (s *soak) checkNotices() {
 	n := &s.notices
-	rests, departures := 0, len(n.passedOn)
+	rests, checked, late := 0, 0, 0
 	for id, target := range s.targets {
 		arrivals := target.Arrivals()
 		for _, asked := range arrivals {
 			if host := n.hostOf[asked.Attempt]; asked.Rested && host != "" {
 				rests++
-				s.checkRest(id, host, asked.At, arrivals)
+				if s.checkRest(id, host, asked.At, arrivals) {
+					checked++
+				}
 			}
 		}
 		for _, a := range arrivals {
 			host, sent := n.hostOf[a.Attempt], n.sentAt[a.Attempt]
 			said := n.passedOn[[2]string{host, id}]
+			if !said.IsZero() && sent.After(said.Add(drainTime)) {
+				late++
+			}
 			if !said.IsZero() && sent.After(said.Add(drainTime)) && !n.excused(said, a.At, host) {
 				s.fail("%s reached %s from %s, sent %s after that host had passed on that it is leaving", a.Attempt, id, host, sent.Sub(said))
 			}
 		}
 	}
-	s.t.Logf("%d requests for a rest, %d times a host passed on that a target leaves", rests, departures)
+	s.t.Logf("%d requests for a rest, %d of them checked; %d times a host passed on that a target leaves, %d late requests with the excused ones", rests, checked, len(n.passedOn), late)
 }
 
-// checkRest checks that few requests of a host reach a target after it has asked that host for a rest.
-func (s *soak) checkRest(id, host string, asked time.Time, arrivals []usherstandin.Arrival) {
+// checkRest checks that few requests of a host reach a target after it has asked that host for a rest, and reports whether no
+// fault excuses them.
+func (s *soak) checkRest(id, host string, asked time.Time, arrivals []usherstandin.Arrival) bool {
 	n := &s.notices
 	if n.excused(asked, asked.Add(soakRest), host, id) {
-		return
+		return false
 	}
 	strays := 0
 	for _, a := range arrivals {
@@ -145,4 +151,5 @@
 	if strays > restStrays {
 		s.fail("%d requests of %s reached %s in the rest that it had asked for", strays, host, id)
 	}
+	return true
 }
