ushergateway: count requests and close the count under one lock

A planned stop waits for the requests in progress, and the race detector reports that others add to the same sync.WaitGroup from zero meanwhile: the stop could miss one, and the process exit amid it.

Evidence: on the old code TestStopCountsRequestsThatBeginMeanwhile and TestResendToAStoppedGatewayIsNotCalledNotRun fail by "WARNING: DATA RACE" (submit.go:93 and gateway.go:194; sync.(*WaitGroup).Go).

Why this works: a request either begins before the stop has seen none in progress, and is waited for, or runs nothing. Forwarded requests are looked up in the ledger also then; a resume is refused with an unknown outcome (that path has no test of its own).

Tests: ./service/ushergateway twice with the race detector and ./cmd/usher-gateway/... passed.

--- a/service/ushergateway/execution.go
+++ b/service/ushergateway/execution.go
@@ -336,7 +336,7 @@
 // sendResult reports the end of an attempt to a scheduler in the background, so that the caller does not wait.
 func (e *execution) sendResult(scheduler usherconfig.Host, end ushergrant.AttemptResult) {
 	g := e.gateway
-	g.requests.Go(func() {
+	g.requests.run(func() {
 		ctx, cancel := context.WithTimeout(g.background, finishTimeout)
 		defer cancel()
 		if err := g.Grants.Finish(ctx, scheduler.Address.String(), end); err != nil {
--- a/service/ushergateway/gateway.go
+++ b/service/ushergateway/gateway.go
@@ -129,7 +129,7 @@
 		// background is the context of work that outlives a caller's connection; it is cancelled when Run returns.
 		background       context.Context
 		cancelBackground context.CancelFunc
-		requests         sync.WaitGroup
+		requests         inProgress
 		tasks            sync.WaitGroup
 		// reported has the addresses of the schedulers that were sent running attempts in the last round. Only Run uses
 		// it.
@@ -167,7 +167,7 @@
 
 // Run reports progress to the schedulers, and crash reports and rate demand to the other gateways, until ctx ends.
 func (g *Gateway) Run(ctx context.Context) {
-	defer g.requests.Wait()
+	defer func() { _ = g.requests.finish(context.WithoutCancel(ctx)) }()
 	defer g.tasks.Wait()
 	defer g.cancelBackground()
 	ticker := time.NewTicker(progressPeriod)
@@ -190,18 +190,11 @@
 func (g *Gateway) Stop(ctx context.Context) error {
 	g.stopping.Store(true)
 	g.atMostOnce.stop()
-	done := make(chan struct{})
-	go func() {
-		g.requests.Wait()
-		close(done)
-	}()
-	select {
-	case <-done:
-		sleep(ctx, forwardReplyGrace)
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
+	if err := g.requests.finish(ctx); err != nil {
+		return err
 	}
+	sleep(ctx, forwardReplyGrace)
+	return nil
 }
 
 func (g *Gateway) newID(workspace, key string) (usherrequest.ID, error) {
--- a/service/ushergateway/generate.go
+++ b/service/ushergateway/generate.go
@@ -212,7 +212,7 @@
 	if reason != usherrequest.ReasonCancelled || errorx.IsOfType(context.Cause(ctx), errCancelled) {
 		wait = 0
 	}
-	g.gateway.requests.Go(func() { g.cancelAfter(wait) })
+	g.gateway.requests.run(func() { g.cancelAfter(wait) })
 	return attemptResult{reason: reason}
 }
 
--- a/service/ushergateway/once.go
+++ b/service/ushergateway/once.go
@@ -210,12 +210,14 @@
 
 // serveForward runs a request that another gateway received with an ID issued by this one.
 func (g *Gateway) serveForward(ctx context.Context, from usherlink.Peer, body usherlink.Payload) (any, error) {
-	g.requests.Add(1)
-	defer g.requests.Done()
 	var wire forwardWire
 	if err := body.Decode(&wire); err != nil {
 		return nil, err
 	}
+	if g.requests.begin() {
+		defer g.requests.end()
+	}
+	// Otherwise nothing new runs any more, but the ledger still knows what an earlier send with the same ID came to.
 	if err := g.Config.WaitForRevision(ctx, wire.Revision, from.Address.String()); err != nil {
 		return nil, err
 	}
--- a/service/ushergateway/once_test.go
+++ b/service/ushergateway/once_test.go
@@ -168,3 +168,35 @@
 		service.SetFaults(faults)
 	}
 }
+
+// A gateway is about to end after a planned stop, and another one forwards it a request that it had run before, with the same ID. That
+// one must not be told that it has not run. Found by TestPlannedStops of the proof.
+func TestResendToAStoppedGatewayIsNotCalledNotRun(t *testing.T) {
+	inBubble(t, testResendToAStoppedGatewayIsNotCalledNotRun)
+}
+
+func testResendToAStoppedGatewayIsNotCalledNotRun(t *testing.T) {
+	fleet := startFleet(t, usherfleet.Config{Gateways: 2, Engines: 1, Services: 2})
+	client := fleet.NewClient()
+	first, second := fleet.Gateways[0], fleet.Gateways[1]
+	id := newRequestID(t, client, first.Address(), "")
+	if _, err := client.Send(t.Context(), first.Address(), allotment("meera", id), nil); err != nil {
+		t.Fatal(err)
+	}
+	stopped := make(chan error, 1)
+	go func() { stopped <- first.Stop(t.Context()) }()
+	// Nothing is in progress, and the answers to forwarded requests still have time to arrive.
+	time.Sleep(300 * time.Millisecond)
+	answer, err := client.Send(t.Context(), second.Address(), allotment("meera", id), nil)
+	if got := outcomeOf(err); err != nil && got != "unknown" {
+		t.Errorf("resent: outcome %s, error %v", got, err)
+	} else if err == nil && answer.Outcome != "completed" {
+		t.Errorf("resent: %+v", answer)
+	}
+	if got := executions(fleet, "meera"); got != 1 {
+		t.Errorf("ran %d times", got)
+	}
+	if err := <-stopped; err != nil {
+		t.Error(err)
+	}
+}
--- a/service/ushergateway/operation_test.go
+++ b/service/ushergateway/operation_test.go
@@ -313,3 +313,33 @@
 		t.Logf("engine %d crashed: %+v", i, record.Crashes)
 	}
 }
+
+// A planned stop waits for the requests in progress while others begin. Their count began again from zero, which the race
+// detector has reported once: the stop could miss a request that it had to wait for.
+func TestStopCountsRequestsThatBeginMeanwhile(t *testing.T) {
+	inBubble(t, testStopCountsRequestsThatBeginMeanwhile)
+}
+
+func testStopCountsRequestsThatBeginMeanwhile(t *testing.T) {
+	fleet := startFleet(t, usherfleet.Config{Gateways: 2, Schedulers: 3, Engines: 2, MaxColdConcurrency: 8})
+	const callers = 20
+	results := make(chan error, 2*callers)
+	for i := range 2 * callers {
+		client := fleet.NewClient()
+		go func() {
+			time.Sleep(time.Duration(i) * time.Millisecond)
+			_, err := client.Send(t.Context(), fleet.Gateways[0].Address(), appraisal(20), nil)
+			results <- err
+		}()
+	}
+	time.Sleep(callers * time.Millisecond)
+	if err := fleet.Gateways[0].Stop(t.Context()); err != nil {
+		t.Error(err)
+	}
+	for range 2 * callers {
+		var refusal usherclient.Refusal
+		if err := <-results; err != nil && !(errors.As(err, &refusal) && refusal.Outcome == "not_run") {
+			t.Errorf("a request ended with %v", err)
+		}
+	}
+}
--- a/service/ushergateway/resume.go
+++ b/service/ushergateway/resume.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/samphireusher/samphireusher/pkg/usherconfig"
+	"github.com/samphireusher/samphireusher/pkg/usherledger"
 	"github.com/samphireusher/samphireusher/pkg/usherlink"
 	"github.com/samphireusher/samphireusher/pkg/usherrelay"
 	"github.com/samphireusher/samphireusher/pkg/usherrequest"
@@ -47,8 +48,11 @@
 		}
 		handle = handle.WithNextIndex(index)
 	}
-	g.requests.Add(1)
-	defer g.requests.Done()
+	if !g.requests.begin() {
+		// The generation has run, at least in part.
+		return usherledger.GatewayUnreachable()
+	}
+	defer g.requests.end()
 	g.notifyTakeover(r.Context(), handle)
 	to := newEventSink(w, "")
 	answer, err := g.relayResumed(r.Context(), handle, to)
--- a/service/ushergateway/submit.go
+++ b/service/ushergateway/submit.go
@@ -117,8 +117,10 @@
 
 // submit runs a request that has an ID until it ends.
 func (g *Gateway) submit(ctx context.Context, resolved usherconfig.ResolvedRequest, id usherrequest.ID, idText string, to sink) (answer, error) {
-	g.requests.Add(1)
-	defer g.requests.Done()
+	if !g.requests.begin() {
+		return answer{}, g.refuseNotRun(resolved.Workspace.Name, usherrequest.ReasonStopping)
+	}
+	defer g.requests.end()
 	if g.stopping.Load() {
 		return answer{}, g.refuseNotRun(resolved.Workspace.Name, usherrequest.ReasonStopping)
 	}
