--- a/cmd/usher-host/daemon/soak_host_test.go
+++ b/cmd/usher-host/daemon/soak_host_test.go
@@ -38,7 +38,8 @@
 		s.t.Fatal(err)
 	}
 	command := exec.Command(os.Args[0])
-	command.Env = append(os.Environ(), soakSettings+"="+settings)
+	// The race detector would sleep one second before the process exits.
+	command.Env = append(os.Environ(), soakSettings+"="+settings, "GORACE="+os.Getenv("GORACE")+" atexit_sleep_ms=0")
 	command.Stdout, command.Stderr = log, log
 	command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := command.Start(); err != nil {
