usherhost: hosts tell each other that a limit has ended

What callers saw: in a large fleet hosts went on to answer 503 "limited" long after a target's limit had ended (40 hosts, 1 a second: up to 50 s).

Cause: a host learned of the end only by the response to its own next request, and its turn comes every hosts/(0.8 x limit) s.

Fix: reports carry up to twelve ends of limits for 5 s, with the age of the moment at which the request was sent whose response named none. A host ends its limit only if the latest response that named one to it came a second or more before that; hosts that never knew the limit pass the notice on; a host that was told of the limit later drops it. Hosts whose limit has ended tell later moments for 5 s, for those that were told of the limit just before its end. No notice begins or raises a limit. Older hosts skip the field (tried with the decoder's default settings).

--- a/pkg/usherpool/limit.go
+++ b/pkg/usherpool/limit.go
@@ -72,6 +72,15 @@
 	return true
 }
 
+// LimitNamed returns when the latest response that names a limit of an incarnation was received, if it has a limit.
+func (p *Pool) LimitNamed(said ushercatalog.Target) (at time.Time, ok bool) {
+	l := p.limitOf(said)
+	if l == nil {
+		return time.Time{}, false
+	}
+	return l.named, true
+}
+
 // limitOf returns the limit of an incarnation, whether or not its entry is known; nil for none.
 func (p *Pool) limitOf(said ushercatalog.Target) *limit {
 	if t, known := p.targets[said.ID]; known && incarnationOf(t.entry) == incarnationOf(said) {
--- a/service/usherhost/limit.go
+++ b/service/usherhost/limit.go
@@ -22,6 +22,7 @@
 		}
 	case n.Unlimited && h.state.recordNoLimit(target, sent):
 		h.log.Info("what a target said of itself has ended", "target", target.ID, "incarnation", target.Incarnation, "kind", usherpool.LimitEnded, "attempt", attempt)
+		h.peers.reportNow()
 	}
 }
 
@@ -68,12 +69,6 @@
 	return s.pool.Limit(time.Now(), target, sent, perSecond)
 }
 
-func (s *sharedState) recordNoLimit(target ushercatalog.Target, sent time.Time) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.pool.Unlimit(target, sent)
-}
-
 func (s *sharedState) takeTurn(target string) (opens time.Time, ok bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/service/usherhost/peers.go
+++ b/service/usherhost/peers.go
@@ -89,6 +89,8 @@
 		// Leaving are the notices of targets that told a host that they are leaving while no host has contact with the
 		// store.
 		Leaving []leavingNoticeWire `cbor:"16,keyasint,omitempty"`
+		// LimitEnds are the limits that have ended lately.
+		LimitEnds []limitEndWire `cbor:"19,keyasint,omitempty"`
 		// PlacementRequest or PlacementReply makes this a message about the placement of one request; all other fields
 		// but Report.From are then empty.
 		PlacementRequest *placementRequestWire `cbor:"14,keyasint,omitempty"`
@@ -234,17 +236,18 @@
 		p.placement.handleReply(d.Report.From, *d.PlacementReply)
 		return
 	}
-	hosts, targets := p.state.applyDatagram(d)
+	learned := p.state.applyDatagram(d)
 	if d.Suspicion != nil {
 		p.mergeSuspicion(d.Report.From.Name, *d.Suspicion)
 	}
-	if len(hosts) > 0 {
-		p.log.Info("hosts learned", "source", d.Report.From.Name, "hosts", describeHosts(hosts))
+	if len(learned.hosts) > 0 {
+		p.log.Info("hosts learned", "source", d.Report.From.Name, "hosts", describeHosts(learned.hosts))
 	}
-	for _, id := range targets {
+	for _, id := range learned.leaving {
 		p.log.Info("target learned", "source", d.Report.From.Name, "target", id, "leaving", true)
 	}
-	if d.Urgent && p.state.isCollector() {
+	p.logLimitEnds(d.Report.From.Name, learned.unlimited)
+	if (d.Urgent || learned.limitEnds) && p.state.isCollector() {
 		p.reportNow()
 	}
 	if len(d.Changes) == 0 {
--- a/service/usherhost/reports.go
+++ b/service/usherhost/reports.go
@@ -6,6 +6,7 @@
 	"strings"
 	"time"
 
+	"github.com/samphireusher/samphireusher/pkg/ushercatalog"
 	"github.com/samphireusher/samphireusher/pkg/ushercluster"
 	"github.com/samphireusher/samphireusher/pkg/usherpool"
 )
@@ -18,6 +19,16 @@
 	sourceFleet      = "fleet"
 )
 
+// learned is what a peer's report changes.
+type learned struct {
+	hosts []ushercluster.Member
+	// leaving are the targets newly reported as leaving.
+	leaving []string
+	// unlimited are the targets whose limits have ended, limitEnds reports whether any end is new to this host.
+	unlimited []ushercatalog.Target
+	limitEnds bool
+}
+
 func (s *sharedState) localPeers() []ushercluster.Member {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -58,7 +69,7 @@
 func (s *sharedState) statusDatagramAt(now time.Time) datagramWire {
 	d := datagramWire{
 		Version: protocolVersion, Report: ushercluster.Report{From: s.cluster.Self()}, Revision: s.catalog.Revision(), StoreAge: now.Sub(s.lastStoreResponse),
-		StoreFailing: s.storeFailing, Leaving: s.currentLeavingNotices(now),
+		StoreFailing: s.storeFailing, Leaving: s.currentLeavingNotices(now), LimitEnds: s.currentLimitEnds(now),
 	}
 	if age := now.Sub(s.contactLostAt); age < staleAfter {
 		d.StoreContactLostAge = &age
@@ -135,16 +146,16 @@
 	return out
 }
 
-// applyDatagram merges a peer's report and returns the hosts that it changes and the targets newly reported as leaving.
-func (s *sharedState) applyDatagram(d datagramWire) (hosts []ushercluster.Member, targets []string) {
+// applyDatagram merges a peer's report.
+func (s *sharedState) applyDatagram(d datagramWire) (l learned) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
 	from := d.Report.From
 	if from.Name == s.cluster.Self().Name {
-		return nil, nil
+		return l
 	}
-	hosts = s.cluster.Receive(now, d.Report)
+	l.hosts = s.cluster.Receive(now, d.Report)
 	s.peerStatuses[from.Name] = peerStatus{revision: d.Revision, lastStoreResponse: now.Add(-d.StoreAge), storeFailing: d.StoreFailing}
 	s.mergeStoreContact(now, d)
 	s.mergeLoads(now, d)
@@ -154,10 +165,12 @@
 	if d.StoreFailing {
 		notify(s.readerFailed)
 	}
-	if len(hosts) > 0 {
+	if len(l.hosts) > 0 {
 		s.updatePool(now)
 	}
-	return hosts, s.mergeLeavingNotices(now, d.Leaving)
+	l.leaving = s.mergeLeavingNotices(now, d.Leaving)
+	l.unlimited, l.limitEnds = s.mergeLimitEnds(now, d.LimitEnds)
+	return l
 }
 
 // mergeStoreContact updates the latest known response of the store.
--- a/service/usherhost/standstill.go
+++ b/service/usherhost/standstill.go
@@ -107,6 +107,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.cluster.PassTime(missed)
+	// Their moments would seem later than they are.
+	clear(s.limitEnds)
 	for name, status := range s.peerStatuses {
 		status.lastStoreResponse = status.lastStoreResponse.Add(-missed)
 		s.peerStatuses[name] = status
--- a/service/usherhost/state.go
+++ b/service/usherhost/state.go
@@ -41,8 +41,10 @@
 		dataCentreLoadDeltas usherpool.DeltaTracker
 		// leavingNotices are from targets that told this host or a peer that they are leaving.
 		leavingNotices []leavingNotice
-		suspicion      suspicion
-		changed        chan struct{}
+		// limitEnds are the limits that have ended lately, as this host or a peer learned.
+		limitEnds map[limitKey]limitEnd
+		suspicion suspicion
+		changed   chan struct{}
 		// behindPeer is notified when a peer has a newer catalog than this host, readerFailed when a peer reports that
 		// its calls to the store fail.
 		behindPeer   chan struct{}
@@ -74,6 +76,7 @@
 		retryBudgets:  map[string]*usherpool.RetryBudget{},
 		retryDefaults: usherpool.RetryBudget{Ratio: settings.Retries.Ratio, Allowance: settings.Retries.Allowance, Window: settings.Retries.Window},
 		peerStatuses:  map[string]peerStatus{},
+		limitEnds:     map[limitKey]limitEnd{},
 		suspicion:     newSuspicion(self.Name),
 		changed:       make(chan struct{}), behindPeer: make(chan struct{}, 1), readerFailed: make(chan struct{}, 1),
 	}
