usherpool: keep a limit that is named while the target's entry is missing

What callers saw: nothing directly; a target whose entry was missing for a while, and that named its limit in a response then, got requests beyond it once the entry came back, until a host was told again. Requests chosen before, and sent while the entry was missing, took no turn.

Cause: Pool.Limit ignored a limit of a target without an entry, unless the limit was known before.

Fix: it is kept by incarnation with those of other missing entries, within the same bound of 4,096 and for the same ten minutes. If another incarnation, or one at another address, is there, it is ignored as before.

Evidence, before: TestLimitOfATargetWhoseEntryIsMissing the same: the limit is not new, or an overtaken response raises it the same: requests that were chosen before take no turn the same: limit -1, want 3 and TestLimitsOfMissingEntriesAreBounded: 0 limits are remembered, want 4,096. Both pass now.

--- a/pkg/usherpool/limit.go
+++ b/pkg/usherpool/limit.go
@@ -43,12 +43,7 @@
 func (p *Pool) Limit(now time.Time, said ushercatalog.Target, sent time.Time, perSecond float64) bool {
 	l := p.limitOf(said)
 	if l == nil {
-		t, known := p.targets[said.ID]
-		if !known || incarnationOf(t.entry) != incarnationOf(said) {
-			return false
-		}
-		t.limit = &limit{perSecond: perSecond, named: now}
-		return true
+		return p.addLimit(now, said, perSecond)
 	}
 	changed := perSecond < l.perSecond || perSecond > l.perSecond && sent.After(l.named)
 	if changed {
@@ -58,6 +53,20 @@
 	return changed
 }
 
+// addLimit records the first limit of an incarnation, unless another one has taken its place. Its entry may be missing.
+func (p *Pool) addLimit(now time.Time, said ushercatalog.Target, perSecond float64) bool {
+	t, known := p.targets[said.ID]
+	switch {
+	case known && incarnationOf(t.entry) == incarnationOf(said):
+		t.limit = &limit{perSecond: perSecond, named: now}
+	case known, len(p.limits) >= maxDepartures:
+		return false
+	default:
+		p.limits[incarnationOf(said)] = &limit{perSecond: perSecond, named: now, missingSince: now}
+	}
+	return true
+}
+
 // Unlimit records that an incarnation of a target did not name a limit in its response to a request sent at the given time, and
 // reports whether a limit has ended by that.
 func (p *Pool) Unlimit(said ushercatalog.Target, sent time.Time) bool {
--- a/pkg/usherpool/limit_test.go
+++ b/pkg/usherpool/limit_test.go
@@ -233,6 +233,56 @@
 	}
 }
 
+// A response that named a limit while the target's entry was missing was forgotten once the entry came back.
+func TestLimitOfATargetWhoseEntryIsMissing(t *testing.T) {
+	restarted, moved := *target(0).Target, *target(0).Target
+	restarted.Incarnation++
+	moved.Address = target(7).Target.Address
+	for _, c := range []struct {
+		name string
+		next *ushercatalog.Target
+		want float64
+	}{{"the same", target(0).Target, 3}, {"restarted", &restarted, -1}, {"at another address", &moved, -1}} {
+		p := newPool(1, targets(1), 1)
+		p.Update(start.Add(time.Second), nil, noneEvacuated, table(), 1)
+		said, now := *target(0).Target, start.Add(2*time.Second)
+		if !p.Limit(now, said, start, 3) || p.Limit(now, said, start, 4) {
+			t.Errorf("%s: the limit is not new, or an overtaken response raises it", c.name)
+		}
+		if named, limited := p.LimitNamed(said); !limited || !named.Equal(now) {
+			t.Errorf("%s: limited %t at %s", c.name, limited, named)
+		}
+		if first, second := p.Claim(now, usherpool.Choice{Target: said}), p.Claim(now, usherpool.Choice{Target: said}); !first || second {
+			t.Errorf("%s: requests that were chosen before take no turn", c.name)
+		}
+		next := target(0)
+		next.Target = c.next
+		p.Update(start.Add(time.Minute), []ushercatalog.KnownEntry{next}, noneEvacuated, table(), 1)
+		if got := limitInForce(p, start.Add(time.Minute)); got != c.want {
+			t.Errorf("%s: limit %g, want %g", c.name, got, c.want)
+		}
+	}
+}
+
+// What is remembered of limits must not grow with each target whose entry is missing.
+func TestLimitsOfMissingEntriesAreBounded(t *testing.T) {
+	p := newPool(1, nil, 1)
+	said, remembered := *target(0).Target, 0
+	for i := range 10_000 {
+		said.Incarnation = int64(i)
+		if p.Limit(start, said, start, 3) {
+			remembered++
+		}
+	}
+	if remembered != 4096 {
+		t.Errorf("%d limits are remembered, want 4,096", remembered)
+	}
+	p.Update(start.Add(time.Hour), nil, noneEvacuated, table(), 1)
+	if ended := len(p.EndedNotices(start.Add(time.Hour))); ended != remembered {
+		t.Errorf("%d of %d limits have ended after an hour", ended, remembered)
+	}
+}
+
 // What is remembered of limits must not grow with each target that comes and goes.
 func TestLimitsAreForgotten(t *testing.T) {
 	p := newPool(1, nil, 1)
