--- a/service/usherhost/limitend.go
+++ b/service/usherhost/limitend.go
@@ -87,8 +87,8 @@
 	return out[:min(len(out), maxLimitEnds)]
 }
 
-// mergeLimitEnds merges the notices sent by a peer, except those that are older than what the target told this host. It returns the targets whose limits have ended by that, and whether any
-// notice is new.
+// mergeLimitEnds merges the notices sent by a peer, except those that are older than what the target told this host. It returns
+// the targets whose limits have ended by that, and whether any notice is new.
 func (s *sharedState) mergeLimitEnds(now time.Time, notices []limitEndWire) (ended []ushercatalog.Target, news bool) {
 	for _, w := range notices[:min(len(notices), maxLimitEnds)] {
 		if w.Age < 0 || w.Age > limitEndLifetime {
--- a/service/usherhost/notice.go
+++ b/service/usherhost/notice.go
@@ -119,8 +119,8 @@
 	return s.pool.EndedNotices(time.Now())
 }
 
-// back returns after what time callers may return to a service all of whose targets rest or take no request of this host now. Callers get different times, or
-// they would all return at the same moment.
+// back returns after what time callers may return to a service all of whose targets rest, or take no request of this host now.
+// Callers get different times, or they would all return at the same moment.
 func (s *sharedState) back(service string) (time.Duration, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
