usherstandin: name limits and departures in responses written byte for byte

Cause: the stand-in's faults that write a response byte for byte, such as one that comes twice, left out what the target says of itself. The product and the check are unchanged.

Evidence: TestLimitIsTakenFromEachAnswer, with these two answers added, failed before ("taken for limited: false, want true") and passes now.

--- a/cmd/usher-host/daemon/limit_paths_test.go
+++ b/cmd/usher-host/daemon/limit_paths_test.go
@@ -61,6 +61,8 @@
 		{"404", "/allotment/x", usherstandin.FailsAsNotFound, []string{loneLimit}, true},
 		{"500", "/allotment/x", usherstandin.Fails, []string{loneLimit}, true},
 		{"503", "/allotment/x", usherstandin.Refuses, []string{loneLimit}, true},
+		{"sent twice", "/allotment/x", usherstandin.DuplicatesResponse, []string{loneLimit}, true},
+		{"after a response to another request", "/allotment/x", usherstandin.SendsForeignFirst, []string{loneLimit}, true},
 		{"head of a stream", "/appraisal/3", usherstandin.NoFault, []string{loneLimit}, true},
 		{"500 to a stream", "/appraisal/3", usherstandin.Fails, []string{loneLimit}, true},
 		{"503 to a stream", "/appraisal/3", usherstandin.Refuses, []string{loneLimit}, true},
