--- a/pkg/usherpool/pool.go
+++ b/pkg/usherpool/pool.go
@@ -124,6 +124,22 @@
 		DataCentre string
 		// Exclude lists targets that must not be chosen.
 		Exclude []string
+		// Route and Workspace are the route and the workspace of a stream, Rank the route's priority; zero is the most urgent.
+		Route     string
+		Workspace string
+		Rank      int
+		// MaxPause is the longest pause between two events that still meets the objective; zero for no bound.
+		MaxPause time.Duration
+		// Events is the expected number of events.
+		Events int
+		// Parts are the parts of the prompt that other requests may share, in order.
+		Parts []Part
+	}
+
+	// Part is a part of a prompt.
+	Part struct {
+		ID     string `cbor:"1,keyasint"`
+		Tokens int    `cbor:"2,keyasint"`
 	}
 
 	// Choice is the chosen target with the inputs of the decision.
--- a/service/usherhost/ingress.go
+++ b/service/usherhost/ingress.go
@@ -180,6 +180,11 @@
 	if req.route.Kind == usherroute.Stream {
 		return streamPriority
 	}
+	return req.rank()
+}
+
+// rank returns the operators' rank of the request; zero is the most urgent. The workspace's overrides the route's.
+func (req *requestState) rank() int {
 	if req.workspace.Priority != nil {
 		return *req.workspace.Priority
 	}
--- a/service/usherhost/placement.go
+++ b/service/usherhost/placement.go
@@ -56,6 +56,13 @@
 		Objective time.Duration `cbor:"7,keyasint,omitempty"`
 		// Backup requests memory that no other work needs.
 		Backup bool `cbor:"8,keyasint,omitempty"`
+		// Route, Workspace, Rank, MaxPause, Events and Parts are those of usherpool.Request.
+		Route     string           `cbor:"9,keyasint,omitempty"`
+		Workspace string           `cbor:"10,keyasint,omitempty"`
+		Rank      int              `cbor:"11,keyasint,omitempty"`
+		MaxPause  time.Duration    `cbor:"12,keyasint,omitempty"`
+		Events    int              `cbor:"13,keyasint,omitempty"`
+		Parts     []usherpool.Part `cbor:"14,keyasint,omitempty"`
 	}
 
 	placementReplyWire struct {
@@ -131,6 +138,7 @@
 	d := p.state.identityDatagram()
 	d.PlacementRequest = &placementRequestWire{ID: id, Parameters: placementParameters{
 		Service: r.Service, PromptTokens: r.PromptTokens, OutputTokens: r.OutputTokens, Copy: r.Copy, SourceDataCentre: r.SourceDataCentre, Objective: r.Objective, Backup: r.Backup,
+		Route: r.Route, Workspace: r.Workspace, Rank: r.Rank, MaxPause: r.MaxPause, Events: r.Events, Parts: r.Parts,
 		Exclude: slices.Compact(slices.Sorted(slices.Values(slices.Concat(r.Exclude, p.state.excludedTargets(r))))),
 	}}
 	start := time.Now()
@@ -170,12 +178,18 @@
 	delete(p.pending, id)
 }
 
+// request returns the request of a host in the given data centre.
+func (p placementParameters) request(dataCentre string) usherpool.Request {
+	return usherpool.Request{
+		Service: p.Service, PromptTokens: p.PromptTokens, OutputTokens: p.OutputTokens, Copy: p.Copy, SourceDataCentre: p.SourceDataCentre, Exclude: p.Exclude,
+		Objective: p.Objective, Backup: p.Backup, DataCentre: dataCentre,
+		Route: p.Route, Workspace: p.Workspace, Rank: p.Rank, MaxPause: p.MaxPause, Events: p.Events, Parts: p.Parts,
+	}
+}
+
 // handleRequest chooses a target for another host.
 func (p *placement) handleRequest(from ushercluster.Member, request placementRequestWire) {
-	r := usherpool.Request{
-		Service: request.Parameters.Service, PromptTokens: request.Parameters.PromptTokens, OutputTokens: request.Parameters.OutputTokens, Copy: request.Parameters.Copy,
-		SourceDataCentre: request.Parameters.SourceDataCentre, Exclude: request.Parameters.Exclude, Objective: request.Parameters.Objective, Backup: request.Parameters.Backup, DataCentre: from.DataCentre,
-	}
+	r := request.Parameters.request(from.DataCentre)
 	d := p.state.identityDatagram()
 	d.PlacementReply = &placementReplyWire{ID: request.ID}
 	choice, err := p.state.place(r, false)
--- a/service/usherhost/stream.go
+++ b/service/usherhost/stream.go
@@ -265,6 +265,10 @@
 func (g *generation) placementRequest(exclude []string) usherpool.Request {
 	r := usherpool.Request{
 		Service: g.req.service.Name, PromptTokens: max(g.req.PromptTokens, 1), OutputTokens: g.req.OutputTokens(), Exclude: exclude,
+		Route: g.req.route.Name, Workspace: g.req.workspace.Name, Rank: g.req.rank(), MaxPause: g.req.route.MaxPause,
+	}
+	if e := g.req.service.Engine; e != nil && e.EventTokens > 0 {
+		r.Events = r.OutputTokens / e.EventTokens
 	}
 	if objective := g.req.route.Objective; objective > 0 {
 		r.Objective = max(objective-time.Since(g.req.received), time.Millisecond)
