--- a/pkg/ushercall/call.go
+++ b/pkg/ushercall/call.go
@@ -38,8 +38,12 @@
 		OutputHint int
 		// SharedParts are the ids of the parts of the prompt that other requests may have too, in order. OwnPart is the id of
 		// the last part, which belongs to the request itself.
-		SharedParts []string
-		OwnPart     string
+		// SharedTokens are the numbers of tokens of SharedParts.
+		SharedParts  []string
+		SharedTokens []int
+		OwnPart      string
+		// Model is the model that is to answer; empty if not given.
+		Model string
 		// LastEventID is the id of the last event that the caller received of a stream to be resumed.
 		LastEventID string
 		Body        []byte
--- a/pkg/usherpool/place.go
+++ b/pkg/usherpool/place.go
@@ -35,6 +35,7 @@
 func (p *Pool) Place(now time.Time, r Request, own bool) (Choice, error) {
 	var best *target
 	var choice Choice
+	var plain plainChoice
 	reason := ErrNoTarget
 	for _, t := range p.shuffledCandidates(now, r) {
 		load := p.totalLoad(now, t)
@@ -42,18 +43,23 @@
 			reason = ErrFull
 			continue
 		}
-		if delay := p.delay(now, t, r, load); best == nil || delay < choice.Delay {
-			best, choice = t, Choice{Target: t.entry, Learned: t.learned, Delay: delay, Load: load}
+		kept := p.kept(now, t, r, load)
+		delay := p.delay(now, t, r, load) - kept.Saving
+		plain.consider(t, delay, kept)
+		if best == nil || delay < choice.Delay {
+			best, choice = t, Choice{Target: t.entry, Learned: t.learned, Delay: delay, Load: load, Kept: kept}
 		}
 	}
 	if best == nil {
 		return Choice{}, reason.New("no target of service %q accepts the request", r.Service)
 	}
+	choice.Kept = plain.otherwise(choice.Kept)
 	choice = p.estimatePrefill(now, best, r, choice)
 	if own {
 		return p.recordSend(now, best, r, choice), nil
 	}
 	best.reserve(now, r, choice)
+	p.recordParts(now, best, r, choice)
 	return choice, nil
 }
 
@@ -83,7 +89,7 @@
 	if !known || !t.accepting || !t.rest.allows(now) || !r.Copy && !p.mayTake(now, t) || t.entry.Service != r.Service || slices.Contains(r.Exclude, c.Target.ID) {
 		return Choice{}, false
 	}
-	c.Target, c.Learned = t.entry, t.learned
+	c.Target, c.Learned, c.Kept = t.entry, t.learned, c.Kept.boundedTo(r)
 	return p.recordSend(now, t, r, c), true
 }
 
@@ -98,7 +104,7 @@
 	case c.Late:
 		load = Load{Streams: 1}
 	default:
-		t.prompts.add(now, r.PromptTokens)
+		t.prompts.add(now, r.PromptTokens-c.Kept.Tokens)
 	}
 	t.reserved = append(t.reserved, reservation{load: load, expires: now.Add(reservationLifetime)})
 }
--- a/pkg/usherpool/pool.go
+++ b/pkg/usherpool/pool.go
@@ -28,6 +28,7 @@
 	"github.com/joomcode/errorx"
 
 	"github.com/samphireusher/samphireusher/pkg/ushercatalog"
+	"github.com/samphireusher/samphireusher/pkg/usherprefix"
 	"github.com/samphireusher/samphireusher/pkg/usherroute"
 )
 
@@ -103,6 +104,8 @@
 		// DataCentre is the data centre of this host.
 		DataCentre string
 		Random     *rand.Rand
+		// WeighParts makes the pool count what targets keep of earlier prompts.
+		WeighParts bool
 	}
 
 	// Request describes a request before it is sent.
@@ -137,10 +140,7 @@
 	}
 
 	// Part is a part of a prompt.
-	Part struct {
-		ID     string `cbor:"1,keyasint"`
-		Tokens int    `cbor:"2,keyasint"`
-	}
+	Part = usherprefix.Part
 
 	// Choice is the chosen target with the inputs of the decision.
 	Choice struct {
@@ -157,6 +157,8 @@
 		Load Load
 		// Placer is the host that chose for the fleet; empty if the host that relays the request chose by itself.
 		Placer string
+		// Kept is what the target is expected to keep of the prompt.
+		Kept Kept
 		// HasTurn reports that the target has named a limit and that this request has used a turn.
 		HasTurn bool
 	}
@@ -177,7 +179,8 @@
 		// resting has the rests of incarnations whose entry is missing. It may come back.
 		resting map[incarnation]rest
 		// limits has the limits of incarnations whose entry is missing.
-		limits map[incarnation]*limit
+		limits   map[incarnation]*limit
+		prefixes usherprefix.View
 	}
 
 	target struct {
@@ -278,9 +281,12 @@
 func (p *Pool) Choose(now time.Time, r Request) (Choice, error) {
 	var best *target
 	var choice Choice
+	var plain plainChoice
 	reason := ErrNoTarget
 	considered := 0
-	for _, t := range p.shuffledCandidates(now, r) {
+	candidates := p.shuffledCandidates(now, r)
+	p.preferKept(now, candidates, r)
+	for _, t := range candidates {
 		if !r.Copy && considered == p.sampleSize() && best != nil {
 			break
 		}
@@ -298,14 +304,17 @@
 			continue
 		}
 		considered++
-		delay := p.delay(now, t, r, load)
+		kept := p.kept(now, t, r, load)
+		delay := p.delay(now, t, r, load) - kept.Saving
+		plain.consider(t, delay, kept)
 		if best == nil || delay < choice.Delay {
-			best, choice = t, Choice{Target: t.entry, Learned: t.learned, Delay: delay, Load: load}
+			best, choice = t, Choice{Target: t.entry, Learned: t.learned, Delay: delay, Load: load, Kept: kept}
 		}
 	}
 	if best == nil {
 		return Choice{}, reason.New("no target of service %q accepts the request", r.Service)
 	}
+	choice.Kept = plain.otherwise(choice.Kept)
 	choice = p.estimatePrefill(now, best, r, choice)
 	return p.recordSend(now, best, r, choice), nil
 }
@@ -314,7 +323,7 @@
 func (p *Pool) estimatePrefill(now time.Time, t *target, r Request, c Choice) Choice {
 	if !r.Copy {
 		queuedTokens := p.pendingPrefill(now, t, c.Load)
-		c.PrefillTime = PrefillTime(queuedTokens + r.PromptTokens)
+		c.PrefillTime = PrefillTime(queuedTokens + r.PromptTokens - c.Kept.Tokens)
 		// A prompt's own length must not make it late, or long prompts would always wait behind short ones.
 		c.Late = r.Objective > 0 && time.Duration(prefillWaitFactor*float64(PrefillTime(queuedTokens+typicalPromptTokens))) > r.Objective
 	}
@@ -331,8 +340,9 @@
 	}
 	t.rest.sent(now)
 	if !c.Late {
-		t.prompts.add(now, r.PromptTokens)
+		t.prompts.add(now, r.PromptTokens-c.Kept.Tokens)
 	}
+	p.recordParts(now, t, r, c)
 	c.HasTurn = t.limit != nil && p.takeTurn(now, t.limit)
 	return c
 }
--- /dev/null
+++ b/pkg/usherpool/prefix.go
@@ -0,0 +1,110 @@
+package usherpool
+
+import (
+	"time"
+
+	"github.com/samphireusher/samphireusher/pkg/usherprefix"
+)
+
+type (
+	// Kept is what a target is expected to keep of the prompt of a request.
+	Kept struct {
+		// Tokens are not processed again, which saves the time Saving.
+		Tokens int           `cbor:"1,keyasint,omitempty"`
+		Saving time.Duration `cbor:"2,keyasint,omitempty"`
+		// Otherwise is the target that would have been chosen if none kept a part; empty if none does.
+		Otherwise string `cbor:"3,keyasint,omitempty"`
+	}
+
+	// plainChoice is the best target if kept parts do not count.
+	plainChoice struct {
+		id    string
+		delay time.Duration
+	}
+)
+
+// kept returns what t is expected to keep of the prompt of r. The saving is the time in which t would process these
+// tokens, so it never counts for more than it is worth against the other parts of the delay.
+func (p *Pool) kept(now time.Time, t *target, r Request, load Load) Kept {
+	if !p.weighsParts(r) {
+		return Kept{}
+	}
+	k := Kept{Tokens: p.prefixes.Saved(now, prefixTarget(t), r.Parts, p.memory(t, load))}.boundedTo(r)
+	k.Saving = PrefillTime(k.Tokens)
+	return k
+}
+
+// recordParts records that a prompt is sent to t.
+func (p *Pool) recordParts(now time.Time, t *target, r Request, c Choice) {
+	if p.options.WeighParts && !r.Copy {
+		prompt := usherprefix.Prompt{Parts: r.Parts, Tokens: r.PromptTokens - c.Kept.Tokens, ReadAt: now.Add(c.PrefillTime)}
+		p.prefixes.Record(now, prefixTarget(t), prompt, p.memory(t, c.Load))
+	}
+}
+
+// RecordFirstEvent records the time from sending a request to its first event, and reports whether it shows that the
+// chosen target had not kept the parts that it was expected to keep.
+func (p *Pool) RecordFirstEvent(r Request, c Choice, seen time.Duration) (wrong bool) {
+	if !p.options.WeighParts || r.Copy || c.Late {
+		return false
+	}
+	target := usherprefix.Target{ID: c.Target.ID, Incarnation: c.Target.Incarnation}
+	return p.prefixes.Observe(target, r.Parts, usherprefix.Answer{Saving: c.Kept.Saving, Expected: c.PrefillTime, Seen: seen})
+}
+
+// KeptParts returns the size of what targets are believed to keep.
+func (p *Pool) KeptParts(now time.Time) usherprefix.Summary { return p.prefixes.Summary(now) }
+
+// preferKept moves the candidate that saves most to the front, as Choose compares only the first ones.
+func (p *Pool) preferKept(now time.Time, candidates []*target, r Request) {
+	best, most := 0, 0
+	if p.weighsParts(r) {
+		for i, t := range candidates {
+			if tokens := p.prefixes.Saved(now, prefixTarget(t), r.Parts, usherprefix.Memory{}); tokens > most {
+				best, most = i, tokens
+			}
+		}
+	}
+	if most > 0 {
+		candidates[0], candidates[best] = candidates[best], candidates[0]
+	}
+}
+
+// boundedTo returns what may be kept of the prompt of r. The last part belongs to the request itself.
+func (k Kept) boundedTo(r Request) Kept {
+	k.Tokens = max(min(k.Tokens, r.PromptTokens-1), 0)
+	k.Saving = max(k.Saving, 0)
+	return k
+}
+
+func (p *Pool) weighsParts(r Request) bool {
+	return p.options.WeighParts && !r.Copy && len(r.Parts) > 0
+}
+
+// memory returns the memory of t as far as its service declares it.
+func (p *Pool) memory(t *target, load Load) usherprefix.Memory {
+	m := usherprefix.Memory{Used: load.Tokens + load.CopyTokens}
+	if s, ok := p.service(t.entry.Service); ok && s.Engine != nil {
+		m.Capacity = s.Engine.MemoryTokens
+	}
+	return m
+}
+
+// consider compares a target whose delay is reduced by the saving of kept parts.
+func (c *plainChoice) consider(t *target, delay time.Duration, kept Kept) {
+	if delay += kept.Saving; c.id == "" || delay < c.delay {
+		c.id, c.delay = t.entry.ID, delay
+	}
+}
+
+// otherwise returns what t keeps, with the target that would have been chosen without it.
+func (c *plainChoice) otherwise(k Kept) Kept {
+	if k.Tokens > 0 {
+		k.Otherwise = c.id
+	}
+	return k
+}
+
+func prefixTarget(t *target) usherprefix.Target {
+	return usherprefix.Target{ID: t.entry.ID, Incarnation: t.entry.Incarnation}
+}
--- a/service/usherhost/admin.go
+++ b/service/usherhost/admin.go
@@ -9,6 +9,7 @@
 
 	"github.com/samphireusher/samphireusher/pkg/ushercluster"
 	"github.com/samphireusher/samphireusher/pkg/usherpool"
+	"github.com/samphireusher/samphireusher/pkg/usherprefix"
 )
 
 const (
@@ -35,6 +36,8 @@
 		Connections connCounts          `json:"connections"`
 		Hosts       []hostWire          `json:"hosts"`
 		Targets     []usherpool.Summary `json:"targets"`
+		// KeptParts is what targets are believed to keep of prompts.
+		KeptParts usherprefix.Summary `json:"kept_parts"`
 		// Suspects is the number of requests that were in progress on crashed targets, as far as they are remembered. Blamed
 		// is what crashes are attributed to, each as the fingerprints of what a request must have.
 		Suspects int      `json:"suspects"`
@@ -114,7 +117,7 @@
 	now := time.Now()
 	d := dumpWire{
 		Process: s.cluster.Self().Name, DataCentre: s.cluster.Self().DataCentre, State: h.lifecycle.Current(), Revision: s.catalog.Revision(),
-		InProgress: h.inProgress.Load(), Connections: h.conns.counts(), Targets: s.pool.Summaries(now),
+		InProgress: h.inProgress.Load(), Connections: h.conns.counts(), Targets: s.pool.Summaries(now), KeptParts: s.pool.KeptParts(now),
 		Suspects: s.suspicion.tracker.Len(), Blamed: s.suspicion.describeBlamed(now),
 	}
 	if t := s.catalog.Table(); t != nil {
--- a/service/usherhost/metrics.go
+++ b/service/usherhost/metrics.go
@@ -52,7 +52,8 @@
 	// unframed counts the responses whose end only that of their connection shows.
 	unframed metrics.Counter
 	// probes counts the requests that were tried again although they were blamed for crashes.
-	probes metrics.Counter
+	probes   metrics.Counter
+	prefixes prefixMetrics
 	// localBytes and remoteBytes count the bytes exchanged with targets in this host's data centre and in others.
 	localBytes  metrics.Counter
 	remoteBytes metrics.Counter
@@ -72,7 +73,8 @@
 		departures: metrics.NewRegisteredCounter("targets.departures", r), rests: metrics.NewRegisteredCounter("targets.rests", r),
 		noticesIgnored: metrics.NewRegisteredCounter("targets.notices_ignored", r), withdrawn: metrics.NewRegisteredCounter("requests.withdrawn", r),
 		limits: metrics.NewRegisteredCounter("targets.limits", r), heldOff: metrics.NewRegisteredCounter("requests.held_off", r),
-		foreign: metrics.NewRegisteredCounter("targets.foreign_responses", r), unframed: metrics.NewRegisteredCounter("targets.unframed_responses", r),
+		prefixes: newPrefixMetrics(r),
+		foreign:  metrics.NewRegisteredCounter("targets.foreign_responses", r), unframed: metrics.NewRegisteredCounter("targets.unframed_responses", r),
 		localBytes: metrics.NewRegisteredCounter("targets.near_bytes", r), remoteBytes: metrics.NewRegisteredCounter("targets.far_bytes", r),
 	}
 }
--- a/service/usherhost/placement.go
+++ b/service/usherhost/placement.go
@@ -73,7 +73,8 @@
 		Load        usherpool.Load `cbor:"4,keyasint,omitempty"`
 		PrefillTime time.Duration  `cbor:"5,keyasint,omitempty"`
 		// Late reports that the first result is not expected within that time.
-		Late bool `cbor:"6,keyasint,omitempty"`
+		Late bool           `cbor:"6,keyasint,omitempty"`
+		Kept usherpool.Kept `cbor:"7,keyasint,omitempty"`
 	}
 )
 
@@ -103,7 +104,7 @@
 	reply, ok := p.request(ctx, placer, r)
 	if ok && reply.Target != "" {
 		choice := usherpool.Choice{
-			Target: ushercatalog.Target{ID: reply.Target}, Delay: reply.Delay, PrefillTime: reply.PrefillTime, Late: reply.Late, Load: reply.Load, Placer: placer.Name,
+			Target: ushercatalog.Target{ID: reply.Target}, Delay: reply.Delay, PrefillTime: reply.PrefillTime, Late: reply.Late, Load: reply.Load, Kept: reply.Kept, Placer: placer.Name,
 		}
 		if choice, taken := p.state.adoptChoice(r, choice); taken {
 			return choice, nil
@@ -198,6 +199,7 @@
 	} else {
 		d.PlacementReply.Target, d.PlacementReply.Delay, d.PlacementReply.Load = choice.Target.ID, choice.Delay, choice.Load
 		d.PlacementReply.PrefillTime, d.PlacementReply.Late = choice.PrefillTime, choice.Late
+		d.PlacementReply.Kept = choice.Kept
 	}
 	p.peers.send(d, from.Address)
 }
--- a/service/usherhost/relay.go
+++ b/service/usherhost/relay.go
@@ -232,6 +232,7 @@
 	}
 	if !g.receiving {
 		g.receiving = true
+		g.recordFirstEvent()
 		g.trackLoad(g.source.Target.ID, usherpool.Load{Streams: 1, Tokens: g.req.PeakTokens()})
 	}
 	if item.event.ID == "" && g.lastEvent != "" && !item.event.IsComment() {
--- a/service/usherhost/settings.go
+++ b/service/usherhost/settings.go
@@ -49,8 +49,11 @@
 		Allowance float64       `ini:"allowance" default:"50" usage:"repeated sends allowed beyond that in each window, over all hosts"`
 		Window    time.Duration `ini:"window" default:"10s" usage:"length of the window"`
 	} `ini:"retries"`
-	Answers responseLimits `ini:"answers"`
-	Stop    struct {
+	Answers  responseLimits `ini:"answers"`
+	Prefixes struct {
+		Weigh bool `ini:"weigh" default:"true" usage:"whether targets that may still hold the beginning of a prompt are preferred by the time that it saves"`
+	} `ini:"prefixes"`
+	Stop struct {
 		Grace time.Duration `ini:"grace" default:"8s" usage:"time between SIGTERM and SIGKILL"`
 	} `ini:"stop"`
 	Log struct {
--- a/service/usherhost/state.go
+++ b/service/usherhost/state.go
@@ -72,7 +72,7 @@
 		gracePeriod:   settings.Stop.Grace,
 		random:        random,
 		cluster:       ushercluster.New(self, settings.seeds(), random),
-		pool:          usherpool.New(usherpool.Options{DataCentre: settings.Process.DataCentre, Random: random}),
+		pool:          usherpool.New(usherpool.Options{DataCentre: settings.Process.DataCentre, Random: random, WeighParts: settings.Prefixes.Weigh}),
 		retryBudgets:  map[string]*usherpool.RetryBudget{},
 		retryDefaults: usherpool.RetryBudget{Ratio: settings.Retries.Ratio, Allowance: settings.Retries.Allowance, Window: settings.Retries.Window},
 		peerStatuses:  map[string]peerStatus{},
--- a/service/usherhost/stream.go
+++ b/service/usherhost/stream.go
@@ -266,6 +266,7 @@
 	r := usherpool.Request{
 		Service: g.req.service.Name, PromptTokens: max(g.req.PromptTokens, 1), OutputTokens: g.req.OutputTokens(), Exclude: exclude,
 		Route: g.req.route.Name, Workspace: g.req.workspace.Name, Rank: g.req.rank(), MaxPause: g.req.route.MaxPause,
+		Parts: g.req.promptParts(),
 	}
 	if e := g.req.service.Engine; e != nil && e.EventTokens > 0 {
 		r.Events = r.OutputTokens / e.EventTokens
@@ -281,6 +282,7 @@
 func (g *generation) send(ctx context.Context, choice usherpool.Choice, from ushercall.Copy) sendResult {
 	id := choice.Target.ID
 	g.req.choice = choice
+	g.host.metrics.prefixes.recordChoice(choice)
 	g.closeExchange()
 	g.releaseLoads()
 	g.source, g.resumeAnnounced, g.runEvents, g.runAdvanced = choice, false, 0, false
@@ -364,7 +366,7 @@
 	if from.Handle != "" {
 		return 0
 	}
-	return g.req.PromptTokens
+	return max(g.req.PromptTokens-g.source.Kept.Tokens, 0)
 }
 
 // finish records the regular end of a stream.
