--- a/cmd/usher-host/daemon/testbed_test.go
+++ b/cmd/usher-host/daemon/testbed_test.go
@@ -298,7 +298,7 @@
 	if b.options.manyRetries {
 		s.Retries.Allowance = 1e6
 	}
-	s.Log.Level = "info"
+	s.Log.Level, s.Prefixes.Weigh = "info", true
 	s.Answers.HeaderBytes, s.Answers.HeaderTime, s.Answers.StrayBytes, s.Answers.HeldBytes, s.Answers.BodyBytes = 64<<10, 2*time.Second, 256<<10, 256<<10, 1<<30
 	log := slog.New(slog.NewJSONHandler(&b.logBuffer, nil)).With("host", s.Process.Name)
 	if os.Getenv("USHER_LOG") != "" {
