--- a/pkg/usherpool/place.go
+++ b/pkg/usherpool/place.go
@@ -43,23 +43,21 @@
 			reason = ErrFull
 			continue
 		}
-		kept := p.kept(now, t, r, load)
-		delay := p.delay(now, t, r, load) - kept.Saving
-		plain.consider(t, delay, kept)
+		delay := p.delay(now, t, r, load)
+		plain.consider(t, delay+p.kept(now, t, r, load).Saving)
 		if best == nil || delay < choice.Delay {
-			best, choice = t, Choice{Target: t.entry, Learned: t.learned, Delay: delay, Load: load, Kept: kept}
+			best, choice = t, Choice{Target: t.entry, Learned: t.learned, Delay: delay, Load: load}
 		}
 	}
 	if best == nil {
 		return Choice{}, reason.New("no target of service %q accepts the request", r.Service)
 	}
-	choice.Kept = plain.otherwise(choice.Kept)
-	choice = p.estimatePrefill(now, best, r, choice)
+	choice = plain.otherwise(p.estimatePrefill(now, best, r, choice))
 	if own {
 		return p.recordSend(now, best, r, choice), nil
 	}
-	best.reserve(now, r, choice)
 	p.recordParts(now, best, r, choice)
+	best.reserve(now, r, choice)
 	return choice, nil
 }
 
@@ -104,7 +102,7 @@
 	case c.Late:
 		load = Load{Streams: 1}
 	default:
-		t.prompts.add(now, r.PromptTokens-c.Kept.Tokens)
+		t.prompts.add(now, r.without(c.Kept).PromptTokens)
 	}
 	t.reserved = append(t.reserved, reservation{load: load, expires: now.Add(reservationLifetime)})
 }
--- a/pkg/usherpool/pool.go
+++ b/pkg/usherpool/pool.go
@@ -304,26 +304,26 @@
 			continue
 		}
 		considered++
-		kept := p.kept(now, t, r, load)
-		delay := p.delay(now, t, r, load) - kept.Saving
-		plain.consider(t, delay, kept)
+		delay := p.delay(now, t, r, load)
+		plain.consider(t, delay+p.kept(now, t, r, load).Saving)
 		if best == nil || delay < choice.Delay {
-			best, choice = t, Choice{Target: t.entry, Learned: t.learned, Delay: delay, Load: load, Kept: kept}
+			best, choice = t, Choice{Target: t.entry, Learned: t.learned, Delay: delay, Load: load}
 		}
 	}
 	if best == nil {
 		return Choice{}, reason.New("no target of service %q accepts the request", r.Service)
 	}
-	choice.Kept = plain.otherwise(choice.Kept)
-	choice = p.estimatePrefill(now, best, r, choice)
+	choice = plain.otherwise(p.estimatePrefill(now, best, r, choice))
 	return p.recordSend(now, best, r, choice), nil
 }
 
 // estimatePrefill sets the expected prefill time of the choice and whether it misses the objective.
 func (p *Pool) estimatePrefill(now time.Time, t *target, r Request, c Choice) Choice {
 	if !r.Copy {
+		c.Kept = p.kept(now, t, r, c.Load)
+		r = r.without(c.Kept)
 		queuedTokens := p.pendingPrefill(now, t, c.Load)
-		c.PrefillTime = PrefillTime(queuedTokens + r.PromptTokens - c.Kept.Tokens)
+		c.PrefillTime = PrefillTime(queuedTokens + r.PromptTokens)
 		// A prompt's own length must not make it late, or long prompts would always wait behind short ones.
 		c.Late = r.Objective > 0 && time.Duration(prefillWaitFactor*float64(PrefillTime(queuedTokens+typicalPromptTokens))) > r.Objective
 	}
@@ -335,14 +335,15 @@
 	if r.Copy {
 		return c
 	}
+	p.recordParts(now, t, r, c)
+	r = r.without(c.Kept)
 	if p.isCold(now, t) {
 		t.cold.take()
 	}
 	t.rest.sent(now)
 	if !c.Late {
-		t.prompts.add(now, r.PromptTokens-c.Kept.Tokens)
+		t.prompts.add(now, r.PromptTokens)
 	}
-	p.recordParts(now, t, r, c)
 	c.HasTurn = t.limit != nil && p.takeTurn(now, t.limit)
 	return c
 }
@@ -406,7 +407,7 @@
 			delay += limitedCopyCost
 		}
 	} else {
-		delay += time.Duration(load.Awaited) * pendingResumeCost
+		delay += time.Duration(load.Awaited)*pendingResumeCost - p.kept(now, t, r, load).Saving
 	}
 	delay += PrefillTime(p.pendingPrefill(now, t, load))
 	delay += time.Duration(load.Streams)*streamCost + time.Duration(load.Copies)*streamCost/4
--- a/pkg/usherpool/prefix.go
+++ b/pkg/usherpool/prefix.go
@@ -37,7 +37,7 @@
 // recordParts records that a prompt is sent to t.
 func (p *Pool) recordParts(now time.Time, t *target, r Request, c Choice) {
 	if p.options.WeighParts && !r.Copy {
-		prompt := usherprefix.Prompt{Parts: r.Parts, Tokens: r.PromptTokens - c.Kept.Tokens, ReadAt: now.Add(c.PrefillTime)}
+		prompt := usherprefix.Prompt{Parts: r.Parts, Tokens: r.without(c.Kept).PromptTokens, ReadAt: now.Add(c.PrefillTime)}
 		p.prefixes.Record(now, prefixTarget(t), prompt, p.memory(t, c.Load))
 	}
 }
@@ -90,19 +90,25 @@
 	return m
 }
 
-// consider compares a target whose delay is reduced by the saving of kept parts.
-func (c *plainChoice) consider(t *target, delay time.Duration, kept Kept) {
-	if delay += kept.Saving; c.id == "" || delay < c.delay {
-		c.id, c.delay = t.entry.ID, delay
+// consider compares a target with the delay that it has without the saving of kept parts.
+func (p *plainChoice) consider(t *target, delay time.Duration) {
+	if p.id == "" || delay < p.delay {
+		p.id, p.delay = t.entry.ID, delay
 	}
 }
 
-// otherwise returns what t keeps, with the target that would have been chosen without it.
-func (c *plainChoice) otherwise(k Kept) Kept {
-	if k.Tokens > 0 {
-		k.Otherwise = c.id
+// otherwise adds the target that would have been chosen without kept parts to a choice that they count for.
+func (p *plainChoice) otherwise(c Choice) Choice {
+	if c.Kept.Tokens > 0 {
+		c.Kept.Otherwise = p.id
 	}
-	return k
+	return c
+}
+
+// without returns the request without the part of its prompt that is kept.
+func (r Request) without(k Kept) Request {
+	r.PromptTokens -= k.boundedTo(r).Tokens
+	return r
 }
 
 func prefixTarget(t *target) usherprefix.Target {
