--- a/pkg/ushersuspect/blame.go
+++ b/pkg/ushersuspect/blame.go
@@ -79,6 +79,17 @@
 // with. The verdict is Unrestricted, Probe or Refused. After Probe the request must be run. The function processes returns
 // the names of the processes that this one knows to be in service.
 func (t *Tracker) Admit(now time.Time, request Request, processes func() []string) Decision {
+	decision := t.Peek(now, request, processes)
+	if decision.Verdict == Probe {
+		for _, trait := range decision.Cause {
+			t.mergeProbe(trait, t.clock)
+		}
+	}
+	return decision
+}
+
+// Peek returns what Admit would return, for a request that is not run.
+func (t *Tracker) Peek(now time.Time, request Request, processes func() []string) Decision {
 	t.advanceClock(now)
 	if len(t.records) == 0 {
 		return Decision{}
@@ -94,9 +105,6 @@
 		}
 		decision = Decision{Verdict: Probe, Cause: append(decision.Cause, b.traits...), Crashes: max(decision.Crashes, b.crashes)}
 	}
-	for _, trait := range decision.Cause {
-		t.mergeProbe(trait, t.clock)
-	}
 	return decision
 }
 
--- a/service/usherhost/admin.go
+++ b/service/usherhost/admin.go
@@ -95,6 +95,7 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+MetricsPath, h.metrics.serve)
 	mux.HandleFunc("GET "+DumpPath, h.dump)
+	mux.HandleFunc("POST "+ExplainPath, h.explain)
 	return alice.New(noStore).Then(mux)
 }
 
--- a/service/usherhost/ingress.go
+++ b/service/usherhost/ingress.go
@@ -143,13 +143,10 @@
 	if limits.HeaderBytes > 0 && headerBytes(r) > limits.HeaderBytes {
 		return req, refuse(reasonHeaderTooLarge, noRetryAfter, nil)
 	}
-	if req.route, err = table.Route(call.Host, call.Path); err != nil {
-		return req, refuse(reasonNoRoute, noRetryAfter, err)
-	}
-	if req.workspace, err = table.Authenticate(req.route, call.APIKey); err != nil {
-		return req, refuse(reasonUnknownKey, noRetryAfter, err)
+	refusal := req.resolve(table)
+	if refusal != nil {
+		return req, refusal
 	}
-	var refusal *refusal
 	if req.Body, refusal = readRequestBody(r, limits.BodyBytes); refusal != nil {
 		return req, refusal
 	}
@@ -161,6 +158,18 @@
 	return req, nil
 }
 
+// resolve finds the route and the workspace of the request.
+func (req *requestState) resolve(table *usherroute.Table) *refusal {
+	var err error
+	if req.route, err = table.Route(req.Host, req.Path); err != nil {
+		return refuse(reasonNoRoute, noRetryAfter, err)
+	}
+	if req.workspace, err = table.Authenticate(req.route, req.APIKey); err != nil {
+		return refuse(reasonUnknownKey, noRetryAfter, err)
+	}
+	return nil
+}
+
 // timeout returns how long the request may take.
 func (req *requestState) timeout() time.Duration {
 	limit := req.Timeout
--- a/service/usherhost/notice.go
+++ b/service/usherhost/notice.go
@@ -122,12 +122,18 @@
 // back returns after what time callers may return to a service all of whose targets rest, or take no request of this host now.
 // Callers get different times, or they would all return at the same moment.
 func (s *sharedState) back(service string) (time.Duration, bool) {
+	earliest, latest, rests := s.backWithin(service)
+	return earliest + time.Duration(s.randomFraction()*float64(latest-earliest)), rests
+}
+
+// backWithin returns the earliest and the latest time that callers are told.
+func (s *sharedState) backWithin(service string) (earliest, latest time.Duration, rests bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	at, rests := s.pool.Back(time.Now(), service)
 	if !rests {
-		return 0, false
+		return 0, 0, false
 	}
-	wait := time.Until(at)
-	return wait + time.Duration(s.random.Float64()*float64(max(time.Duration(restSpread*float64(wait)), minRestSpread))), true
+	earliest = time.Until(at)
+	return earliest, earliest + max(time.Duration(restSpread*float64(earliest)), minRestSpread), true
 }
--- a/service/usherhost/suspicion.go
+++ b/service/usherhost/suspicion.go
@@ -72,15 +72,18 @@
 	if s.suspicion.tracker.Len() == 0 {
 		return ushersuspect.Decision{}
 	}
-	return s.suspicion.tracker.Admit(time.Now(), req.suspect(), func() []string {
-		names := []string{s.cluster.Self().Name}
-		for _, m := range s.cluster.Alive(time.Now()) {
-			if m.State == ushercluster.Serving {
-				names = append(names, m.Name)
-			}
+	return s.suspicion.tracker.Admit(time.Now(), req.suspect(), s.servingNames)
+}
+
+// servingNames returns the names of this host and of the others that take requests.
+func (s *sharedState) servingNames() []string {
+	names := []string{s.cluster.Self().Name}
+	for _, m := range s.cluster.Alive(time.Now()) {
+		if m.State == ushercluster.Serving {
+			names = append(names, m.Name)
 		}
-		return names
-	})
+	}
+	return names
 }
 
 // recordCrash records that a target crashed before it answered a request.
