--- a/cmd/usherctl/operate/doc.go
+++ b/cmd/usherctl/operate/doc.go
@@ -32,6 +32,7 @@
 		Keys    keysCommand    `cmd:"" help:"Make the keys and the secret of a fleet."`
 		Dump    dumpCommand    `cmd:"" help:"Print the state of a process."`
 		Metrics metricsCommand `cmd:"" help:"Print the metrics of a process."`
+		Explain explainCommand `cmd:"" help:"Tell where a request would go now, and why, without sending it."`
 		Locate  locateCommand  `cmd:"" help:"Ask a gateway which gateways to use, the best first."`
 		Send    sendCommand    `cmd:"" help:"Send a request and print its answer as it comes."`
 		Resume  resumeCommand  `cmd:"" help:"Take up a stream that broke off, at any gateway."`
