--- /dev/null
+++ b/pkg/usherpool/forecast.go
@@ -0,0 +1,98 @@
+package usherpool
+
+import (
+	"time"
+
+	"github.com/samphireusher/samphireusher/pkg/ushercatalog"
+	"github.com/samphireusher/samphireusher/pkg/usherspeed"
+)
+
+const (
+	// longRunEvents is the expected number of events from which a stream is as likely as a long one to have a pause at a slow target.
+	longRunEvents = 64
+	// missCost is the cost of a pause over the maximum for streams without an objective.
+	missCost = 2 * time.Second
+)
+
+type (
+	// Forecast is what is expected of a request at a target.
+	Forecast struct {
+		// FirstEvent is the time until the first event, Base the same for a target with factor 1.
+		FirstEvent time.Duration `cbor:"1,keyasint,omitempty"`
+		Base       time.Duration `cbor:"2,keyasint,omitempty"`
+		// LongestPause is the longest pause between two events of a long stream; zero if it is not known.
+		LongestPause time.Duration `cbor:"3,keyasint,omitempty"`
+		// FreeTokens is the memory, in tokens, that is left for the request and others. It is negative where memory is short.
+		FreeTokens int `cbor:"4,keyasint,omitempty"`
+		// Factor is the ratio of the target's times to those of a usual one, Error the standard error of its logarithm, and Age the time
+		// since an observation of the target last reached this host; zero if none did.
+		Factor float64       `cbor:"5,keyasint,omitempty"`
+		Error  float64       `cbor:"6,keyasint,omitempty"`
+		Age    time.Duration `cbor:"7,keyasint,omitempty"`
+	}
+
+	// Outcome is what the host that relays a stream saw of one run. Fields that are zero were not seen.
+	Outcome struct {
+		Target      string
+		Incarnation int64
+		// Base is that of the run's forecast, FirstEvent the time until the first event.
+		Base       time.Duration
+		FirstEvent time.Duration
+		// Events is the number of events so far, Gap the mean time between them and LongestPause the longest.
+		Events       int
+		Gap          time.Duration
+		LongestPause time.Duration
+	}
+)
+
+// Forecast returns what is expected of a request at a target; known is false for a target that the pool does not have.
+func (p *Pool) Forecast(now time.Time, id string, r Request) (f Forecast, known bool) {
+	t, known := p.targets[id]
+	if !known {
+		return Forecast{}, false
+	}
+	return p.forecast(now, t, r, p.totalLoad(now, t)), true
+}
+
+// RecordOutcome records what a host saw of a run. An outcome of another incarnation than the known one is ignored.
+func (p *Pool) RecordOutcome(now time.Time, host string, o Outcome) {
+	t, known := p.targets[o.Target]
+	if !known || t.entry.Incarnation != o.Incarnation {
+		return
+	}
+	p.speeds.Record(now, usherspeed.Sample{
+		Target: speedTarget(t.entry), Host: host, Expected: o.Base, Seen: o.FirstEvent, Events: o.Events, Gap: o.Gap, LongestPause: o.LongestPause,
+	})
+}
+
+func (p *Pool) forecast(now time.Time, t *target, r Request, load Load) Forecast {
+	speed := p.speed(now, t)
+	base := PrefillTime(p.pendingPrefill(now, t, load, speed) + r.PromptTokens)
+	return Forecast{
+		FirstEvent: speed.Scale(base), Base: base, LongestPause: speed.LongestPause,
+		FreeTokens: p.usableMemoryTokens(t) - load.Tokens - load.CopyTokens, Factor: speed.Factor, Error: speed.Error, Age: speed.Age,
+	}
+}
+
+// speed returns what is known of a target's speed.
+func (p *Pool) speed(now time.Time, t *target) usherspeed.Estimate {
+	return p.speeds.Estimate(now, speedTarget(t.entry))
+}
+
+func speedTarget(entry ushercatalog.Target) usherspeed.Target {
+	return usherspeed.Target{Service: entry.Service, ID: entry.ID, Incarnation: entry.Incarnation}
+}
+
+// pauseCost returns the cost of the pauses that a stream is more likely to have at a target with the given speed than at one of usual speed. One that is certain
+// to have a longer pause than allowed costs as much as one that begins late.
+func pauseCost(speed usherspeed.Estimate, r Request) time.Duration {
+	if r.MaxPause <= 0 || r.Events <= 0 {
+		return 0
+	}
+	miss := r.Objective
+	if miss <= 0 {
+		miss = missCost
+	}
+	long := min(1, float64(r.Events)/longRunEvents)
+	return time.Duration(long * speed.PauseRisk(r.MaxPause) * float64(miss))
+}
--- a/pkg/usherpool/place.go
+++ b/pkg/usherpool/place.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/samphireusher/samphireusher/pkg/usherspeed"
 )
 
 const (
@@ -53,7 +55,7 @@
 	if own {
 		return p.recordSend(now, best, r, choice), nil
 	}
-	best.reserve(now, r, choice)
+	best.reserve(now, r, choice, p.speed(now, best))
 	return choice, nil
 }
 
@@ -87,7 +89,7 @@
 	return p.recordSend(now, t, r, c), true
 }
 
-func (t *target) reserve(now time.Time, r Request, c Choice) {
+func (t *target) reserve(now time.Time, r Request, c Choice, speed usherspeed.Estimate) {
 	tokens := r.PromptTokens + r.OutputTokens
 	load := Load{Streams: 1, Tokens: tokens}
 	switch {
@@ -98,7 +100,7 @@
 	case c.Late:
 		load = Load{Streams: 1}
 	default:
-		t.prompts.add(now, r.PromptTokens)
+		t.prompts.add(now, r.PromptTokens, speed)
 	}
 	t.reserved = append(t.reserved, reservation{load: load, expires: now.Add(reservationLifetime)})
 }
@@ -113,15 +115,15 @@
 }
 
 // pendingPrefill estimates the prompt tokens that t has to process before those of a new request.
-func (p *Pool) pendingPrefill(now time.Time, t *target, load Load) int {
-	return max(int(t.prompts.remaining(now)), load.Prefill)
+func (p *Pool) pendingPrefill(now time.Time, t *target, load Load, speed usherspeed.Estimate) int {
+	return max(int(t.prompts.remaining(now, speed)), load.Prefill)
 }
 
-func (q *promptQueue) add(now time.Time, tokens int) {
-	q.tokens, q.updated = q.remaining(now)+float64(tokens), now
+func (q *promptQueue) add(now time.Time, tokens int, speed usherspeed.Estimate) {
+	q.tokens, q.updated = q.remaining(now, speed)+float64(tokens), now
 }
 
 // remaining returns the tokens left in the queue, as engines process prompts continuously.
-func (q *promptQueue) remaining(now time.Time) float64 {
-	return max(0, q.tokens-float64(now.Sub(q.updated).Milliseconds())*prefillTokensPerMs)
+func (q *promptQueue) remaining(now time.Time, speed usherspeed.Estimate) float64 {
+	return max(0, q.tokens-float64(now.Sub(q.updated).Milliseconds())*prefillTokensPerMs/speed.Factor)
 }
--- a/pkg/usherpool/pool.go
+++ b/pkg/usherpool/pool.go
@@ -29,6 +29,7 @@
 
 	"github.com/samphireusher/samphireusher/pkg/ushercatalog"
 	"github.com/samphireusher/samphireusher/pkg/usherroute"
+	"github.com/samphireusher/samphireusher/pkg/usherspeed"
 )
 
 const (
@@ -151,6 +152,8 @@
 		// target and this one are processed.
 		Delay       time.Duration
 		PrefillTime time.Duration
+		// Forecast is what was expected of the request at the target; zero for copies.
+		Forecast Forecast
 		// Late reports that the first result is not expected within the objective.
 		Late bool
 		// Load is the known load on the target from all hosts.
@@ -178,6 +181,9 @@
 		resting map[incarnation]rest
 		// limits has the limits of incarnations whose entry is missing.
 		limits map[incarnation]*limit
+		speeds usherspeed.Tracker
+		// byService has the targets of each service, sorted by id.
+		byService map[string][]*target
 	}
 
 	target struct {
@@ -244,10 +250,21 @@
 			p.keepLimit(now, t)
 		}
 	}
+	p.indexTargets()
 	p.sweepNotices(now)
 	p.sweepLimits(now)
 }
 
+func (p *Pool) indexTargets() {
+	p.byService = map[string][]*target{}
+	for _, t := range p.targets {
+		p.byService[t.entry.Service] = append(p.byService[t.entry.Service], t)
+	}
+	for _, targets := range p.byService {
+		slices.SortFunc(targets, func(a, b *target) int { return strings.Compare(a.entry.ID, b.entry.ID) })
+	}
+}
+
 // MarkLeaving records that the given incarnation of a target announced, at the given time, that it is leaving, and reports
 // whether this changes the pool's view. A newer entry takes precedence.
 func (p *Pool) MarkLeaving(id string, incarnation int64, at time.Time) bool {
@@ -313,10 +330,12 @@
 // estimatePrefill sets the expected prefill time of the choice and whether it misses the objective.
 func (p *Pool) estimatePrefill(now time.Time, t *target, r Request, c Choice) Choice {
 	if !r.Copy {
-		queuedTokens := p.pendingPrefill(now, t, c.Load)
-		c.PrefillTime = PrefillTime(queuedTokens + r.PromptTokens)
+		speed := p.speed(now, t)
+		queuedTokens := p.pendingPrefill(now, t, c.Load, speed)
+		c.Forecast = p.forecast(now, t, r, c.Load)
+		c.PrefillTime = c.Forecast.FirstEvent
 		// A prompt's own length must not make it late, or long prompts would always wait behind short ones.
-		c.Late = r.Objective > 0 && time.Duration(prefillWaitFactor*float64(PrefillTime(queuedTokens+typicalPromptTokens))) > r.Objective
+		c.Late = r.Objective > 0 && time.Duration(prefillWaitFactor*float64(speed.Scale(PrefillTime(queuedTokens+typicalPromptTokens)))) > r.Objective
 	}
 	return c
 }
@@ -331,7 +350,7 @@
 	}
 	t.rest.sent(now)
 	if !c.Late {
-		t.prompts.add(now, r.PromptTokens)
+		t.prompts.add(now, r.PromptTokens, p.speed(now, t))
 	}
 	c.HasTurn = t.limit != nil && p.takeTurn(now, t.limit)
 	return c
@@ -339,15 +358,13 @@
 
 // shuffledCandidates returns the targets that may be chosen, in random order.
 func (p *Pool) shuffledCandidates(now time.Time, r Request) []*target {
-	var candidates []*target
-	for _, t := range p.targets {
-		if t.entry.Service == r.Service && t.accepting && !slices.Contains(r.Exclude, t.entry.ID) && !t.health.blocked(now) && t.rest.allows(now) {
+	// The order must depend on the pool's random source only.
+	candidates := make([]*target, 0, len(p.byService[r.Service]))
+	for _, t := range p.byService[r.Service] {
+		if t.accepting && !slices.Contains(r.Exclude, t.entry.ID) && !t.health.blocked(now) && t.rest.allows(now) {
 			candidates = append(candidates, t)
 		}
 	}
-	// Map iteration order is random but does not depend on the pool's random source; sorting makes the order
-	// reproducible.
-	slices.SortFunc(candidates, func(a, b *target) int { return strings.Compare(a.entry.ID, b.entry.ID) })
 	p.options.Random.Shuffle(len(candidates), func(i, j int) { candidates[i], candidates[j] = candidates[j], candidates[i] })
 	return candidates
 }
@@ -398,8 +415,15 @@
 	} else {
 		delay += time.Duration(load.Awaited) * pendingResumeCost
 	}
-	delay += PrefillTime(p.pendingPrefill(now, t, load))
-	delay += time.Duration(load.Streams)*streamCost + time.Duration(load.Copies)*streamCost/4
+	speed := p.speed(now, t)
+	pending := p.pendingPrefill(now, t, load, speed)
+	delay += speed.Scale(PrefillTime(pending)) + pauseCost(speed, r)
+	if !r.Copy {
+		// The time for the prompt itself is the same at all targets but for their speed.
+		prompt := PrefillTime(r.PromptTokens)
+		delay += speed.Scale(prompt) - prompt
+	}
+	delay += speed.Scale(time.Duration(load.Streams)*streamCost + time.Duration(load.Copies)*streamCost/4)
 	if capacity := p.usableMemoryTokens(t); capacity > 0 {
 		used := float64(load.Tokens+load.CopyTokens+tokens) / float64(capacity)
 		delay += time.Duration(used * float64(100*time.Millisecond))
--- a/pkg/usherpool/summary.go
+++ b/pkg/usherpool/summary.go
@@ -28,6 +28,12 @@
 	Own         Load     `json:"own"`
 	All         Load     `json:"all"`
 	AgeMs       int64    `json:"age_ms"`
+	// Speed is the ratio of the target's times to those of a usual one, SpeedError the standard error of its logarithm, SpeedAgeMs the time
+	// since the last observation (0 if there is none), and LongestPauseMs the longest pause that is expected of a long stream.
+	Speed          float64 `json:"speed"`
+	SpeedError     float64 `json:"speed_error"`
+	SpeedAgeMs     int64   `json:"speed_age_ms"`
+	LongestPauseMs int64   `json:"longest_pause_ms"`
 }
 
 // Summaries returns the summaries of all targets, sorted by id.
@@ -40,6 +46,9 @@
 			Evacuated: t.evacuated, Leaving: t.leaving || departed, RestsForMs: max(t.rest.until.Sub(now), 0).Milliseconds(), Cold: p.isCold(now, t), Blocked: t.health.blocked(now), FailureRate: percent(t.health.failureRate(now)),
 			Own: t.own, All: p.totalLoad(now, t), AgeMs: now.Sub(t.learned).Milliseconds(),
 		}
+		speed := p.speed(now, t)
+		summary.Speed, summary.SpeedError, summary.SpeedAgeMs = speed.Factor, speed.Error, speed.Age.Milliseconds()
+		summary.LongestPauseMs = speed.LongestPause.Milliseconds()
 		if t.limit != nil {
 			perSecond := t.limit.perSecond
 			summary.Limit = &perSecond
--- a/service/usherhost/ingress.go
+++ b/service/usherhost/ingress.go
@@ -335,7 +335,7 @@
 	}
 	if req.route.Kind == usherroute.Stream {
 		attributes = append(attributes, slog.Any("parts", req.SharedParts), slog.Int("events", req.events), slog.Int("resumes", req.resumes),
-			slog.Group("choice", "by", req.choice.Placer, "expected_ms", req.choice.PrefillTime.Milliseconds(), "late", req.choice.Late, "load", req.choice.Load), slog.Int64("first_event_ms", req.firstEvent.Milliseconds()), slog.Int64("longest_pause_ms", req.longestPause.Milliseconds()))
+			slog.Group("choice", "by", req.choice.Placer, "expected_ms", req.choice.PrefillTime.Milliseconds(), "late", req.choice.Late, "load", req.choice.Load, "forecast", describeForecast(req.choice.Forecast)), slog.Int64("first_event_ms", req.firstEvent.Milliseconds()), slog.Int64("longest_pause_ms", req.longestPause.Milliseconds()))
 	}
 	if cause != nil {
 		attributes = append(attributes, slog.String("error", errorText(cause)))
--- a/service/usherhost/metrics.go
+++ b/service/usherhost/metrics.go
@@ -19,15 +19,20 @@
 
 // hostMetrics are the counters and histograms of the request path. Histograms are in milliseconds.
 type hostMetrics struct {
-	registry       metrics.Registry
-	plainDuration  metrics.Histogram
-	firstEvent     metrics.Histogram
-	streamDuration metrics.Histogram
-	callersGone    metrics.Counter
-	streamsCut     metrics.Counter
-	streamsResumed metrics.Counter
-	copies         metrics.Counter
-	copiesFailed   metrics.Counter
+	registry metrics.Registry
+	// forecastPercent has the times until the first events in percent of what was forecast, forecasts counts them, and forecastsRight
+	// those that are within forecastTolerance.
+	forecastPercent metrics.Histogram
+	forecasts       metrics.Counter
+	forecastsRight  metrics.Counter
+	plainDuration   metrics.Histogram
+	firstEvent      metrics.Histogram
+	streamDuration  metrics.Histogram
+	callersGone     metrics.Counter
+	streamsCut      metrics.Counter
+	streamsResumed  metrics.Counter
+	copies          metrics.Counter
+	copiesFailed    metrics.Counter
 	// stops counts the runs that ended before their stream went on elsewhere, stopsRefused the orders to end one that a
 	// target turned away.
 	stops        metrics.Counter
@@ -73,6 +78,7 @@
 		noticesIgnored: metrics.NewRegisteredCounter("targets.notices_ignored", r), withdrawn: metrics.NewRegisteredCounter("requests.withdrawn", r),
 		limits: metrics.NewRegisteredCounter("targets.limits", r), heldOff: metrics.NewRegisteredCounter("requests.held_off", r),
 		foreign: metrics.NewRegisteredCounter("targets.foreign_responses", r), unframed: metrics.NewRegisteredCounter("targets.unframed_responses", r),
+		forecastPercent: histogram("forecasts.seen_percent"), forecasts: metrics.NewRegisteredCounter("forecasts.compared", r), forecastsRight: metrics.NewRegisteredCounter("forecasts.right", r),
 		localBytes: metrics.NewRegisteredCounter("targets.near_bytes", r), remoteBytes: metrics.NewRegisteredCounter("targets.far_bytes", r),
 	}
 }
--- a/service/usherhost/peers.go
+++ b/service/usherhost/peers.go
@@ -97,6 +97,8 @@
 		PlacementReply   *placementReplyWire   `cbor:"15,keyasint,omitempty"`
 		// Suspicion tells of requests that were in progress on crashed targets.
 		Suspicion *suspicionWire `cbor:"18,keyasint,omitempty"`
+		// Outcomes makes this a message about what the sender saw of its runs.
+		Outcomes []outcomeWire `cbor:"20,keyasint,omitempty"`
 	}
 
 	// outgoingDatagram is a datagram with its recipients.
@@ -235,6 +237,9 @@
 	case d.PlacementReply != nil:
 		p.placement.handleReply(d.Report.From, *d.PlacementReply)
 		return
+	case len(d.Outcomes) > 0:
+		p.handleOutcomes(d.Report.From.Name, d.Outcomes)
+		return
 	}
 	learned := p.state.applyDatagram(d)
 	if d.Suspicion != nil {
--- a/service/usherhost/placement.go
+++ b/service/usherhost/placement.go
@@ -74,6 +74,8 @@
 		PrefillTime time.Duration  `cbor:"5,keyasint,omitempty"`
 		// Late reports that the first result is not expected within that time.
 		Late bool `cbor:"6,keyasint,omitempty"`
+		// Forecast is what is expected of the request at the target.
+		Forecast usherpool.Forecast `cbor:"10,keyasint,omitempty"`
 	}
 )
 
@@ -103,7 +105,7 @@
 	reply, ok := p.request(ctx, placer, r)
 	if ok && reply.Target != "" {
 		choice := usherpool.Choice{
-			Target: ushercatalog.Target{ID: reply.Target}, Delay: reply.Delay, PrefillTime: reply.PrefillTime, Late: reply.Late, Load: reply.Load, Placer: placer.Name,
+			Target: ushercatalog.Target{ID: reply.Target}, Delay: reply.Delay, PrefillTime: reply.PrefillTime, Late: reply.Late, Load: reply.Load, Forecast: reply.Forecast, Placer: placer.Name,
 		}
 		if choice, taken := p.state.adoptChoice(r, choice); taken {
 			return choice, nil
@@ -197,7 +199,7 @@
 		p.peers.log.Debug("no target for a peer's request", "peer", from.Name, "error", errorText(err))
 	} else {
 		d.PlacementReply.Target, d.PlacementReply.Delay, d.PlacementReply.Load = choice.Target.ID, choice.Delay, choice.Load
-		d.PlacementReply.PrefillTime, d.PlacementReply.Late = choice.PrefillTime, choice.Late
+		d.PlacementReply.PrefillTime, d.PlacementReply.Late, d.PlacementReply.Forecast = choice.PrefillTime, choice.Late, choice.Forecast
 	}
 	p.peers.send(d, from.Address)
 }
--- a/service/usherhost/relay.go
+++ b/service/usherhost/relay.go
@@ -208,8 +208,9 @@
 		if panicked := g.host.containment.run("events of a stream", func() { event, err = r.Next() }); panicked != nil {
 			err = panicked
 		}
+		at := time.Now()
 		select {
-		case items <- streamItem{event: event, err: err}:
+		case items <- streamItem{event: event, at: at, err: err}:
 		case <-done:
 			return
 		}
@@ -230,6 +231,8 @@
 	if g.runEvents++; g.runEvents == eventsOfAnswer {
 		g.host.state.recordAnswer(g.req)
 	}
+	// The caller gets the event first.
+	defer g.observeEvent(item.at)
 	if !g.receiving {
 		g.receiving = true
 		g.trackLoad(g.source.Target.ID, usherpool.Load{Streams: 1, Tokens: g.req.PeakTokens()})
--- a/service/usherhost/stream.go
+++ b/service/usherhost/stream.go
@@ -116,6 +116,7 @@
 		// resumeAnnounced reports whether the load that peers see includes the pending resume at the holder of the copy.
 		resumeAnnounced bool
 		lastEventAt     time.Time
+		times           runTimes
 	}
 
 	copyResult struct {
@@ -128,7 +129,9 @@
 
 	streamItem struct {
 		event usherevent.Event
-		err   error
+		// at is when the event arrived.
+		at  time.Time
+		err error
 	}
 )
 
@@ -153,6 +156,7 @@
 	}
 	for {
 		err := g.relay(ctx)
+		g.reportRunEnd()
 		switch {
 		case err == nil:
 			g.finish()
@@ -283,7 +287,7 @@
 	g.req.choice = choice
 	g.closeExchange()
 	g.releaseLoads()
-	g.source, g.resumeAnnounced, g.runEvents, g.runAdvanced = choice, false, 0, false
+	g.source, g.resumeAnnounced, g.runEvents, g.runAdvanced, g.times = choice, false, 0, false, runTimes{}
 	// Results of copies that are still in progress belong to the previous run and must not be received.
 	g.copyResults = make(chan copyResult, 1)
 	g.stopping, g.runEnded, g.mayBeStopped, g.stopResults = false, false, false, make(chan stopResult, 1)
