--- a/pkg/usherpool/cold.go
+++ b/pkg/usherpool/cold.go
@@ -32,8 +32,7 @@
 
 // coldRate returns how many requests per second this host may send to a cold target.
 func (p *Pool) coldRate(t *target) float64 {
-	s, _ := p.service(t.entry.Service)
-	return s.ColdRate / float64(p.hosts)
+	return t.service.ColdRate / float64(p.hosts)
 }
 
 // MarkCold records that a target reported that it stays cold for the remaining time.
--- a/pkg/usherpool/forecast.go
+++ b/pkg/usherpool/forecast.go
@@ -12,6 +12,8 @@
 	longRunEvents = 64
 	// missCost is the cost of a pause over the maximum for streams without an objective.
 	missCost = 2 * time.Second
+	// speedInterval is how long what is known of a target's speed is used, unless there is a new outcome.
+	speedInterval = 100 * time.Millisecond
 )
 
 type (
@@ -60,6 +62,7 @@
 	if !known || t.entry.Incarnation != o.Incarnation {
 		return
 	}
+	t.speedAt = time.Time{}
 	p.speeds.Record(now, usherspeed.Sample{
 		Target: speedTarget(t.entry), Host: host, Expected: o.Base, Seen: o.FirstEvent, Events: o.Events, Gap: o.Gap, LongestPause: o.LongestPause,
 	})
@@ -76,7 +79,10 @@
 
 // speed returns what is known of a target's speed.
 func (p *Pool) speed(now time.Time, t *target) usherspeed.Estimate {
-	return p.speeds.Estimate(now, speedTarget(t.entry))
+	if now.Sub(t.speedAt) >= speedInterval {
+		t.speed, t.speedAt = p.speeds.Estimate(now, speedTarget(t.entry)), now
+	}
+	return t.speed
 }
 
 func speedTarget(entry ushercatalog.Target) usherspeed.Target {
--- a/pkg/usherpool/pool.go
+++ b/pkg/usherpool/pool.go
@@ -188,6 +188,7 @@
 
 	target struct {
 		entry     ushercatalog.Target
+		service   usherroute.Service
 		learned   time.Time
 		coldUntil time.Time
 		// accepting reports whether new work may be sent.
@@ -204,6 +205,9 @@
 		// reserved holds the choices made for other hosts, which they may not have reported yet.
 		reserved []reservation
 		prompts  promptQueue
+		// speed is what was known of the target's speed at speedAt.
+		speed   usherspeed.Estimate
+		speedAt time.Time
 	}
 )
 
@@ -258,6 +262,7 @@
 func (p *Pool) indexTargets() {
 	p.byService = map[string][]*target{}
 	for _, t := range p.targets {
+		t.service, _ = p.service(t.entry.Service)
 		p.byService[t.entry.Service] = append(p.byService[t.entry.Service], t)
 	}
 	for _, targets := range p.byService {
@@ -449,8 +454,8 @@
 
 // usableMemoryTokens returns the number of tokens that an engine's KV cache can hold before it counts as short of memory.
 func (p *Pool) usableMemoryTokens(t *target) int {
-	if s, ok := p.service(t.entry.Service); ok && s.Engine != nil {
-		return int(memoryShare * float64(s.Engine.MemoryTokens))
+	if e := t.service.Engine; e != nil {
+		return int(memoryShare * float64(e.MemoryTokens))
 	}
 	return 0
 }
@@ -477,8 +482,8 @@
 
 // copyTimePerToken returns how long copying the KV cache of one token takes within a data centre.
 func (p *Pool) copyTimePerToken(t *target) time.Duration {
-	if s, ok := p.service(t.entry.Service); ok && s.Engine != nil {
-		return s.Engine.TokenCopyTime
+	if e := t.service.Engine; e != nil {
+		return e.TokenCopyTime
 	}
 	return 0
 }
