--- a/pkg/usherpool/forecast.go
+++ b/pkg/usherpool/forecast.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/samphireusher/samphireusher/pkg/ushercatalog"
+	"github.com/samphireusher/samphireusher/pkg/usherlength"
 	"github.com/samphireusher/samphireusher/pkg/usherspeed"
 )
 
@@ -44,6 +45,14 @@
 		Events       int
 		Gap          time.Duration
 		LongestPause time.Duration
+		// OutputTokens is the length of the whole output, once it has ended, of a stream of the given service, route and workspace.
+		// OutputHint and MaxOutputTokens are those of its request.
+		OutputTokens    int
+		Service         string
+		Route           string
+		Workspace       string
+		OutputHint      int
+		MaxOutputTokens int
 	}
 )
 
@@ -53,11 +62,15 @@
 	if !known {
 		return Forecast{}, false
 	}
-	return p.forecast(now, t, r, p.totalLoad(now, t)), true
+	return p.forecast(now, t, p.estimateOutput(r), p.totalLoad(now, t)), true
 }
 
-// RecordOutcome records what a host saw of a run. An outcome of another incarnation than the known one is ignored.
+// RecordOutcome records what a host saw of a run. What it says of another incarnation than the known one is ignored.
 func (p *Pool) RecordOutcome(now time.Time, host string, o Outcome) {
+	if o.OutputTokens > 0 {
+		kind := usherlength.Kind{Service: o.Service, Route: o.Route, Workspace: o.Workspace}
+		p.lengths.Record(kind, usherlength.Call{Hint: o.OutputHint, Max: o.MaxOutputTokens}, o.OutputTokens)
+	}
 	t, known := p.targets[o.Target]
 	if !known || t.entry.Incarnation != o.Incarnation {
 		return
@@ -68,6 +81,20 @@
 	})
 }
 
+// estimateOutput returns the request with what is known of the lengths of outputs.
+func (p *Pool) estimateOutput(r Request) Request {
+	if r.OutputHint < 0 || r.MaxOutputTokens < 0 || r.OutputHint+r.MaxOutputTokens == 0 {
+		return r
+	}
+	kind := usherlength.Kind{Service: r.Service, Route: r.Route, Workspace: r.Workspace}
+	estimate := p.lengths.Estimate(kind, usherlength.Call{Hint: r.OutputHint, Max: r.MaxOutputTokens})
+	if r.OutputTokens > 0 {
+		r.Events = int(int64(r.Events) * int64(estimate) / int64(r.OutputTokens))
+	}
+	r.OutputTokens = estimate
+	return r
+}
+
 func (p *Pool) forecast(now time.Time, t *target, r Request, load Load) Forecast {
 	speed := p.speed(now, t)
 	base := PrefillTime(p.pendingPrefill(now, t, load, speed) + r.PromptTokens)
--- a/pkg/usherpool/forecast_test.go
+++ b/pkg/usherpool/forecast_test.go
@@ -135,6 +135,26 @@
 	}
 }
 
+// Callers whose hints are far too high: memory is planned for what outputs have been, not for what callers say.
+func TestOutputLengthsAreLearned(t *testing.T) {
+	p := newPool(1, targets(9), 3)
+	r := longRequest()
+	r.Route, r.Workspace, r.OutputHint, r.MaxOutputTokens = "appraisal", "weavers", 900, 1200
+	before, err := p.Place(start, r, false)
+	if err != nil || before.OutputTokens != r.OutputTokens {
+		t.Fatalf("%d output tokens expected without samples, want the hint of %d; %v", before.OutputTokens, r.OutputTokens, err)
+	}
+	for i := range 60 {
+		p.RecordOutcome(start, "host1", usherpool.Outcome{
+			Target: "gone", OutputTokens: 90 + i%20, Service: engines, Route: "appraisal", Workspace: "weavers", OutputHint: 700 + 7*i, MaxOutputTokens: 1200,
+		})
+	}
+	after, err := p.Place(start, r, false)
+	if err != nil || after.OutputTokens > 200 {
+		t.Errorf("%d output tokens expected, want about 110; %v", after.OutputTokens, err)
+	}
+}
+
 func BenchmarkPlaceAmong64(b *testing.B) {
 	for _, learned := range []bool{false, true} {
 		b.Run(fmt.Sprint("learned=", learned), func(b *testing.B) {
--- a/pkg/usherpool/place.go
+++ b/pkg/usherpool/place.go
@@ -35,6 +35,7 @@
 // several hosts send their requests to the same best one. The requesting host passes the result of its ExcludedTargets in
 // r.Exclude.
 func (p *Pool) Place(now time.Time, r Request, own bool) (Choice, error) {
+	r = p.estimateOutput(r)
 	var best *target
 	var choice Choice
 	reason := ErrNoTarget
--- a/pkg/usherpool/pool.go
+++ b/pkg/usherpool/pool.go
@@ -28,6 +28,7 @@
 	"github.com/joomcode/errorx"
 
 	"github.com/samphireusher/samphireusher/pkg/ushercatalog"
+	"github.com/samphireusher/samphireusher/pkg/usherlength"
 	"github.com/samphireusher/samphireusher/pkg/usherroute"
 	"github.com/samphireusher/samphireusher/pkg/usherspeed"
 )
@@ -133,6 +134,10 @@
 		MaxPause time.Duration
 		// Events is the expected number of events.
 		Events int
+		// OutputHint and MaxOutputTokens are what the caller said of the output. From them, OutputTokens and Events are estimated anew where
+		// lengths have been learned.
+		OutputHint      int
+		MaxOutputTokens int
 		// Parts are the parts of the prompt that other requests may share, in order.
 		Parts []Part
 	}
@@ -154,6 +159,8 @@
 		PrefillTime time.Duration
 		// Forecast is what was expected of the request at the target; zero for copies.
 		Forecast Forecast
+		// OutputTokens is the estimate that was used.
+		OutputTokens int
 		// Late reports that the first result is not expected within the objective.
 		Late bool
 		// Load is the known load on the target from all hosts.
@@ -180,8 +187,9 @@
 		// resting has the rests of incarnations whose entry is missing. It may come back.
 		resting map[incarnation]rest
 		// limits has the limits of incarnations whose entry is missing.
-		limits map[incarnation]*limit
-		speeds usherspeed.Tracker
+		limits  map[incarnation]*limit
+		speeds  usherspeed.Tracker
+		lengths usherlength.Tracker
 		// byService has the targets of each service, sorted by id.
 		byService map[string][]*target
 	}
@@ -298,6 +306,7 @@
 
 // Choose returns the target with the least expected delay for r. It counts as a request sent to a cold target.
 func (p *Pool) Choose(now time.Time, r Request) (Choice, error) {
+	r = p.estimateOutput(r)
 	var best *target
 	var choice Choice
 	reason := ErrNoTarget
@@ -334,6 +343,7 @@
 
 // estimatePrefill sets the expected prefill time of the choice and whether it misses the objective.
 func (p *Pool) estimatePrefill(now time.Time, t *target, r Request, c Choice) Choice {
+	c.OutputTokens = r.OutputTokens
 	if !r.Copy {
 		speed := p.speed(now, t)
 		queuedTokens := p.pendingPrefill(now, t, c.Load, speed)
--- a/service/usherhost/outcome.go
+++ b/service/usherhost/outcome.go
@@ -15,6 +15,8 @@
 	maxOutcomes = 16
 	// earlyReportEvents is the number of events after which the time between events is reported first, long before most runs end.
 	earlyReportEvents = 16
+	// minGapEvents is the least number of events whose mean time is reported.
+	minGapEvents = 8
 	// forecastTolerance is the deviation up to which a forecast counts as right, in percent of what was forecast.
 	forecastTolerance = 25
 )
@@ -30,13 +32,19 @@
 	}
 
 	outcomeWire struct {
-		Target       string        `cbor:"1,keyasint"`
-		Incarnation  int64         `cbor:"2,keyasint,omitempty"`
-		Base         time.Duration `cbor:"3,keyasint,omitempty"`
-		FirstEvent   time.Duration `cbor:"4,keyasint,omitempty"`
-		Events       int           `cbor:"5,keyasint,omitempty"`
-		Gap          time.Duration `cbor:"6,keyasint,omitempty"`
-		LongestPause time.Duration `cbor:"7,keyasint,omitempty"`
+		Target          string        `cbor:"1,keyasint"`
+		Incarnation     int64         `cbor:"2,keyasint,omitempty"`
+		Base            time.Duration `cbor:"3,keyasint,omitempty"`
+		FirstEvent      time.Duration `cbor:"4,keyasint,omitempty"`
+		Events          int           `cbor:"5,keyasint,omitempty"`
+		Gap             time.Duration `cbor:"6,keyasint,omitempty"`
+		LongestPause    time.Duration `cbor:"7,keyasint,omitempty"`
+		OutputTokens    int           `cbor:"8,keyasint,omitempty"`
+		Service         string        `cbor:"9,keyasint,omitempty"`
+		Route           string        `cbor:"10,keyasint,omitempty"`
+		Workspace       string        `cbor:"11,keyasint,omitempty"`
+		OutputHint      int           `cbor:"12,keyasint,omitempty"`
+		MaxOutputTokens int           `cbor:"13,keyasint,omitempty"`
 	}
 )
 
@@ -69,14 +77,37 @@
 	g.reportOutcome(o)
 }
 
-// reportRunEnd reports the times between the events of the current run.
-func (g *generation) reportRunEnd() {
-	if g.runEvents <= max(g.times.reportedEvents, 1) {
-		return
+// reportRunEnd reports the times between the events of the current run and, if the stream is complete, its length.
+func (g *generation) reportRunEnd(complete bool) {
+	o := g.outcome()
+	if g.runEvents > max(g.times.reportedEvents, 1) {
+		o = g.gapOutcome()
+		o.Events, o.LongestPause = g.runEvents, g.times.longestPause
 	}
-	o := g.gapOutcome()
-	o.Events, o.LongestPause = g.runEvents, g.times.longestPause
-	g.reportOutcome(o)
+	if e := g.req.service.Engine; complete && e != nil {
+		o.OutputTokens = g.req.events * e.EventTokens
+		o.Service, o.Route, o.Workspace = g.req.service.Name, g.req.route.Name, g.req.workspace.Name
+		o.OutputHint, o.MaxOutputTokens = g.req.OutputHint, g.req.MaxOutputTokens
+	}
+	if o != g.outcome() {
+		g.reportOutcome(o)
+	}
+}
+
+// expectOutput adopts the length that is expected of the output according to a choice.
+func (g *generation) expectOutput(c usherpool.Choice) {
+	if c.OutputTokens > 0 {
+		g.outputTokens = c.OutputTokens
+	}
+}
+
+// peakTokens returns the expected KV cache size of the run at its end, in tokens.
+func (g *generation) peakTokens() int {
+	output := g.outputTokens
+	if output == 0 {
+		output = g.req.OutputTokens()
+	}
+	return g.req.PromptTokens + output
 }
 
 // gapOutcome returns the mean time between the events since the last report.
@@ -84,7 +115,9 @@
 	t := &g.times
 	o := g.outcome()
 	o.Events = g.runEvents - t.reportedEvents
-	o.Gap = t.last.Sub(t.reported) / time.Duration(max(o.Events, 1))
+	if o.Events >= minGapEvents {
+		o.Gap = t.last.Sub(t.reported) / time.Duration(o.Events)
+	}
 	t.reported, t.reportedEvents = t.last, g.runEvents
 	return o
 }
--- a/service/usherhost/placement.go
+++ b/service/usherhost/placement.go
@@ -63,6 +63,9 @@
 		MaxPause  time.Duration    `cbor:"12,keyasint,omitempty"`
 		Events    int              `cbor:"13,keyasint,omitempty"`
 		Parts     []usherpool.Part `cbor:"14,keyasint,omitempty"`
+		// OutputHint and MaxOutputTokens are those of usherpool.Request.
+		OutputHint      int `cbor:"20,keyasint,omitempty"`
+		MaxOutputTokens int `cbor:"21,keyasint,omitempty"`
 	}
 
 	placementReplyWire struct {
@@ -76,6 +79,8 @@
 		Late bool `cbor:"6,keyasint,omitempty"`
 		// Forecast is what is expected of the request at the target.
 		Forecast usherpool.Forecast `cbor:"10,keyasint,omitempty"`
+		// OutputTokens is the expected length of the output.
+		OutputTokens int `cbor:"11,keyasint,omitempty"`
 	}
 )
 
@@ -105,7 +110,7 @@
 	reply, ok := p.request(ctx, placer, r)
 	if ok && reply.Target != "" {
 		choice := usherpool.Choice{
-			Target: ushercatalog.Target{ID: reply.Target}, Delay: reply.Delay, PrefillTime: reply.PrefillTime, Late: reply.Late, Load: reply.Load, Forecast: reply.Forecast, Placer: placer.Name,
+			Target: ushercatalog.Target{ID: reply.Target}, Delay: reply.Delay, PrefillTime: reply.PrefillTime, Late: reply.Late, Load: reply.Load, Forecast: reply.Forecast, OutputTokens: reply.OutputTokens, Placer: placer.Name,
 		}
 		if choice, taken := p.state.adoptChoice(r, choice); taken {
 			return choice, nil
@@ -141,6 +146,7 @@
 	d.PlacementRequest = &placementRequestWire{ID: id, Parameters: placementParameters{
 		Service: r.Service, PromptTokens: r.PromptTokens, OutputTokens: r.OutputTokens, Copy: r.Copy, SourceDataCentre: r.SourceDataCentre, Objective: r.Objective, Backup: r.Backup,
 		Route: r.Route, Workspace: r.Workspace, Rank: r.Rank, MaxPause: r.MaxPause, Events: r.Events, Parts: r.Parts,
+		OutputHint: r.OutputHint, MaxOutputTokens: r.MaxOutputTokens,
 		Exclude: slices.Compact(slices.Sorted(slices.Values(slices.Concat(r.Exclude, p.state.excludedTargets(r))))),
 	}}
 	start := time.Now()
@@ -186,6 +192,7 @@
 		Service: p.Service, PromptTokens: p.PromptTokens, OutputTokens: p.OutputTokens, Copy: p.Copy, SourceDataCentre: p.SourceDataCentre, Exclude: p.Exclude,
 		Objective: p.Objective, Backup: p.Backup, DataCentre: dataCentre,
 		Route: p.Route, Workspace: p.Workspace, Rank: p.Rank, MaxPause: p.MaxPause, Events: p.Events, Parts: p.Parts,
+		OutputHint: p.OutputHint, MaxOutputTokens: p.MaxOutputTokens,
 	}
 }
 
@@ -199,6 +206,7 @@
 		p.peers.log.Debug("no target for a peer's request", "peer", from.Name, "error", errorText(err))
 	} else {
 		d.PlacementReply.Target, d.PlacementReply.Delay, d.PlacementReply.Load = choice.Target.ID, choice.Delay, choice.Load
+		d.PlacementReply.OutputTokens = choice.OutputTokens
 		d.PlacementReply.PrefillTime, d.PlacementReply.Late, d.PlacementReply.Forecast = choice.PrefillTime, choice.Late, choice.Forecast
 	}
 	p.peers.send(d, from.Address)
--- a/service/usherhost/stream.go
+++ b/service/usherhost/stream.go
@@ -117,6 +117,8 @@
 		resumeAnnounced bool
 		lastEventAt     time.Time
 		times           runTimes
+		// outputTokens is the expected length of the output; zero before a target is chosen.
+		outputTokens int
 	}
 
 	copyResult struct {
@@ -156,7 +158,7 @@
 	}
 	for {
 		err := g.relay(ctx)
-		g.reportRunEnd()
+		g.reportRunEnd(err == nil)
 		switch {
 		case err == nil:
 			g.finish()
@@ -269,6 +271,7 @@
 func (g *generation) placementRequest(exclude []string) usherpool.Request {
 	r := usherpool.Request{
 		Service: g.req.service.Name, PromptTokens: max(g.req.PromptTokens, 1), OutputTokens: g.req.OutputTokens(), Exclude: exclude,
+		OutputHint: g.req.OutputHint, MaxOutputTokens: g.req.MaxOutputTokens,
 		Route: g.req.route.Name, Workspace: g.req.workspace.Name, Rank: g.req.rank(), MaxPause: g.req.route.MaxPause,
 	}
 	if e := g.req.service.Engine; e != nil && e.EventTokens > 0 {
@@ -285,6 +288,7 @@
 func (g *generation) send(ctx context.Context, choice usherpool.Choice, from ushercall.Copy) sendResult {
 	id := choice.Target.ID
 	g.req.choice = choice
+	g.expectOutput(choice)
 	g.closeExchange()
 	g.releaseLoads()
 	g.source, g.resumeAnnounced, g.runEvents, g.runAdvanced, g.times = choice, false, 0, false, runTimes{}
@@ -305,7 +309,7 @@
 		dispatch.Priority = latePriority
 		g.trackLoad(id, usherpool.Load{Streams: 1})
 	} else {
-		g.trackLoad(id, usherpool.Load{Streams: 1, Tokens: g.req.PeakTokens(), Prefill: g.remainingPrefill(from)})
+		g.trackLoad(id, usherpool.Load{Streams: 1, Tokens: g.peakTokens(), Prefill: g.remainingPrefill(from)})
 	}
 	if from.Handle != "" {
 		dispatch = dispatch.WithCopy(from, g.lastEvent)
