--- a/pkg/usherpool/forecast.go
+++ b/pkg/usherpool/forecast.go
@@ -13,7 +13,9 @@
 	longRunEvents = 64
 	// missCost is the cost of a pause over the maximum for streams without an objective.
 	missCost = 2 * time.Second
-	// speedInterval is how long what is known of a target's speed is used, unless there is a new outcome.
+	// minBase is the shortest forecast of a stream's first event that is compared with what was seen: below it, fixed delays prevail.
+	minBase = 20 * time.Millisecond
+	// speedInterval is how long what is known of the speeds of a service's targets is used.
 	speedInterval = 100 * time.Millisecond
 )
 
@@ -75,9 +77,11 @@
 	if !known || t.entry.Incarnation != o.Incarnation {
 		return
 	}
-	t.speedAt = time.Time{}
+	if t.service.Engine != nil && o.Base < minBase {
+		o.Base = 0
+	}
 	p.speeds.Record(now, usherspeed.Sample{
-		Target: speedTarget(t.entry), Host: host, Expected: o.Base, Seen: o.FirstEvent, Events: o.Events, Gap: o.Gap, LongestPause: o.LongestPause,
+		Target: speedTarget(t.entry), Host: host, Call: t.service.Engine == nil, Expected: o.Base, Seen: o.FirstEvent, Events: o.Events, Gap: o.Gap, LongestPause: o.LongestPause,
 	})
 }
 
@@ -97,6 +101,10 @@
 
 func (p *Pool) forecast(now time.Time, t *target, r Request, load Load) Forecast {
 	speed := p.speed(now, t)
+	if r.PromptTokens == 0 {
+		base := callTime(t, load)
+		return Forecast{FirstEvent: speed.Scale(base), Base: base, Factor: speed.Factor, Error: speed.Error, Age: speed.Age}
+	}
 	base := PrefillTime(p.pendingPrefill(now, t, load, speed) + r.PromptTokens)
 	return Forecast{
 		FirstEvent: speed.Scale(base), Base: base, LongestPause: speed.LongestPause,
@@ -104,10 +112,40 @@
 	}
 }
 
+// callTime returns how long a call takes at a usual target beside the known ones.
+func callTime(t *target, load Load) time.Duration {
+	slots := max(t.entry.Slots, 1)
+	return callCost * time.Duration(max(load.Calls+1, slots)) / time.Duration(slots)
+}
+
+// callDelay returns the cost of a call at t.
+func (p *Pool) callDelay(now time.Time, t *target, load Load) time.Duration {
+	queued := time.Duration(load.Calls) * callCost / time.Duration(max(t.entry.Slots, 1))
+	speed := p.speed(now, t)
+	if !speed.Uneven() {
+		return queued
+	}
+	// Hosts that know the same, and a target that has not been tried for a while, differ by the error of what is known.
+	spread := 1 + speed.Error*(2*p.options.Random.Float64()-1)
+	return time.Duration(spread * float64(speed.Scale(callCost+queued)))
+}
+
+// Uneven reports whether the targets of a service differ in speed by more than what is known of them.
+func (p *Pool) Uneven(now time.Time, service string) bool {
+	for _, t := range p.byService[service] {
+		return p.speed(now, t).Uneven()
+	}
+	return false
+}
+
 // speed returns what is known of a target's speed.
 func (p *Pool) speed(now time.Time, t *target) usherspeed.Estimate {
-	if now.Sub(t.speedAt) >= speedInterval {
-		t.speed, t.speedAt = p.speeds.Estimate(now, speedTarget(t.entry)), now
+	if service := t.entry.Service; now.Sub(p.speedsAt[service]) >= speedInterval {
+		// All targets of a service at once, as they are compared with each other.
+		p.speedsAt[service] = now
+		for _, t := range p.byService[service] {
+			t.speed = p.speeds.Estimate(now, speedTarget(t.entry))
+		}
 	}
 	return t.speed
 }
--- a/pkg/usherpool/pool.go
+++ b/pkg/usherpool/pool.go
@@ -192,6 +192,8 @@
 		lengths usherlength.Tracker
 		// byService has the targets of each service, sorted by id.
 		byService map[string][]*target
+		// speedsAt is when the speeds of a service's targets were last estimated.
+		speedsAt map[string]time.Time
 	}
 
 	target struct {
@@ -213,9 +215,8 @@
 		// reserved holds the choices made for other hosts, which they may not have reported yet.
 		reserved []reservation
 		prompts  promptQueue
-		// speed is what was known of the target's speed at speedAt.
-		speed   usherspeed.Estimate
-		speedAt time.Time
+		// speed is what was known of the target's speed at the time that the pool's speedsAt names.
+		speed usherspeed.Estimate
 	}
 )
 
@@ -268,7 +269,7 @@
 }
 
 func (p *Pool) indexTargets() {
-	p.byService = map[string][]*target{}
+	p.byService, p.speedsAt = map[string][]*target{}, map[string]time.Time{}
 	for _, t := range p.targets {
 		t.service, _ = p.service(t.entry.Service)
 		p.byService[t.entry.Service] = append(p.byService[t.entry.Service], t)
@@ -348,6 +349,9 @@
 		speed := p.speed(now, t)
 		queuedTokens := p.pendingPrefill(now, t, c.Load, speed)
 		c.Forecast = p.forecast(now, t, r, c.Load)
+		if r.PromptTokens == 0 {
+			return c
+		}
 		c.PrefillTime = c.Forecast.FirstEvent
 		// A prompt's own length must not make it late, or long prompts would always wait behind short ones.
 		c.Late = r.Objective > 0 && time.Duration(prefillWaitFactor*float64(speed.Scale(PrefillTime(queuedTokens+typicalPromptTokens)))) > r.Objective
@@ -419,7 +423,7 @@
 	// Breaks ties between equal targets, so that hosts with the same view do not all choose the same target.
 	delay += time.Duration(p.options.Random.Float64() * float64(time.Millisecond))
 	if r.PromptTokens == 0 {
-		return delay + time.Duration(load.Calls)*callCost/time.Duration(max(t.entry.Slots, 1))
+		return delay + p.callDelay(now, t, load)
 	}
 	tokens := r.PromptTokens + r.OutputTokens
 	if r.Copy {
--- a/pkg/usherspeed/service.go
+++ b/pkg/usherspeed/service.go
@@ -15,6 +15,8 @@
 	decay = 15 * time.Second
 	// hostVariance is the variance between hosts in how they see the same target, which bounds the weight of one host.
 	hostVariance = 0.25 * 0.25
+	// sameHostVariance takes its place where all samples are of one host, which sees all targets in the same way.
+	sameHostVariance = 0.05 * 0.05
 	// maxHosts bounds the hosts that are remembered for a target.
 	maxHosts = 12
 	// maxHostWeight bounds the samples that a host's mean is of, so that it follows changes.
@@ -25,6 +27,8 @@
 	initialVariance = 0.35 * 0.35
 	minVariance     = 0.1 * 0.1
 	varianceRate    = 0.02
+	// waitingWeight is the weight of calls that take longer than usual, against the others.
+	waitingWeight = 0.25
 	// minSpread is the standard deviation between targets from which a service counts as uneven. Forecasts err by as much.
 	minSpread = 0.25
 	// minScale is the least deviation of the service's median from the forecast that is corrected.
@@ -48,6 +52,9 @@
 		uneven bool
 		pauses pauseModel
 		line   pauseLine
+		// host is the host whose samples came first; manyHosts reports whether others have reported too.
+		host      string
+		manyHosts bool
 		// unknown is the estimate of targets without samples.
 		unknown Estimate
 	}
@@ -80,7 +87,12 @@
 }
 
 // observe adds a value of a measure.
-func (s *service) observe(now time.Time, r *record, m int, host string, x float64) {
+func (s *service) observe(now time.Time, r *record, m int, sample Sample, x float64) {
+	host := sample.Host
+	if s.host == "" {
+		s.host = host
+	}
+	s.manyHosts = s.manyHosts || host != s.host
 	s.recalculate(now, r)
 	if r.precision[m] > 0 {
 		weight := 1 / (1 + 1/(r.precision[m]*s.variance[m]))
@@ -98,7 +110,11 @@
 	}
 	h := &r.hosts[m][i]
 	h.weight = min(h.weightAt(now)+1, maxHostWeight)
-	h.mean += (x - h.mean) / h.weight
+	change := (x - h.mean) / h.weight
+	if sample.Call && change > 0 {
+		change *= waitingWeight
+	}
+	h.mean += change
 	h.at = now
 	r.stale, s.changed = true, true
 }
@@ -141,7 +157,7 @@
 	var sum, squares, errors, n float64
 	for _, r := range s.targets {
 		x, precision := s.deviation(r)
-		if precision*(hostVariance+initialVariance) < minMeasured {
+		if precision*(s.betweenHosts()+initialVariance) < minMeasured {
 			continue
 		}
 		n++
@@ -155,9 +171,15 @@
 	}
 	variance := (squares - sum*sum/n) / (n - 1)
 	s.spread = max(0, variance-errors/n)
-	// Two standard deviations of what the errors alone would show.
-	explained := errors / n * (1 + 2*math.Sqrt(2/(n-1)))
-	s.uneven = variance-explained > 0 && s.spread > minSpread*minSpread
+	s.uneven = variance > errors/n*chanceFactor(n-1) && s.spread > minSpread*minSpread
+}
+
+// chanceFactor returns the ratio of a variance with the given degrees of freedom to the true one that chance exceeds once in 10,000 times, by
+// the approximation of Wilson and Hilferty.
+func chanceFactor(degrees float64) float64 {
+	const quantile = 3.72
+	d := 2 / (9 * degrees)
+	return math.Pow(1-d+quantile*math.Sqrt(d), 3)
 }
 
 // deviation returns the mean deviation of a target from the medians, and its precision.
@@ -183,7 +205,7 @@
 
 // newEstimate returns the estimate of a target with a mean deviation from the medians, of the given precision.
 func (s *service) newEstimate(deviation, known float64) Estimate {
-	e := Estimate{Factor: 1, Error: math.Sqrt(s.spread)}
+	e := Estimate{Factor: 1, Error: math.Sqrt(s.spread), uneven: s.uneven}
 	if s.uneven {
 		precision := 1/s.spread + known
 		e.Error = math.Sqrt(1 / precision)
@@ -207,11 +229,19 @@
 	}
 	r.stale = false
 	for m := range measureCount {
-		r.mean[m], r.precision[m] = combine(now, r.hosts[m], s.variance[m])
+		r.mean[m], r.precision[m] = combine(now, r.hosts[m], s.variance[m], s.betweenHosts())
+	}
+}
+
+// betweenHosts returns the variance between hosts.
+func (s *service) betweenHosts() float64 {
+	if s.manyHosts {
+		return hostVariance
 	}
+	return sameHostVariance
 }
 
-func combine(now time.Time, hosts []hostMean, variance float64) (mean, precision float64) {
+func combine(now time.Time, hosts []hostMean, variance, betweenHosts float64) (mean, precision float64) {
 	lowest, highest := math.Inf(-1), math.Inf(1)
 	if len(hosts) >= 3 {
 		means := make([]float64, len(hosts))
@@ -226,7 +256,7 @@
 		if weight < 0.01 {
 			continue
 		}
-		p := 1 / (hostVariance + variance/weight)
+		p := 1 / (betweenHosts + variance/weight)
 		mean += p * min(max(h.mean, lowest), highest)
 		precision += p
 	}
--- a/pkg/usherspeed/tracker.go
+++ b/pkg/usherspeed/tracker.go
@@ -20,7 +20,7 @@
 	// maxRatio bounds the ratio that a single sample may show.
 	maxRatio = 8
 	// minExpected is the shortest expected time whose ratio says something: below it, fixed delays prevail.
-	minExpected = 20 * time.Millisecond
+	minExpected = 5 * time.Millisecond
 	// minGapEvents is the least number of events for a mean time between them.
 	minGapEvents = 8
 	// retention is how long a target without samples is remembered.
@@ -40,6 +40,8 @@
 		Target Target
 		// Host is the host that relayed the run.
 		Host string
+		// Call marks plain calls. Those that take longer than usual count less, as they may have waited.
+		Call bool
 		// Expected is the time until the first event that was forecast for a target with factor 1, Seen the actual one.
 		Expected, Seen time.Duration
 		// Gap is the mean time between events, LongestPause the longest one, over the given number of events.
@@ -61,6 +63,7 @@
 		LongestPause time.Duration
 		// relative is the logarithm of the factor relative to the service's median.
 		relative float64
+		uneven   bool
 		pause    pauseEstimate
 	}
 
@@ -88,7 +91,7 @@
 	}
 	for m := range measureCount {
 		if seen[m] {
-			service.observe(now, r, m, s.Host, x[m])
+			service.observe(now, r, m, s, x[m])
 		}
 	}
 	if hasPause {
@@ -113,6 +116,9 @@
 	return service.unknown
 }
 
+// Uneven reports whether the targets of the service differ by more than what is known of them.
+func (e Estimate) Uneven() bool { return e.uneven }
+
 // Scale returns the time that a target needs for what takes d at factor 1.
 func (e Estimate) Scale(d time.Duration) time.Duration {
 	if e.Factor == 1 || e.Factor == 0 {
--- a/service/usherhost/outcome.go
+++ b/service/usherhost/outcome.go
@@ -1,11 +1,13 @@
 package usherhost
 
 import (
+	"context"
 	"math"
 	"time"
 
 	"github.com/samphireusher/samphireusher/pkg/ushercluster"
 	"github.com/samphireusher/samphireusher/pkg/usherpool"
+	"github.com/samphireusher/samphireusher/pkg/usherspeed"
 )
 
 const (
@@ -17,6 +19,10 @@
 	earlyReportEvents = 16
 	// minGapEvents is the least number of events whose mean time is reported.
 	minGapEvents = 8
+	// hedgeQuantile is the share of a route's calls that are answered before they are sent to a second target.
+	hedgeQuantile = 0.95
+	// maxCallTails bounds the routes whose durations are remembered.
+	maxCallTails = 1024
 	// forecastTolerance is the deviation up to which a forecast counts as right, in percent of what was forecast.
 	forecastTolerance = 25
 )
@@ -126,6 +132,53 @@
 	return usherpool.Outcome{Target: g.source.Target.ID, Incarnation: g.source.Target.Incarnation}
 }
 
+// observeCall records the answer of a plain call.
+func (h *Host) observeCall(req *requestState, choice usherpool.Choice, seen time.Duration) {
+	h.state.recordCall(req.route.Name, seen)
+	h.state.recordOutcome(h.state.self().Name, callOutcome(choice, seen))
+}
+
+// observeAbandonedCall records a plain call that was given up because another target was faster, if it had taken longer than expected: what is
+// not answered shows as much.
+func (h *Host) observeAbandonedCall(ctx context.Context, choice usherpool.Choice, x *exchange) {
+	if seen := time.Since(x.sentAt); ctx.Err() != nil && seen > choice.Forecast.FirstEvent {
+		h.state.recordOutcome(h.state.self().Name, callOutcome(choice, seen))
+	}
+}
+
+func callOutcome(choice usherpool.Choice, seen time.Duration) usherpool.Outcome {
+	return usherpool.Outcome{Target: choice.Target.ID, Incarnation: choice.Target.Incarnation, Base: choice.Forecast.Base, FirstEvent: seen}
+}
+
+// recordCall records the duration of a route's call.
+func (s *sharedState) recordCall(route string, d time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	tail, known := s.callTails[route]
+	if !known && len(s.callTails) < maxCallTails {
+		tail = &usherspeed.Tail{}
+		s.callTails[route] = tail
+	}
+	if tail != nil {
+		tail.Add(d)
+	}
+}
+
+// callTail returns how long all but a few of the route's calls take, if the targets of the service differ in speed, or else the longest time
+// given. The few are those for which the retry budget has room.
+func (s *sharedState) callTail(req *requestState, longest time.Duration) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	tail, known := s.callTails[req.route.Name]
+	if !known || !s.pool.Uneven(time.Now(), req.service.Name) {
+		return longest
+	}
+	if d, known := tail.Quantile(max(hedgeQuantile, 1-s.retryDefaults.Ratio/2)); known {
+		return min(d, longest)
+	}
+	return longest
+}
+
 // reportOutcome records an outcome in this host and tells the placers of it. It is not repeated.
 func (g *generation) reportOutcome(o usherpool.Outcome) {
 	g.host.state.recordOutcome(g.host.state.self().Name, o)
--- a/service/usherhost/plain.go
+++ b/service/usherhost/plain.go
@@ -121,10 +121,11 @@
 
 // hedgeDelay returns how long to wait for a response before the call is sent to a second target.
 func (r *race) hedgeDelay() time.Duration {
+	delay := time.Duration(hedgeFraction * float64(r.req.route.Objective))
 	if r.req.route.Objective == 0 {
-		return defaultHedgeDelay
+		delay = defaultHedgeDelay
 	}
-	return time.Duration(hedgeFraction * float64(r.req.route.Objective))
+	return min(delay, r.host.state.callTail(r.req, delay))
 }
 
 // handleResult records a result and reports whether it is the one to relay.
@@ -291,6 +292,7 @@
 	}
 	x.send(&req.Call, h.codec.EncodeDispatch(&req.Call, req.dispatch(id)))
 	if err := x.receive(h.codec, req.Attempt, 0, nil); err != nil {
+		h.observeAbandonedCall(ctx, choice, x)
 		return broken(err)
 	}
 	status := x.response.StatusCode
@@ -312,7 +314,11 @@
 		h.state.markCold(id, x.info.ColdRemaining)
 	}
 	h.noteTarget(choice.Target, req.Attempt, x.sentAt, x.info.Notice)
-	return sendResult{choice: choice, result: classify(status, x.info), ran: !x.info.NotRun, reply: r, err: statusError(id, status)}
+	result := classify(status, x.info)
+	if result == usherpool.Answered {
+		h.observeCall(req, choice, time.Since(x.sentAt))
+	}
+	return sendResult{choice: choice, result: result, ran: !x.info.NotRun, reply: r, err: statusError(id, status)}
 }
 
 // statusError describes a failure response; it is nil for other responses.
--- a/service/usherhost/state.go
+++ b/service/usherhost/state.go
@@ -9,6 +9,7 @@
 	"github.com/samphireusher/samphireusher/pkg/ushercluster"
 	"github.com/samphireusher/samphireusher/pkg/usherpool"
 	"github.com/samphireusher/samphireusher/pkg/usherroute"
+	"github.com/samphireusher/samphireusher/pkg/usherspeed"
 )
 
 type (
@@ -44,6 +45,8 @@
 		// limitEnds are the limits that have ended lately, as this host or a peer learned.
 		limitEnds map[limitKey]limitEnd
 		suspicion suspicion
+		// callTails has the durations of plain calls, by route.
+		callTails map[string]*usherspeed.Tail
 		changed   chan struct{}
 		// behindPeer is notified when a peer has a newer catalog than this host, readerFailed when a peer reports that
 		// its calls to the store fail.
@@ -78,6 +81,7 @@
 		peerStatuses:  map[string]peerStatus{},
 		limitEnds:     map[limitKey]limitEnd{},
 		suspicion:     newSuspicion(self.Name),
+		callTails:     map[string]*usherspeed.Tail{},
 		changed:       make(chan struct{}), behindPeer: make(chan struct{}, 1), readerFailed: make(chan struct{}, 1),
 	}
 }
