--- a/cmd/usher-host/daemon/speed_test.go
+++ b/cmd/usher-host/daemon/speed_test.go
@@ -35,7 +35,7 @@
 		b.addSlowEngine("slow-1", 10, 100*time.Millisecond)
 		b.addSlowEngine("slow-2", 11, 100*time.Millisecond)
 		time.Sleep(time.Second)
-		for range 5 {
+		for range 12 {
 			for _, h := range []*host{b.hosts[1], b.hosts[2], b.hosts[4], b.hosts[5]} {
 				b.startStream(h, "/appraisal/60")
 			}
@@ -53,3 +53,30 @@
 		time.Sleep(5 * time.Second)
 	})
 }
+
+// Unequal speeds: one of three plain servers takes four times as long. All hosts know it within seconds of the first calls, also one that has made
+// none itself.
+func TestSlowPlainServerIsKnownToAllHosts(t *testing.T) {
+	withTestbed(t, options{hosts: 6, plainTargets: 1}, func(t *testing.T, b *testbed) {
+		// All in the same data centre, as hosts prefer those of their own.
+		b.addTarget("plain-1", plainService, 3)
+		b.options.serviceTime = 60 * time.Millisecond
+		b.addTarget("slow", plainService, 6)
+		time.Sleep(time.Second)
+		for range 60 {
+			for _, h := range b.hosts[:5] {
+				go b.get(h, "/status/1")
+			}
+			time.Sleep(50 * time.Millisecond)
+		}
+		for _, h := range b.hosts {
+			if speeds := b.speeds(h); speeds["slow"] < 1.5*max(speeds["plain-0"], speeds["plain-1"]) {
+				t.Errorf("%s does not know the slow server: %v", h.name, speeds)
+			}
+		}
+		if h := b.hosts[5]; b.speeds(h)["slow"] == 1 {
+			t.Errorf("%s knows nothing of the servers", h.name)
+		}
+		time.Sleep(time.Second)
+	})
+}
--- a/pkg/usherpool/calls_test.go
+++ b/pkg/usherpool/calls_test.go
@@ -55,9 +55,16 @@
 	ends         time.Time
 }
 
-// callAll lets hosts make calls for 20 s, at a rate that keeps a little more than half of the slots busy, and returns the durations of those in the
-// second half. Hosts learn of each other's load each half second.
-func callAll(t *testing.T, hosts, perSecond int, serviceTimes []time.Duration, learn bool) (durations []time.Duration) {
+// What hosts learn of servers in callAll.
+const (
+	nothing = iota
+	alone
+	together
+)
+
+// callAll lets hosts make calls for 20 s, at a rate that keeps about half of the slots busy, and returns the durations of those after
+// the first second. Hosts learn of each other's load each half second.
+func callAll(t *testing.T, hosts, perSecond int, serviceTimes []time.Duration, learn int) (durations []time.Duration) {
 	t.Helper()
 	s, random := newServers(serviceTimes), rand.New(rand.NewPCG(3, 4))
 	var pools []*usherpool.Pool
@@ -72,11 +79,22 @@
 				return false
 			}
 			pools[c.host].AddLoad(c.choice.Target.ID, usherpool.Load{Calls: -1})
-			if learn {
-				pools[c.host].RecordOutcome(now, fmt.Sprint("host", c.host), usherpool.Outcome{Target: c.choice.Target.ID, Base: c.choice.Forecast.Base, FirstEvent: c.duration})
+			outcome := usherpool.Outcome{Target: c.choice.Target.ID, Base: c.choice.Forecast.Base, FirstEvent: c.duration}
+			if learn == together {
+				pools[0].RecordOutcome(now, fmt.Sprint("host", c.host), outcome)
+			}
+			if learn == alone || learn == together && c.host > 0 {
+				pools[c.host].RecordOutcome(now, fmt.Sprint("host", c.host), outcome)
 			}
 			return true
 		})
+		if learn == together && i%(perSecond/4) == 0 {
+			for service, speeds := range pools[0].SharedSpeeds(now) {
+				for _, p := range pools[1:] {
+					p.AdoptSpeeds(now, service, speeds)
+				}
+			}
+		}
 		if i%(perSecond/2) == 0 {
 			for to, receiver := range pools {
 				fleet := map[string]usherpool.Load{}
@@ -98,7 +116,7 @@
 		c := call{host: host, server: server, choice: choice, duration: s.serve(now, server, random)}
 		c.ends = now.Add(c.duration)
 		running = append(running, c)
-		if i > 10*perSecond {
+		if i > perSecond {
 			durations = append(durations, c.duration)
 		}
 	}
@@ -121,11 +139,12 @@
 		name         string
 		hosts        int
 		serviceTimes []time.Duration
-	}{{"one slow, 76 hosts", 76, []time.Duration{fast, fast, slow}}, {"two slow, 76 hosts", 76, []time.Duration{slow, slow, fast}}, {"one slow, 9 hosts", 9, []time.Duration{fast, fast, slow}}} {
-		without, with := overGoal(callAll(t, c.hosts, 144, c.serviceTimes, false)), overGoal(callAll(t, c.hosts, 144, c.serviceTimes, true))
-		t.Logf("%s: %d calls took over 110 ms, %d without what was learned", c.name, with, without)
-		if with*3 > without*2 {
-			t.Errorf("%s: %d calls took over 110 ms, %d without what was learned", c.name, with, without)
+	}{{"one slow, 76 hosts", 76, []time.Duration{fast, fast, slow}}, {"two slow, 76 hosts", 76, []time.Duration{slow, slow, fast}}, {"one slow, 9 hosts", 9, []time.Duration{fast, fast, slow}}, {"one slow, 300 hosts", 300, []time.Duration{fast, fast, slow}}} {
+		without := overGoal(callAll(t, c.hosts, 144, c.serviceTimes, nothing))
+		byAlone, byTogether := overGoal(callAll(t, c.hosts, 144, c.serviceTimes, alone)), overGoal(callAll(t, c.hosts, 144, c.serviceTimes, together))
+		t.Logf("%s: %d calls took over 110 ms, %d where each host learned alone, %d without", c.name, byTogether, byAlone, without)
+		if byTogether*2 > without || byAlone > without {
+			t.Errorf("%s: %d calls took over 110 ms, %d where each host learned alone, %d without", c.name, byTogether, byAlone, without)
 		}
 	}
 }
@@ -133,7 +152,7 @@
 // Equal servers: what is learned changes no choice.
 func TestCallsToEqualServersAreChosenAsBefore(t *testing.T) {
 	serviceTimes := []time.Duration{55 * time.Millisecond, 55 * time.Millisecond, 55 * time.Millisecond}
-	if without, with := callAll(t, 9, 144, serviceTimes, false), callAll(t, 9, 144, serviceTimes, true); !slices.Equal(without, with) {
+	if without, with := callAll(t, 9, 144, serviceTimes, nothing), callAll(t, 9, 144, serviceTimes, alone); !slices.Equal(without, with) {
 		t.Error("choices among equal servers have changed")
 	}
 }
--- a/pkg/usherpool/forecast.go
+++ b/pkg/usherpool/forecast.go
@@ -144,6 +144,10 @@
 		// All targets of a service at once, as they are compared with each other.
 		p.speedsAt[service] = now
 		for _, t := range p.byService[service] {
+			if told, adopted := p.adoptedSpeed(now, t); adopted {
+				t.speed = told
+				continue
+			}
 			t.speed = p.speeds.Estimate(now, speedTarget(t.entry))
 		}
 	}
--- a/pkg/usherpool/pool.go
+++ b/pkg/usherpool/pool.go
@@ -20,6 +20,7 @@
 package usherpool
 
 import (
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"strings"
@@ -192,6 +193,8 @@
 		lengths usherlength.Tracker
 		// byService has the targets of each service, sorted by id.
 		byService map[string][]*target
+		// adopted has what another host has learned of the targets of a service.
+		adopted map[string]adoptedSpeeds
 		// speedsAt is when the speeds of a service's targets were last estimated.
 		speedsAt map[string]time.Time
 	}
@@ -222,7 +225,7 @@
 
 // New returns a pool without targets.
 func New(options Options) *Pool {
-	return &Pool{options: options, targets: map[string]*target{}, peers: map[string]peerLoads{}, hosts: 1, departed: map[incarnation]time.Time{}, resting: map[incarnation]rest{}, limits: map[incarnation]*limit{}}
+	return &Pool{options: options, targets: map[string]*target{}, peers: map[string]peerLoads{}, hosts: 1, departed: map[incarnation]time.Time{}, resting: map[incarnation]rest{}, limits: map[incarnation]*limit{}, adopted: map[string]adoptedSpeeds{}}
 }
 
 // Update replaces the published targets, the evacuated data centres and the declarations. hosts is the number of hosts
@@ -274,6 +277,7 @@
 		t.service, _ = p.service(t.entry.Service)
 		p.byService[t.entry.Service] = append(p.byService[t.entry.Service], t)
 	}
+	maps.DeleteFunc(p.adopted, func(service string, _ adoptedSpeeds) bool { return p.byService[service] == nil })
 	for _, targets := range p.byService {
 		slices.SortFunc(targets, func(a, b *target) int { return strings.Compare(a.entry.ID, b.entry.ID) })
 	}
--- a/pkg/usherspeed/tracker.go
+++ b/pkg/usherspeed/tracker.go
@@ -116,6 +116,11 @@
 	return service.unknown
 }
 
+// Told returns the estimate of a target that another host made, of a service whose targets differ.
+func Told(factor, err float64, age time.Duration) Estimate {
+	return Estimate{Factor: factor, Error: err, Age: age, uneven: true}
+}
+
 // Uneven reports whether the targets of the service differ by more than what is known of them.
 func (e Estimate) Uneven() bool { return e.uneven }
 
--- a/service/usherhost/outcome.go
+++ b/service/usherhost/outcome.go
@@ -135,17 +135,22 @@
 // observeCall records the answer of a plain call.
 func (h *Host) observeCall(req *requestState, choice usherpool.Choice, seen time.Duration) {
 	h.state.recordCall(req.route.Name, seen)
-	h.state.recordOutcome(h.state.self().Name, callOutcome(choice, seen))
+	h.recordCallOutcome(callOutcome(choice, seen))
 }
 
 // observeAbandonedCall records a plain call that was given up because another target was faster, if it had taken longer than expected: what is
 // not answered shows as much.
 func (h *Host) observeAbandonedCall(ctx context.Context, choice usherpool.Choice, x *exchange) {
 	if seen := time.Since(x.sentAt); ctx.Err() != nil && seen > choice.Forecast.FirstEvent {
-		h.state.recordOutcome(h.state.self().Name, callOutcome(choice, seen))
+		h.recordCallOutcome(callOutcome(choice, seen))
 	}
 }
 
+func (h *Host) recordCallOutcome(o usherpool.Outcome) {
+	h.state.recordOutcome(h.state.self().Name, o)
+	h.state.queueCallOutcome(o)
+}
+
 func callOutcome(choice usherpool.Choice, seen time.Duration) usherpool.Outcome {
 	return usherpool.Outcome{Target: choice.Target.ID, Incarnation: choice.Target.Incarnation, Base: choice.Forecast.Base, FirstEvent: seen}
 }
@@ -210,9 +215,13 @@
 func (s *sharedState) outcomeDatagram() datagramWire {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	return s.outcomeDatagramAt(time.Now())
+}
+
+func (s *sharedState) outcomeDatagramAt(now time.Time) datagramWire {
 	return datagramWire{
 		Version: protocolVersion, Report: ushercluster.Report{From: s.cluster.Self()}, Revision: s.catalog.Revision(),
-		StoreAge: time.Since(s.lastStoreResponse), StoreFailing: s.storeFailing,
+		StoreAge: now.Sub(s.lastStoreResponse), StoreFailing: s.storeFailing,
 	}
 }
 
--- a/service/usherhost/peers.go
+++ b/service/usherhost/peers.go
@@ -99,6 +99,8 @@
 		Suspicion *suspicionWire `cbor:"18,keyasint,omitempty"`
 		// Outcomes makes this a message about what the sender saw of its runs.
 		Outcomes []outcomeWire `cbor:"20,keyasint,omitempty"`
+		// Speeds makes this a message about what a collector has learned of plain targets.
+		Speeds *speedsWire `cbor:"24,keyasint,omitempty"`
 	}
 
 	// outgoingDatagram is a datagram with its recipients.
@@ -240,6 +242,9 @@
 	case len(d.Outcomes) > 0:
 		p.handleOutcomes(d.Report.From.Name, d.Outcomes)
 		return
+	case d.Speeds != nil:
+		p.state.adoptSpeeds(d.Report.From.Name, *d.Speeds)
+		return
 	}
 	learned := p.state.applyDatagram(d)
 	if d.Suspicion != nil {
--- a/service/usherhost/reports.go
+++ b/service/usherhost/reports.go
@@ -107,6 +107,7 @@
 	}
 	local, remote := s.cluster.Recipients(now)
 	out = append(out, outgoingDatagram{to: local, datagram: base})
+	out = append(out, s.callReports(now, collector)...)
 	out = append(out, s.suspicionReports(now, false, slices.Concat(local, remote), collectors)...)
 	if len(remote) > 0 {
 		d := base
--- a/service/usherhost/state.go
+++ b/service/usherhost/state.go
@@ -45,6 +45,8 @@
 		// limitEnds are the limits that have ended lately, as this host or a peer learned.
 		limitEnds map[limitKey]limitEnd
 		suspicion suspicion
+		// callOutcomes are what this host saw of plain calls since its last report to the collector.
+		callOutcomes []outcomeWire
 		// callTails has the durations of plain calls, by route.
 		callTails map[string]*usherspeed.Tail
 		changed   chan struct{}
