usherpool: don't count the waits on overloaded engines twice

Where speeds differ, the factor of the service's median is learned from first events, which wait for memory on overloaded engines. prefillWaitFactor stands for the same waits.

--- a/pkg/usherpool/pool.go
+++ b/pkg/usherpool/pool.go
@@ -357,8 +357,10 @@
 			return c
 		}
 		c.PrefillTime = c.Forecast.FirstEvent
+		// What is learned of the whole service includes the waits on overloaded engines.
+		waitFactor := prefillWaitFactor / min(speed.Slowness(), prefillWaitFactor)
 		// A prompt's own length must not make it late, or long prompts would always wait behind short ones.
-		c.Late = r.Objective > 0 && time.Duration(prefillWaitFactor*float64(speed.Scale(PrefillTime(queuedTokens+typicalPromptTokens)))) > r.Objective
+		c.Late = r.Objective > 0 && time.Duration(waitFactor*float64(speed.Scale(PrefillTime(queuedTokens+typicalPromptTokens)))) > r.Objective
 	}
 	return c
 }
--- a/pkg/usherspeed/service.go
+++ b/pkg/usherspeed/service.go
@@ -216,7 +216,7 @@
 		if math.Abs(scale) < minScale {
 			scale = 0
 		}
-		e.Factor = math.Exp(scale + e.relative)
+		e.Factor, e.scale = math.Exp(scale+e.relative), scale
 	}
 	s.line.estimate(&e)
 	return e
--- a/pkg/usherspeed/tracker.go
+++ b/pkg/usherspeed/tracker.go
@@ -63,8 +63,10 @@
 		LongestPause time.Duration
 		// relative is the logarithm of the factor relative to the service's median.
 		relative float64
-		uneven   bool
-		pause    pauseEstimate
+		// scale is the logarithm of the factor of the service's median.
+		scale  float64
+		uneven bool
+		pause  pauseEstimate
 	}
 
 	// Tracker learns the speeds of targets.
@@ -124,6 +126,9 @@
 // Uneven reports whether the targets of the service differ by more than what is known of them.
 func (e Estimate) Uneven() bool { return e.uneven }
 
+// Slowness returns the factor of the service's median if that is above 1, and 1 otherwise.
+func (e Estimate) Slowness() float64 { return math.Exp(max(e.scale, 0)) }
+
 // Scale returns the time that a target needs for what takes d at factor 1.
 func (e Estimate) Scale(d time.Duration) time.Duration {
 	if e.Factor == 1 || e.Factor == 0 {
