--- a/pkg/usherpool/explain.go
+++ b/pkg/usherpool/explain.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -61,15 +62,11 @@
 // are passed over. It changes nothing. placed selects what counts for Place, with the targets that ExcludedTargets returns,
 // in place of what counts for Choose.
 func (p *Pool) Explain(now time.Time, r Request, placed bool) []Candidate {
-	// The copy has a random source of its own, and targets are copied, as some of their methods forget what is over.
-	quiet := *p
+	quiet := p.detached(r.Service)
+	r = quiet.estimateOutput(r)
 	candidates := []Candidate{}
-	for _, t := range p.targets {
-		if t.entry.Service == r.Service {
-			t := *t
-			t.reserved = slices.Clone(t.reserved)
-			candidates = append(candidates, quiet.explain(now, &t, r, placed))
-		}
+	for _, t := range quiet.targets {
+		candidates = append(candidates, quiet.explain(now, t, r, placed))
 	}
 	slices.SortFunc(candidates, func(a, b Candidate) int {
 		return cmp.Or(cmp.Compare(a.PassedOver, b.PassedOver), cmp.Compare(a.Delay, b.Delay), cmp.Compare(a.Target.ID, b.Target.ID))
@@ -77,6 +74,21 @@
 	return candidates
 }
 
+// detached returns a copy of the pool with the targets of one service. What choices change, or forget as it is over, is copied.
+func (p *Pool) detached(service string) *Pool {
+	quiet := *p
+	quiet.targets, quiet.speedsAt = map[string]*target{}, maps.Clone(p.speedsAt)
+	for id, t := range p.targets {
+		if t.entry.Service == service {
+			t := *t
+			t.reserved = slices.Clone(t.reserved)
+			quiet.targets[id] = &t
+		}
+	}
+	quiet.indexTargets()
+	return &quiet
+}
+
 func (p *Pool) explain(now time.Time, t *target, r Request, placed bool) Candidate {
 	c := Candidate{EntryAge: now.Sub(t.learned)}
 	c.Target, c.Learned, c.Load = t.entry, t.learned, p.totalLoad(now, t)
--- a/pkg/usherpool/explain_test.go
+++ b/pkg/usherpool/explain_test.go
@@ -22,6 +22,9 @@
 		p.RecordResult(start, "e4", usherpool.Failed)
 	}
 	p.RecordResult(start, "e5", usherpool.Unreachable)
+	for _, k := range known[:8] {
+		p.RecordOutcome(start, "host", usherpool.Outcome{Target: k.Target.ID, Base: 400 * time.Millisecond, FirstEvent: 450 * time.Millisecond})
+	}
 	p.SetPeerLoads(start, "host", map[string]usherpool.Load{"e6": {Streams: 2, Tokens: 8000, Prefill: 700}})
 	return p
 }
--- a/pkg/usherpool/prefix.go
+++ b/pkg/usherpool/prefix.go
@@ -16,6 +16,12 @@
 		Otherwise string `cbor:"3,keyasint,omitempty"`
 	}
 
+	// KeptOutcome is what the target of a run was expected to keep of its prompt.
+	KeptOutcome struct {
+		Parts  []Part        `cbor:"1,keyasint"`
+		Saving time.Duration `cbor:"2,keyasint"`
+	}
+
 	// plainChoice is the best target if kept parts do not count.
 	plainChoice struct {
 		id    string
@@ -30,7 +36,7 @@
 		return Kept{}
 	}
 	k := Kept{Tokens: p.prefixes.Saved(now, prefixTarget(t), r.Parts, p.memory(t, load))}.boundedTo(r)
-	k.Saving = PrefillTime(k.Tokens)
+	k.Saving = p.speed(now, t).Scale(PrefillTime(k.Tokens))
 	return k
 }
 
@@ -42,14 +48,18 @@
 	}
 }
 
-// RecordFirstEvent records the time from sending a request to its first event, and reports whether it shows that the
-// chosen target had not kept the parts that it was expected to keep.
-func (p *Pool) RecordFirstEvent(r Request, c Choice, seen time.Duration) (wrong bool) {
-	if !p.options.WeighParts || r.Copy || c.Late {
+// observeParts compares the time until the first event of a run with what is expected of its target, and reports whether it shows
+// that the target had not kept the parts that it was expected to keep.
+func (p *Pool) observeParts(now time.Time, t *target, o Outcome) (wrong bool) {
+	if !p.options.WeighParts || t.service.Engine == nil || o.Base <= 0 || o.FirstEvent <= 0 {
 		return false
 	}
-	target := usherprefix.Target{ID: c.Target.ID, Incarnation: c.Target.Incarnation}
-	return p.prefixes.Observe(target, r.Parts, usherprefix.Answer{Saving: c.Kept.Saving, Expected: c.PrefillTime, Seen: seen})
+	answer := usherprefix.Answer{Expected: p.speed(now, t).Scale(o.Base), Seen: o.FirstEvent}
+	if o.Kept == nil {
+		return p.prefixes.Observe(prefixTarget(t), nil, answer)
+	}
+	answer.Saving = o.Kept.Saving
+	return p.prefixes.Observe(prefixTarget(t), o.Kept.Parts, answer)
 }
 
 // KeptParts returns the size of what targets are believed to keep.
--- a/service/usherhost/prefix.go
+++ b/service/usherhost/prefix.go
@@ -1,8 +1,6 @@
 package usherhost
 
 import (
-	"time"
-
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/samphireusher/samphireusher/pkg/usherpool"
@@ -50,19 +48,10 @@
 	return parts
 }
 
-// recordFirstEvent records the first event of the current run, unless it continues another one.
-func (g *generation) recordFirstEvent() {
-	if g.req.resumes > 0 {
-		return
-	}
-	r := usherpool.Request{Service: g.req.service.Name, PromptTokens: g.req.PromptTokens, Parts: g.req.promptParts()}
-	if g.host.state.recordFirstEvent(r, g.source, time.Since(g.exchange.sentAt)) {
-		g.host.metrics.prefixes.wrong.Inc(1)
+// keptOutcome returns what the target of the current run was expected to keep, or nil if nothing.
+func (g *generation) keptOutcome() *usherpool.KeptOutcome {
+	if g.source.Kept.Saving <= 0 {
+		return nil
 	}
-}
-
-func (s *sharedState) recordFirstEvent(r usherpool.Request, c usherpool.Choice, seen time.Duration) (wrong bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.pool.RecordFirstEvent(r, c, seen)
+	return &usherpool.KeptOutcome{Parts: g.req.promptParts(), Saving: g.source.Kept.Saving}
 }
