usherpool: tell whether a target has room for a stream

Room is memory for what runs, copies and the new stream, and a queue of prompts that leaves the most urgent route its objective. It counts where the declarations let streams of different urgency compete (usherroute.Contention). Lesser ranks leave an eighth of the memory and half of the objective.

--- /dev/null
+++ b/pkg/usherpool/room.go
@@ -0,0 +1,115 @@
+package usherpool
+
+import (
+	"time"
+
+	"github.com/samphireusher/samphireusher/pkg/usherroute"
+)
+
+const (
+	// lesserMemoryShare is the fraction of the usable memory that requests of a lower rank may fill.
+	lesserMemoryShare = 0.875
+	// lesserPromptShare is the fraction of the most urgent route's objective that the prompts before a new one may take,
+	// if the last of them is of a lower rank.
+	lesserPromptShare = 0.5
+	// ownReservationLifetime is how long a choice for this host counts as load before its request is expected to count itself.
+	ownReservationLifetime = 50 * time.Millisecond
+)
+
+// ErrNoRoom is the type of errors returned if targets accept the request but have no room for it now.
+var ErrNoRoom = Errors.NewType("no_room")
+
+// Room is how much of the targets' room a request may use.
+type Room struct {
+	usherroute.Contention
+	// Whole allows a request of a lower rank what the most urgent ones may use.
+	Whole bool
+	// Kept is a target whose room is kept free for another request; empty for none.
+	Kept string
+}
+
+// PlaceInRoom chooses like Place, among the targets that have room for r.
+func (p *Pool) PlaceInRoom(now time.Time, r Request, room Room, own bool) (Choice, error) {
+	var best *target
+	var choice Choice
+	reason := ErrNoTarget
+	for _, t := range p.shuffledCandidates(now, r) {
+		load := p.totalLoad(now, t)
+		if t.entry.ID == room.Kept || !p.hasRoom(now, t, r, room, load) {
+			reason = ErrNoRoom
+			continue
+		}
+		if delay := p.delay(now, t, r, load); best == nil || delay < choice.Delay {
+			best, choice = t, Choice{Target: t.entry, Learned: t.learned, Delay: delay, Load: load}
+		}
+	}
+	if best == nil {
+		return Choice{}, reason.New("no target of service %q has room for the request", r.Service)
+	}
+	choice = p.estimatePrefill(now, best, r, choice)
+	// It has waited for its turn, so engines need not hold it back once more.
+	choice.Late = false
+	if !own {
+		best.reserve(now, r, choice)
+		return choice, nil
+	}
+	// Several requests may be chosen before the first one is sent.
+	best.reserved = append(best.reserved, reservation{load: Load{Streams: 1, Tokens: r.PromptTokens + r.OutputTokens}, expires: now.Add(ownReservationLifetime)})
+	return p.recordSend(now, best, r, choice), nil
+}
+
+// hasRoom reports whether the memory of t and the time until its queued prompts are processed leave room for r.
+func (p *Pool) hasRoom(now time.Time, t *target, r Request, room Room, load Load) bool {
+	if load.Streams+load.Copies >= t.entry.Slots {
+		return false
+	}
+	urgent := room.Whole || r.Rank <= room.Rank
+	memory := float64(p.usableMemoryTokens(t))
+	if !urgent {
+		memory *= lesserMemoryShare
+	}
+	// A request that is larger than the memory goes to an empty target.
+	if load.Streams+load.Copies > 0 && float64(load.Tokens+load.CopyTokens+r.PromptTokens+r.OutputTokens) > memory {
+		return false
+	}
+	queued := p.pendingPrefill(now, t, load)
+	if queued == 0 {
+		return true
+	}
+	wait := PrefillTime(queued + r.PromptTokens)
+	if urgent {
+		return time.Duration(prefillWaitFactor*float64(wait)) <= room.Objective
+	}
+	return wait <= time.Duration(lesserPromptShare*float64(room.Objective))
+}
+
+// MostRoom returns the target on which r needs the least additional memory, or an empty string.
+func (p *Pool) MostRoom(now time.Time, r Request) string {
+	best, most := "", 0
+	for _, t := range p.shuffledCandidates(now, r) {
+		load := p.totalLoad(now, t)
+		if free := p.usableMemoryTokens(t) - load.Tokens - load.CopyTokens; best == "" || free > most {
+			best, most = t.entry.ID, free
+		}
+	}
+	return best
+}
+
+// HasCandidate reports whether any target may be chosen for r, with or without room.
+func (p *Pool) HasCandidate(now time.Time, r Request) bool {
+	return len(p.shuffledCandidates(now, r)) > 0
+}
+
+// IsHalfFree reports whether half of the slots and half of the memory of a service's targets are unused.
+func (p *Pool) IsHalfFree(now time.Time, service string) bool {
+	slots, used, memory, tokens := 0, 0, 0, 0
+	for _, t := range p.targets {
+		if t.entry.Service != service || !t.accepting {
+			continue
+		}
+		load := p.totalLoad(now, t)
+		slots, used = slots+t.entry.Slots, used+load.Streams+load.Copies
+		memory, tokens = memory+p.usableMemoryTokens(t), tokens+load.Tokens+load.CopyTokens
+	}
+	return 2*used <= slots && 2*tokens <= memory
+}
