usherhost: let new streams wait for room

Where streams of different urgency compete for a service's engines, a new stream that finds no room waits in its host, which asks the placer again each 100 ms; the placer grants room in order, or refuses at once with 503 no_room. A host that gets no answer asks the next placer with the same times, so the list of the waiting needs no handover. No backup copies are placed while streams wait.

--- a/service/usherhost/host.go
+++ b/service/usherhost/host.go
@@ -164,6 +164,7 @@
 	for duty, run := range map[string]func(){
 		"reports to peers":         func() { h.peers.runReports(ctx) },
 		"datagrams of peers":       h.peers.receive,
+		"waiting room":             func() { h.peers.placement.room.run(ctx) },
 		"standstills":              func() { h.peers.runPulse(ctx) },
 		"reading the store":        func() { h.feed.run(ctx) },
 		"following peers":          func() { h.feed.followPeers(ctx) },
--- a/service/usherhost/placement.go
+++ b/service/usherhost/placement.go
@@ -33,6 +33,8 @@
 		lastID            uint64
 		pending           map[uint64]chan placementReplyWire
 		unresponsiveUntil map[string]time.Time
+		// room is in use while this host is the placer.
+		room *waitingRoom
 
 		requests metrics.Counter
 		replies  metrics.Counter
@@ -63,6 +65,8 @@
 		MaxPause  time.Duration    `cbor:"12,keyasint,omitempty"`
 		Events    int              `cbor:"13,keyasint,omitempty"`
 		Parts     []usherpool.Part `cbor:"14,keyasint,omitempty"`
+		// Wait is set if the request can wait for room.
+		Wait *waitWire `cbor:"15,keyasint,omitempty"`
 	}
 
 	placementReplyWire struct {
@@ -74,22 +78,32 @@
 		PrefillTime time.Duration  `cbor:"5,keyasint,omitempty"`
 		// Late reports that the first result is not expected within that time.
 		Late bool `cbor:"6,keyasint,omitempty"`
+		// Verdict is verdictWait if the request waits, with another reply to follow, or verdictRefuse if it cannot begin in its
+		// time. Forecast is the expected wait.
+		Verdict    int           `cbor:"7,keyasint,omitempty"`
+		RetryAfter time.Duration `cbor:"8,keyasint,omitempty"`
+		Forecast   time.Duration `cbor:"9,keyasint,omitempty"`
 	}
 )
 
 func newPlacement(s *sharedState, p *peers, registry metrics.Registry) *placement {
-	return &placement{
+	placement := &placement{
 		state: s, peers: p, pending: map[uint64]chan placementReplyWire{}, unresponsiveUntil: map[string]time.Time{},
 		requests: metrics.NewRegisteredCounter("placement.asked", registry), replies: metrics.NewRegisteredCounter("placement.answered", registry),
 		timeouts: metrics.NewRegisteredCounter("placement.silences", registry),
 		latency:  metrics.NewRegisteredHistogram("placement.answer_ms", registry, metrics.NewExpDecaySample(sampleSize, sampleAlpha)),
 	}
+	placement.room = newWaitingRoom(placement, registry)
+	return placement
 }
 
 // place returns the target for a stream or for a copy of one.
 func (p *placement) place(ctx context.Context, r usherpool.Request) (usherpool.Choice, error) {
 	placer, own := p.selectPlacer()
 	if own {
+		if r.Backup && p.room.isBusy(r.Service) {
+			return usherpool.Choice{}, usherpool.ErrFull.New("requests wait for room")
+		}
 		if choice, err := p.state.place(r, true); err == nil || r.Backup {
 			choice.Placer = placer.Name
 			return choice, err
@@ -133,14 +147,28 @@
 }
 
 func (p *placement) request(ctx context.Context, placer ushercluster.Member, r usherpool.Request) (placementReplyWire, bool) {
-	id, replies := p.register()
+	id, replies := p.register(1)
 	defer p.unregister(id)
-	d := p.state.identityDatagram()
-	d.PlacementRequest = &placementRequestWire{ID: id, Parameters: placementParameters{
+	return p.exchange(ctx, placer, id, replies, p.parameters(r))
+}
+
+func (p *placement) parameters(r usherpool.Request) placementParameters {
+	return placementParameters{
 		Service: r.Service, PromptTokens: r.PromptTokens, OutputTokens: r.OutputTokens, Copy: r.Copy, SourceDataCentre: r.SourceDataCentre, Objective: r.Objective, Backup: r.Backup,
 		Route: r.Route, Workspace: r.Workspace, Rank: r.Rank, MaxPause: r.MaxPause, Events: r.Events, Parts: r.Parts,
 		Exclude: slices.Compact(slices.Sorted(slices.Values(slices.Concat(r.Exclude, p.state.excludedTargets(r))))),
-	}}
+	}
+}
+
+func (p placementParameters) withWait(w waitWire) placementParameters {
+	p.Wait = &w
+	return p
+}
+
+// exchange sends a request to a placer and returns its first reply.
+func (p *placement) exchange(ctx context.Context, placer ushercluster.Member, id uint64, replies <-chan placementReplyWire, parameters placementParameters) (placementReplyWire, bool) {
+	d := p.state.identityDatagram()
+	d.PlacementRequest = &placementRequestWire{ID: id, Parameters: parameters}
 	start := time.Now()
 	p.requests.Inc(1)
 	p.peers.send(d, placer.Address)
@@ -163,11 +191,12 @@
 	}
 }
 
-func (p *placement) register() (uint64, <-chan placementReplyWire) {
+// register returns an id for a request and the channel of its replies, as many of which may be unread as given.
+func (p *placement) register(unread int) (uint64, <-chan placementReplyWire) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.lastID++
-	reply := make(chan placementReplyWire, 1)
+	reply := make(chan placementReplyWire, unread)
 	p.pending[p.lastID] = reply
 	return p.lastID, reply
 }
@@ -190,8 +219,25 @@
 // handleRequest chooses a target for another host.
 func (p *placement) handleRequest(from ushercluster.Member, request placementRequestWire) {
 	r := request.Parameters.request(from.DataCentre)
+	if ask := request.Parameters.Wait; ask != nil {
+		reply := func(reply placementReplyWire) {
+			reply.ID = request.ID
+			d := p.state.identityDatagram()
+			d.PlacementReply = &reply
+			p.peers.send(d, from.Address)
+		}
+		first := p.room.ask(from.Name, r, *ask, false, reply)
+		if !ask.Withdrawn {
+			reply(first)
+		}
+		return
+	}
 	d := p.state.identityDatagram()
 	d.PlacementReply = &placementReplyWire{ID: request.ID}
+	if r.Backup && p.room.isBusy(r.Service) {
+		p.peers.send(d, from.Address)
+		return
+	}
 	choice, err := p.state.place(r, false)
 	if err != nil {
 		p.peers.log.Debug("no target for a peer's request", "peer", from.Name, "error", errorText(err))
@@ -207,8 +253,11 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if replies, pending := p.pending[reply.ID]; pending {
-		delete(p.pending, reply.ID)
-		replies <- reply
+		select {
+		case replies <- reply:
+		default:
+			// A verdict is repeated at the next ask.
+		}
 		return
 	}
 	// A reply that came too late still shows that the host is alive.
--- a/service/usherhost/refusal.go
+++ b/service/usherhost/refusal.go
@@ -35,6 +35,8 @@
 	reasonLimited reason = "limited"
 	// reasonSuspect means that requests with the same parts of a prompt, or the same content, crashed targets.
 	reasonSuspect reason = "suspect"
+	// reasonNoRoom means that no target will have room for the request in its time.
+	reasonNoRoom reason = "no_room"
 	// reasonNotRun means that every target the request was sent to reported that it did not run it.
 	reasonNotRun reason = "not_run"
 	// reasonExpired means that the deadline passed before the request was sent.
@@ -67,6 +69,7 @@
 	reasonNoTarget:        http.StatusServiceUnavailable,
 	reasonLimited:         http.StatusServiceUnavailable,
 	reasonOverloaded:      http.StatusServiceUnavailable,
+	reasonNoRoom:          http.StatusServiceUnavailable,
 	reasonSuspect:         http.StatusServiceUnavailable,
 	reasonNotRun:          http.StatusServiceUnavailable,
 	reasonExpired:         http.StatusServiceUnavailable,
--- a/service/usherhost/stream.go
+++ b/service/usherhost/stream.go
@@ -185,11 +185,11 @@
 			}
 			return nil, refusal
 		}
-		choice, err := g.host.peers.placement.place(ctx, g.placementRequest(g.req.excludedTargets()))
-		if err != nil && cause == nil {
-			return nil, g.host.refuseUnplaced(g.req.service.Name, err)
+		choice, refusal := g.placeOrWait(ctx)
+		if refusal != nil && cause == nil {
+			return nil, refusal
 		}
-		if err != nil {
+		if refusal != nil {
 			break
 		}
 		result := g.send(ctx, choice, ushercall.Copy{})
