waiting room: bound the placer's work, forget old drains, and don't count prompts twice that are reported late

A pass tries two requests of a kind in vain instead of all; hosts ask less often while over 64 wait. A drain that was measured two seconds ago or more says nothing about the next burst, and the first request in order is not refused by it. Hosts' reports show a prompt as queued for up to half a second after it was read: what the placer placed lately is taken off, so that only overdue prompts count beside its own queue. Tests: go test ./usherpool ./usherqueue, TestPromptsReportedLateAreNoQueue new.

--- a/pkg/usherpool/pool.go
+++ b/pkg/usherpool/pool.go
@@ -198,6 +198,8 @@
 		// reserved holds the choices made for other hosts, which they may not have reported yet.
 		reserved []reservation
 		prompts  promptQueue
+		// expected holds the prompts that hosts may still report, see queuedPrompts.
+		expected []expectedPrompt
 	}
 )
 
--- a/pkg/usherpool/room.go
+++ b/pkg/usherpool/room.go
@@ -1,6 +1,7 @@
 package usherpool
 
 import (
+	"slices"
 	"time"
 
 	"github.com/samphireusher/samphireusher/pkg/usherroute"
@@ -12,6 +13,8 @@
 	// lesserPromptShare is the fraction of the most urgent route's objective that the prompts before a new one may take,
 	// if the last of them is of a lower rank.
 	lesserPromptShare = 0.5
+	// reportLag is how long the prompts that hosts report as queued are behind.
+	reportLag = 500 * time.Millisecond
 	// ownReservationLifetime is how long a choice for this host counts as load before its request is expected to count itself.
 	ownReservationLifetime = 50 * time.Millisecond
 )
@@ -19,6 +22,12 @@
 // ErrNoRoom is the type of errors returned if targets accept the request but have no room for it now.
 var ErrNoRoom = Errors.NewType("no_room")
 
+// expectedPrompt is a prompt that hosts may report as queued until the given time.
+type expectedPrompt struct {
+	tokens int
+	until  time.Time
+}
+
 // Room is how much of the targets' room a request may use.
 type Room struct {
 	usherroute.Contention
@@ -49,13 +58,15 @@
 	choice = p.estimatePrefill(now, best, r, choice)
 	// It has waited for its turn, so engines need not hold it back once more.
 	choice.Late = false
-	if !own {
+	if own {
+		// Several requests may be chosen before the first one is sent.
+		best.reserved = append(best.reserved, reservation{load: Load{Streams: 1, Tokens: r.PromptTokens + r.OutputTokens}, expires: now.Add(ownReservationLifetime)})
+		choice = p.recordSend(now, best, r, choice)
+	} else {
 		best.reserve(now, r, choice)
-		return choice, nil
 	}
-	// Several requests may be chosen before the first one is sent.
-	best.reserved = append(best.reserved, reservation{load: Load{Streams: 1, Tokens: r.PromptTokens + r.OutputTokens}, expires: now.Add(ownReservationLifetime)})
-	return p.recordSend(now, best, r, choice), nil
+	best.expected = append(best.expected, expectedPrompt{tokens: r.PromptTokens, until: now.Add(reportLag + PrefillTime(int(best.prompts.remaining(now))))})
+	return choice, nil
 }
 
 // hasRoom reports whether the memory of t and the time until its queued prompts are processed leave room for r.
@@ -72,7 +83,7 @@
 	if load.Streams+load.Copies > 0 && float64(load.Tokens+load.CopyTokens+r.PromptTokens+r.OutputTokens) > memory {
 		return false
 	}
-	queued := p.pendingPrefill(now, t, load)
+	queued := t.queuedPrompts(now, load)
 	if queued == 0 {
 		return true
 	}
@@ -83,6 +94,17 @@
 	return wait <= time.Duration(lesserPromptShare*float64(room.Objective))
 }
 
+// queuedPrompts returns the prompt tokens that wait at t. Those placed lately are still reported after they were processed, and
+// count as reported too many only once they should be gone.
+func (t *target) queuedPrompts(now time.Time, load Load) int {
+	t.expected = slices.DeleteFunc(t.expected, func(e expectedPrompt) bool { return !now.Before(e.until) })
+	overdue := load.Prefill
+	for _, e := range t.expected {
+		overdue -= e.tokens
+	}
+	return int(t.prompts.remaining(now)) + max(overdue, 0)
+}
+
 // MostRoom returns the target on which r needs the least additional memory, or an empty string.
 func (p *Pool) MostRoom(now time.Time, r Request) string {
 	best, most := "", 0
--- a/pkg/usherpool/room_test.go
+++ b/pkg/usherpool/room_test.go
@@ -79,6 +79,25 @@
 	}
 }
 
+// Load: prompts follow each other at the pace at which engines process them. What hosts report late must not count as a queue, but what is
+// reported for too long must.
+func TestPromptsReportedLateAreNoQueue(t *testing.T) {
+	now := time.Unix(1e9, 0)
+	pool, room := roomOfTwoEngines(now)
+	r := usherpool.Request{Service: "s", PromptTokens: 2400, Rank: 2, Exclude: []string{"b"}}
+	if _, err := pool.PlaceInRoom(now, r, room, false); err != nil {
+		t.Fatal(err)
+	}
+	pool.SetPeerLoads(now, "x", map[string]usherpool.Load{"a": {Streams: 1, Tokens: 2400, Prefill: 2400}})
+	if _, err := pool.PlaceInRoom(now.Add(400*time.Millisecond), r, room, false); err != nil {
+		t.Errorf("next prompt: %v", err)
+	}
+	pool.SetPeerLoads(now.Add(1500*time.Millisecond), "x", map[string]usherpool.Load{"a": {Streams: 2, Tokens: 4800, Prefill: 4800}})
+	if _, err := pool.PlaceInRoom(now.Add(1500*time.Millisecond), r, room, false); err == nil {
+		t.Error("a prompt was placed behind two that are overdue")
+	}
+}
+
 // Contention is declared by ranks and objectives that differ enough, on engines with memory.
 func TestContention(t *testing.T) {
 	for _, c := range []struct {
--- a/pkg/usherqueue/order.go
+++ b/pkg/usherqueue/order.go
@@ -13,9 +13,9 @@
 
 const maxClasses = 2 * maxRanks
 
-func (e *entry[G]) refresh(now time.Time, r Request) {
+func (e *entry[G]) refresh(now time.Time, r Request, askInterval time.Duration) {
 	e.Request = r
-	e.objectiveAt, e.patienceAt, e.expires = now.Add(r.Objective), now.Add(r.Patience), now.Add(EntryLifetime)
+	e.objectiveAt, e.patienceAt, e.expires = now.Add(r.Objective), now.Add(r.Patience), now.Add(lifetimeFactor*askInterval)
 }
 
 // current returns the request with the times left now.
--- a/pkg/usherqueue/queue.go
+++ b/pkg/usherqueue/queue.go
@@ -1,7 +1,7 @@
 // Package usherqueue orders the requests that wait for room at the engines of a service.
 //
 // A Queue is the placer's list of waiting requests. Each lives in the host that took it from its caller, which asks again
-// every 100 ms; an entry ends 300 ms after the last ask, so the list needs no handover when a host or a placer is lost.
+// each 100 ms, or less often while many wait; an entry ends three of these intervals after the last ask, so the list needs no handover when a host or a placer is lost.
 // Requests are granted room by rank, then in time before late, then by what was refused before, by each workspace's part of what was
 // granted lately, and by what is left of the objective. Late requests, lower ranks and large requests that others have
 // overtaken get every eighth grant, so that none of them starves. Requests that cannot begin before their caller's time is
@@ -29,8 +29,15 @@
 )
 
 const (
-	// EntryLifetime is how long an entry is kept after the last ask for it.
-	EntryLifetime = 300 * time.Millisecond
+	// AskInterval is the time between two asks for a request in a short queue. In one longer than shortQueue it grows along
+	// with the length, up to maxAskInterval.
+	AskInterval    = 100 * time.Millisecond
+	shortQueue     = 64
+	maxAskInterval = 500 * time.Millisecond
+	// lifetimeFactor times the ask interval is how long an entry is kept after the last ask for it.
+	lifetimeFactor = 3
+	// sweepInterval is the least time between two removals of what has expired.
+	sweepInterval = 10 * time.Millisecond
 	// MaxEntries bounds the waiting requests of all services.
 	MaxEntries = 512
 	// maxRanks bounds the ranks that are told apart.
@@ -38,8 +45,11 @@
 	// floorInterval is the number of grants after which one goes to a class of requests, or to a request, that had to let
 	// all of them pass.
 	floorInterval = 8
-	// maxMisses bounds the requests that are tried in vain in one pass.
-	maxMisses = 16
+	// maxMisses bounds the requests that are tried in vain in one pass, and sameMisses those of the same rank that are no smaller.
+	maxMisses  = 16
+	sameMisses = 2
+	// maxTokens bounds the size that counts.
+	maxTokens = 1 << 24
 	// maxReturns bounds the refused requests that are remembered, returnLifetime is how long after the time at which they
 	// were told to return.
 	maxReturns     = 4096
@@ -98,13 +108,18 @@
 		RetryAfter time.Duration
 		// Forecast is the expected wait; zero if it is not known.
 		Forecast time.Duration
+		// AskAgain is the time until the next ask for a request that waits.
+		AskAgain time.Duration
 	}
 
 	// Queue is a list of waiting requests with grants of type G.
 	Queue[G any] struct {
 		entries  map[Key]*entry[G]
 		services map[string]*service
-		returns  map[uint64]time.Time
+		// waiting is the number of entries that wait.
+		waiting int
+		returns map[uint64]time.Time
+		sweptAt time.Time
 	}
 
 	entry[G any] struct {
@@ -125,35 +140,71 @@
 // Ask adds a request or keeps its entry, and returns what has become of it.
 func (q *Queue[G]) Ask(now time.Time, r Request) Answer[G] {
 	q.sweep(now)
-	r.Rank = min(max(r.Rank, 0), maxRanks-1)
+	r.Rank, r.Tokens = min(max(r.Rank, 0), maxRanks-1), min(max(r.Tokens, 1), maxTokens)
+	if r.Objective == 0 {
+		r.Objective = r.Patience
+	}
 	if e, known := q.entries[r.Key]; known {
-		e.refresh(now, r)
-		return e.answer
+		e.refresh(now, r, q.askInterval())
+		return q.answer(e)
 	}
 	e := &entry[G]{since: now.Add(-max(r.Waited, 0))}
-	e.refresh(now, r)
+	e.refresh(now, r, q.askInterval())
 	_, e.returned = q.returns[r.Content]
 	delete(q.returns, r.Content)
 	s := q.service(r.Service)
-	if e.patienceAt.Before(now.Add(r.Needed)) {
-		return q.refuse(now, s, e, 0)
-	}
-	if forecast, known := s.forecast(q.tokensBefore(now, e) + r.Tokens); known && now.Add(forecast+r.Needed).After(e.patienceAt) {
-		return q.refuse(now, s, e, forecast)
+	ahead := q.tokensBefore(now, e)
+	if forecast := s.forecast(ahead); e.isHopeless(now, forecast) {
+		q.refuse(now, s, e, forecast)
+		return e.answer
 	}
-	if q.waiting() >= MaxEntries {
+	if q.waiting >= MaxEntries {
 		last := q.last(now)
 		if compare(now, e, last) >= 0 {
-			return q.refuse(now, s, e, 0)
+			q.refuse(now, s, e, s.forecast(ahead))
+			return e.answer
 		}
+		q.settle(last)
 		q.refuse(now, q.service(last.Service), last, 0)
 	}
 	q.entries[r.Key] = e
-	return Answer[G]{Verdict: Wait}
+	q.waiting++
+	s.waiting++
+	return q.answer(e)
+}
+
+// isHopeless reports whether the request cannot begin in its time.
+func (e *entry[G]) isHopeless(now time.Time, forecast time.Duration) bool {
+	return now.Add(forecast + e.Needed).After(e.patienceAt)
+}
+
+// answer returns what has become of e.
+func (q *Queue[G]) answer(e *entry[G]) Answer[G] {
+	answer := e.answer
+	answer.AskAgain = q.askInterval()
+	return answer
+}
+
+// askInterval returns the time after which hosts should ask again, which bounds the asks of all hosts together.
+func (q *Queue[G]) askInterval() time.Duration {
+	return min(max(AskInterval, AskInterval*time.Duration(q.waiting)/shortQueue), maxAskInterval)
+}
+
+// settle takes e out of the numbers of waiting requests.
+func (q *Queue[G]) settle(e *entry[G]) {
+	if e.answer.Verdict == Wait {
+		q.waiting--
+		q.service(e.Service).waiting--
+	}
 }
 
 // Withdraw removes a request.
-func (q *Queue[G]) Withdraw(key Key) { delete(q.entries, key) }
+func (q *Queue[G]) Withdraw(key Key) {
+	if e, known := q.entries[key]; known {
+		q.settle(e)
+		delete(q.entries, key)
+	}
+}
 
 // Grant tries to place the waiting requests of a service in their order, and returns the keys of those whose verdict has
 // changed. A request that is due may use all room; place may keep room free for it from the next requests of the same
@@ -169,6 +220,7 @@
 		if !ok {
 			return false
 		}
+		q.settle(e)
 		e.answer = Answer[G]{Verdict: Go, Grant: g}
 		s.recordGrant(now, e.Workspace, e.Tokens, e.class(now), classes(now, entries))
 		for _, other := range entries {
@@ -182,33 +234,44 @@
 	if due := dueEntry(now, s, entries); due != nil && grant(due, true) {
 		s.skipped[due.class(now)] = 0
 	}
-	misses, ahead := 0, 0
+	var missed []*entry[G]
+	ahead := 0
 	for _, e := range entries {
 		if e.answer.Verdict != Wait {
 			continue
 		}
-		forecast, known := s.forecast(ahead + e.Tokens)
-		e.answer.Forecast = forecast
-		if e.patienceAt.Before(now.Add(e.Needed)) || known && now.Add(forecast+e.Needed).After(e.patienceAt) {
-			q.refuse(now, s, e, forecast)
+		e.answer.Forecast = s.forecast(ahead)
+		if e.isHopeless(now, e.answer.Forecast) {
+			q.settle(e)
+			q.refuse(now, s, e, e.answer.Forecast)
 			changed = append(changed, e.Key)
 			continue
 		}
 		ahead += e.Tokens
-		if misses < maxMisses && !grant(e, false) {
-			misses++
+		if len(missed) < maxMisses && !isCovered(missed, e) && !grant(e, false) {
+			missed = append(missed, e)
 		}
 	}
 	return changed
 }
 
+// isCovered reports whether enough requests were tried in vain that need no more room than e.
+func isCovered[G any](missed []*entry[G], e *entry[G]) bool {
+	n := 0
+	for _, m := range missed {
+		if m.Rank <= e.Rank && m.Tokens <= e.Tokens {
+			n++
+		}
+	}
+	return n >= sameMisses
+}
+
 // refuse gives e the verdict Refuse.
-func (q *Queue[G]) refuse(now time.Time, s *service, e *entry[G], forecast time.Duration) Answer[G] {
+func (q *Queue[G]) refuse(now time.Time, s *service, e *entry[G], forecast time.Duration) {
 	e.answer = Answer[G]{Verdict: Refuse, Forecast: forecast, RetryAfter: s.nextReturn(now, e.Tokens, forecast, e.patienceAt.Sub(now))}
 	if e.Content != 0 && len(q.returns) < maxReturns {
 		q.returns[e.Content] = now.Add(e.answer.RetryAfter + returnLifetime)
 	}
-	return e.answer
 }
 
 // Answer returns what has become of a request that was asked for.
@@ -217,29 +280,26 @@
 	if !known {
 		return Answer[G]{}, false
 	}
-	return e.answer, true
+	return q.answer(e), true
 }
 
 // Waiting returns how many requests of a service wait.
 func (q *Queue[G]) Waiting(now time.Time, service string) int {
-	n := 0
-	for _, e := range q.entries {
-		if e.Service == service && e.answer.Verdict == Wait && now.Before(e.expires) {
-			n++
-		}
-	}
-	return n
+	q.sweep(now)
+	return q.service(service).waiting
 }
 
 // Services returns the services with waiting requests, sorted by name.
 func (q *Queue[G]) Services(now time.Time) []string {
-	names := map[string]bool{}
-	for _, e := range q.entries {
-		if e.answer.Verdict == Wait && now.Before(e.expires) {
-			names[e.Service] = true
+	q.sweep(now)
+	var names []string
+	for name, s := range q.services {
+		if s.waiting > 0 {
+			names = append(names, name)
 		}
 	}
-	return slices.Sorted(maps.Keys(names))
+	slices.Sort(names)
+	return names
 }
 
 // Requests returns the waiting requests of all services, each service's in order.
@@ -258,7 +318,16 @@
 	if q.entries == nil {
 		q.entries, q.services, q.returns = map[Key]*entry[G]{}, map[string]*service{}, map[uint64]time.Time{}
 	}
-	maps.DeleteFunc(q.entries, func(_ Key, e *entry[G]) bool { return !now.Before(e.expires) })
+	if now.Sub(q.sweptAt) < sweepInterval {
+		return
+	}
+	q.sweptAt = now
+	for key, e := range q.entries {
+		if !now.Before(e.expires) {
+			q.settle(e)
+			delete(q.entries, key)
+		}
+	}
 	maps.DeleteFunc(q.returns, func(_ uint64, expires time.Time) bool { return !now.Before(expires) })
 }
 
@@ -271,16 +340,6 @@
 	return s
 }
 
-func (q *Queue[G]) waiting() int {
-	n := 0
-	for _, e := range q.entries {
-		if e.answer.Verdict == Wait {
-			n++
-		}
-	}
-	return n
-}
-
 // tokensBefore returns the tokens of the requests of the same service that are before e.
 func (q *Queue[G]) tokensBefore(now time.Time, e *entry[G]) int {
 	sum := 0
--- a/pkg/usherqueue/service.go
+++ b/pkg/usherqueue/service.go
@@ -14,6 +14,8 @@
 	drainWeight   = 0.25
 	// minDrainSamples is the number of measurements from which the drain counts as known.
 	minDrainSamples = 4
+	// drainLifetime is how long a measurement counts after requests have waited.
+	drainLifetime = 2 * time.Second
 	// maxForecast bounds forecasts while nothing drains.
 	maxForecast = time.Hour
 )
@@ -21,6 +23,8 @@
 type (
 	// service is what the queue knows of one service.
 	service struct {
+		// waiting is the number of entries that wait.
+		waiting    int
 		workspaces map[string]share
 		// skipped counts the grants to other classes while requests of a class waited.
 		skipped [maxClasses]int
@@ -62,13 +66,11 @@
 
 // observe measures the drain while requests wait.
 func (s *service) observe(now time.Time, waiting bool) {
-	switch elapsed := now.Sub(s.measuredFrom); {
-	case !waiting || elapsed > 4*drainInterval:
-		s.measuredFrom, s.granted = now, 0
-		if !waiting {
-			s.skipped = [maxClasses]int{}
-		}
-	case elapsed >= drainInterval:
+	elapsed := now.Sub(s.measuredFrom)
+	switch {
+	case elapsed > drainLifetime:
+		s.drainSamples, s.measuredFrom, s.granted = 0, now, 0
+	case elapsed >= drainInterval && waiting:
 		rate := float64(s.granted) / elapsed.Seconds()
 		if s.drainSamples == 0 {
 			s.drain = rate
@@ -77,22 +79,25 @@
 		s.drainSamples++
 		s.measuredFrom, s.granted = now, 0
 	}
+	if !waiting {
+		s.skipped = [maxClasses]int{}
+	}
 }
 
-// forecast returns how long the given tokens take to drain; known reports whether the drain was measured.
-func (s *service) forecast(tokens int) (wait time.Duration, known bool) {
-	if s.drainSamples < minDrainSamples {
-		return 0, false
+// forecast returns how long the given tokens take to drain, or zero if the drain is not known.
+func (s *service) forecast(tokens int) time.Duration {
+	if s.drainSamples < minDrainSamples || tokens == 0 {
+		return 0
 	}
 	seconds := float64(tokens) / max(s.drain, 1)
-	return min(time.Duration(seconds*float64(time.Second)), maxForecast), true
+	return time.Duration(min(seconds, maxForecast.Seconds()) * float64(time.Second))
 }
 
 // nextReturn returns the time after which a refused caller should return: when room is expected for it, each one later than the
 // one before by the time in which its tokens drain, and within a part of its remaining time that callers wait.
 func (s *service) nextReturn(now time.Time, tokens int, forecast, patience time.Duration) time.Duration {
 	longest := max(patience/maxReturnFraction, minRetryAfter)
-	gap, _ := s.forecast(tokens)
+	gap := s.forecast(tokens)
 	earliest := now.Add(max(min(forecast-patience, longest), minRetryAfter))
 	if at := s.returnAt.Add(gap); at.After(earliest) {
 		earliest = at
--- a/service/usherhost/placement.go
+++ b/service/usherhost/placement.go
@@ -79,7 +79,8 @@
 		// Late reports that the first result is not expected within that time.
 		Late bool `cbor:"6,keyasint,omitempty"`
 		// Verdict is verdictWait if the request waits, with another reply to follow, or verdictRefuse if it cannot begin in its
-		// time. Forecast is the expected wait.
+		// time. Forecast is the expected wait, RetryAfter the time until the host should ask again, or until a refused caller
+		// should return.
 		Verdict    int           `cbor:"7,keyasint,omitempty"`
 		RetryAfter time.Duration `cbor:"8,keyasint,omitempty"`
 		Forecast   time.Duration `cbor:"9,keyasint,omitempty"`
--- a/service/usherhost/waiting.go
+++ b/service/usherhost/waiting.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/joomcode/errorx"
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/samphireusher/samphireusher/pkg/ushercatalog"
@@ -18,10 +19,12 @@
 )
 
 const (
-	// askInterval is the time between two asks of a host for a request that waits. It keeps the request's entry.
-	askInterval = 100 * time.Millisecond
 	// grantInterval is the time between two passes over the waiting requests.
 	grantInterval = 20 * time.Millisecond
+	// maxAskInterval bounds what a placer asks for.
+	maxAskInterval = time.Second
+	// maxAttemptBytes bounds the ids of requests in the list.
+	maxAttemptBytes = 256
 	// maxGrantOnAsk is the length of the queue up to which a new request starts a pass of its own.
 	maxGrantOnAsk = 64
 	// maxWaitTries bounds the grants that a host may decline for one request.
@@ -166,7 +169,7 @@
 	case usherqueue.Refuse:
 		return placementReplyWire{Verdict: verdictRefuse, RetryAfter: answer.RetryAfter, Forecast: answer.Forecast}
 	default:
-		return placementReplyWire{Verdict: verdictWait, Forecast: answer.Forecast}
+		return placementReplyWire{Verdict: verdictWait, Forecast: answer.Forecast, RetryAfter: answer.AskAgain}
 	}
 }
 
@@ -177,19 +180,21 @@
 	defer w.mu.Unlock()
 	now, state := time.Now(), w.placement.state
 	_, known := w.queue.Answer(key)
-	_, competes := state.contention(r.Service)
-	if ask.Withdrawn || !known && !state.hasCandidate(r) {
+	contention, competes := state.contention(r.Service)
+	if ask.Withdrawn || len(ask.Attempt) > maxAttemptBytes || !known && !state.hasCandidate(r) {
 		// Without a target there is nothing to wait for; the host finds the reason for its refusal.
 		w.queue.Withdraw(key)
 		delete(w.waiting, key)
 		return placementReplyWire{}
 	}
-	if !competes || !known && w.queue.Waiting(now, r.Service) == 0 && state.isHalfFree(r.Service) {
-		choice, err := state.place(r, own)
-		if err != nil {
+	if !competes || !known && w.queue.Waiting(now, r.Service) == 0 {
+		choice, err := state.placeAtOnce(r, contention, competes, own)
+		if err == nil {
+			return replyTo(usherqueue.Answer[usherpool.Choice]{Verdict: usherqueue.Go, Grant: choice})
+		}
+		if !errorx.IsOfType(err, usherpool.ErrNoRoom) {
 			return placementReplyWire{}
 		}
-		return replyTo(usherqueue.Answer[usherpool.Choice]{Verdict: usherqueue.Go, Grant: choice})
 	}
 	w.waiting[key] = waiter{request: r, own: own, deliver: deliver}
 	answer := w.queue.Ask(now, usherqueue.Request{
@@ -258,7 +263,7 @@
 			return g.placed(h.state.choose(r))
 		}
 		if choice, taken := p.adopt(placer, own, r, reply); taken {
-			if asks > 1 || time.Since(start) > askInterval {
+			if asks > 1 || time.Since(start) > usherqueue.AskInterval/2 {
 				g.logWait("granted", placer, start, asks, reply)
 			}
 			return choice, nil
@@ -308,7 +313,7 @@
 
 // awaitVerdict returns the verdict about a request that waits, or the given reply if it is time to ask again.
 func (p *placement) awaitVerdict(ctx context.Context, replies <-chan placementReplyWire, wait placementReplyWire) placementReplyWire {
-	timer := time.NewTimer(askInterval)
+	timer := time.NewTimer(min(max(wait.RetryAfter, usherqueue.AskInterval), maxAskInterval))
 	defer timer.Stop()
 	for {
 		select {
@@ -389,6 +394,18 @@
 	return s.pool.HasCandidate(time.Now(), r)
 }
 
+// placeAtOnce chooses a target for r while nothing else waits for room.
+func (s *sharedState) placeAtOnce(r usherpool.Request, contention usherroute.Contention, competes, own bool) (usherpool.Choice, error) {
+	if !competes {
+		return s.place(r, own)
+	}
+	choice, err := s.placeInRoom(r, usherpool.Room{Contention: contention}, own)
+	if err != nil && s.isHalfFree(r.Service) {
+		return s.place(r, own)
+	}
+	return choice, err
+}
+
 func (s *sharedState) isHalfFree(service string) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
