--- a/pkg/usherpool/pool.go
+++ b/pkg/usherpool/pool.go
@@ -208,6 +208,8 @@
 		// speed is what was known of the target's speed at speedAt.
 		speed   usherspeed.Estimate
 		speedAt time.Time
+		// expected holds the prompts that hosts may still report, see queuedPrompts.
+		expected []expectedPrompt
 	}
 )
 
