waiting room: refuse by what the drain is at least, and test its failures

It is measured over four seconds now, and a request is refused only if it would be too late with as many grants as could have come by chance. The placer's own streams that were placed beyond room while half of the places were free didn't count until they were sent, so 15 at once all went to one engine; they are reserved like others.

--- a/cmd/usher-host/daemon/waiting_test.go
+++ b/cmd/usher-host/daemon/waiting_test.go
@@ -1,6 +1,10 @@
 package daemon_test
 
 import (
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
 	"testing"
 	"time"
 )
@@ -46,3 +50,140 @@
 		}
 	})
 }
+
+// collect returns the results of streams, each of which must be complete or refused without a run. In any case some must be complete.
+func (b *testbed) collect(results []<-chan result) (refused []result) {
+	b.t.Helper()
+	for _, done := range results {
+		got := <-done
+		switch {
+		case got.err != nil || got.status != http.StatusOK && got.status != http.StatusServiceUnavailable:
+			b.t.Errorf("attempt %s: status %d, error %v", got.attempt, got.status, got.err)
+		case got.status != http.StatusOK:
+			refused = append(refused, got)
+			if runs := b.runsOf(got.attempt); len(runs) > 0 || got.header.Get("Retry-After") == "" {
+				b.t.Errorf("attempt %s refused with Retry-After %q after runs %v", got.attempt, got.header.Get("Retry-After"), runs)
+			}
+		}
+	}
+	if len(refused) == len(results) {
+		b.t.Error("all streams were refused")
+	}
+	return refused
+}
+
+// Load: long streams fill the only engine for longer than urgent callers wait. Those that cannot begin in their time are refused, and
+// return at different times.
+func TestStreamsThatCannotBeginInTimeAreRefused(t *testing.T) {
+	withTestbed(t, options{hosts: 3, engines: 1, editDeclarations: contended}, func(t *testing.T, b *testbed) {
+		var long, urgent []<-chan result
+		for range 7 {
+			_, done := b.startStream(b.hosts[1], "/appraisal/600")
+			long = append(long, done)
+			time.Sleep(500 * time.Millisecond)
+		}
+		for _, path := range append([]string{"/eligibility/150"}, slices.Repeat([]string{"/eligibility/2"}, 7)...) {
+			_, done := b.startStream(b.hosts[2], path)
+			urgent = append(urgent, done)
+		}
+		refused, times := b.collect(urgent), map[string]bool{}
+		for _, got := range refused {
+			after := got.header.Get("Retry-After")
+			if seconds, err := strconv.ParseFloat(after, 64); err != nil || seconds < 0.1 || seconds > 2 || !strings.Contains(got.body, "no_room") || got.elapsed > 6*time.Second {
+				t.Errorf("refused with %q after %s, Retry-After %q", got.body, got.elapsed, after)
+			}
+			times[after] = true
+		}
+		if len(refused) < 4 || len(times) < len(refused)-1 {
+			t.Errorf("%d of 8 refused, with %d times to return", len(refused), len(times))
+		}
+		if n := len(b.collect(long)); n > 0 {
+			t.Errorf("%d long streams refused, which have the time to wait", n)
+		}
+	})
+}
+
+// Failure: the placer loses its machine with a full queue. The hosts ask the next one, and what waits is served.
+func TestQueueMovesOnFromAFrozenPlacer(t *testing.T) {
+	withTestbed(t, options{hosts: 5, engines: 1, editDeclarations: contended}, func(t *testing.T, b *testbed) {
+		var results []<-chan result
+		for _, h := range b.hosts[1:] {
+			results = append(results, b.fillWithLongStreams(h, 5)...)
+		}
+		b.network.Pause(mustAddr(b.hosts[0].ip))
+		time.Sleep(200 * time.Millisecond)
+		if got := b.post(b.hosts[2], "/eligibility/2"); got.status != http.StatusOK || got.elapsed > 1500*time.Millisecond {
+			t.Errorf("urgent stream: status %d after %s", got.status, got.elapsed)
+		}
+		if refused := b.collect(results); len(refused) > 0 {
+			t.Errorf("%d of %d refused", len(refused), len(results))
+		}
+		b.network.Resume(mustAddr(b.hosts[0].ip))
+	})
+}
+
+// Failure: a link is cut one way while streams wait, first for what the placer sends, then for what it is sent.
+func TestQueueSurvivesALinkCutOneWay(t *testing.T) {
+	for _, c := range []struct{ from, to int }{{0, 1}, {1, 0}} {
+		t.Run(hostIP(c.from), func(t *testing.T) {
+			withTestbed(t, options{hosts: 4, engines: 1, editDeclarations: contended}, func(t *testing.T, b *testbed) {
+				results := b.fillWithLongStreams(b.hosts[1], 10)
+				b.network.Block(mustAddr(hostIP(c.from)), mustAddr(hostIP(c.to)))
+				results = append(results, b.fillWithLongStreams(b.hosts[2], 5)...)
+				if got := b.post(b.hosts[1], "/eligibility/2"); got.status != http.StatusOK || got.elapsed > 1500*time.Millisecond {
+					t.Errorf("urgent stream: status %d after %s", got.status, got.elapsed)
+				}
+				if refused := b.collect(results); len(refused) > 0 {
+					t.Errorf("%d of %d refused", len(refused), len(results))
+				}
+			})
+		})
+	}
+}
+
+// Failure: a host is stopped while streams wait in it, and so is the placer. Each stream is served or refused within the grace, without a run.
+func TestStoppingHostServesOrRefusesWhatWaits(t *testing.T) {
+	for _, stopped := range []int{0, 1} {
+		t.Run(hostIP(stopped), func(t *testing.T) {
+			withTestbed(t, options{hosts: 4, engines: 1, editDeclarations: contended}, func(t *testing.T, b *testbed) {
+				results := b.fillWithLongStreams(b.hosts[stopped], 15)
+				b.stop(b.hosts[stopped])
+				signal := time.Now()
+				if refused := b.collect(results); len(refused) < 5 {
+					t.Errorf("%d of 15 refused, want the 8 that waited; they could wait for longer than the host lives", len(refused))
+				}
+				if elapsed := time.Since(signal); elapsed > 7750*time.Millisecond {
+					t.Errorf("last response %s after the signal", elapsed)
+				}
+				if got := b.post(b.hosts[2], "/eligibility/2"); got.status != http.StatusOK {
+					t.Errorf("urgent stream at another host: status %d", got.status)
+				}
+			})
+		})
+	}
+}
+
+// Failure: half of the hosts start at the same moment while streams wait at the others.
+func TestHostsThatStartAtOnceJoinTheQueue(t *testing.T) {
+	withTestbed(t, options{hosts: 4, engines: 2, editDeclarations: contended}, func(t *testing.T, b *testbed) {
+		var results []<-chan result
+		for _, h := range b.hosts {
+			results = append(results, b.fillWithLongStreams(h, 5)...)
+		}
+		for i := 4; i < 8; i++ {
+			b.startHost(i)
+		}
+		time.Sleep(1500 * time.Millisecond)
+		for _, h := range b.hosts[4:] {
+			results = append(results, b.fillWithLongStreams(h, 3)...)
+		}
+		for _, h := range b.hosts[4:] {
+			if got := b.post(h, "/eligibility/2"); got.status != http.StatusOK || got.elapsed > 1500*time.Millisecond {
+				t.Errorf("%s: urgent stream: status %d after %s", h.name, got.status, got.elapsed)
+			}
+		}
+		if refused := b.collect(results); len(refused) > 0 {
+			t.Errorf("%d of %d refused", len(refused), len(results))
+		}
+	})
+}
--- a/pkg/usherpool/room.go
+++ b/pkg/usherpool/room.go
@@ -33,6 +33,8 @@
 	usherroute.Contention
 	// Whole allows a request of a lower rank what the most urgent ones may use.
 	Whole bool
+	// Beyond allows targets without room.
+	Beyond bool
 	// Kept is a target whose room is kept free for another request; empty for none.
 	Kept string
 }
@@ -44,7 +46,7 @@
 	reason := ErrNoTarget
 	for _, t := range p.shuffledCandidates(now, r) {
 		load := p.totalLoad(now, t)
-		if t.entry.ID == room.Kept || !p.hasRoom(now, t, r, room, load) {
+		if !room.Beyond && (t.entry.ID == room.Kept || !p.hasRoom(now, t, r, room, load)) {
 			reason = ErrNoRoom
 			continue
 		}
@@ -56,11 +58,15 @@
 		return Choice{}, reason.New("no target of service %q has room for the request", r.Service)
 	}
 	choice = p.estimatePrefill(now, best, r, choice)
-	// It has waited for its turn, so engines need not hold it back once more.
-	choice.Late = false
+	// What has waited for room need not be held back by engines once more.
+	choice.Late = choice.Late && room.Beyond
 	if own {
 		// Several requests may be chosen before the first one is sent.
-		best.reserved = append(best.reserved, reservation{load: Load{Streams: 1, Tokens: r.PromptTokens + r.OutputTokens}, expires: now.Add(ownReservationLifetime)})
+		load := Load{Streams: 1}
+		if !choice.Late {
+			load.Tokens = r.PromptTokens + r.OutputTokens
+		}
+		best.reserved = append(best.reserved, reservation{load: load, expires: now.Add(ownReservationLifetime)})
 		choice = p.recordSend(now, best, r, choice)
 	} else {
 		best.reserve(now, r, choice)
--- a/pkg/usherqueue/queue.go
+++ b/pkg/usherqueue/queue.go
@@ -153,15 +153,16 @@
 	_, e.returned = q.returns[r.Content]
 	delete(q.returns, r.Content)
 	s := q.service(r.Service)
-	ahead := q.tokensBefore(now, e)
-	if forecast := s.forecast(ahead); e.isHopeless(now, forecast) {
-		q.refuse(now, s, e, forecast)
+	s.arrive(r.Tokens)
+	expected, least := s.forecast(q.tokensBefore(now, e))
+	if e.isHopeless(now, least) {
+		q.refuse(now, s, e, expected)
 		return e.answer
 	}
 	if q.waiting >= MaxEntries {
 		last := q.last(now)
 		if compare(now, e, last) >= 0 {
-			q.refuse(now, s, e, s.forecast(ahead))
+			q.refuse(now, s, e, expected)
 			return e.answer
 		}
 		q.settle(last)
@@ -173,9 +174,9 @@
 	return q.answer(e)
 }
 
-// isHopeless reports whether the request cannot begin in its time.
-func (e *entry[G]) isHopeless(now time.Time, forecast time.Duration) bool {
-	return now.Add(forecast + e.Needed).After(e.patienceAt)
+// isHopeless reports whether the request cannot begin in its time if it waits for as long as given.
+func (e *entry[G]) isHopeless(now time.Time, wait time.Duration) bool {
+	return now.Add(wait + e.Needed).After(e.patienceAt)
 }
 
 // answer returns what has become of e.
@@ -240,10 +241,11 @@
 		if e.answer.Verdict != Wait {
 			continue
 		}
-		e.answer.Forecast = s.forecast(ahead)
-		if e.isHopeless(now, e.answer.Forecast) {
+		expected, least := s.forecast(ahead)
+		e.answer.Forecast = expected
+		if e.isHopeless(now, least) {
 			q.settle(e)
-			q.refuse(now, s, e, e.answer.Forecast)
+			q.refuse(now, s, e, expected)
 			changed = append(changed, e.Key)
 			continue
 		}
--- a/pkg/usherqueue/service.go
+++ b/pkg/usherqueue/service.go
@@ -9,12 +9,12 @@
 	// shareTimeConstant is the time constant with which what a workspace was granted is forgotten.
 	shareTimeConstant = 2 * time.Second
 	maxWorkspaces     = 1024
-	// drainInterval is the time over which the drain is measured, drainWeight the weight of the latest measurement.
-	drainInterval = 250 * time.Millisecond
-	drainWeight   = 0.25
-	// minDrainSamples is the number of measurements from which the drain counts as known.
-	minDrainSamples = 4
-	// drainLifetime is how long a measurement counts after requests have waited.
+	// drainTimeConstant is the time constant with which the drain is forgotten, minDrainTime the time after which it counts as
+	// known, meanWeight the weight of the latest request in their mean size.
+	drainTimeConstant = 4 * time.Second
+	minDrainTime      = time.Second
+	meanWeight        = 0.05
+	// drainLifetime is how long a drain counts after requests have waited.
 	drainLifetime = 2 * time.Second
 	// maxForecast bounds forecasts while nothing drains.
 	maxForecast = time.Hour
@@ -28,16 +28,21 @@
 		workspaces map[string]share
 		// skipped counts the grants to other classes while requests of a class waited.
 		skipped [maxClasses]int
-		// drain is the measured rate of grants while requests wait, in tokens per second.
-		drain        float64
-		drainSamples int
-		measuredFrom time.Time
-		granted      int
+		// drain is what was granted while requests waited, observed when it was last updated.
+		drain    drain
+		observed time.Time
+		// meanTokens is the mean size of the requests that have come lately.
+		meanTokens float64
 		// returnAt is when the caller that was refused last should return, refusals counts those with no time of their own.
 		returnAt time.Time
 		refusals int
 	}
 
+	// drain counts the grants in a time, both forgotten exponentially.
+	drain struct {
+		seconds, grants, tokens float64
+	}
+
 	// share is what a workspace was granted lately, in tokens.
 	share struct {
 		tokens  float64
@@ -50,7 +55,8 @@
 }
 
 func (s *service) recordGrant(now time.Time, workspace string, tokens int, granted class, waiting [maxClasses]bool) {
-	s.granted += tokens
+	s.drain.grants++
+	s.drain.tokens += float64(tokens)
 	if len(s.workspaces) >= maxWorkspaces {
 		clear(s.workspaces)
 	}
@@ -64,40 +70,47 @@
 	}
 }
 
+// arrive counts a request that has come.
+func (s *service) arrive(tokens int) {
+	if s.meanTokens == 0 {
+		s.meanTokens = float64(tokens)
+	}
+	s.meanTokens += meanWeight * (float64(tokens) - s.meanTokens)
+}
+
 // observe measures the drain while requests wait.
 func (s *service) observe(now time.Time, waiting bool) {
-	elapsed := now.Sub(s.measuredFrom)
-	switch {
-	case elapsed > drainLifetime:
-		s.drainSamples, s.measuredFrom, s.granted = 0, now, 0
-	case elapsed >= drainInterval && waiting:
-		rate := float64(s.granted) / elapsed.Seconds()
-		if s.drainSamples == 0 {
-			s.drain = rate
-		}
-		s.drain += drainWeight * (rate - s.drain)
-		s.drainSamples++
-		s.measuredFrom, s.granted = now, 0
+	elapsed := max(now.Sub(s.observed), 0)
+	if elapsed > drainLifetime {
+		elapsed, s.drain = 0, drain{}
 	}
+	s.observed = now
 	if !waiting {
 		s.skipped = [maxClasses]int{}
+		return
 	}
+	kept := math.Exp(-elapsed.Seconds() / drainTimeConstant.Seconds())
+	s.drain = drain{seconds: s.drain.seconds*kept + elapsed.Seconds(), grants: s.drain.grants * kept, tokens: s.drain.tokens * kept}
 }
 
-// forecast returns how long the given tokens take to drain, or zero if the drain is not known.
-func (s *service) forecast(tokens int) time.Duration {
-	if s.drainSamples < minDrainSamples || tokens == 0 {
-		return 0
+// forecast returns how long the given tokens are expected to take to drain, or zero if that is not known, and how long they take at
+// least: few grants may have come by chance.
+func (s *service) forecast(tokens int) (expected, least time.Duration) {
+	if s.drain.seconds < minDrainTime.Seconds() || tokens == 0 {
+		return 0, 0
+	}
+	wait := func(drained float64) time.Duration {
+		return time.Duration(min(float64(tokens)*s.drain.seconds/max(drained, 1), maxForecast.Seconds()) * float64(time.Second))
 	}
-	seconds := float64(tokens) / max(s.drain, 1)
-	return time.Duration(min(seconds, maxForecast.Seconds()) * float64(time.Second))
+	most := s.drain.tokens + s.meanTokens*(2*math.Sqrt(s.drain.grants)+3)
+	return wait(max(s.drain.tokens, s.meanTokens)), wait(most)
 }
 
 // nextReturn returns the time after which a refused caller should return: when room is expected for it, each one later than the
 // one before by the time in which its tokens drain, and within a part of its remaining time that callers wait.
 func (s *service) nextReturn(now time.Time, tokens int, forecast, patience time.Duration) time.Duration {
 	longest := max(patience/maxReturnFraction, minRetryAfter)
-	gap := s.forecast(tokens)
+	gap, _ := s.forecast(tokens)
 	earliest := now.Add(max(min(forecast-patience, longest), minRetryAfter))
 	if at := s.returnAt.Add(gap); at.After(earliest) {
 		earliest = at
--- a/service/usherhost/waiting.go
+++ b/service/usherhost/waiting.go
@@ -399,9 +399,11 @@
 	if !competes {
 		return s.place(r, own)
 	}
-	choice, err := s.placeInRoom(r, usherpool.Room{Contention: contention}, own)
+	room := usherpool.Room{Contention: contention}
+	choice, err := s.placeInRoom(r, room, own)
 	if err != nil && s.isHalfFree(r.Service) {
-		return s.place(r, own)
+		room.Beyond = true
+		return s.placeInRoom(r, room, own)
 	}
 	return choice, err
 }
