--- a/cmd/usher-host/daemon/waiting_test.go
+++ b/cmd/usher-host/daemon/waiting_test.go
@@ -35,6 +35,9 @@
 		for _, h := range b.hosts {
 			results = append(results, b.fillWithLongStreams(h, 5)...)
 		}
+		if dump := b.getAt(b.hosts[0], adminPort, "/dump"); !strings.Contains(dump.body, `"waited_ms"`) {
+			t.Errorf("the placer's dump lists nothing that waits: %s", dump.body)
+		}
 		for _, h := range b.hosts {
 			if got := b.post(h, "/eligibility/2"); got.status != 200 || got.elapsed > time.Second {
 				t.Errorf("%s: status %d after %s", h.name, got.status, got.elapsed)
@@ -118,6 +121,9 @@
 		if refused := b.collect(results); len(refused) > 0 {
 			t.Errorf("%d of %d refused", len(refused), len(results))
 		}
+		if b.logBuffer.count(`"rank":2,"by":"host-3"`) == 0 {
+			t.Error("the next placer gave no room to what waited")
+		}
 		b.network.Resume(mustAddr(b.hosts[0].ip))
 	})
 }
--- a/pkg/usherpool/room.go
+++ b/pkg/usherpool/room.go
@@ -111,16 +111,16 @@
 	return int(t.prompts.remaining(now)) + max(overdue, 0)
 }
 
-// MostRoom returns the target on which r needs the least additional memory, or an empty string.
-func (p *Pool) MostRoom(now time.Time, r Request) string {
-	best, most := "", 0
+// MostRoom returns the target with the most free memory for r and its load, or an empty string.
+func (p *Pool) MostRoom(now time.Time, r Request) (string, Load) {
+	best, most, bestLoad := "", 0, Load{}
 	for _, t := range p.shuffledCandidates(now, r) {
 		load := p.totalLoad(now, t)
 		if free := p.usableMemoryTokens(t) - load.Tokens - load.CopyTokens; best == "" || free > most {
-			best, most = t.entry.ID, free
+			best, most, bestLoad = t.entry.ID, free, load
 		}
 	}
-	return best
+	return best, bestLoad
 }
 
 // HasCandidate reports whether any target may be chosen for r, with or without room.
--- a/pkg/usherpool/room_test.go
+++ b/pkg/usherpool/room_test.go
@@ -73,7 +73,7 @@
 		t.Errorf("urgent prompt: %v, to be read in %s", err, c.PrefillTime)
 	}
 	kept := room
-	kept.Kept = pool.MostRoom(now, usherpool.Request{Service: "s"})
+	kept.Kept, _ = pool.MostRoom(now, usherpool.Request{Service: "s"})
 	if c, _ := pool.PlaceInRoom(now.Add(time.Second), usherpool.Request{Service: "s", PromptTokens: 2400}, kept, false); c.Target.ID == kept.Kept {
 		t.Error("a target that is kept for another request was chosen")
 	}
--- a/service/usherhost/admin.go
+++ b/service/usherhost/admin.go
@@ -39,6 +39,8 @@
 		// is what crashes are attributed to, each as the fingerprints of what a request must have.
 		Suspects int      `json:"suspects"`
 		Blamed   []string `json:"blamed"`
+		// Waiting are the requests that wait for room, if this host is the placer.
+		Waiting []waitingRequestWire `json:"waiting"`
 	}
 
 	hostWire struct {
@@ -108,11 +110,14 @@
 }
 
 func (h *Host) snapshot() dumpWire {
+	// The waiting room takes the lock of the state.
+	waiting := h.peers.placement.room.list()
 	s := h.state
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
 	d := dumpWire{
+		Waiting: waiting,
 		Process: s.cluster.Self().Name, DataCentre: s.cluster.Self().DataCentre, State: h.lifecycle.Current(), Revision: s.catalog.Revision(),
 		InProgress: h.inProgress.Load(), Connections: h.conns.counts(), Targets: s.pool.Summaries(now),
 		Suspects: s.suspicion.tracker.Len(), Blamed: s.suspicion.describeBlamed(now),
