Order waiting requests by the route's rank, within the workspace's precedence

The workspace's priority goes first, the route's next. Late requests come after all that can be in time.

--- a/pkg/usherpool/room.go
+++ b/pkg/usherpool/room.go
@@ -34,6 +34,8 @@
 	usherroute.Contention
 	// Whole allows a request of a lower rank what the most urgent ones may use.
 	Whole bool
+	// Beyond allows targets without room.
+	Beyond bool
 	// Kept is a target whose room is kept free for another request; empty for none.
 	Kept string
 }
@@ -45,7 +47,7 @@
 	reason := ErrNoTarget
 	for _, t := range p.shuffledCandidates(now, r) {
 		load := p.totalLoad(now, t)
-		if t.entry.ID == room.Kept || !p.hasRoom(now, t, r, room, load) {
+		if !room.Beyond && (t.entry.ID == room.Kept || !p.hasRoom(now, t, r, room, load)) {
 			reason = ErrNoRoom
 			continue
 		}
@@ -57,12 +59,16 @@
 		return Choice{}, reason.New("no target of service %q has room for the request", r.Service)
 	}
 	choice = p.estimatePrefill(now, best, r, choice)
-	// It has waited for its turn, so engines need not hold it back once more.
-	choice.Late = false
+	// What has waited for room need not be held back by engines once more.
+	choice.Late = choice.Late && room.Beyond
 	speed := p.speed(now, best)
 	if own {
 		// Several requests may be chosen before the first one is sent.
-		best.reserved = append(best.reserved, reservation{load: Load{Streams: 1, Tokens: r.PromptTokens + r.OutputTokens}, expires: now.Add(ownReservationLifetime)})
+		load := Load{Streams: 1}
+		if !choice.Late {
+			load.Tokens = r.PromptTokens + r.OutputTokens
+		}
+		best.reserved = append(best.reserved, reservation{load: load, expires: now.Add(ownReservationLifetime)})
 		choice = p.recordSend(now, best, r, choice)
 	} else {
 		best.reserve(now, r, choice, speed)
@@ -108,16 +114,16 @@
 	return int(t.prompts.remaining(now, speed)) + max(overdue, 0)
 }
 
-// MostRoom returns the target on which r needs the least additional memory, or an empty string.
-func (p *Pool) MostRoom(now time.Time, r Request) string {
-	best, most := "", 0
+// MostRoom returns the target with the most free memory for r and its load, or an empty string.
+func (p *Pool) MostRoom(now time.Time, r Request) (string, Load) {
+	best, most, bestLoad := "", 0, Load{}
 	for _, t := range p.shuffledCandidates(now, r) {
 		load := p.totalLoad(now, t)
 		if free := p.usableMemoryTokens(t) - load.Tokens - load.CopyTokens; best == "" || free > most {
-			best, most = t.entry.ID, free
+			best, most, bestLoad = t.entry.ID, free, load
 		}
 	}
-	return best
+	return best, bestLoad
 }
 
 // HasCandidate reports whether any target may be chosen for r, with or without room.
--- a/pkg/usherqueue/order.go
+++ b/pkg/usherqueue/order.go
@@ -8,7 +8,7 @@
 // requestsPerRound is how many requests of mean size a workspace gets before the next one's turn.
 const requestsPerRound = 4
 
-// class is a rank, with its late requests apart.
+// class is a rank, or one of late requests, which follow all others.
 type class int
 
 const maxClasses = 2 * maxRanks
@@ -32,12 +32,12 @@
 
 func (e *entry[G]) class(now time.Time) class {
 	if e.late(now) {
-		return class(2*e.Rank + 1)
+		return class(maxRanks + e.Rank)
 	}
-	return class(2 * e.Rank)
+	return class(e.Rank)
 }
 
-// compare orders entries: by rank, late ones of a rank behind the others, those that return after a refusal before new ones, by
+// compare orders entries: by precedence, then those that can be in time before late ones, by rank, those that return after a refusal before new ones, by
 // turn among workspaces, and by the time left.
 func compare[G any](now time.Time, a, b *entry[G]) int {
 	due := func(e *entry[G]) time.Time {
@@ -53,7 +53,7 @@
 		return 1
 	}
 	return cmp.Or(
-		cmp.Compare(a.class(now), b.class(now)), cmp.Compare(first(a), first(b)), cmp.Compare(a.round, b.round), due(a).Compare(due(b)),
+		cmp.Compare(a.Precedence, b.Precedence), cmp.Compare(a.class(now), b.class(now)), cmp.Compare(first(a), first(b)), cmp.Compare(a.round, b.round), due(a).Compare(due(b)),
 		a.since.Compare(b.since), cmp.Compare(a.Host, b.Host), cmp.Compare(a.Attempt, b.Attempt), cmp.Compare(a.Try, b.Try),
 	)
 }
--- a/service/usherhost/stream.go
+++ b/service/usherhost/stream.go
@@ -269,7 +269,7 @@
 func (g *generation) placementRequest(exclude []string) usherpool.Request {
 	r := usherpool.Request{
 		Service: g.req.service.Name, PromptTokens: max(g.req.PromptTokens, 1), OutputTokens: g.req.OutputTokens(), Exclude: exclude,
-		Route: g.req.route.Name, Workspace: g.req.workspace.Name, Rank: g.req.rank(), MaxPause: g.req.route.MaxPause,
+		Route: g.req.route.Name, Workspace: g.req.workspace.Name, Rank: g.req.route.Priority, MaxPause: g.req.route.MaxPause,
 	}
 	if e := g.req.service.Engine; e != nil && e.EventTokens > 0 {
 		r.Events = r.OutputTokens / e.EventTokens
