--- a/pkg/usherqueue/queue_test.go
+++ b/pkg/usherqueue/queue_test.go
@@ -21,6 +21,9 @@
 	retries          []time.Duration
 	spare, capacity  float64
 	number           int
+	// lump is the room that comes at once, waited the longest wait of an urgent request that was granted room.
+	lump   float64
+	waited time.Duration
 	// kept reports whether room is kept free for a request that is due.
 	kept bool
 }
@@ -50,6 +53,9 @@
 	switch answer.Verdict {
 	case usherqueue.Go:
 		l.granted = append(l.granted, r)
+		if r.Rank == 0 {
+			l.waited = max(l.waited, l.now.Sub(l.asked[key]))
+		}
 	case usherqueue.Refuse:
 		l.refused, l.retries = append(l.refused, r), append(l.retries, answer.RetryAfter)
 	default:
@@ -66,7 +72,7 @@
 		}
 		l.now = l.now.Add(20 * time.Millisecond)
 		l.kept = false
-		l.spare = min(l.spare+l.capacity/50, max(l.capacity/10, 4000))
+		l.spare = min(l.spare+l.capacity/50, max(l.capacity/10, l.lump, 4000))
 		for _, key := range l.queue.Grant(l.now, service, l.place) {
 			answer, _ := l.queue.Answer(key)
 			l.settle(key, answer)
@@ -104,17 +110,20 @@
 // Load: a long kind of low rank arrives at 2.2 times the rate that can be served, the urgent kind as always.
 func TestBurstOfLesserKindDoesNotDelayUrgentRequests(t *testing.T) {
 	l := newLoad(100_000)
-	l.run(6*time.Second, func(step int) {
+	l.run(9*time.Second, func(step int) {
 		l.add(lesser("a"))
 		if step%5 == 0 {
 			l.add(urgent("a"))
 		}
 	})
-	if n := count(l.granted, 0); n < 58 || count(l.refused, 0) > 0 {
-		t.Errorf("%d of 60 urgent requests granted, %d refused", n, count(l.refused, 0))
+	if n := count(l.granted, 0); n < 88 || count(l.refused, 0) > 0 {
+		t.Errorf("%d of 90 urgent requests granted, %d refused", n, count(l.refused, 0))
+	}
+	if l.waited > 300*time.Millisecond {
+		t.Errorf("an urgent request waited for %s behind lesser ones", l.waited)
 	}
-	if n := count(l.granted, 2); n < 90 {
-		t.Errorf("%d lesser requests granted, want at least 90 from what is left", n)
+	if n := count(l.granted, 2); n < 130 {
+		t.Errorf("%d lesser requests granted, want at least 130 from what is left", n)
 	}
 }
 
@@ -162,6 +171,23 @@
 	}
 }
 
+// Load: engines that were filled at once have room for seven requests each 3.5 s, and 15 wait that have ten times that time.
+func TestRoomThatComesInLumpsRefusesNobodyWithTime(t *testing.T) {
+	l := newLoad(0)
+	l.lump = 26_000
+	for range 15 {
+		l.add(lesser("a"))
+	}
+	l.run(8*time.Second, func(step int) {
+		if step%175 == 174 {
+			l.spare = l.lump
+		}
+	})
+	if len(l.refused) > 0 || len(l.granted) != 14 {
+		t.Errorf("%d of 15 granted, %d refused", len(l.granted), len(l.refused))
+	}
+}
+
 // Load: one workspace sends ten times what the others do.
 func TestHotWorkspaceDoesNotDelayOthers(t *testing.T) {
 	l := newLoad(60_000)
