waiting room: cheaper passes

The placer is a host like others, with a fifth of a core on the users' smaller machines. Orders and classes of entries are computed once a pass, and what peers report is summed up once for all requests of a pass.

--- a/pkg/usherpool/pool.go
+++ b/pkg/usherpool/pool.go
@@ -178,6 +178,9 @@
 		resting map[incarnation]rest
 		// limits has the limits of incarnations whose entry is missing.
 		limits map[incarnation]*limit
+		// peerSums are the loads reported by peers as of peerSumsAt, see roomLoad.
+		peerSums   map[*target]Load
+		peerSumsAt time.Time
 	}
 
 	target struct {
--- a/pkg/usherpool/room.go
+++ b/pkg/usherpool/room.go
@@ -45,7 +45,7 @@
 	var choice Choice
 	reason := ErrNoTarget
 	for _, t := range p.shuffledCandidates(now, r) {
-		load := p.totalLoad(now, t)
+		load := p.roomLoad(now, t)
 		if !room.Beyond && (t.entry.ID == room.Kept || !p.hasRoom(now, t, r, room, load)) {
 			reason = ErrNoRoom
 			continue
@@ -100,6 +100,19 @@
 	return wait <= time.Duration(lesserPromptShare*float64(room.Objective))
 }
 
+// roomLoad returns the load on t. What peers report is summed up once for all requests that are placed at the same time.
+func (p *Pool) roomLoad(now time.Time, t *target) Load {
+	if p.peerSums == nil || !p.peerSumsAt.Equal(now) {
+		p.peerSums, p.peerSumsAt = map[*target]Load{}, now
+	}
+	sum, summed := p.peerSums[t]
+	if !summed {
+		sum = p.totalLoad(now, t).plus(t.own.Negated()).plus(t.reservations(now).Negated())
+		p.peerSums[t] = sum
+	}
+	return t.own.plus(sum).plus(t.reservations(now))
+}
+
 // queuedPrompts returns the prompt tokens that wait at t. Those placed lately are still reported after they were processed, and
 // count as reported too many only once they should be gone.
 func (t *target) queuedPrompts(now time.Time, load Load) int {
@@ -115,7 +128,7 @@
 func (p *Pool) MostRoom(now time.Time, r Request) (string, Load) {
 	best, most, bestLoad := "", 0, Load{}
 	for _, t := range p.shuffledCandidates(now, r) {
-		load := p.totalLoad(now, t)
+		load := p.roomLoad(now, t)
 		if free := p.usableMemoryTokens(t) - load.Tokens - load.CopyTokens; best == "" || free > most {
 			best, most, bestLoad = t.entry.ID, free, load
 		}
@@ -135,7 +148,7 @@
 		if t.entry.Service != service || !t.accepting {
 			continue
 		}
-		load := p.totalLoad(now, t)
+		load := p.roomLoad(now, t)
 		slots, used = slots+t.entry.Slots, used+load.Streams+load.Copies
 		memory, tokens = memory+p.usableMemoryTokens(t), tokens+load.Tokens+load.CopyTokens
 	}
--- a/pkg/usherqueue/order.go
+++ b/pkg/usherqueue/order.go
@@ -25,44 +25,41 @@
 	return r
 }
 
-// late reports whether the request misses its objective even if it is granted room now.
-func (e *entry[G]) late(now time.Time) bool {
-	return e.objectiveAt.Before(now.Add(e.Needed))
-}
-
-func (e *entry[G]) class(now time.Time) class {
-	if e.late(now) {
-		return class(2*e.Rank + 1)
+// place sets the entry's class and what it is ordered by in its class. An entry is late if it misses its objective even if it is
+// granted room now.
+func (e *entry[G]) place(now time.Time) {
+	e.late = e.objectiveAt.Before(now.Add(e.Needed))
+	e.class, e.due = class(2*e.Rank), e.objectiveAt
+	if e.late {
+		e.class, e.due = e.class+1, e.patienceAt
 	}
-	return class(2 * e.Rank)
 }
 
-// compare orders entries: by rank, late ones of a rank behind the others, those that return after a refusal before new ones, by
-// turn among workspaces, and by the time left.
-func compare[G any](now time.Time, a, b *entry[G]) int {
-	due := func(e *entry[G]) time.Time {
-		if e.late(now) {
-			return e.patienceAt
-		}
-		return e.objectiveAt
-	}
+// compare orders entries by the places set last: by rank, late ones of a rank behind the others, those that return after a refusal
+// before new ones, by turn among workspaces, and by the time left.
+func compare[G any](a, b *entry[G]) int {
 	first := func(e *entry[G]) int {
 		if e.returned {
 			return 0
 		}
 		return 1
 	}
-	return cmp.Or(
-		cmp.Compare(a.class(now), b.class(now)), cmp.Compare(first(a), first(b)), cmp.Compare(a.round, b.round), due(a).Compare(due(b)),
-		a.since.Compare(b.since), cmp.Compare(a.Host, b.Host), cmp.Compare(a.Attempt, b.Attempt), cmp.Compare(a.Try, b.Try),
-	)
+	switch {
+	case a.class != b.class:
+		return cmp.Compare(a.class, b.class)
+	case a.returned != b.returned:
+		return cmp.Compare(first(a), first(b))
+	case a.round != b.round:
+		return cmp.Compare(a.round, b.round)
+	}
+	return cmp.Or(a.due.Compare(b.due), a.since.Compare(b.since), cmp.Compare(a.Host, b.Host), cmp.Compare(a.Attempt, b.Attempt), cmp.Compare(a.Try, b.Try))
 }
 
 // classes returns the classes of the entries that wait.
-func classes[G any](now time.Time, entries []*entry[G]) (waiting [maxClasses]bool) {
+func classes[G any](entries []*entry[G]) (waiting [maxClasses]bool) {
 	for _, e := range entries {
 		if e.answer.Verdict == Wait {
-			waiting[e.class(now)] = true
+			waiting[e.class] = true
 		}
 	}
 	return waiting
@@ -70,15 +67,15 @@
 
 // dueEntry returns the entry that others have overtaken for long enough, or nil: one that can still be in time first, then the
 // first one of a class.
-func dueEntry[G any](now time.Time, s *service, entries []*entry[G]) *entry[G] {
+func dueEntry[G any](s *service, entries []*entry[G]) *entry[G] {
 	for _, e := range entries {
-		if e.passed >= floorInterval && !e.late(now) {
+		if e.passed >= floorInterval && !e.late {
 			return e
 		}
 	}
 	var due *entry[G]
 	for _, e := range entries {
-		if n := s.skipped[e.class(now)]; n >= floorInterval && (due == nil || n > s.skipped[due.class(now)]) {
+		if n := s.skipped[e.class]; n >= floorInterval && (due == nil || n > s.skipped[due.class]) {
 			due = e
 		}
 	}
--- a/pkg/usherqueue/queue.go
+++ b/pkg/usherqueue/queue.go
@@ -132,7 +132,10 @@
 		answer      Answer[G]
 		// passed counts the grants to requests behind this one.
 		passed int
-		// round is the entry's turn among those of all workspaces.
+		// class, late and due are set by place. round is the entry's turn among those of all workspaces.
+		class class
+		late  bool
+		due   time.Time
 		round int
 	}
 )
@@ -161,7 +164,7 @@
 	}
 	if q.waiting >= MaxEntries {
 		last := q.last(now)
-		if compare(now, e, last) >= 0 {
+		if compare(e, last) >= 0 {
 			q.refuse(now, s, e, expected)
 			return e.answer
 		}
@@ -223,17 +226,17 @@
 		}
 		q.settle(e)
 		e.answer = Answer[G]{Verdict: Go, Grant: g}
-		s.recordGrant(now, e.Workspace, e.Tokens, e.class(now), classes(now, entries))
+		s.recordGrant(now, e.Workspace, e.Tokens, e.class, classes(entries))
 		for _, other := range entries {
-			if !due && other.answer.Verdict == Wait && compare(now, other, e) < 0 {
+			if !due && other.answer.Verdict == Wait && compare(other, e) < 0 {
 				other.passed++
 			}
 		}
 		changed = append(changed, e.Key)
 		return true
 	}
-	if due := dueEntry(now, s, entries); due != nil && grant(due, true) {
-		s.skipped[due.class(now)] = 0
+	if due := dueEntry(s, entries); due != nil && grant(due, true) {
+		s.skipped[due.class] = 0
 	}
 	var missed []*entry[G]
 	ahead := 0
@@ -345,8 +348,13 @@
 // tokensBefore returns the tokens of the requests of the same service that are before e.
 func (q *Queue[G]) tokensBefore(now time.Time, e *entry[G]) int {
 	sum := 0
+	e.place(now)
 	for _, other := range q.entries {
-		if other.Service == e.Service && other.answer.Verdict == Wait && compare(now, other, e) < 0 {
+		if other.Service != e.Service || other.answer.Verdict != Wait {
+			continue
+		}
+		other.place(now)
+		if compare(other, e) < 0 {
 			sum += other.Tokens
 		}
 	}
@@ -356,7 +364,11 @@
 func (q *Queue[G]) last(now time.Time) *entry[G] {
 	var last *entry[G]
 	for _, e := range q.entries {
-		if e.answer.Verdict == Wait && (last == nil || compare(now, e, last) > 0) {
+		if e.answer.Verdict != Wait {
+			continue
+		}
+		e.place(now)
+		if last == nil || compare(e, last) > 0 {
 			last = e
 		}
 	}
@@ -370,11 +382,12 @@
 	for _, e := range q.entries {
 		if e.Service == name && e.answer.Verdict == Wait {
 			e.round = 0
+			e.place(now)
 			entries = append(entries, e)
 			total += e.Tokens
 		}
 	}
-	slices.SortFunc(entries, func(a, b *entry[G]) int { return compare(now, a, b) })
+	slices.SortFunc(entries, compare[G])
 	s := q.service(name)
 	quantum := max(total/max(len(entries), 1)*requestsPerRound, 1)
 	used := map[string]float64{}
@@ -386,6 +399,6 @@
 		e.round = int(sum) / quantum
 		used[e.Workspace] = sum + float64(e.Tokens)
 	}
-	slices.SortFunc(entries, func(a, b *entry[G]) int { return compare(now, a, b) })
+	slices.SortFunc(entries, compare[G])
 	return entries
 }
--- a/service/usherhost/waitingroom.go
+++ b/service/usherhost/waitingroom.go
@@ -134,7 +134,7 @@
 	for _, key := range w.queue.Grant(now, service, func(r usherqueue.Request, due bool) (usherpool.Choice, bool) {
 		waiter := w.waiting[r.Key]
 		room := usherpool.Room{Contention: contention, Whole: due, Kept: w.kept[service].target}
-		choice, err := w.placement.state.placeInRoom(waiter.request, room, waiter.own)
+		choice, err := w.placement.state.placeInRoom(now, waiter.request, room, waiter.own)
 		if err != nil && due && r.Objective > 0 {
 			if kept.key != r.Key {
 				target, _ := w.placement.state.mostRoom(waiter.request)
@@ -194,7 +194,7 @@
 		return placementReplyWire{}
 	}
 	if !competes || !known && w.queue.Waiting(now, r.Service) == 0 {
-		choice, err := state.placeAtOnce(r, contention, competes, own)
+		choice, err := state.placeAtOnce(now, r, contention, competes, own)
 		if err == nil {
 			return replyWithChoice(choice)
 		}
@@ -253,10 +253,9 @@
 	return table.Contention(service)
 }
 
-func (s *sharedState) placeInRoom(r usherpool.Request, room usherpool.Room, own bool) (usherpool.Choice, error) {
+func (s *sharedState) placeInRoom(now time.Time, r usherpool.Request, room usherpool.Room, own bool) (usherpool.Choice, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	now := time.Now()
 	if own {
 		r.Exclude = slices.Concat(r.Exclude, s.pool.ExcludedTargets(now, r))
 	}
@@ -276,15 +275,15 @@
 }
 
 // placeAtOnce chooses a target for r while nothing else waits for room.
-func (s *sharedState) placeAtOnce(r usherpool.Request, contention usherroute.Contention, competes, own bool) (usherpool.Choice, error) {
+func (s *sharedState) placeAtOnce(now time.Time, r usherpool.Request, contention usherroute.Contention, competes, own bool) (usherpool.Choice, error) {
 	if !competes {
 		return s.place(r, own)
 	}
 	room := usherpool.Room{Contention: contention}
-	choice, err := s.placeInRoom(r, room, own)
+	choice, err := s.placeInRoom(now, r, room, own)
 	if err != nil && s.isHalfFree(r.Service) {
 		room.Beyond = true
-		return s.placeInRoom(r, room, own)
+		return s.placeInRoom(now, r, room, own)
 	}
 	return choice, err
 }
