waiting room: let lesser ranks fill the usable memory, and count skipped classes in a row

Expected sizes at the end overestimate what runs, so leaving another eighth held long streams while memory was free; urgent ones may use what is kept for growth instead. A class that gets grants now and then counted as starved after eight others and took the urgent kind's room; only eight in a row count. Tests: go test ./usherqueue ./usherpool, waiting_test.go; TestNothingWaitsWhileHalfOfThePlacesAreFree new.

--- a/cmd/usher-host/daemon/waiting_test.go
+++ b/cmd/usher-host/daemon/waiting_test.go
@@ -106,6 +106,27 @@
 	})
 }
 
+// Load: urgent streams come at the same moment, more than the queue of prompts should hold. Half of the engine's memory and slots are free, so
+// none may wait.
+func TestNothingWaitsWhileHalfOfThePlacesAreFree(t *testing.T) {
+	withTestbed(t, options{hosts: 3, engines: 1, editDeclarations: contended}, func(t *testing.T, b *testbed) {
+		done := make(chan result)
+		for i := range 4 {
+			r := b.request(t.Context(), b.hosts[i%3], http.MethodPost, "/eligibility/2", "")
+			r.Header.Set("Token-Counts", "3000,10")
+			go func() { done <- b.do(r) }()
+		}
+		for range 4 {
+			if got := <-done; got.status != http.StatusOK || got.elapsed > 100*time.Millisecond {
+				t.Errorf("status %d after %s", got.status, got.elapsed)
+			}
+		}
+		if n := b.logBuffer.count(`"request waited for room"`); n > 0 {
+			t.Errorf("%d streams waited", n)
+		}
+	})
+}
+
 // Failure: the placer loses its machine with a full queue. The hosts ask the next one, and what waits is served.
 func TestQueueMovesOnFromAFrozenPlacer(t *testing.T) {
 	withTestbed(t, options{hosts: 5, engines: 1, editDeclarations: contended}, func(t *testing.T, b *testbed) {
--- a/pkg/usherpool/room.go
+++ b/pkg/usherpool/room.go
@@ -8,8 +8,6 @@
 )
 
 const (
-	// lesserMemoryShare is the fraction of the usable memory that requests of a lower rank may fill.
-	lesserMemoryShare = 0.875
 	// lesserPromptShare is the fraction of the most urgent route's objective that the prompts before a new one may take,
 	// if the last of them is of a lower rank.
 	lesserPromptShare = 0.5
@@ -81,12 +79,13 @@
 		return false
 	}
 	urgent := room.Whole || r.Rank <= room.Rank
-	memory := float64(p.usableMemoryTokens(t))
-	if !urgent {
-		memory *= lesserMemoryShare
+	memory := p.usableMemoryTokens(t)
+	if urgent {
+		// What is left for generations that grow beyond their estimated length is enough for a short one.
+		memory = int(float64(memory) / memoryShare)
 	}
 	// A request that is larger than the memory goes to an empty target.
-	if load.Streams+load.Copies > 0 && float64(load.Tokens+load.CopyTokens+r.PromptTokens+r.OutputTokens) > memory {
+	if load.Streams+load.Copies > 0 && load.Tokens+load.CopyTokens+r.PromptTokens+r.OutputTokens > memory {
 		return false
 	}
 	queued := t.queuedPrompts(now, load)
--- a/pkg/usherqueue/queue.go
+++ b/pkg/usherqueue/queue.go
@@ -235,8 +235,8 @@
 		changed = append(changed, e.Key)
 		return true
 	}
-	if due := dueEntry(s, entries); due != nil && grant(due, true) {
-		s.skipped[due.class] = 0
+	if due := dueEntry(s, entries); due != nil {
+		grant(due, true)
 	}
 	var missed []*entry[G]
 	ahead := 0
--- a/pkg/usherqueue/service.go
+++ b/pkg/usherqueue/service.go
@@ -64,7 +64,7 @@
 	for c, waits := range waiting {
 		if waits && class(c) != granted {
 			s.skipped[c]++
-		} else if !waits {
+		} else {
 			s.skipped[c] = 0
 		}
 	}
