--- a/cmd/usher-host/daemon/datagram_test.go
+++ b/cmd/usher-host/daemon/datagram_test.go
@@ -1,6 +1,7 @@
 package daemon_test
 
 import (
+	"fmt"
 	"math"
 	"math/rand/v2"
 	"net"
@@ -54,8 +55,13 @@
 	switch host % 3 {
 	case 1:
 		out[uint64(14)] = map[any]any{uint64(1): uint64(7), uint64(2): map[any]any{uint64(1): engineService, uint64(2): 3000, uint64(3): 900, uint64(6): []any{"engine-0"}, uint64(7): int64(time.Second)}}
+		if host%2 == 0 {
+			out[uint64(14)].(map[any]any)[uint64(2)].(map[any]any)[uint64(15)] = map[any]any{
+				uint64(1): fmt.Sprint("attempt-", host), uint64(2): 1, uint64(3): int64(time.Minute), uint64(4): int64(time.Second), uint64(5): uint64(7), uint64(6): host%5 == 0,
+			}
+		}
 	case 2:
-		out[uint64(15)] = map[any]any{uint64(1): uint64(1), uint64(2): "engine-0", uint64(3): int64(1), uint64(5): int64(1)}
+		out[uint64(15)] = map[any]any{uint64(1): uint64(1), uint64(2): "engine-0", uint64(3): int64(1), uint64(5): int64(1), uint64(7): 1, uint64(8): int64(1), uint64(9): int64(1)}
 	}
 	return out
 }
@@ -90,7 +96,7 @@
 // Datagrams of any content come from a peer: with values beyond their types, missing or repeated parts, or cut off. None may end a
 // host or make it panic, and calls are still served.
 func TestDatagramsOfAnyContentDoNoHarm(t *testing.T) {
-	withTestbed(t, options{hosts: 3, engines: 2, plainTargets: 2}, func(t *testing.T, b *testbed) {
+	withTestbed(t, options{hosts: 3, engines: 2, plainTargets: 2, editDeclarations: contended}, func(t *testing.T, b *testbed) {
 		random := rand.New(rand.NewPCG(strangeSeed, 0))
 		conn, err := b.network.ListenPacket(netip.MustParseAddrPort("10.1.0.77:7200"))
 		if err != nil {
