--- a/pkg/usherpool/pool.go
+++ b/pkg/usherpool/pool.go
@@ -184,6 +184,9 @@
 		speeds usherspeed.Tracker
 		// byService has the targets of each service, sorted by id.
 		byService map[string][]*target
+		// peerSums are the loads reported by peers as of peerSumsAt, see roomLoad.
+		peerSums   map[*target]Load
+		peerSumsAt time.Time
 	}
 
 	target struct {
