--- a/pkg/usherpool/forecast.go
+++ b/pkg/usherpool/forecast.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/samphireusher/samphireusher/pkg/ushercatalog"
+	"github.com/samphireusher/samphireusher/pkg/usherlength"
 	"github.com/samphireusher/samphireusher/pkg/usherspeed"
 )
 
@@ -12,7 +13,9 @@
 	longRunEvents = 64
 	// missCost is the cost of a pause over the maximum for streams without an objective.
 	missCost = 2 * time.Second
-	// speedInterval is how long what is known of a target's speed is used, unless there is a new outcome.
+	// minBase is the shortest forecast of a stream's first event that is compared with what was seen: below it, fixed delays prevail.
+	minBase = 20 * time.Millisecond
+	// speedInterval is how long what is known of the speeds of a service's targets is used.
 	speedInterval = 100 * time.Millisecond
 )
 
@@ -44,6 +47,14 @@
 		Events       int
 		Gap          time.Duration
 		LongestPause time.Duration
+		// OutputTokens is the length of the whole output, once it has ended, of a stream of the given service, route and workspace.
+		// OutputHint and MaxOutputTokens are those of its request.
+		OutputTokens    int
+		Service         string
+		Route           string
+		Workspace       string
+		OutputHint      int
+		MaxOutputTokens int
 	}
 )
 
@@ -53,23 +64,47 @@
 	if !known {
 		return Forecast{}, false
 	}
-	return p.forecast(now, t, r, p.totalLoad(now, t)), true
+	return p.forecast(now, t, p.estimateOutput(r), p.totalLoad(now, t)), true
 }
 
-// RecordOutcome records what a host saw of a run. An outcome of another incarnation than the known one is ignored.
+// RecordOutcome records what a host saw of a run. What it says of another incarnation than the known one is ignored.
 func (p *Pool) RecordOutcome(now time.Time, host string, o Outcome) {
+	if o.OutputTokens > 0 {
+		kind := usherlength.Kind{Service: o.Service, Route: o.Route, Workspace: o.Workspace}
+		p.lengths.Record(kind, usherlength.Call{Hint: o.OutputHint, Max: o.MaxOutputTokens}, o.OutputTokens)
+	}
 	t, known := p.targets[o.Target]
 	if !known || t.entry.Incarnation != o.Incarnation {
 		return
 	}
-	t.speedAt = time.Time{}
+	if t.service.Engine != nil && o.Base < minBase {
+		o.Base = 0
+	}
 	p.speeds.Record(now, usherspeed.Sample{
-		Target: speedTarget(t.entry), Host: host, Expected: o.Base, Seen: o.FirstEvent, Events: o.Events, Gap: o.Gap, LongestPause: o.LongestPause,
+		Target: speedTarget(t.entry), Host: host, Call: t.service.Engine == nil, Expected: o.Base, Seen: o.FirstEvent, Events: o.Events, Gap: o.Gap, LongestPause: o.LongestPause,
 	})
 }
 
+// estimateOutput returns the request with what is known of the lengths of outputs.
+func (p *Pool) estimateOutput(r Request) Request {
+	if r.OutputHint < 0 || r.MaxOutputTokens < 0 || r.OutputHint+r.MaxOutputTokens == 0 {
+		return r
+	}
+	kind := usherlength.Kind{Service: r.Service, Route: r.Route, Workspace: r.Workspace}
+	estimate := p.lengths.Estimate(kind, usherlength.Call{Hint: r.OutputHint, Max: r.MaxOutputTokens})
+	if r.OutputTokens > 0 {
+		r.Events = int(int64(r.Events) * int64(estimate) / int64(r.OutputTokens))
+	}
+	r.OutputTokens = estimate
+	return r
+}
+
 func (p *Pool) forecast(now time.Time, t *target, r Request, load Load) Forecast {
 	speed := p.speed(now, t)
+	if r.PromptTokens == 0 {
+		base := callTime(t, load)
+		return Forecast{FirstEvent: speed.Scale(base), Base: base, Factor: speed.Factor, Error: speed.Error, Age: speed.Age}
+	}
 	base := PrefillTime(p.pendingPrefill(now, t, load, speed) + r.PromptTokens)
 	return Forecast{
 		FirstEvent: speed.Scale(base), Base: base, LongestPause: speed.LongestPause,
@@ -77,10 +112,40 @@
 	}
 }
 
+// callTime returns how long a call takes at a usual target beside the known ones.
+func callTime(t *target, load Load) time.Duration {
+	slots := max(t.entry.Slots, 1)
+	return callCost * time.Duration(max(load.Calls+1, slots)) / time.Duration(slots)
+}
+
+// callDelay returns the cost of a call at t.
+func (p *Pool) callDelay(now time.Time, t *target, load Load) time.Duration {
+	queued := time.Duration(load.Calls) * callCost / time.Duration(max(t.entry.Slots, 1))
+	speed := p.speed(now, t)
+	if !speed.Uneven() {
+		return queued
+	}
+	// Hosts that know the same, and a target that has not been tried for a while, differ by the error of what is known.
+	spread := 1 + speed.Error*(2*p.options.Random.Float64()-1)
+	return time.Duration(spread * float64(speed.Scale(callCost+queued)))
+}
+
+// Uneven reports whether the targets of a service differ in speed by more than what is known of them.
+func (p *Pool) Uneven(now time.Time, service string) bool {
+	for _, t := range p.byService[service] {
+		return p.speed(now, t).Uneven()
+	}
+	return false
+}
+
 // speed returns what is known of a target's speed.
 func (p *Pool) speed(now time.Time, t *target) usherspeed.Estimate {
-	if now.Sub(t.speedAt) >= speedInterval {
-		t.speed, t.speedAt = p.speeds.Estimate(now, speedTarget(t.entry)), now
+	if service := t.entry.Service; now.Sub(p.speedsAt[service]) >= speedInterval {
+		// All targets of a service at once, as they are compared with each other.
+		p.speedsAt[service] = now
+		for _, t := range p.byService[service] {
+			t.speed = p.speeds.Estimate(now, speedTarget(t.entry))
+		}
 	}
 	return t.speed
 }
--- a/pkg/usherpool/pool.go
+++ b/pkg/usherpool/pool.go
@@ -28,6 +28,7 @@
 	"github.com/joomcode/errorx"
 
 	"github.com/samphireusher/samphireusher/pkg/ushercatalog"
+	"github.com/samphireusher/samphireusher/pkg/usherlength"
 	"github.com/samphireusher/samphireusher/pkg/usherroute"
 	"github.com/samphireusher/samphireusher/pkg/usherspeed"
 )
@@ -133,6 +134,10 @@
 		MaxPause time.Duration
 		// Events is the expected number of events.
 		Events int
+		// OutputHint and MaxOutputTokens are what the caller said of the output. From them, OutputTokens and Events are estimated anew where
+		// lengths have been learned.
+		OutputHint      int
+		MaxOutputTokens int
 		// Parts are the parts of the prompt that other requests may share, in order.
 		Parts []Part
 	}
@@ -154,6 +159,8 @@
 		PrefillTime time.Duration
 		// Forecast is what was expected of the request at the target; zero for copies.
 		Forecast Forecast
+		// OutputTokens is the estimate that was used.
+		OutputTokens int
 		// Late reports that the first result is not expected within the objective.
 		Late bool
 		// Load is the known load on the target from all hosts.
@@ -180,13 +187,16 @@
 		// resting has the rests of incarnations whose entry is missing. It may come back.
 		resting map[incarnation]rest
 		// limits has the limits of incarnations whose entry is missing.
-		limits map[incarnation]*limit
-		speeds usherspeed.Tracker
+		limits  map[incarnation]*limit
+		speeds  usherspeed.Tracker
+		lengths usherlength.Tracker
 		// byService has the targets of each service, sorted by id.
 		byService map[string][]*target
 		// peerSums are the loads reported by peers as of peerSumsAt, see roomLoad.
 		peerSums   map[*target]Load
 		peerSumsAt time.Time
+		// speedsAt is when the speeds of a service's targets were last estimated.
+		speedsAt map[string]time.Time
 	}
 
 	target struct {
@@ -208,11 +218,10 @@
 		// reserved holds the choices made for other hosts, which they may not have reported yet.
 		reserved []reservation
 		prompts  promptQueue
-		// speed is what was known of the target's speed at speedAt.
-		speed   usherspeed.Estimate
-		speedAt time.Time
 		// expected holds the prompts that hosts may still report, see queuedPrompts.
 		expected []expectedPrompt
+		// speed is what was known of the target's speed at the time that the pool's speedsAt names.
+		speed usherspeed.Estimate
 	}
 )
 
@@ -265,7 +274,7 @@
 }
 
 func (p *Pool) indexTargets() {
-	p.byService = map[string][]*target{}
+	p.byService, p.speedsAt = map[string][]*target{}, map[string]time.Time{}
 	for _, t := range p.targets {
 		t.service, _ = p.service(t.entry.Service)
 		p.byService[t.entry.Service] = append(p.byService[t.entry.Service], t)
@@ -303,6 +312,7 @@
 
 // Choose returns the target with the least expected delay for r. It counts as a request sent to a cold target.
 func (p *Pool) Choose(now time.Time, r Request) (Choice, error) {
+	r = p.estimateOutput(r)
 	var best *target
 	var choice Choice
 	reason := ErrNoTarget
@@ -339,10 +349,14 @@
 
 // estimatePrefill sets the expected prefill time of the choice and whether it misses the objective.
 func (p *Pool) estimatePrefill(now time.Time, t *target, r Request, c Choice) Choice {
+	c.OutputTokens = r.OutputTokens
 	if !r.Copy {
 		speed := p.speed(now, t)
 		queuedTokens := p.pendingPrefill(now, t, c.Load, speed)
 		c.Forecast = p.forecast(now, t, r, c.Load)
+		if r.PromptTokens == 0 {
+			return c
+		}
 		c.PrefillTime = c.Forecast.FirstEvent
 		// A prompt's own length must not make it late, or long prompts would always wait behind short ones.
 		c.Late = r.Objective > 0 && time.Duration(prefillWaitFactor*float64(speed.Scale(PrefillTime(queuedTokens+typicalPromptTokens)))) > r.Objective
@@ -414,7 +428,7 @@
 	// Breaks ties between equal targets, so that hosts with the same view do not all choose the same target.
 	delay += time.Duration(p.options.Random.Float64() * float64(time.Millisecond))
 	if r.PromptTokens == 0 {
-		return delay + time.Duration(load.Calls)*callCost/time.Duration(max(t.entry.Slots, 1))
+		return delay + p.callDelay(now, t, load)
 	}
 	tokens := r.PromptTokens + r.OutputTokens
 	if r.Copy {
--- a/pkg/usherpool/room.go
+++ b/pkg/usherpool/room.go
@@ -40,6 +40,7 @@
 
 // PlaceInRoom chooses like Place, among the targets that have room for r.
 func (p *Pool) PlaceInRoom(now time.Time, r Request, room Room, own bool) (Choice, error) {
+	r = p.estimateOutput(r)
 	var best *target
 	var choice Choice
 	reason := ErrNoTarget
--- a/service/usherhost/outcome.go
+++ b/service/usherhost/outcome.go
@@ -1,11 +1,13 @@
 package usherhost
 
 import (
+	"context"
 	"math"
 	"time"
 
 	"github.com/samphireusher/samphireusher/pkg/ushercluster"
 	"github.com/samphireusher/samphireusher/pkg/usherpool"
+	"github.com/samphireusher/samphireusher/pkg/usherspeed"
 )
 
 const (
@@ -15,6 +17,12 @@
 	maxOutcomes = 16
 	// earlyReportEvents is the number of events after which the time between events is reported first, long before most runs end.
 	earlyReportEvents = 16
+	// minGapEvents is the least number of events whose mean time is reported.
+	minGapEvents = 8
+	// hedgeQuantile is the share of a route's calls that are answered before they are sent to a second target.
+	hedgeQuantile = 0.95
+	// maxCallTails bounds the routes whose durations are remembered.
+	maxCallTails = 1024
 	// forecastTolerance is the deviation up to which a forecast counts as right, in percent of what was forecast.
 	forecastTolerance = 25
 )
@@ -30,13 +38,19 @@
 	}
 
 	outcomeWire struct {
-		Target       string        `cbor:"1,keyasint"`
-		Incarnation  int64         `cbor:"2,keyasint,omitempty"`
-		Base         time.Duration `cbor:"3,keyasint,omitempty"`
-		FirstEvent   time.Duration `cbor:"4,keyasint,omitempty"`
-		Events       int           `cbor:"5,keyasint,omitempty"`
-		Gap          time.Duration `cbor:"6,keyasint,omitempty"`
-		LongestPause time.Duration `cbor:"7,keyasint,omitempty"`
+		Target          string        `cbor:"1,keyasint"`
+		Incarnation     int64         `cbor:"2,keyasint,omitempty"`
+		Base            time.Duration `cbor:"3,keyasint,omitempty"`
+		FirstEvent      time.Duration `cbor:"4,keyasint,omitempty"`
+		Events          int           `cbor:"5,keyasint,omitempty"`
+		Gap             time.Duration `cbor:"6,keyasint,omitempty"`
+		LongestPause    time.Duration `cbor:"7,keyasint,omitempty"`
+		OutputTokens    int           `cbor:"8,keyasint,omitempty"`
+		Service         string        `cbor:"9,keyasint,omitempty"`
+		Route           string        `cbor:"10,keyasint,omitempty"`
+		Workspace       string        `cbor:"11,keyasint,omitempty"`
+		OutputHint      int           `cbor:"12,keyasint,omitempty"`
+		MaxOutputTokens int           `cbor:"13,keyasint,omitempty"`
 	}
 )
 
@@ -69,14 +83,37 @@
 	g.reportOutcome(o)
 }
 
-// reportRunEnd reports the times between the events of the current run.
-func (g *generation) reportRunEnd() {
-	if g.runEvents <= max(g.times.reportedEvents, 1) {
-		return
+// reportRunEnd reports the times between the events of the current run and, if the stream is complete, its length.
+func (g *generation) reportRunEnd(complete bool) {
+	o := g.outcome()
+	if g.runEvents > max(g.times.reportedEvents, 1) {
+		o = g.gapOutcome()
+		o.Events, o.LongestPause = g.runEvents, g.times.longestPause
+	}
+	if e := g.req.service.Engine; complete && e != nil {
+		o.OutputTokens = g.req.events * e.EventTokens
+		o.Service, o.Route, o.Workspace = g.req.service.Name, g.req.route.Name, g.req.workspace.Name
+		o.OutputHint, o.MaxOutputTokens = g.req.OutputHint, g.req.MaxOutputTokens
+	}
+	if o != g.outcome() {
+		g.reportOutcome(o)
+	}
+}
+
+// expectOutput adopts the length that is expected of the output according to a choice.
+func (g *generation) expectOutput(c usherpool.Choice) {
+	if c.OutputTokens > 0 {
+		g.outputTokens = c.OutputTokens
 	}
-	o := g.gapOutcome()
-	o.Events, o.LongestPause = g.runEvents, g.times.longestPause
-	g.reportOutcome(o)
+}
+
+// peakTokens returns the expected KV cache size of the run at its end, in tokens.
+func (g *generation) peakTokens() int {
+	output := g.outputTokens
+	if output == 0 {
+		output = g.req.OutputTokens()
+	}
+	return g.req.PromptTokens + output
 }
 
 // gapOutcome returns the mean time between the events since the last report.
@@ -84,7 +121,9 @@
 	t := &g.times
 	o := g.outcome()
 	o.Events = g.runEvents - t.reportedEvents
-	o.Gap = t.last.Sub(t.reported) / time.Duration(max(o.Events, 1))
+	if o.Events >= minGapEvents {
+		o.Gap = t.last.Sub(t.reported) / time.Duration(o.Events)
+	}
 	t.reported, t.reportedEvents = t.last, g.runEvents
 	return o
 }
@@ -93,6 +132,53 @@
 	return usherpool.Outcome{Target: g.source.Target.ID, Incarnation: g.source.Target.Incarnation}
 }
 
+// observeCall records the answer of a plain call.
+func (h *Host) observeCall(req *requestState, choice usherpool.Choice, seen time.Duration) {
+	h.state.recordCall(req.route.Name, seen)
+	h.state.recordOutcome(h.state.self().Name, callOutcome(choice, seen))
+}
+
+// observeAbandonedCall records a plain call that was given up because another target was faster, if it had taken longer than expected: what is
+// not answered shows as much.
+func (h *Host) observeAbandonedCall(ctx context.Context, choice usherpool.Choice, x *exchange) {
+	if seen := time.Since(x.sentAt); ctx.Err() != nil && seen > choice.Forecast.FirstEvent {
+		h.state.recordOutcome(h.state.self().Name, callOutcome(choice, seen))
+	}
+}
+
+func callOutcome(choice usherpool.Choice, seen time.Duration) usherpool.Outcome {
+	return usherpool.Outcome{Target: choice.Target.ID, Incarnation: choice.Target.Incarnation, Base: choice.Forecast.Base, FirstEvent: seen}
+}
+
+// recordCall records the duration of a route's call.
+func (s *sharedState) recordCall(route string, d time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	tail, known := s.callTails[route]
+	if !known && len(s.callTails) < maxCallTails {
+		tail = &usherspeed.Tail{}
+		s.callTails[route] = tail
+	}
+	if tail != nil {
+		tail.Add(d)
+	}
+}
+
+// callTail returns how long all but a few of the route's calls take, if the targets of the service differ in speed, or else the longest time
+// given. The few are those for which the retry budget has room.
+func (s *sharedState) callTail(req *requestState, longest time.Duration) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	tail, known := s.callTails[req.route.Name]
+	if !known || !s.pool.Uneven(time.Now(), req.service.Name) {
+		return longest
+	}
+	if d, known := tail.Quantile(max(hedgeQuantile, 1-s.retryDefaults.Ratio/2)); known {
+		return min(d, longest)
+	}
+	return longest
+}
+
 // reportOutcome records an outcome in this host and tells the placers of it. It is not repeated.
 func (g *generation) reportOutcome(o usherpool.Outcome) {
 	g.host.state.recordOutcome(g.host.state.self().Name, o)
--- a/service/usherhost/placement.go
+++ b/service/usherhost/placement.go
@@ -67,6 +67,9 @@
 		Parts     []usherpool.Part `cbor:"14,keyasint,omitempty"`
 		// Wait is set if the request can wait for room.
 		Wait *waitWire `cbor:"15,keyasint,omitempty"`
+		// OutputHint and MaxOutputTokens are those of usherpool.Request.
+		OutputHint      int `cbor:"20,keyasint,omitempty"`
+		MaxOutputTokens int `cbor:"21,keyasint,omitempty"`
 	}
 
 	placementReplyWire struct {
@@ -86,6 +89,8 @@
 		Verdict      int           `cbor:"7,keyasint,omitempty"`
 		RetryAfter   time.Duration `cbor:"8,keyasint,omitempty"`
 		ExpectedWait time.Duration `cbor:"9,keyasint,omitempty"`
+		// OutputTokens is the expected length of the output.
+		OutputTokens int `cbor:"11,keyasint,omitempty"`
 	}
 )
 
@@ -120,7 +125,7 @@
 	reply, ok := p.request(ctx, placer, r)
 	if ok && reply.Target != "" {
 		choice := usherpool.Choice{
-			Target: ushercatalog.Target{ID: reply.Target}, Delay: reply.Delay, PrefillTime: reply.PrefillTime, Late: reply.Late, Load: reply.Load, Forecast: reply.Forecast, Placer: placer.Name,
+			Target: ushercatalog.Target{ID: reply.Target}, Delay: reply.Delay, PrefillTime: reply.PrefillTime, Late: reply.Late, Load: reply.Load, Forecast: reply.Forecast, OutputTokens: reply.OutputTokens, Placer: placer.Name,
 		}
 		if choice, taken := p.state.adoptChoice(r, choice); taken {
 			return choice, nil
@@ -159,6 +164,7 @@
 	return placementParameters{
 		Service: r.Service, PromptTokens: r.PromptTokens, OutputTokens: r.OutputTokens, Copy: r.Copy, SourceDataCentre: r.SourceDataCentre, Objective: r.Objective, Backup: r.Backup,
 		Route: r.Route, Workspace: r.Workspace, Rank: r.Rank, MaxPause: r.MaxPause, Events: r.Events, Parts: r.Parts,
+		OutputHint: r.OutputHint, MaxOutputTokens: r.MaxOutputTokens,
 		Exclude: slices.Compact(slices.Sorted(slices.Values(slices.Concat(r.Exclude, p.state.excludedTargets(r))))),
 	}
 }
@@ -216,6 +222,7 @@
 		Service: p.Service, PromptTokens: p.PromptTokens, OutputTokens: p.OutputTokens, Copy: p.Copy, SourceDataCentre: p.SourceDataCentre, Exclude: p.Exclude,
 		Objective: p.Objective, Backup: p.Backup, DataCentre: dataCentre,
 		Route: p.Route, Workspace: p.Workspace, Rank: p.Rank, MaxPause: p.MaxPause, Events: p.Events, Parts: p.Parts,
+		OutputHint: p.OutputHint, MaxOutputTokens: p.MaxOutputTokens,
 	}
 }
 
@@ -246,6 +253,7 @@
 		p.peers.log.Debug("no target for a peer's request", "peer", from.Name, "error", errorText(err))
 	} else {
 		d.PlacementReply.Target, d.PlacementReply.Delay, d.PlacementReply.Load = choice.Target.ID, choice.Delay, choice.Load
+		d.PlacementReply.OutputTokens = choice.OutputTokens
 		d.PlacementReply.PrefillTime, d.PlacementReply.Late, d.PlacementReply.Forecast = choice.PrefillTime, choice.Late, choice.Forecast
 	}
 	p.peers.send(d, from.Address)
--- a/service/usherhost/waiting.go
+++ b/service/usherhost/waiting.go
@@ -147,7 +147,7 @@
 // adopt returns the choice that a placer made for this host, if this host too considers the target available.
 func (p *placement) adopt(placer ushercluster.Member, own bool, r usherpool.Request, reply placementReplyWire) (usherpool.Choice, bool) {
 	choice := usherpool.Choice{
-		Target: ushercatalog.Target{ID: reply.Target}, Delay: reply.Delay, PrefillTime: reply.PrefillTime, Late: reply.Late, Load: reply.Load, Forecast: reply.Forecast, Placer: placer.Name,
+		Target: ushercatalog.Target{ID: reply.Target}, Delay: reply.Delay, PrefillTime: reply.PrefillTime, Late: reply.Late, Load: reply.Load, Forecast: reply.Forecast, OutputTokens: reply.OutputTokens, Placer: placer.Name,
 	}
 	if own {
 		// The turn and the part of a cold target's rate were taken with the grant.
--- a/service/usherhost/waitingroom.go
+++ b/service/usherhost/waitingroom.go
@@ -178,7 +178,7 @@
 }
 
 func replyWithChoice(c usherpool.Choice) placementReplyWire {
-	return placementReplyWire{Target: c.Target.ID, Delay: c.Delay, Load: c.Load, PrefillTime: c.PrefillTime, Late: c.Late, Forecast: c.Forecast}
+	return placementReplyWire{Target: c.Target.ID, Delay: c.Delay, Load: c.Load, PrefillTime: c.PrefillTime, Late: c.Late, Forecast: c.Forecast, OutputTokens: c.OutputTokens}
 }
 
 // ask decides about a request that can wait, and returns the reply for now. deliver is called with a later one.
