--- a/pkg/ushercluster/cluster.go
+++ b/pkg/ushercluster/cluster.go
@@ -93,6 +93,8 @@
 		// Incarnation increases with each start.
 		Incarnation int64 `cbor:"5,keyasint"`
 		State       State `cbor:"6,keyasint"`
+		// Capacity stays the same for an incarnation.
+		Capacity Capacity `cbor:"7,keyasint,omitzero"`
 	}
 
 	// PeerInfo describes a host that the sender of a report has heard of. Age is the time since then.
@@ -208,6 +210,10 @@
 	if known && m.Incarnation != old.Incarnation && !heard.After(old.lastHeard) {
 		return false
 	}
+	if known && m.Incarnation == old.Incarnation && m.Capacity == (Capacity{}) {
+		// Hosts that do not know of capacities pass on descriptions without them.
+		m.Capacity = old.Capacity
+	}
 	changed := !known || old.Incarnation != m.Incarnation || old.State != m.State || now.Sub(old.lastHeard) > c.failureTimeout()
 	updated := &member{Member: m, id: incarnationID(m), lastHeard: heard, changedAt: now}
 	if known {
--- a/review/drill/fleet.go
+++ b/review/drill/fleet.go
@@ -186,7 +186,7 @@
 		"listen.front": fmt.Sprint(h.ip, ":", callerPort), "listen.ready": fmt.Sprint(h.ip, ":", readyPort),
 		"listen.directory": fmt.Sprint(h.ip, ":", locatePort), "listen.control": fmt.Sprint(h.ip, ":", adminPort),
 		"seeds":            fmt.Sprintf("%s1:%d,%s4:%d,%s8:%d", f.subnet, adminPort, f.subnet, adminPort, f.subnet, adminPort),
-		"platform.address": f.address(250, storePort), "limits.memoryMb": "284", "bounds.retryRatio": "0.2", "bounds.retrySlack": "58",
+		"platform.address": f.address(250, storePort), "limits.memoryMb": "284", "limits.cores": "1", "limits.cpuShare": "0.4", "limits.linkMbps": "1000.0", "bounds.retryRatio": "0.2", "bounds.retrySlack": "58",
 		"bounds.retryWindowS": "10", "bounds.graceS": "8",
 	}
 	var unknown error
--- a/service/usherhost/admin.go
+++ b/service/usherhost/admin.go
@@ -47,6 +47,9 @@
 		State       ushercluster.State `json:"state"`
 		Incarnation int64              `json:"incarnation"`
 		Revision    uint64             `json:"revision,omitempty"`
+		// Cores and LinkMbps are what the host names as its capacity.
+		Cores    float64 `json:"cores,omitempty"`
+		LinkMbps uint32  `json:"link_mbps,omitempty"`
 	}
 )
 
@@ -121,9 +124,9 @@
 		d.Version = t.Version()
 	}
 	for _, m := range s.cluster.Alive(now) {
-		d.Hosts = append(d.Hosts, hostWire{
-			Name: m.Name, DataCentre: m.DataCentre, State: m.State, Incarnation: m.Incarnation, Revision: s.peerStatuses[m.Name].revision,
-		})
+		host := describeHost(m)
+		host.Revision = s.peerStatuses[m.Name].revision
+		d.Hosts = append(d.Hosts, host)
 	}
 	return d
 }
--- a/service/usherhost/host.go
+++ b/service/usherhost/host.go
@@ -118,6 +118,7 @@
 	incarnation := time.Now().UnixMicro()
 	self := ushercluster.Member{
 		Name: s.Process.Name, DataCentre: s.Process.DataCentre, Address: s.Listen.Peers, CallerAddress: s.Listen.Callers, Incarnation: incarnation,
+		Capacity: s.capacity(),
 	}
 	h := &Host{
 		settings: s, platform: p, codec: p.Codec, engines: p.Engines, log: log, state: newSharedState(s, self, uint64(os.Getpid())),
--- a/service/usherhost/peers.go
+++ b/service/usherhost/peers.go
@@ -213,11 +213,17 @@
 func describeHosts(members []ushercluster.Member) []hostWire {
 	hosts := make([]hostWire, 0, len(members))
 	for _, m := range members {
-		hosts = append(hosts, hostWire{Name: m.Name, DataCentre: m.DataCentre, State: m.State, Incarnation: m.Incarnation})
+		hosts = append(hosts, describeHost(m))
 	}
 	return hosts
 }
 
+func describeHost(m ushercluster.Member) hostWire {
+	return hostWire{
+		Name: m.Name, DataCentre: m.DataCentre, State: m.State, Incarnation: m.Incarnation, Cores: float64(m.Capacity.MilliCores) / 1000, LinkMbps: m.Capacity.LinkMbps,
+	}
+}
+
 func (p *peers) mergeSuspicion(source string, w suspicionWire) {
 	if err := p.state.mergeSuspicion(w); err != nil {
 		p.unreadable.Inc(1)
--- a/service/usherhost/settings.go
+++ b/service/usherhost/settings.go
@@ -2,10 +2,12 @@
 
 import (
 	"log/slog"
+	"math"
 	"net/netip"
 	"os"
 	"time"
 
+	"github.com/samphireusher/samphireusher/pkg/ushercluster"
 	"github.com/samphireusher/samphireusher/pkg/ushersetting"
 )
 
@@ -44,6 +46,11 @@
 	Limits struct {
 		MemoryMegabytes int `ini:"memory_megabytes" default:"0" usage:"memory that this process may use; 0 for no limit"`
 	} `ini:"limits"`
+	Capacity struct {
+		Processors     float64 `ini:"processors" default:"1" usage:"processors of this host, in those of the usual speed"`
+		ProcessorShare float64 `ini:"processor_share" default:"0" usage:"part of their time that this process may use; 0 if not named"`
+		LinkMbps       float64 `ini:"link_mbps" default:"0" usage:"bandwidth of this host's link in Mbit/s; 0 if not named"`
+	} `ini:"capacity"`
 	Retries struct {
 		Ratio     float64       `ini:"ratio" default:"0.2" usage:"repeated sends allowed for each request of a service, over all hosts"`
 		Allowance float64       `ini:"allowance" default:"50" usage:"repeated sends allowed beyond that in each window, over all hosts"`
@@ -58,7 +65,11 @@
 	} `ini:"log"`
 }
 
-const megabyte = 1 << 20
+const (
+	megabyte = 1 << 20
+	// maxAmount bounds the values of the capacity section.
+	maxAmount = 1e6
+)
 
 // LoadSettings reads and checks the settings file at path.
 func LoadSettings(path string) (*Settings, error) {
@@ -75,6 +86,9 @@
 	if s.Retries.Ratio < 0 || s.Retries.Allowance < 0 || s.Retries.Window <= 0 {
 		problems = append(problems, "retries: ratio and allowance must not be negative, and window must be above zero")
 	}
+	if c := s.Capacity; !isAmount(c.Processors) || !isAmount(c.ProcessorShare) || !isAmount(c.LinkMbps) {
+		problems = append(problems, "capacity: no value may be negative or above a million")
+	}
 	if a := s.Answers; a.HeaderBytes <= 0 || a.HeaderTime <= 0 || a.StrayBytes <= 0 || a.HeldBytes <= 0 || a.BodyBytes < a.HeldBytes {
 		problems = append(problems, "answers: all bounds must be above zero, and body_bytes not below held_bytes")
 	}
@@ -87,6 +101,17 @@
 	return problems
 }
 
+// isAmount reports whether a value is a plain quantity; NaN is none.
+func isAmount(v float64) bool { return v >= 0 && v <= maxAmount }
+
+// capacity returns what this host tells others of its capacity.
+func (s *Settings) capacity() ushercluster.Capacity {
+	return ushercluster.Capacity{
+		MilliCores: uint32(min(math.Round(1000*s.Capacity.ProcessorShare*s.Capacity.Processors), math.MaxUint32)),
+		LinkMbps:   uint32(math.Round(s.Capacity.LinkMbps)),
+	}
+}
+
 // seeds returns the addresses at which peers listen on the seed hosts, without this host's own.
 func (s *Settings) seeds() []netip.AddrPort {
 	seeds := make([]netip.AddrPort, 0, len(s.Cluster.Seeds))
