--- a/pkg/ushercluster/cluster.go
+++ b/pkg/ushercluster/cluster.go
@@ -9,8 +9,8 @@
 // In a large fleet a report describes only few hosts in full. The others are listed in Digest by an ID of their
 // incarnation, with the time since they were heard of; a host that does not know an ID asks for it in its next reports.
 //
-// In each data centre the first host by name is the collector: the others report to it, and it sends them a summary of
-// the fleet. Therefore the traffic of a host does not grow with the fleet, and little of it leaves the data centre.
+// In each data centre the host with the largest capacity, and among equal ones the first by name, is the collector: the
+// others report to it, and it sends them a summary of the fleet. Therefore the traffic of a host does not grow with the fleet, and little of it leaves the data centre.
 // Each host decides for itself to skip a collector that it does not hear; two collectors at the same time do no harm.
 //
 // A Cluster does no I/O and reads no clock. It is not safe for concurrent use.
@@ -120,8 +120,10 @@
 		seeds   []netip.AddrPort
 		random  *rand.Rand
 		members map[string]*member
-		// byName has the members sorted by name; nil if the set of members has changed since.
+		// byName has the members sorted by name, byRank in the order in which they become collectors; nil if the set of
+		// members or a capacity has changed since.
 		byName []*member
+		byRank []*member
 		// dataCentres maps the members' addresses to their data centres.
 		dataCentres map[netip.AddrPort]string
 		// namesByID maps incarnation IDs to the members' names.
@@ -234,10 +236,13 @@
 	if !changed {
 		updated.changedAt = old.changedAt
 	}
+	if !known || old.Capacity != m.Capacity {
+		c.byName, c.byRank = nil, nil
+	}
 	if known {
 		*old = *updated
 	} else {
-		c.members[m.Name], c.byName = updated, nil
+		c.members[m.Name] = updated
 	}
 	c.dataCentres[m.Address] = m.DataCentre
 	if n := 1 + len(c.members); n > c.maxHosts {
@@ -283,6 +288,20 @@
 	return c.byName
 }
 
+// ranked returns the members in the order in which they become collectors of their data centres, whatever their states.
+func (c *Cluster) ranked() []*member {
+	if c.byRank == nil {
+		c.byRank = slices.SortedFunc(maps.Values(c.members), func(a, b *member) int { return compareRank(a.Member, b.Member) })
+	}
+	return c.byRank
+}
+
+// compareRank compares by capacity, the largest first, and then by name. Hosts with little capacity would be slow to pass
+// on what all others wait for.
+func compareRank(a, b Member) int {
+	return cmp.Or(b.Capacity.Compare(a.Capacity), strings.Compare(a.Name, b.Name))
+}
+
 // Report returns the report whose Digest covers all hosts.
 func (c *Cluster) Report(now time.Time) Report {
 	return c.report(now, func(*member) bool { return true })
@@ -306,7 +325,7 @@
 		switch sinceHeard := now.Sub(m.lastHeard); {
 		case sinceHeard > removalTimeout:
 			delete(c.members, m.Name)
-			c.byName = nil
+			c.byName, c.byRank = nil, nil
 			delete(c.dataCentres, m.Address)
 			delete(c.namesByID, m.id)
 			continue
@@ -386,7 +405,8 @@
 	return first
 }
 
-// LocalPeers returns the other hosts of this data centre that were heard of recently, sorted by name.
+// LocalPeers returns the other hosts of this data centre that were heard of recently, in the order in which they become
+// its collector.
 func (c *Cluster) LocalPeers(now time.Time) []Member {
 	return slices.DeleteFunc(c.hostsIn(now, c.self.DataCentre), func(m Member) bool { return m.Name == c.self.Name })
 }
@@ -396,14 +416,13 @@
 	return slices.IndexFunc(c.hostsIn(now, c.self.DataCentre), func(m Member) bool { return m.Name == c.self.Name })
 }
 
-// hostsIn returns the hosts of a data centre in the order in which they become its collector: sorted by name, with
-// stopping hosts last.
+// hostsIn returns the hosts of a data centre in the order in which they become its collector.
 func (c *Cluster) hostsIn(now time.Time, dataCentre string) []Member {
 	return c.hostsByDataCentre(now)[dataCentre]
 }
 
 // hostsByDataCentre returns the hosts of each data centre, including this one, in the order in which they become its
-// collector: sorted by name, with stopping hosts last.
+// collector: sorted by capacity and name, with stopping hosts last.
 func (c *Cluster) hostsByDataCentre(now time.Time) map[string][]Member {
 	hosts, stopping, selfAdded := map[string][]Member{}, []Member(nil), false
 	add := func(m Member) {
@@ -413,8 +432,8 @@
 		}
 		hosts[m.DataCentre] = append(hosts[m.DataCentre], m)
 	}
-	for _, m := range c.sorted() {
-		if !selfAdded && m.Name > c.self.Name {
+	for _, m := range c.ranked() {
+		if !selfAdded && compareRank(c.self, m.Member) < 0 {
 			selfAdded = true
 			add(c.self)
 		}
