--- a/cmd/usher-host/daemon/testbed_test.go
+++ b/cmd/usher-host/daemon/testbed_test.go
@@ -108,6 +108,8 @@
 		wrapTarget func(id string, target http.Handler) http.Handler
 		// editPlatform changes the interfaces through which hosts use the platform.
 		editPlatform func(p *usherhost.Platform)
+		// editSettings changes the settings of a host before it starts.
+		editSettings func(i int, s *usherhost.Settings)
 		// wantPanics allows panics in the hosts, which fail the test otherwise.
 		wantPanics bool
 	}
@@ -300,6 +302,9 @@
 	}
 	s.Log.Level = "info"
 	s.Answers.HeaderBytes, s.Answers.HeaderTime, s.Answers.StrayBytes, s.Answers.HeldBytes, s.Answers.BodyBytes = 64<<10, 2*time.Second, 256<<10, 256<<10, 1<<30
+	if b.options.editSettings != nil {
+		b.options.editSettings(i, &s)
+	}
 	log := slog.New(slog.NewJSONHandler(&b.logBuffer, nil)).With("host", s.Process.Name)
 	if os.Getenv("USHER_LOG") != "" {
 		log = slog.New(slog.NewTextHandler(os.Stderr, nil)).With("host", s.Process.Name)
--- a/service/usherhost/admin.go
+++ b/service/usherhost/admin.go
@@ -3,20 +3,20 @@
 import (
 	"encoding/json"
 	"net/http"
+	"net/netip"
 	"time"
 
 	"github.com/justinas/alice"
 
 	"github.com/samphireusher/samphireusher/pkg/ushercluster"
 	"github.com/samphireusher/samphireusher/pkg/usherpool"
+	"github.com/samphireusher/samphireusher/pkg/ushershare"
 )
 
 const (
 	// LocateLifetime is how long callers may cache a locate response: short enough that a host that is gone is rarely
 	// named.
 	LocateLifetime = 2 * time.Second
-	// maxLocateAddresses bounds the addresses in one response; callers use no more.
-	maxLocateAddresses = 64
 	// MetricsPath and DumpPath are served at the admin address.
 	MetricsPath = "/metrics"
 	DumpPath    = "/dump"
@@ -53,7 +53,7 @@
 	}
 )
 
-// locate tells a caller which hosts to use, those of its data centre first.
+// locate tells a caller which hosts to use, those of its data centre first and strong ones more often than weak ones.
 func (h *Host) locate(w http.ResponseWriter, r *http.Request) {
 	if !h.peers.standstill.isSettled() {
 		// Callers ask another host.
@@ -61,10 +61,11 @@
 		return
 	}
 	var addresses []string
-	for _, m := range h.state.servingHosts(h.codec.DecodeLocate(r)) {
-		if len(addresses) < maxLocateAddresses {
-			addresses = append(addresses, m.CallerAddress.String())
-		}
+	dataCentre := h.codec.DecodeLocate(r)
+	// The zero address of a caller that has none stands for one more caller.
+	caller, _ := netip.ParseAddrPort(r.RemoteAddr)
+	for _, chosen := range ushershare.Choose(h.state.servingHosts(), dataCentre, ushershare.Seed(caller.Addr(), dataCentre, time.Now())) {
+		addresses = append(addresses, chosen.Address.String())
 	}
 	if len(addresses) == 0 {
 		w.WriteHeader(http.StatusServiceUnavailable)
--- a/service/usherhost/state.go
+++ b/service/usherhost/state.go
@@ -9,6 +9,7 @@
 	"github.com/samphireusher/samphireusher/pkg/ushercluster"
 	"github.com/samphireusher/samphireusher/pkg/usherpool"
 	"github.com/samphireusher/samphireusher/pkg/usherroute"
+	"github.com/samphireusher/samphireusher/pkg/ushershare"
 )
 
 type (
@@ -223,19 +224,17 @@
 	s.cluster.SetState(hostState)
 }
 
-// servingHosts returns the hosts that take requests, including this one, with those of the given data centre first.
-func (s *sharedState) servingHosts(dataCentre string) []ushercluster.Member {
+// servingHosts returns the hosts that take requests, including this one.
+func (s *sharedState) servingHosts() []ushershare.Host {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	var local, remote []ushercluster.Member
+	var hosts []ushershare.Host
 	for _, m := range append(s.cluster.Alive(time.Now()), s.cluster.Self()) {
-		switch {
-		case m.State != ushercluster.Serving:
-		case m.DataCentre == dataCentre:
-			local = append(local, m)
-		default:
-			remote = append(remote, m)
+		if m.State == ushercluster.Serving {
+			hosts = append(hosts, ushershare.Host{
+				Name: m.Name, DataCentre: m.DataCentre, Address: m.CallerAddress, MilliCores: m.Capacity.MilliCores, LinkMbps: m.Capacity.LinkMbps,
+			})
 		}
 	}
-	return append(local, remote...)
+	return hosts
 }
