--- a/pkg/ushercluster/cluster.go
+++ b/pkg/ushercluster/cluster.go
@@ -112,6 +112,9 @@
 		Digest []byte `cbor:"3,keyasint,omitempty"`
 		// UnknownIDs lists incarnation IDs that the sender does not know.
 		UnknownIDs []uint32 `cbor:"4,keyasint,omitempty"`
+		// Pressures has six bytes for each host that has lately been under pressure: its incarnation ID, the level, and the
+		// time since it said so, in units of ageUnit.
+		Pressures []byte `cbor:"5,keyasint,omitempty"`
 	}
 
 	// Cluster is one host's view of all hosts.
@@ -129,6 +132,9 @@
 		// namesByID maps incarnation IDs to the members' names.
 		namesByID map[uint32]string
 		selfID    uint32
+		// pressure is the level of this host, pressedAt when it was last above zero.
+		pressure  uint8
+		pressedAt time.Time
 		// newRemoteHosts are hosts of other data centres that have just sent their first report and are not introduced yet.
 		newRemoteHosts []Member
 		// unknownIDs has the incarnation IDs that are not known, and since when.
@@ -157,6 +163,9 @@
 		changedAt   time.Time
 		// lastDirect is when a message of the host itself was last received.
 		lastDirect time.Time
+		// pressure is the level that the host named at pressureAt.
+		pressure   uint8
+		pressureAt time.Time
 	}
 )
 
@@ -194,6 +203,7 @@
 		}
 	}
 	c.receiveUnknownIDs(now, r.UnknownIDs)
+	c.receivePressures(now, r.Pressures)
 	return append(changed, c.receiveDigest(now, r.Digest)...)
 }
 
@@ -221,7 +231,7 @@
 	if known {
 		updated.requestedAt = old.requestedAt
 		if m.Incarnation == old.Incarnation {
-			updated.lastDirect = old.lastDirect
+			updated.lastDirect, updated.pressure, updated.pressureAt = old.lastDirect, old.pressure, old.pressureAt
 		}
 		delete(c.namesByID, old.id)
 	}
@@ -258,6 +268,9 @@
 		if !m.lastDirect.IsZero() {
 			m.lastDirect = m.lastDirect.Add(-missed)
 		}
+		if !m.pressureAt.IsZero() {
+			m.pressureAt = m.pressureAt.Add(-missed)
+		}
 	}
 }
 
--- a/pkg/ushercluster/cluster_test.go
+++ b/pkg/ushercluster/cluster_test.go
@@ -82,7 +82,7 @@
 
 // bytes returns the approximate size of a message. A host described in full takes 75 bytes.
 func (m message) bytes() int {
-	return 75*(1+len(m.report.Peers)) + len(m.report.Digest) + 5*len(m.report.UnknownIDs)
+	return 75*(1+len(m.report.Peers)) + len(m.report.Digest) + 5*len(m.report.UnknownIDs) + len(m.report.Pressures)
 }
 
 // messages returns the gossip reports and those that collectors exchange.
--- a/pkg/ushercluster/report.go
+++ b/pkg/ushercluster/report.go
@@ -133,6 +133,7 @@
 	}
 	// The order is random so that the hosts take turns.
 	c.random.Shuffle(len(alive), func(i, j int) { alive[i], alive[j] = alive[j], alive[i] })
+	r.Pressures = c.pressures(now, alive, include)
 	if len(alive) <= maxPeers {
 		maxDescribed = maxPeers
 	} else {
