--- a/cmd/usher-host/daemon/capacity_test.go
+++ b/cmd/usher-host/daemon/capacity_test.go
@@ -104,3 +104,50 @@
 		placedBy("host-6")
 	})
 }
+
+// All callers behind one address translation use one host. It says that it is under pressure, refuses nothing, and other hosts
+// name it to few callers, until its requests have ended.
+func TestHostWithTooManyRequestsIsNamedLess(t *testing.T) {
+	withTestbed(t, options{hosts: 12, engines: 6}, func(t *testing.T, b *testbed) {
+		time.Sleep(2 * time.Second)
+		namedTo := func() int {
+			named := 0
+			for i := range 80 {
+				for _, address := range b.addressesFor(b.hosts[i%11], netip.AddrFrom4([4]byte{10, 99, 1, byte(i)})) {
+					if address == fmt.Sprint(b.hosts[11].ip, ":", callerPort) {
+						named++
+					}
+				}
+			}
+			return named
+		}
+		if n := namedTo(); n != 80 {
+			t.Errorf("the host is named to %d of 80 callers without pressure, want all", n)
+		}
+		learned := b.logBuffer.count(`"msg":"hosts learned"`)
+		var results []<-chan result
+		for range 24 {
+			_, done := b.startStream(b.hosts[11], "/appraisal/300")
+			results = append(results, done)
+		}
+		time.Sleep(3 * time.Second)
+		if n := namedTo(); n < 2 || n > 25 {
+			t.Errorf("the host is named to %d of 80 callers at level 3, want about 10", n)
+		}
+		for _, done := range results {
+			if got := <-done; got.err != nil || got.status != http.StatusOK {
+				t.Errorf("stream at a host under pressure: status %d, error %v", got.status, got.err)
+			}
+		}
+		time.Sleep(10 * time.Second)
+		if n := namedTo(); n != 80 {
+			t.Errorf("the host is named to %d of 80 callers after its requests have ended, want all", n)
+		}
+		if n := b.logBuffer.count(`"msg":"hosts learned"`) - learned; n != 0 {
+			t.Errorf("%d log lines say that hosts have changed, want none for a change of pressure", n)
+		}
+		if up := b.logBuffer.count("pressure on this host changed"); up < 2 || up > 8 {
+			t.Errorf("%d log lines about pressure, want one for each level up and down", up)
+		}
+	})
+}
--- a/service/usherhost/admin.go
+++ b/service/usherhost/admin.go
@@ -31,6 +31,12 @@
 		Version    int64  `json:"version"`
 		Reading    bool   `json:"reads_store"`
 		InProgress int64  `json:"in_progress"`
+		// Cores and LinkMbps are what this host names as its capacity, Pressure is its level of pressure, and Signs what that was
+		// last derived from.
+		Cores    float64          `json:"cores,omitempty"`
+		LinkMbps uint32           `json:"link_mbps,omitempty"`
+		Pressure int              `json:"pressure"`
+		Signs    ushershare.Signs `json:"pressure_signs"`
 		// Connections are those of callers.
 		Connections connCounts          `json:"connections"`
 		Hosts       []hostWire          `json:"hosts"`
@@ -50,6 +56,8 @@
 		// Cores and LinkMbps are what the host names as its capacity.
 		Cores    float64 `json:"cores,omitempty"`
 		LinkMbps uint32  `json:"link_mbps,omitempty"`
+		// Pressure is the level that the host has named lately.
+		Pressure uint8 `json:"pressure,omitempty"`
 	}
 )
 
@@ -112,11 +120,14 @@
 }
 
 func (h *Host) snapshot() dumpWire {
+	level, signs := h.pressure.current()
 	s := h.state
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
+	self := describeHost(s.cluster.Self())
 	d := dumpWire{
+		Cores: self.Cores, LinkMbps: self.LinkMbps, Pressure: level, Signs: signs,
 		Process: s.cluster.Self().Name, DataCentre: s.cluster.Self().DataCentre, State: h.lifecycle.Current(), Revision: s.catalog.Revision(),
 		InProgress: h.inProgress.Load(), Connections: h.conns.counts(), Targets: s.pool.Summaries(now),
 		Suspects: s.suspicion.tracker.Len(), Blamed: s.suspicion.describeBlamed(now),
@@ -126,7 +137,7 @@
 	}
 	for _, m := range s.cluster.Alive(now) {
 		host := describeHost(m)
-		host.Revision = s.peerStatuses[m.Name].revision
+		host.Revision, host.Pressure = s.peerStatuses[m.Name].revision, s.cluster.Pressure(now, m.Name)
 		d.Hosts = append(d.Hosts, host)
 	}
 	return d
--- a/service/usherhost/host.go
+++ b/service/usherhost/host.go
@@ -88,6 +88,7 @@
 		feed         *feed
 		peers        *peers
 		targetPoller *targetPoller
+		pressure     *pressure
 		conns        *conns
 		buffers      *bufferBudget
 		metrics      *hostMetrics
@@ -132,6 +133,7 @@
 	}
 	h.targetPoller = newTargetPoller(h.state, h.peers, p.Engines, h.containment, log, registry)
 	h.targetPoller.note = h.noteTarget
+	h.pressure = newPressure(h.state, s.Limits.MemoryMegabytes, h.inProgress.Load, log, registry)
 	h.feed = newFeed(h.state, p.Store, s.Process.FirstStart, h.peers, log, registry)
 	h.lifecycle = fsm.NewFSM(stateStarting, fsm.Events{
 		{Name: eventConfigured, Src: []string{stateStarting}, Dst: stateServing},
@@ -165,7 +167,7 @@
 	for duty, run := range map[string]func(){
 		"reports to peers":         func() { h.peers.runReports(ctx) },
 		"datagrams of peers":       h.peers.receive,
-		"standstills":              func() { h.peers.runPulse(ctx) },
+		"standstills":              func() { h.peers.runPulse(ctx, h.pressure.recordDelay) },
 		"reading the store":        func() { h.feed.run(ctx) },
 		"following peers":          func() { h.feed.followPeers(ctx) },
 		"polling targets":          func() { h.targetPoller.run(ctx) },
--- a/service/usherhost/standstill.go
+++ b/service/usherhost/standstill.go
@@ -7,8 +7,8 @@
 )
 
 const (
-	// pulseInterval is how often a host checks that it has not stood still, and standstillTime the gap between two checks from
-	// which it has: scheduling and throttling delay a check for less.
+	// pulseInterval is the mean time between two checks of a host that it has not stood still, and standstillTime the gap between
+	// two checks from which it has: scheduling and throttling delay a check for less.
 	pulseInterval  = 100 * time.Millisecond
 	standstillTime = time.Second
 	// settleTime is how long after a standstill a host knows too little of the others to name them to callers: a round of
@@ -71,11 +71,17 @@
 	return !time.Now().Before(s.settled)
 }
 
-// runPulse checks for standstills until ctx ends.
-func (p *peers) runPulse(ctx context.Context) {
+// runPulse checks for standstills until ctx ends, and reports by how much the checks came late. The times between them vary, as
+// a quota of processor time may end in the same part of each period.
+func (p *peers) runPulse(ctx context.Context, recordDelay func(now time.Time, delay time.Duration)) {
 	for ctx.Err() == nil {
-		sleep(ctx, pulseInterval)
-		p.checkStandstill()
+		interval := pulseInterval/2 + time.Duration(p.state.randomFraction()*float64(pulseInterval))
+		start := time.Now()
+		sleep(ctx, interval)
+		now := time.Now()
+		if stood := p.checkStandstill(); !stood && ctx.Err() == nil {
+			recordDelay(now, now.Sub(start)-interval)
+		}
 	}
 }
 
--- a/service/usherhost/state.go
+++ b/service/usherhost/state.go
@@ -228,11 +228,13 @@
 func (s *sharedState) servingHosts() []ushershare.Host {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	now := time.Now()
 	var hosts []ushershare.Host
-	for _, m := range append(s.cluster.Alive(time.Now()), s.cluster.Self()) {
+	for _, m := range append(s.cluster.Alive(now), s.cluster.Self()) {
 		if m.State == ushercluster.Serving {
 			hosts = append(hosts, ushershare.Host{
 				Name: m.Name, DataCentre: m.DataCentre, Address: m.CallerAddress, MilliCores: m.Capacity.MilliCores, LinkMbps: m.Capacity.LinkMbps,
+				Pressure: int(s.cluster.Pressure(now, m.Name)),
 			})
 		}
 	}
