--- a/service/usherhost/admin.go
+++ b/service/usherhost/admin.go
@@ -3,20 +3,20 @@
 import (
 	"encoding/json"
 	"net/http"
+	"net/netip"
 	"time"
 
 	"github.com/justinas/alice"
 
 	"github.com/samphireusher/samphireusher/pkg/ushercluster"
 	"github.com/samphireusher/samphireusher/pkg/usherpool"
+	"github.com/samphireusher/samphireusher/pkg/ushershare"
 )
 
 const (
 	// LocateLifetime is how long callers may cache a locate response: short enough that a host that is gone is rarely
 	// named.
 	LocateLifetime = 2 * time.Second
-	// maxLocateAddresses bounds the addresses in one response; callers use no more.
-	maxLocateAddresses = 64
 	// MetricsPath and DumpPath are served at the admin address.
 	MetricsPath = "/metrics"
 	DumpPath    = "/dump"
@@ -31,6 +31,12 @@
 		Version    int64  `json:"version"`
 		Reading    bool   `json:"reads_store"`
 		InProgress int64  `json:"in_progress"`
+		// Cores and LinkMbps are what this host names as its capacity, Pressure is its level of pressure, and Signs what that was
+		// last derived from.
+		Cores    float64          `json:"cores,omitempty"`
+		LinkMbps uint32           `json:"link_mbps,omitempty"`
+		Pressure int              `json:"pressure"`
+		Signs    ushershare.Signs `json:"pressure_signs"`
 		// Connections are those of callers.
 		Connections connCounts          `json:"connections"`
 		Hosts       []hostWire          `json:"hosts"`
@@ -49,10 +55,15 @@
 		State       ushercluster.State `json:"state"`
 		Incarnation int64              `json:"incarnation"`
 		Revision    uint64             `json:"revision,omitempty"`
+		// Cores and LinkMbps are what the host names as its capacity.
+		Cores    float64 `json:"cores,omitempty"`
+		LinkMbps uint32  `json:"link_mbps,omitempty"`
+		// Pressure is the level that the host has named lately.
+		Pressure uint8 `json:"pressure,omitempty"`
 	}
 )
 
-// locate tells a caller which hosts to use, those of its data centre first.
+// locate tells a caller which hosts to use, those of its data centre first and strong ones more often than weak ones.
 func (h *Host) locate(w http.ResponseWriter, r *http.Request) {
 	if !h.peers.standstill.isSettled() {
 		// Callers ask another host.
@@ -60,10 +71,11 @@
 		return
 	}
 	var addresses []string
-	for _, m := range h.state.servingHosts(h.codec.DecodeLocate(r)) {
-		if len(addresses) < maxLocateAddresses {
-			addresses = append(addresses, m.CallerAddress.String())
-		}
+	dataCentre := h.codec.DecodeLocate(r)
+	// The zero address of a caller that has none stands for one more caller.
+	caller, _ := netip.ParseAddrPort(r.RemoteAddr)
+	for _, chosen := range ushershare.Choose(h.state.servingHosts(), dataCentre, ushershare.Seed(caller.Addr(), dataCentre, time.Now())) {
+		addresses = append(addresses, chosen.Address.String())
 	}
 	if len(addresses) == 0 {
 		w.WriteHeader(http.StatusServiceUnavailable)
@@ -112,12 +124,15 @@
 func (h *Host) snapshot() dumpWire {
 	// The waiting room takes the lock of the state.
 	waiting := h.peers.placement.room.list()
+	level, signs := h.pressure.current()
 	s := h.state
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
+	self := describeHost(s.cluster.Self())
 	d := dumpWire{
 		Waiting: waiting,
+		Cores:   self.Cores, LinkMbps: self.LinkMbps, Pressure: level, Signs: signs,
 		Process: s.cluster.Self().Name, DataCentre: s.cluster.Self().DataCentre, State: h.lifecycle.Current(), Revision: s.catalog.Revision(),
 		InProgress: h.inProgress.Load(), Connections: h.conns.counts(), Targets: s.pool.Summaries(now),
 		Suspects: s.suspicion.tracker.Len(), Blamed: s.suspicion.describeBlamed(now),
@@ -126,9 +141,9 @@
 		d.Version = t.Version()
 	}
 	for _, m := range s.cluster.Alive(now) {
-		d.Hosts = append(d.Hosts, hostWire{
-			Name: m.Name, DataCentre: m.DataCentre, State: m.State, Incarnation: m.Incarnation, Revision: s.peerStatuses[m.Name].revision,
-		})
+		host := describeHost(m)
+		host.Revision, host.Pressure = s.peerStatuses[m.Name].revision, s.cluster.Pressure(now, m.Name)
+		d.Hosts = append(d.Hosts, host)
 	}
 	return d
 }
