waiting room: decide in passes only, and look again for blame after a wait

A pass at each new ask costs the placer more than the 20 ms it saves. Streams may crash targets while a request like them waits: one that waited is checked again before it is sent, unless it is the one that is tried.

--- a/service/usherhost/crash.go
+++ b/service/usherhost/crash.go
@@ -49,6 +49,7 @@
 		cause := errSuspect.New("%d targets crashed under requests that share %s with this one", decision.Crashes, req.describeTraits(decision.Cause))
 		return refuse(reasonSuspect, decision.RetryAfter, cause)
 	case ushersuspect.Probe:
+		req.probes = true
 		h.metrics.probes.Inc(1)
 		h.peers.reportNow()
 		h.log.Info("trying a request that is blamed for crashes again", "attempt", req.Attempt, "crashes", decision.Crashes, "shared", req.describeTraits(decision.Cause))
--- a/service/usherhost/ingress.go
+++ b/service/usherhost/ingress.go
@@ -62,6 +62,8 @@
 		choice usherpool.Choice
 		// fingerprints is set by suspect.
 		fingerprints ushersuspect.Request
+		// probes reports whether the request is tried although it is blamed for crashes.
+		probes bool
 		// sends counts the sends to targets; ran reports whether one of them may have run the request.
 		sends int
 		ran   bool
--- a/service/usherhost/waiting.go
+++ b/service/usherhost/waiting.go
@@ -67,10 +67,15 @@
 			return g.placed(h.state.choose(r))
 		}
 		if choice, taken := p.adopt(placer, own, r, reply); taken {
-			if asks > 1 || time.Since(start) > usherqueue.AskInterval/2 {
-				g.logWait("granted", placer, start, asks, reply)
+			if asks == 1 && time.Since(start) < usherqueue.AskInterval/2 {
+				return choice, nil
 			}
-			return choice, nil
+			g.logWait("granted", placer, start, asks, reply)
+			if g.req.probes {
+				return choice, nil
+			}
+			// Targets may have crashed under requests like this one meanwhile.
+			return choice, h.refuseSuspect(g.req)
 		}
 		ask.Try++
 	}
--- a/service/usherhost/waitingroom.go
+++ b/service/usherhost/waitingroom.go
@@ -19,8 +19,6 @@
 	grantInterval = 20 * time.Millisecond
 	// maxAttemptBytes bounds the ids of requests in the list.
 	maxAttemptBytes = 256
-	// maxGrantOnAsk is the length of the queue up to which a new request starts a pass of its own.
-	maxGrantOnAsk = 64
 )
 
 const (
@@ -179,7 +177,8 @@
 	return placementReplyWire{Target: c.Target.ID, Delay: c.Delay, Load: c.Load, PrefillTime: c.PrefillTime, Late: c.Late}
 }
 
-// ask decides about a request that can wait, and returns the reply for now. deliver is called with a later one.
+// ask decides about a request that can wait, and returns the reply for now. deliver is called with a later one: if others wait, the next
+// pass decides.
 func (w *waitingRoom) ask(host string, r usherpool.Request, ask waitWire, own bool, deliver func(placementReplyWire)) placementReplyWire {
 	key := usherqueue.Key{Host: host, Attempt: ask.Attempt, Try: ask.Try}
 	w.mu.Lock()
@@ -207,13 +206,6 @@
 		Key: key, Service: r.Service, Workspace: r.Workspace, Rank: r.Rank, Tokens: r.PromptTokens + r.OutputTokens, Content: ask.Content,
 		Objective: r.Objective, Patience: ask.Patience, Needed: usherpool.PrefillTime(r.PromptTokens), Waited: ask.Waited,
 	})
-	if answer.Verdict == usherqueue.Wait && !known && w.queue.Waiting(now, r.Service) <= maxGrantOnAsk {
-		// What is decided here is the reply to this ask.
-		w.waiting[key] = waiter{request: r, own: own, deliver: func(placementReplyWire) {}}
-		w.grant(now, r.Service)
-		w.waiting[key] = waiter{request: r, own: own, deliver: deliver}
-		answer, _ = w.queue.Answer(key)
-	}
 	if answer.Verdict == usherqueue.Refuse && !known {
 		w.record(key, answer)
 	}
