usherqueue: forecast the wait by what a request's class is granted

Late requests of the urgent kind get what those in time leave, which are still to come and not ahead of them in the queue: they were refused when their caller's time was nearly over. It allows a third: a drain is known after a second, and few grants may have come by chance.

--- a/pkg/usherqueue/queue.go
+++ b/pkg/usherqueue/queue.go
@@ -157,7 +157,8 @@
 	delete(q.returns, r.Content)
 	s := q.service(r.Service)
 	s.arrive(r.Tokens)
-	expected, least := s.forecast(q.tokensBefore(now, e))
+	ahead, aheadInClass := q.tokensBefore(now, e)
+	expected, least := s.forecast(e.class, e.patienceAt.Sub(now), ahead, aheadInClass)
 	if e.isHopeless(now, least) {
 		q.refuse(now, s, e, expected)
 		return e.answer
@@ -217,7 +218,7 @@
 	q.sweep(now)
 	s := q.service(name)
 	entries := q.ordered(now, name)
-	s.observe(now, len(entries) > 0)
+	s.observe(now, classes(entries))
 	var changed []Key
 	grant := func(e *entry[G], due bool) bool {
 		g, ok := place(e.current(now), due)
@@ -239,12 +240,12 @@
 		grant(due, true)
 	}
 	var missed []*entry[G]
-	ahead := 0
+	ahead, aheadInClass := 0, [maxClasses]int{}
 	for _, e := range entries {
 		if e.answer.Verdict != Wait {
 			continue
 		}
-		expected, least := s.forecast(ahead)
+		expected, least := s.forecast(e.class, e.patienceAt.Sub(now), ahead, aheadInClass[e.class])
 		e.answer.Forecast = expected
 		if e.isHopeless(now, least) {
 			q.settle(e)
@@ -253,6 +254,7 @@
 			continue
 		}
 		ahead += e.Tokens
+		aheadInClass[e.class] += e.Tokens
 		if len(missed) < maxMisses && !isCovered(missed, e) && !grant(e, false) {
 			missed = append(missed, e)
 		}
@@ -345,9 +347,8 @@
 	return s
 }
 
-// tokensBefore returns the tokens of the requests of the same service that are before e.
-func (q *Queue[G]) tokensBefore(now time.Time, e *entry[G]) int {
-	sum := 0
+// tokensBefore returns the tokens of the requests of the same service that are before e, and of those of its class.
+func (q *Queue[G]) tokensBefore(now time.Time, e *entry[G]) (all, inClass int) {
 	e.place(now)
 	for _, other := range q.entries {
 		if other.Service != e.Service || other.answer.Verdict != Wait {
@@ -355,10 +356,13 @@
 		}
 		other.place(now)
 		if compare(other, e) < 0 {
-			sum += other.Tokens
+			all += other.Tokens
+			if other.class == e.class {
+				inClass += other.Tokens
+			}
 		}
 	}
-	return sum
+	return all, inClass
 }
 
 func (q *Queue[G]) last(now time.Time) *entry[G] {
--- a/pkg/usherqueue/queue_test.go
+++ b/pkg/usherqueue/queue_test.go
@@ -24,6 +24,8 @@
 	// lump is the room that comes at once, waited the longest wait of an urgent request that was granted room.
 	lump   float64
 	waited time.Duration
+	// held is the number of requests that were refused after half of their caller's time.
+	held int
 	// kept reports whether room is kept free for a request that is due.
 	kept bool
 }
@@ -57,6 +59,9 @@
 			l.waited = max(l.waited, l.now.Sub(l.asked[key]))
 		}
 	case usherqueue.Refuse:
+		if l.now.Sub(l.asked[key]) > r.Patience/2 {
+			l.held++
+		}
 		l.refused, l.retries = append(l.refused, r), append(l.retries, answer.RetryAfter)
 	default:
 		return
@@ -151,6 +156,24 @@
 	}
 }
 
+// Load: the urgent kind arrives at twice the rate that can be served and a lesser one with it, so those that are late and the lesser ones get
+// only their floors.
+func TestFloodOfUrgentKindIsRefusedInTimeToReturn(t *testing.T) {
+	l := newLoad(50_000)
+	l.run(12*time.Second, func(step int) {
+		l.add(urgent("a"))
+		if step%2 == 0 {
+			l.add(lesser("a"))
+		}
+	})
+	if n := len(l.refused); n < 100 || l.held > n/3 {
+		t.Errorf("%d of %d refused after more than half of their caller's time", l.held, n)
+	}
+	if n := count(l.refused, 2); n > 0 {
+		t.Errorf("%d of the lower rank refused, whose callers have the time to wait for the end of the burst", n)
+	}
+}
+
 // Load: a sixth of the engines is reclaimed each 3.3 s and back after 1.5 s, with demand at the rate of all of them.
 func TestReclaimEach3300msRefusesNoRequestThatCanBeServed(t *testing.T) {
 	l := newLoad(100_000)
--- a/pkg/usherqueue/service.go
+++ b/pkg/usherqueue/service.go
@@ -14,6 +14,8 @@
 	drainTimeConstant = 4 * time.Second
 	minDrainTime      = time.Second
 	meanWeight        = 0.05
+	// classHorizon is how far ahead the drain of a class tells.
+	classHorizon = 2 * drainTimeConstant
 	// drainLifetime is how long a drain counts after requests have waited.
 	drainLifetime = 2 * time.Second
 	// maxForecast bounds forecasts while nothing drains.
@@ -28,8 +30,9 @@
 		workspaces map[string]share
 		// skipped counts the grants to other classes while requests of a class waited.
 		skipped [maxClasses]int
-		// drain is what was granted while requests waited, observed when it was last updated.
+		// drain is what was granted while requests waited, drains the same for each class, observed when they were last updated.
 		drain    drain
+		drains   [maxClasses]drain
 		observed time.Time
 		// meanTokens is the mean size of the requests that have come lately.
 		meanTokens float64
@@ -55,8 +58,7 @@
 }
 
 func (s *service) recordGrant(now time.Time, workspace string, tokens int, granted class, waiting [maxClasses]bool) {
-	s.drain.grants++
-	s.drain.tokens += float64(tokens)
+	s.drain, s.drains[granted] = s.drain.with(tokens), s.drains[granted].with(tokens)
 	if len(s.workspaces) >= maxWorkspaces {
 		clear(s.workspaces)
 	}
@@ -79,38 +81,65 @@
 }
 
 // observe measures the drain while requests wait.
-func (s *service) observe(now time.Time, waiting bool) {
+func (s *service) observe(now time.Time, waiting [maxClasses]bool) {
 	elapsed := max(now.Sub(s.observed), 0)
 	if elapsed > drainLifetime {
-		elapsed, s.drain = 0, drain{}
+		elapsed, s.drain, s.drains = 0, drain{}, [maxClasses]drain{}
 	}
 	s.observed = now
-	if !waiting {
+	any := false
+	for c, waits := range waiting {
+		any = any || waits
+		s.drains[c] = s.drains[c].after(elapsed, waits)
+	}
+	s.drain = s.drain.after(elapsed, any)
+	if !any {
 		s.skipped = [maxClasses]int{}
-		return
 	}
+}
+
+// after returns the drain after a time in which requests waited or not.
+func (d drain) after(elapsed time.Duration, waited bool) drain {
 	kept := math.Exp(-elapsed.Seconds() / drainTimeConstant.Seconds())
-	s.drain = drain{seconds: s.drain.seconds*kept + elapsed.Seconds(), grants: s.drain.grants * kept, tokens: s.drain.tokens * kept}
+	d = drain{seconds: d.seconds * kept, grants: d.grants * kept, tokens: d.tokens * kept}
+	if waited {
+		d.seconds += elapsed.Seconds()
+	}
+	return d
 }
 
-// forecast returns how long the given tokens are expected to take to drain, or zero if that is not known, and how long they take at
-// least: few grants may have come by chance.
-func (s *service) forecast(tokens int) (expected, least time.Duration) {
-	if s.drain.seconds < minDrainTime.Seconds() || tokens == 0 {
+func (d drain) with(tokens int) drain {
+	return drain{seconds: d.seconds, grants: d.grants + 1, tokens: d.tokens + float64(tokens)}
+}
+
+// forecast returns how long the given tokens, of requests of a mean size, are expected to take to drain, or zero if that is not known, and
+// how long they take at least: few grants may have come by chance.
+func (d drain) forecast(tokens int, mean float64) (expected, least time.Duration) {
+	if d.seconds < minDrainTime.Seconds() || tokens == 0 {
 		return 0, 0
 	}
 	wait := func(drained float64) time.Duration {
-		return time.Duration(min(float64(tokens)*s.drain.seconds/max(drained, 1), maxForecast.Seconds()) * float64(time.Second))
+		return time.Duration(min(float64(tokens)*d.seconds/max(drained, 1), maxForecast.Seconds()) * float64(time.Second))
+	}
+	return wait(max(d.tokens, mean)), wait(d.tokens + mean*(2*math.Sqrt(d.grants)+3))
+}
+
+// forecast returns the wait of a request behind the given tokens of all classes and of its own. Those of classes before it that are still
+// to come show in the drain of its own, which says nothing about the time after a burst: it counts for callers that leave before.
+func (s *service) forecast(c class, patience time.Duration, ahead, aheadInClass int) (expected, least time.Duration) {
+	expected, least = s.drain.forecast(ahead, s.meanTokens)
+	if patience > classHorizon {
+		return expected, least
 	}
-	most := s.drain.tokens + s.meanTokens*(2*math.Sqrt(s.drain.grants)+3)
-	return wait(max(s.drain.tokens, s.meanTokens)), wait(most)
+	own, leastOwn := s.drains[c].forecast(aheadInClass, s.meanTokens)
+	return max(expected, own), max(least, leastOwn)
 }
 
 // nextReturn returns the time after which a refused caller should return: when room is expected for it, each one later than the
 // one before by the time in which its tokens drain, and within a part of its remaining time that callers wait.
 func (s *service) nextReturn(now time.Time, tokens int, forecast, patience time.Duration) time.Duration {
 	longest := max(patience/maxReturnFraction, minRetryAfter)
-	gap, _ := s.forecast(tokens)
+	gap, _ := s.drain.forecast(tokens, s.meanTokens)
 	earliest := now.Add(max(min(forecast-patience, longest), minRetryAfter))
 	if at := s.returnAt.Add(gap); at.After(earliest) {
 		earliest = at
