--- a/pkg/usherpool/pool.go
+++ b/pkg/usherpool/pool.go
@@ -198,6 +198,9 @@
 		byService map[string][]*target
 		// adopted has what another host has learned of the targets of a service.
 		adopted map[string]adoptedSpeeds
+		// peerSums are the loads reported by peers as of peerSumsAt, see roomLoad.
+		peerSums   map[*target]Load
+		peerSumsAt time.Time
 		// speedsAt is when the speeds of a service's targets were last estimated.
 		speedsAt map[string]time.Time
 	}
@@ -221,6 +224,8 @@
 		// reserved holds the choices made for other hosts, which they may not have reported yet.
 		reserved []reservation
 		prompts  promptQueue
+		// expected holds the prompts that hosts may still report, see queuedPrompts.
+		expected []expectedPrompt
 		// speed is what was known of the target's speed at the time that the pool's speedsAt names.
 		speed usherspeed.Estimate
 	}
--- a/service/usherhost/stream.go
+++ b/service/usherhost/stream.go
@@ -191,11 +191,11 @@
 			}
 			return nil, refusal
 		}
-		choice, err := g.host.peers.placement.place(ctx, g.placementRequest(g.req.excludedTargets()))
-		if err != nil && cause == nil {
-			return nil, g.host.refuseUnplaced(g.req.service.Name, err)
+		choice, refusal := g.placeOrWait(ctx)
+		if refusal != nil && cause == nil {
+			return nil, refusal
 		}
-		if err != nil {
+		if refusal != nil {
 			break
 		}
 		result := g.send(ctx, choice, ushercall.Copy{})
@@ -272,7 +272,7 @@
 	r := usherpool.Request{
 		Service: g.req.service.Name, PromptTokens: max(g.req.PromptTokens, 1), OutputTokens: g.req.OutputTokens(), Exclude: exclude,
 		OutputHint: g.req.OutputHint, MaxOutputTokens: g.req.MaxOutputTokens,
-		Route: g.req.route.Name, Workspace: g.req.workspace.Name, Rank: g.req.rank(), MaxPause: g.req.route.MaxPause,
+		Route: g.req.route.Name, Workspace: g.req.workspace.Name, Rank: g.req.route.Priority, MaxPause: g.req.route.MaxPause,
 		Parts: g.req.promptParts(),
 	}
 	if e := g.req.service.Engine; e != nil && e.EventTokens > 0 {
