--- a/cmd/usher-host/daemon/explain_test.go
+++ b/cmd/usher-host/daemon/explain_test.go
@@ -22,6 +22,8 @@
 		Notes      []string          `json:"notes"`
 		Target     string            `json:"target"`
 		Refusal    *explainedRefusal `json:"refusal"`
+		Waits      bool              `json:"waits"`
+		Waiting    int               `json:"waiting"`
 		PassedOver map[string]int    `json:"passed_over"`
 		Candidates []struct {
 			Target     string             `json:"target"`
@@ -29,6 +31,7 @@
 			CostsMs    map[string]float64 `json:"costs_ms"`
 			ExpectedMs int64              `json:"expected_ms"`
 			KeptTokens int                `json:"kept_tokens"`
+			NoRoom     bool               `json:"no_room"`
 		} `json:"candidates"`
 	} `json:"services"`
 }
@@ -134,3 +137,24 @@
 		}
 	})
 }
+
+// Load: long streams fill the only engine, and others wait for room.
+func TestExplainTellsWhatWaits(t *testing.T) {
+	withTestbed(t, options{hosts: 3, engines: 1, editDeclarations: contended}, func(t *testing.T, b *testbed) {
+		ask := func() explanation {
+			e, _ := b.explain(b.hosts[0], question("/appraisal/1", apiKey))
+			return e
+		}
+		if got := ask().Services[0]; got.Waits || got.Target != "engine-0" {
+			t.Errorf("on an idle engine: %+v", got)
+		}
+		var results []<-chan result
+		for _, h := range b.hosts {
+			results = append(results, b.fillWithLongStreams(h, 5)...)
+		}
+		if got := ask().Services[0]; !got.Waits || got.Waiting < 2 || got.Target != "" || !got.Candidates[0].NoRoom {
+			t.Errorf("on a full engine: %+v", got)
+		}
+		b.collect(results)
+	})
+}
--- a/cmd/usherctl/operate/explain.go
+++ b/cmd/usherctl/operate/explain.go
@@ -82,6 +82,8 @@
 		Notes      []string             `json:"notes"`
 		Target     string               `json:"target"`
 		Refusal    *explainedRefusal    `json:"refusal"`
+		Waits      bool                 `json:"waits"`
+		Waiting    int                  `json:"waiting"`
 		Candidates []explainedCandidate `json:"candidates"`
 		PassedOver map[string]int       `json:"passed_over"`
 		Omitted    int                  `json:"omitted"`
@@ -96,6 +98,7 @@
 		CostsMs    map[string]float64 `json:"costs_ms"`
 		ExpectedMs int64              `json:"expected_ms"`
 		Late       bool               `json:"late"`
+		NoRoom     bool               `json:"no_room"`
 		KeptTokens int                `json:"kept_tokens"`
 		EntryAgeMs int64              `json:"entry_age_ms"`
 	}
@@ -221,6 +224,9 @@
 	if s.Refusal != nil {
 		fmt.Fprintf(out, "  %s\n", s.Refusal)
 	}
+	if s.Waits {
+		fmt.Fprintf(out, "  it would wait for room; %d others wait\n", s.Waiting)
+	}
 	for _, c := range s.Candidates {
 		mark := " "
 		if c.Target == s.Target {
@@ -250,6 +256,9 @@
 	if c.Late {
 		text += ", late"
 	}
+	if c.NoRoom {
+		text += ", no room"
+	}
 	if c.KeptTokens > 0 {
 		text += fmt.Sprintf(", %d tokens kept", c.KeptTokens)
 	}
--- a/cmd/usherctl/operate/explain_test.go
+++ b/cmd/usherctl/operate/explain_test.go
@@ -26,6 +26,9 @@
 	"no target": `{"process":"kochi-1","version":7,"route":"status","workspace":"weavers","rank":0,"services":[{"service":"registry","share":1,"chosen_by":"kochi-1",
 		"refusal":{"reason":"limited","status":503,"retry_after_ms":400,"retry_after_max_ms":600},"passed_over":{"limited":1},
 		"candidates":[{"target":"plain-0","data_centre":"kochi","passed_over":"limited","back_in_ms":400}]}]}`,
+	"no room": `{"process":"kochi-1","version":7,"route":"appraisal","workspace":"weavers","rank":1,"services":[{"service":"valuer","share":1,"chosen_by":"kochi-1","waits":true,"waiting":3,
+		"notes":["the placer decides whether room is expected in time when a request asks for it"],"candidates":[
+		{"target":"engine-2","data_centre":"kochi","delay_ms":2250,"costs_ms":{"memory":1800,"streams":450},"expected_ms":914,"no_room":true,"entry_age_ms":5204}]}]}`,
 	"no route": `{"process":"kochi-1","version":7,"rank":0,"services":[],"refusal":{"reason":"no_route","status":404,"cause":"usher_route.no_route: no route for host \"example\""}}`,
 }
 
--- a/pkg/usherpool/explain.go
+++ b/pkg/usherpool/explain.go
@@ -74,6 +74,20 @@
 	return candidates
 }
 
+// WithRoom returns the targets that have room for r, sorted. It changes nothing.
+func (p *Pool) WithRoom(now time.Time, r Request, room Room) []string {
+	quiet := p.detached(r.Service)
+	r = quiet.estimateOutput(r)
+	ids := []string{}
+	for id, t := range quiet.targets {
+		if quiet.hasRoom(now, t, r, room, quiet.totalLoad(now, t)) {
+			ids = append(ids, id)
+		}
+	}
+	slices.Sort(ids)
+	return ids
+}
+
 // detached returns a copy of the pool with the targets of one service. What choices change, or forget as it is over, is copied.
 func (p *Pool) detached(service string) *Pool {
 	quiet := *p
@@ -81,7 +95,7 @@
 	for id, t := range p.targets {
 		if t.entry.Service == service {
 			t := *t
-			t.reserved = slices.Clone(t.reserved)
+			t.reserved, t.expected = slices.Clone(t.reserved), slices.Clone(t.expected)
 			quiet.targets[id] = &t
 		}
 	}
--- a/pkg/usherpool/explain_test.go
+++ b/pkg/usherpool/explain_test.go
@@ -73,6 +73,7 @@
 		for _, placed := range []bool{true, false} {
 			explained.Explain(now, r, placed)
 			explained.Explain(now, usherpool.Request{Service: engines}, placed)
+			explained.WithRoom(now, r, usherpool.Room{})
 		}
 		var want, got usherpool.Choice
 		var wantErr, gotErr error
--- a/service/usherhost/explain.go
+++ b/service/usherhost/explain.go
@@ -75,10 +75,13 @@
 		// Share is the service's part of the requests of the route.
 		Share float64 `json:"share"`
 		// ChosenBy is the host that chooses the target. Notes say what this host cannot know of that.
-		ChosenBy   string                 `json:"chosen_by"`
-		Notes      []string               `json:"notes"`
-		Target     string                 `json:"target,omitempty"`
-		Refusal    *explainRefusalWire    `json:"refusal,omitempty"`
+		ChosenBy string              `json:"chosen_by"`
+		Notes    []string            `json:"notes"`
+		Target   string              `json:"target,omitempty"`
+		Refusal  *explainRefusalWire `json:"refusal,omitempty"`
+		// Waits reports that the request would wait for room first, behind Waiting others as far as this host knows.
+		Waits      bool                   `json:"waits"`
+		Waiting    int                    `json:"waiting"`
 		Candidates []explainCandidateWire `json:"candidates"`
 		// PassedOver counts the targets by the reason why they cannot be chosen, Omitted those that are not in Candidates.
 		PassedOver map[usherpool.PassedOver]int `json:"passed_over"`
@@ -95,9 +98,11 @@
 		CostsMs    map[string]float64 `json:"costs_ms"`
 		ExpectedMs int64              `json:"expected_ms"`
 		Late       bool               `json:"late"`
-		KeptTokens int                `json:"kept_tokens"`
-		Load       usherpool.Load     `json:"load"`
-		EntryAgeMs int64              `json:"entry_age_ms"`
+		// NoRoom reports that streams compete for the service and that the target has no room for this one.
+		NoRoom     bool           `json:"no_room"`
+		KeptTokens int            `json:"kept_tokens"`
+		Load       usherpool.Load `json:"load"`
+		EntryAgeMs int64          `json:"entry_age_ms"`
 	}
 )
 
@@ -231,25 +236,48 @@
 	if !placed && len(candidates) > 0 {
 		answer.Notes = append(answer.Notes, "the host compares some of the targets only, selected at random")
 	}
+	noRoom := h.explainRoom(&answer, r, req.route.Kind == usherroute.Stream)
 	for i, c := range candidates {
 		if c.PassedOver != "" {
 			answer.PassedOver[c.PassedOver]++
 		}
 		if i < maxExplainedTargets {
-			answer.Candidates = append(answer.Candidates, explainCandidate(c))
+			candidate := explainCandidate(c)
+			candidate.NoRoom = noRoom(c.Target.ID)
+			answer.Candidates = append(answer.Candidates, candidate)
 		}
 	}
 	answer.Omitted = len(candidates) - len(answer.Candidates)
 	if refusal := h.explainSuspicion(req); refusal != nil {
 		answer.Refusal = refusal.explain()
-	} else if len(candidates) > 0 && isChoosable(candidates[0]) {
-		answer.Target = candidates[0].Target.ID
-	} else {
+	} else if len(candidates) == 0 || !isChoosable(candidates[0]) {
 		answer.Refusal = h.explainUnplaced(req.service.Name, answer.PassedOver)
+	} else if i := slices.IndexFunc(candidates, func(c usherpool.Candidate) bool { return isChoosable(c) && !noRoom(c.Target.ID) }); i >= 0 && answer.Waiting == 0 {
+		answer.Target = candidates[i].Target.ID
+	} else {
+		answer.Waits = true
+		answer.Notes = append(answer.Notes, "the placer decides whether room is expected in time when a request asks for it")
 	}
 	return answer
 }
 
+// explainRoom sets how many requests wait for the service, and returns whether a target has no room for the request. Where streams do not
+// compete, or half of the room is free, none is passed over for that.
+func (h *Host) explainRoom(answer *explainServiceWire, r usherpool.Request, stream bool) (noRoom func(target string) bool) {
+	contention, competes := h.state.contention(r.Service)
+	if !stream || !competes {
+		return func(string) bool { return false }
+	}
+	for _, waiting := range h.peers.placement.room.list() {
+		if waiting.Service == r.Service {
+			answer.Waiting++
+		}
+	}
+	withRoom := h.state.withRoom(r, usherpool.Room{Contention: contention})
+	beyond := len(withRoom) == 0 && h.state.isHalfFree(r.Service)
+	return func(target string) bool { return !beyond && !slices.Contains(withRoom, target) }
+}
+
 func isChoosable(c usherpool.Candidate) bool { return c.PassedOver == "" }
 
 // placerNotes returns what this host cannot know of the choices for streams.
@@ -325,6 +353,12 @@
 	return s.pool.Explain(time.Now(), r, placed)
 }
 
+func (s *sharedState) withRoom(r usherpool.Request, room usherpool.Room) []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.pool.WithRoom(time.Now(), r, room)
+}
+
 // peekAtTarget is admitToTarget for a request that is not sent.
 func (s *sharedState) peekAtTarget(req *requestState) ushersuspect.Decision {
 	s.mu.Lock()
