--- a/pkg/usherpool/forecast_test.go
+++ b/pkg/usherpool/forecast_test.go
@@ -135,6 +135,20 @@
 	}
 }
 
+// Reports come half a second late: prompts that an engine has read since then do not count, at the speed of that engine.
+func TestReportedPromptsAreReadMeanwhile(t *testing.T) {
+	p := newPool(1, targets(9), 3)
+	learnSpeeds(p, start, 9)
+	now := start.Add(time.Second)
+	p.SetPeerLoads(now, "host", map[string]usherpool.Load{"e0": {Streams: 1, Prefill: 3000}, "e2": {Streams: 1, Prefill: 3000}})
+	idle, _ := p.Forecast(now, "e1", engineRequest())
+	fast, _ := p.Forecast(now, "e0", engineRequest())
+	slow, _ := p.Forecast(now, "e2", engineRequest())
+	if fast.Base != idle.Base || slow.Base <= idle.Base || slow.Base > idle.Base+usherpool.PrefillTime(2000) {
+		t.Errorf("forecast %s at a fast engine and %s at a slow one, %s without prompts, at factor 1", fast.Base, slow.Base, idle.Base)
+	}
+}
+
 // Callers whose hints are far too high: memory is planned for what outputs have been, not for what callers say.
 func TestOutputLengthsAreLearned(t *testing.T) {
 	p := newPool(1, targets(9), 3)
--- a/pkg/usherpool/place.go
+++ b/pkg/usherpool/place.go
@@ -11,6 +11,8 @@
 	// reservationLifetime is how long a choice made for another host counts as load on the target. It covers a report
 	// of that host, a report of its collector, and the interval before each of them.
 	reservationLifetime = 600 * time.Millisecond
+	// prefillReportAge is the age of what hosts report of prompts: a report of the host and one of its collector.
+	prefillReportAge = 300 * time.Millisecond
 	// maxFailureRate is the failure rate from which a target is excluded from the choices that other hosts make for
 	// this one.
 	maxFailureRate = 0.25
@@ -117,7 +119,12 @@
 
 // pendingPrefill estimates the prompt tokens that t has to process before those of a new request.
 func (p *Pool) pendingPrefill(now time.Time, t *target, load Load, speed usherspeed.Estimate) int {
-	return max(int(t.prompts.remaining(now, speed)), load.Prefill)
+	reported := load.Prefill
+	if speed.Uneven() {
+		// Hosts report whole prompts until their first events, and what they report is old.
+		reported -= int(float64(prefillReportAge.Milliseconds()) * prefillTokensPerMs / speed.Factor)
+	}
+	return max(int(t.prompts.remaining(now, speed)), reported)
 }
 
 func (q *promptQueue) add(now time.Time, tokens int, speed usherspeed.Estimate) {
