--- a/pkg/usherpool/pool.go
+++ b/pkg/usherpool/pool.go
@@ -20,6 +20,7 @@
 package usherpool
 
 import (
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"strings"
@@ -195,6 +196,8 @@
 		// peerSums are the loads reported by peers as of peerSumsAt, see roomLoad.
 		peerSums   map[*target]Load
 		peerSumsAt time.Time
+		// adopted has what another host has learned of the targets of a service.
+		adopted map[string]adoptedSpeeds
 		// speedsAt is when the speeds of a service's targets were last estimated.
 		speedsAt map[string]time.Time
 	}
@@ -227,7 +230,7 @@
 
 // New returns a pool without targets.
 func New(options Options) *Pool {
-	return &Pool{options: options, targets: map[string]*target{}, peers: map[string]peerLoads{}, hosts: 1, departed: map[incarnation]time.Time{}, resting: map[incarnation]rest{}, limits: map[incarnation]*limit{}}
+	return &Pool{options: options, targets: map[string]*target{}, peers: map[string]peerLoads{}, hosts: 1, departed: map[incarnation]time.Time{}, resting: map[incarnation]rest{}, limits: map[incarnation]*limit{}, adopted: map[string]adoptedSpeeds{}}
 }
 
 // Update replaces the published targets, the evacuated data centres and the declarations. hosts is the number of hosts
@@ -279,6 +282,7 @@
 		t.service, _ = p.service(t.entry.Service)
 		p.byService[t.entry.Service] = append(p.byService[t.entry.Service], t)
 	}
+	maps.DeleteFunc(p.adopted, func(service string, _ adoptedSpeeds) bool { return p.byService[service] == nil })
 	for _, targets := range p.byService {
 		slices.SortFunc(targets, func(a, b *target) int { return strings.Compare(a.entry.ID, b.entry.ID) })
 	}
@@ -358,8 +362,10 @@
 			return c
 		}
 		c.PrefillTime = c.Forecast.FirstEvent
+		// What is learned of the whole service includes the waits on overloaded engines.
+		waitFactor := prefillWaitFactor / min(speed.Slowness(), prefillWaitFactor)
 		// A prompt's own length must not make it late, or long prompts would always wait behind short ones.
-		c.Late = r.Objective > 0 && time.Duration(prefillWaitFactor*float64(speed.Scale(PrefillTime(queuedTokens+typicalPromptTokens)))) > r.Objective
+		c.Late = r.Objective > 0 && time.Duration(waitFactor*float64(speed.Scale(PrefillTime(queuedTokens+typicalPromptTokens)))) > r.Objective
 	}
 	return c
 }
--- a/pkg/usherpool/room.go
+++ b/pkg/usherpool/room.go
@@ -9,6 +9,9 @@
 )
 
 const (
+	// lesserMemoryShare is the fraction of the usable memory that requests of a lower rank may fill. The rest is left for urgent ones and for
+	// copies of generations whose engines are reclaimed.
+	lesserMemoryShare = 0.875
 	// lesserPromptShare is the fraction of the most urgent route's objective that the prompts before a new one may take,
 	// if the last of them is of a lower rank.
 	lesserPromptShare = 0.5
@@ -83,9 +86,8 @@
 	}
 	urgent := room.Whole || r.Rank <= room.Rank
 	memory := p.usableMemoryTokens(t)
-	if urgent {
-		// What is left for generations that grow beyond their estimated length is enough for a short one.
-		memory = int(float64(memory) / memoryShare)
+	if !urgent {
+		memory = int(lesserMemoryShare * float64(memory))
 	}
 	// A request that is larger than the memory goes to an empty target.
 	if load.Streams+load.Copies > 0 && load.Tokens+load.CopyTokens+r.PromptTokens+r.OutputTokens > memory {
