usherhost: lend turns at targets that name a limit, and ask before a caller is refused

A host that hears of the end of a limit late, or is asked alone while all others are idle, refused callers until its own turn, up to hosts/(0.8 x limit) s later, though another host would have sent the request at once.

No host sends or lends more than one request in a period of its turns, and nothing is shared, so the bound holds with any number of hosts.

--- a/cmd/usher-host/daemon/datagram_test.go
+++ b/cmd/usher-host/daemon/datagram_test.go
@@ -39,6 +39,8 @@
 		13: true, 17: int64(time.Second),
 		16: []any{map[int]any{1: "engine-0", 2: 1, 3: int64(time.Second)}},
 		19: []any{map[int]any{1: "engine-0", 2: 1, 3: netip.MustParseAddrPort("10.128.9.9:1"), 4: int64(time.Second)}},
+		40: map[int]any{1: 7, 2: []any{map[int]any{1: "engine-0", 2: 1, 3: netip.MustParseAddrPort("10.128.9.9:1"), 4: 0.5}}},
+		41: map[int]any{1: 1, 2: 1, 3: []any{map[int]any{1: "engine-0", 2: 1, 3: netip.MustParseAddrPort("10.128.9.9:1"), 4: int64(time.Second), 5: "host-0"}}},
 		18: map[int]any{
 			1: []any{map[int]any{1: fingerprint, 2: "engine-0", 3: 1, 4: int64(time.Second), 5: false, 6: []any{fingerprint}}},
 			2: []any{map[int]any{1: fingerprint, 2: int64(time.Second)}}, 3: []any{map[int]any{1: fingerprint, 2: int64(time.Second)}},
--- a/pkg/usherpool/limit.go
+++ b/pkg/usherpool/limit.go
@@ -22,7 +22,7 @@
 
 // limit is how many requests a target takes from all hosts together. Each host may send one in its turn. The turns of all hosts
 // follow each other at even distances by the time of day, so they keep the limit in any window, however many hosts there are and
-// whatever arrives at once; a turn that is not used lapses.
+// whatever arrives at once; a turn that is not used is lent to a host that asks for it, or lapses.
 type limit struct {
 	perSecond float64
 	// named is when the latest response that names a limit was received.
@@ -30,6 +30,11 @@
 	// used is the latest turn that this host has used, polled the latest one that it used for a poll.
 	used   time.Time
 	polled time.Time
+	// spare is the latest spare turn that this host has lent.
+	spare time.Time
+	// borrowed is the number of turns that other hosts have lent this one, to be used before borrowedUntil.
+	borrowed      int
+	borrowedUntil time.Time
 	// missingSince is when the target's entry was lost.
 	missingSince time.Time
 }
@@ -90,6 +95,15 @@
 	return l.named, true
 }
 
+// LimitOf returns the limit of an incarnation, if it has named one.
+func (p *Pool) LimitOf(said ushercatalog.Target) (perSecond float64, limited bool) {
+	l := p.limitOf(said)
+	if l == nil {
+		return 0, false
+	}
+	return l.perSecond, true
+}
+
 // limitOf returns the limit of an incarnation, whether or not its entry is known; nil for none.
 func (p *Pool) limitOf(said ushercatalog.Target) *limit {
 	if t, known := p.targets[said.ID]; known && incarnationOf(t.entry) == incarnationOf(said) {
@@ -122,18 +136,28 @@
 	return max(time.Duration(float64(p.hosts)/rate*float64(time.Second)), 1)
 }
 
-// turn returns when this host's current turn began, and whether a request may be sent in it now.
-func (p *Pool) turn(now time.Time, l *limit) (began time.Time, open bool) {
-	period := p.period(l)
+// phase returns the time since this host's latest turn began, if it has one in each period.
+func (p *Pool) phase(now time.Time, period time.Duration) time.Duration {
 	ahead := period / time.Duration(p.hosts) * time.Duration(p.hosts-1-p.place%p.hosts)
-	since := time.Duration((now.UnixNano() + int64(ahead)) % int64(period))
-	began = now.Add(-since)
-	return began, since < min(period, turnValidity) && float64(began.Sub(l.used)) > minTurnDistance*float64(period)
+	return time.Duration((now.UnixNano() + int64(ahead)) % int64(period))
+}
+
+// latestTurn returns when this host's latest turn began, and whether no request was sent in it.
+func (p *Pool) latestTurn(now time.Time, l *limit) (began time.Time, unused bool) {
+	period := p.period(l)
+	began = now.Add(-p.phase(now, period))
+	return began, float64(began.Sub(l.used)) > minTurnDistance*float64(period)
+}
+
+// turn returns when this host's latest turn began, and whether a request may be sent in it now.
+func (p *Pool) turn(now time.Time, l *limit) (began time.Time, open bool) {
+	began, unused := p.latestTurn(now, l)
+	return began, unused && now.Sub(began) < min(p.period(l), turnValidity)
 }
 
 // opens returns when the next request may be sent, or zero if one may be sent now.
 func (p *Pool) opens(now time.Time, l *limit) time.Time {
-	if l == nil {
+	if l == nil || l.hasBorrowed(now) {
 		return time.Time{}
 	}
 	began, open := p.turn(now, l)
@@ -161,16 +185,21 @@
 	return t.limit == nil || p.opens(now, t.limit).IsZero()
 }
 
-// takeTurn uses this host's turn if there is one now.
+// takeTurn uses this host's turn, or one that it was lent, if there is one now.
 func (p *Pool) takeTurn(now time.Time, l *limit) bool {
 	if l == nil {
 		return true
 	}
 	began, open := p.turn(now, l)
-	if open {
+	switch {
+	case open:
 		l.used = began
+	case l.hasBorrowed(now):
+		l.borrowed--
+	default:
+		return false
 	}
-	return open
+	return true
 }
 
 // TakeTurn uses a turn for a request that no choice was made for, and reports whether there is one now. Otherwise it returns when
@@ -190,10 +219,11 @@
 		return true
 	}
 	l := t.limit
-	if float64(now.Sub(l.polled)) <= (1+minTurnDistance)*float64(p.period(l)) || !p.takeTurn(now, l) {
+	began, open := p.turn(now, l)
+	if !open || float64(now.Sub(l.polled)) <= (1+minTurnDistance)*float64(p.period(l)) {
 		return false
 	}
-	l.polled = l.used
+	l.used, l.polled = began, began
 	return true
 }
 
--- a/pkg/usherpool/limit_test.go
+++ b/pkg/usherpool/limit_test.go
@@ -44,7 +44,19 @@
 	return ok
 }
 
-// Any number of hosts with clocks that differ, lulls, surges and changes of the limit: in no window of 4 s do
+// borrow reports whether one of the hosts that a host asks for a turn lends one.
+func borrow(pools []*usherpool.Pool, asks int, at func(host int) time.Time, perSecond float64, random *rand.Rand) bool {
+	said := *target(0).Target
+	for _, place := range append(pools[asks].Lenders(at(asks), said), random.IntN(len(pools))) {
+		if pools[place].Lend(at(place), said, perSecond) {
+			pools[asks].Borrow(at(asks), said)
+			return true
+		}
+	}
+	return false
+}
+
+// Any number of hosts with clocks that differ, lulls, surges and changes of the limit, that lend each other turns: in no window of 4 s do
 // more requests reach the target than one and a half times the highest limit then in force, and five.
 func TestHostsTogetherKeepTheLimit(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
@@ -63,7 +75,7 @@
 			limit float64
 		}
 		var window []arrival
-		demand := random.Float64()
+		demand, lend := random.Float64(), rapid.Bool().Draw(t, "lend")
 		for now := start.Add(time.Second + time.Duration(random.IntN(1e9))); now.Before(start.Add(40 * time.Second)); now = now.Add(limitStep) {
 			switch random.IntN(60) {
 			case 0:
@@ -84,7 +96,8 @@
 					continue
 				}
 				hostNow := now.Add(offsets[i])
-				if !send(p, hostNow) {
+				at := func(host int) time.Time { return now.Add(offsets[host]) }
+				if !send(p, hostNow) && !(lend && borrow(pools, i, at, believed[i], random) && send(p, hostNow)) {
 					continue
 				}
 				window = append(window, arrival{at: now, limit: max(believed[i], limit)})
--- a/service/usherhost/ingress.go
+++ b/service/usherhost/ingress.go
@@ -115,6 +115,7 @@
 		stop()
 		ctx, cancel := h.requestContext(r, req)
 		defer cancel()
+		h.peers.lending.await(ctx, req.service.Name)
 		if req.route.Kind == usherroute.Stream {
 			refusal = h.serveStream(ctx, w, req)
 		} else {
--- a/service/usherhost/limit.go
+++ b/service/usherhost/limit.go
@@ -66,7 +66,9 @@
 func (s *sharedState) recordLimit(target ushercatalog.Target, sent time.Time, perSecond float64) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.pool.Limit(time.Now(), target, sent, perSecond)
+	changed := s.pool.Limit(time.Now(), target, sent, perSecond)
+	s.lentTurns.Claim(s.pool, target)
+	return changed
 }
 
 func (s *sharedState) takeTurn(target string) (opens time.Time, ok bool) {
--- a/service/usherhost/limitend.go
+++ b/service/usherhost/limitend.go
@@ -18,6 +18,9 @@
 	limitEndMargin = time.Second
 	// maxLimitEnds bounds the notices in one message.
 	maxLimitEnds = 12
+	// limitEndRetention is how long a host that asks is told, maxKnownLimitEnds how many ends are remembered.
+	limitEndRetention = 10 * time.Minute
+	maxKnownLimitEnds = 4096
 )
 
 type (
@@ -30,8 +33,11 @@
 
 	// limitEnd says that a target has named no limit in its response to a request.
 	limitEnd struct {
-		// sent is when the latest such request was sent.
-		sent time.Time
+		// sent is when the latest such request was sent, seenBy the host that sent it.
+		sent   time.Time
+		seenBy string
+		// seen is when this host itself last sent such a request, or zero.
+		seen time.Time
 		// renewedUntil is until when this host replaces sent by that of its own later requests. It is zero if the host did
 		// not keep the limit.
 		renewedUntil time.Time
@@ -41,8 +47,9 @@
 		Target      string         `cbor:"1,keyasint"`
 		Incarnation int64          `cbor:"2,keyasint,omitempty"`
 		Address     netip.AddrPort `cbor:"3,keyasint"`
-		// Age is the time since the request was sent.
-		Age time.Duration `cbor:"4,keyasint"`
+		// Age is the time since the request was sent, SeenBy the host that sent it.
+		Age    time.Duration `cbor:"4,keyasint"`
+		SeenBy string        `cbor:"5,keyasint,omitempty"`
 	}
 )
 
@@ -60,28 +67,46 @@
 func (s *sharedState) recordNoLimit(target ushercatalog.Target, sent time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	key := limitKeyOf(target)
+	key, self := limitKeyOf(target), s.cluster.Self().Name
 	if s.pool.Unlimit(target, sent) {
-		s.limitEnds[key] = limitEnd{sent: sent, renewedUntil: time.Now().Add(limitEndLifetime)}
+		s.limitEnds[key] = limitEnd{sent: sent, seenBy: self, seen: sent, renewedUntil: time.Now().Add(limitEndLifetime)}
 		return true
 	}
+	end, told := s.limitEnds[key]
+	if !told {
+		return false
+	}
+	if sent.After(end.seen) {
+		end.seen = sent
+	}
 	// Hosts that were told of the limit just before it ended need a later time.
-	if end, told := s.limitEnds[key]; told && time.Now().Before(end.renewedUntil) && sent.Sub(end.sent) > limitEndMargin {
-		end.sent = sent
-		s.limitEnds[key] = end
+	if time.Now().Before(end.renewedUntil) && sent.Sub(end.sent) > limitEndMargin {
+		end.sent, end.seenBy = sent, self
 	}
+	s.limitEnds[key] = end
 	return false
 }
 
-// currentLimitEnds returns the notices to send to peers, newest first, and drops those that have expired.
+// wire returns what this host tells of the end of a limit, by its own response if it has sent a request since the end.
+func (e limitEnd) wire(key limitKey, now time.Time, self string) limitEndWire {
+	w := limitEndWire{Target: key.target, Incarnation: key.incarnation, Address: key.address, Age: now.Sub(e.sent), SeenBy: e.seenBy}
+	if e.seen.After(e.sent.Add(-limitEndMargin)) {
+		w.Age, w.SeenBy = now.Sub(e.seen), self
+	}
+	return w
+}
+
+// currentLimitEnds returns the notices to send to peers, newest first, and forgets the ends that have long been known.
 func (s *sharedState) currentLimitEnds(now time.Time) []limitEndWire {
 	var out []limitEndWire
 	for key, end := range s.limitEnds {
-		if now.Sub(end.sent) > limitEndLifetime {
+		age := now.Sub(end.sent)
+		if age > limitEndRetention || age > limitEndLifetime && len(s.limitEnds) > maxKnownLimitEnds {
 			delete(s.limitEnds, key)
-			continue
 		}
-		out = append(out, limitEndWire{Target: key.target, Incarnation: key.incarnation, Address: key.address, Age: now.Sub(end.sent)})
+		if age <= limitEndLifetime {
+			out = append(out, limitEndWire{Target: key.target, Incarnation: key.incarnation, Address: key.address, Age: age, SeenBy: end.seenBy})
+		}
 	}
 	slices.SortFunc(out, func(a, b limitEndWire) int { return cmp.Compare(a.Age, b.Age) })
 	return out[:min(len(out), maxLimitEnds)]
@@ -108,7 +133,7 @@
 		case told && sent.Sub(end.sent) <= limitEndMargin:
 			continue
 		}
-		end.sent = sent
+		end.sent, end.seenBy = sent, w.SeenBy
 		s.limitEnds[key], news = end, true
 	}
 	return ended, news
--- a/service/usherhost/peers.go
+++ b/service/usherhost/peers.go
@@ -54,6 +54,7 @@
 		// reportDue makes the host report at once.
 		reportDue chan struct{}
 		placement *placement
+		lending   *lending
 		// standstill detects that this process stood still; until discardUntil, in Unix nanoseconds, datagrams are dropped.
 		standstill   *standstill
 		discardUntil atomic.Int64
@@ -91,6 +92,9 @@
 		Leaving []leavingNoticeWire `cbor:"16,keyasint,omitempty"`
 		// LimitEnds are the limits that have ended lately.
 		LimitEnds []limitEndWire `cbor:"19,keyasint,omitempty"`
+		// LendQuestion asks for a turn at targets that have named a limit, LendReply responds to that.
+		LendQuestion *lendQuestionWire `cbor:"40,keyasint,omitempty"`
+		LendReply    *lendReplyWire    `cbor:"41,keyasint,omitempty"`
 		// PlacementRequest or PlacementReply makes this a message about the placement of one request; all other fields
 		// but Report.From are then empty.
 		PlacementRequest *placementRequestWire `cbor:"14,keyasint,omitempty"`
@@ -128,7 +132,7 @@
 		localBytes: metrics.NewRegisteredCounter("peers.near_bytes", registry), remoteBytes: metrics.NewRegisteredCounter("peers.far_bytes", registry),
 		reportDue: make(chan struct{}, 1), standstill: newStandstill(platform.Uptime), stale: metrics.NewRegisteredCounter("peers.stale", registry),
 	}
-	p.placement = newPlacement(s, p, registry)
+	p.placement, p.lending = newPlacement(s, p, registry), newLending(s, p, registry)
 	return p, nil
 }
 
@@ -247,6 +251,12 @@
 		p.log.Info("target learned", "source", d.Report.From.Name, "target", id, "leaving", true)
 	}
 	p.logLimitEnds(d.Report.From.Name, learned.unlimited)
+	if d.LendQuestion != nil {
+		p.lending.handleQuestion(d.Report.From, *d.LendQuestion)
+	}
+	if d.LendReply != nil {
+		p.lending.handleReply(d.Report.From, *d.LendReply)
+	}
 	if (d.Urgent || learned.limitEnds) && p.state.isCollector() {
 		p.reportNow()
 	}
--- a/service/usherhost/state.go
+++ b/service/usherhost/state.go
@@ -43,6 +43,10 @@
 		leavingNotices []leavingNotice
 		// limitEnds are the limits that have ended lately, as this host or a peer learned.
 		limitEnds map[limitKey]limitEnd
+		// lentTurns are at targets that have named no limit to this host.
+		lentTurns usherpool.LentTurns
+		// roster are the hosts that share limits, in the order of their places.
+		roster    []ushercluster.Member
 		suspicion suspicion
 		changed   chan struct{}
 		// behindPeer is notified when a peer has a newer catalog than this host, readerFailed when a peer reports that
@@ -139,6 +143,7 @@
 func (s *sharedState) updatePool(now time.Time) {
 	place, hosts := s.cluster.LimitShare(now)
 	s.pool.SetPlace(place)
+	s.updateRoster(now, hosts)
 	s.pool.Update(now, s.catalog.Targets(), s.catalog.Evacuated, s.catalog.Table(), hosts)
 }
 
