--- a/service/usherdaemon/daemon.go
+++ b/service/usherdaemon/daemon.go
@@ -31,6 +31,7 @@
 	"github.com/samphireusher/samphireusher/pkg/usherlink"
 	"github.com/samphireusher/samphireusher/pkg/ushersetting"
 	"github.com/samphireusher/samphireusher/service/usherfeed"
+	"github.com/samphireusher/samphireusher/service/ushergateway"
 )
 
 const (
@@ -52,6 +53,7 @@
 		mux        *usherlink.Mux
 		feed       *usherfeed.Feed
 		metrics    metrics.Registry
+		kept       ushergateway.KeptConns
 		wg         sync.WaitGroup
 	}
 
@@ -188,6 +190,7 @@
 	ctx, cancel := context.WithTimeout(ctx, d.settings.Stop.Timeout)
 	defer cancel()
 	failures := []error{c.Stop(ctx)}
+	d.kept.Drain(ctx)
 	for _, s := range servers {
 		failures = append(failures, s.Shutdown(ctx))
 	}
@@ -198,7 +201,7 @@
 
 func (d *daemon) listen(c component, callers http.Handler) ([]*http.Server, error) {
 	servers := []*http.Server{}
-	admin, err := d.listenHTTP(d.settings.Listen.Admin.String(), nil, d.adminRoutes(c))
+	admin, err := d.listenHTTP(d.settings.Listen.Admin.String(), nil, d.adminRoutes(c), nil)
 	if err != nil {
 		return nil, err
 	}
@@ -206,14 +209,14 @@
 	if callers == nil {
 		return servers, nil
 	}
-	server, err := d.listenHTTP(d.settings.Listen.Address.String(), d.callerCert, callers)
+	server, err := d.listenHTTP(d.settings.Listen.Address.String(), d.callerCert, callers, d.kept.Track)
 	if err != nil {
 		return nil, errors.Join(err, admin.Close())
 	}
 	return append([]*http.Server{server}, servers...), nil
 }
 
-func (d *daemon) listenHTTP(address string, certificate *usherkey.Certificate, handler http.Handler) (*http.Server, error) {
+func (d *daemon) listenHTTP(address string, certificate *usherkey.Certificate, handler http.Handler, track func(net.Conn, http.ConnState)) (*http.Server, error) {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, err
@@ -221,7 +224,7 @@
 	if certificate != nil {
 		listener = tls.NewListener(listener, certificate.TLS())
 	}
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout, ErrorLog: slog.NewLogLogger(d.log.Handler(), slog.LevelError)}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout, ConnState: track, ErrorLog: slog.NewLogLogger(d.log.Handler(), slog.LevelError)}
 	d.wg.Go(func() {
 		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
 			d.log.Error("HTTP server stopped unexpectedly", "address", address, "error", err)
--- a/standin/usherfleet/daemon.go
+++ b/standin/usherfleet/daemon.go
@@ -29,6 +29,7 @@
 		node       *usherlink.Node
 		component  component
 		server     *http.Server
+		kept       ushergateway.KeptConns
 		cancel     context.CancelFunc
 		background sync.WaitGroup
 		once       sync.Once
@@ -65,6 +66,7 @@
 func (d *Daemon) Stop(ctx context.Context) error {
 	err := d.component.Stop(ctx)
 	if d.server != nil {
+		d.kept.Drain(ctx)
 		err = errors.Join(err, d.server.Shutdown(ctx))
 	}
 	return errors.Join(err, d.Kill())
@@ -176,7 +178,7 @@
 	if err != nil {
 		return err
 	}
-	d.server = &http.Server{Handler: gateway.Routes(), ReadHeaderTimeout: time.Minute}
+	d.server = &http.Server{Handler: gateway.Routes(), ReadHeaderTimeout: time.Minute, ConnState: d.kept.Track}
 	d.background.Go(func() { _ = d.server.Serve(listener) })
 	return nil
 }
