--- a/pkg/usherpool/forecast.go
+++ b/pkg/usherpool/forecast.go
@@ -55,6 +55,8 @@
 		Workspace       string
 		OutputHint      int
 		MaxOutputTokens int
+		// Kept is nil if the target was expected to keep nothing of the prompt.
+		Kept *KeptOutcome
 	}
 )
 
@@ -67,22 +69,25 @@
 	return p.forecast(now, t, p.estimateOutput(r), p.totalLoad(now, t)), true
 }
 
-// RecordOutcome records what a host saw of a run. What it says of another incarnation than the known one is ignored.
-func (p *Pool) RecordOutcome(now time.Time, host string, o Outcome) {
+// RecordOutcome records what a host saw of a run, and reports whether it shows that the target had not kept the parts of the prompt
+// that it was expected to keep. What it says of another incarnation than the known one is ignored.
+func (p *Pool) RecordOutcome(now time.Time, host string, o Outcome) (wrongParts bool) {
 	if o.OutputTokens > 0 {
 		kind := usherlength.Kind{Service: o.Service, Route: o.Route, Workspace: o.Workspace}
 		p.lengths.Record(kind, usherlength.Call{Hint: o.OutputHint, Max: o.MaxOutputTokens}, o.OutputTokens)
 	}
 	t, known := p.targets[o.Target]
 	if !known || t.entry.Incarnation != o.Incarnation {
-		return
+		return false
 	}
 	if t.service.Engine != nil && o.Base < minBase {
 		o.Base = 0
 	}
+	wrongParts = p.observeParts(now, t, o)
 	p.speeds.Record(now, usherspeed.Sample{
 		Target: speedTarget(t.entry), Host: host, Call: t.service.Engine == nil, Expected: o.Base, Seen: o.FirstEvent, Events: o.Events, Gap: o.Gap, LongestPause: o.LongestPause,
 	})
+	return wrongParts
 }
 
 // estimateOutput returns the request with what is known of the lengths of outputs.
--- a/pkg/usherpool/place.go
+++ b/pkg/usherpool/place.go
@@ -40,6 +40,7 @@
 	r = p.estimateOutput(r)
 	var best *target
 	var choice Choice
+	var plain plainChoice
 	reason := ErrNoTarget
 	for _, t := range p.shuffledCandidates(now, r) {
 		load := p.totalLoad(now, t)
@@ -47,17 +48,20 @@
 			reason = ErrFull
 			continue
 		}
-		if delay := p.delay(now, t, r, load); best == nil || delay < choice.Delay {
+		delay := p.delay(now, t, r, load)
+		plain.consider(t, delay+p.kept(now, t, r, load).Saving)
+		if best == nil || delay < choice.Delay {
 			best, choice = t, Choice{Target: t.entry, Learned: t.learned, Delay: delay, Load: load}
 		}
 	}
 	if best == nil {
 		return Choice{}, reason.New("no target of service %q accepts the request", r.Service)
 	}
-	choice = p.estimatePrefill(now, best, r, choice)
+	choice = plain.otherwise(p.estimatePrefill(now, best, r, choice))
 	if own {
 		return p.recordSend(now, best, r, choice), nil
 	}
+	p.recordParts(now, best, r, choice)
 	best.reserve(now, r, choice, p.speed(now, best))
 	return choice, nil
 }
@@ -88,7 +92,7 @@
 	if !known || !t.accepting || !t.rest.allows(now) || !r.Copy && !p.mayTake(now, t) || t.entry.Service != r.Service || slices.Contains(r.Exclude, c.Target.ID) {
 		return Choice{}, false
 	}
-	c.Target, c.Learned = t.entry, t.learned
+	c.Target, c.Learned, c.Kept = t.entry, t.learned, c.Kept.boundedTo(r)
 	return p.recordSend(now, t, r, c), true
 }
 
@@ -103,7 +107,7 @@
 	case c.Late:
 		load = Load{Streams: 1}
 	default:
-		t.prompts.add(now, r.PromptTokens, speed)
+		t.prompts.add(now, r.without(c.Kept).PromptTokens, speed)
 	}
 	t.reserved = append(t.reserved, reservation{load: load, expires: now.Add(reservationLifetime)})
 }
--- a/pkg/usherpool/pool.go
+++ b/pkg/usherpool/pool.go
@@ -30,6 +30,7 @@
 
 	"github.com/samphireusher/samphireusher/pkg/ushercatalog"
 	"github.com/samphireusher/samphireusher/pkg/usherlength"
+	"github.com/samphireusher/samphireusher/pkg/usherprefix"
 	"github.com/samphireusher/samphireusher/pkg/usherroute"
 	"github.com/samphireusher/samphireusher/pkg/usherspeed"
 )
@@ -106,6 +107,8 @@
 		// DataCentre is the data centre of this host.
 		DataCentre string
 		Random     *rand.Rand
+		// WeighParts makes the pool count what targets keep of earlier prompts.
+		WeighParts bool
 	}
 
 	// Request describes a request before it is sent.
@@ -144,10 +147,7 @@
 	}
 
 	// Part is a part of a prompt.
-	Part struct {
-		ID     string `cbor:"1,keyasint"`
-		Tokens int    `cbor:"2,keyasint"`
-	}
+	Part = usherprefix.Part
 
 	// Choice is the chosen target with the inputs of the decision.
 	Choice struct {
@@ -168,6 +168,8 @@
 		Load Load
 		// Placer is the host that chose for the fleet; empty if the host that relays the request chose by itself.
 		Placer string
+		// Kept is what the target is expected to keep of the prompt.
+		Kept Kept
 		// HasTurn reports that the target has named a limit and that this request has used a turn.
 		HasTurn bool
 	}
@@ -188,9 +190,10 @@
 		// resting has the rests of incarnations whose entry is missing. It may come back.
 		resting map[incarnation]rest
 		// limits has the limits of incarnations whose entry is missing.
-		limits  map[incarnation]*limit
-		speeds  usherspeed.Tracker
-		lengths usherlength.Tracker
+		limits   map[incarnation]*limit
+		prefixes usherprefix.View
+		speeds   usherspeed.Tracker
+		lengths  usherlength.Tracker
 		// byService has the targets of each service, sorted by id.
 		byService map[string][]*target
 		// peerSums are the loads reported by peers as of peerSumsAt, see roomLoad.
@@ -319,9 +322,12 @@
 	r = p.estimateOutput(r)
 	var best *target
 	var choice Choice
+	var plain plainChoice
 	reason := ErrNoTarget
 	considered := 0
-	for _, t := range p.shuffledCandidates(now, r) {
+	candidates := p.shuffledCandidates(now, r)
+	p.preferKept(now, candidates, r)
+	for _, t := range candidates {
 		if !r.Copy && considered == p.sampleSize() && best != nil {
 			break
 		}
@@ -340,6 +346,7 @@
 		}
 		considered++
 		delay := p.delay(now, t, r, load)
+		plain.consider(t, delay+p.kept(now, t, r, load).Saving)
 		if best == nil || delay < choice.Delay {
 			best, choice = t, Choice{Target: t.entry, Learned: t.learned, Delay: delay, Load: load}
 		}
@@ -347,7 +354,7 @@
 	if best == nil {
 		return Choice{}, reason.New("no target of service %q accepts the request", r.Service)
 	}
-	choice = p.estimatePrefill(now, best, r, choice)
+	choice = plain.otherwise(p.estimatePrefill(now, best, r, choice))
 	return p.recordSend(now, best, r, choice), nil
 }
 
@@ -355,6 +362,8 @@
 func (p *Pool) estimatePrefill(now time.Time, t *target, r Request, c Choice) Choice {
 	c.OutputTokens = r.OutputTokens
 	if !r.Copy {
+		c.Kept = p.kept(now, t, r, c.Load)
+		r = r.without(c.Kept)
 		speed := p.speed(now, t)
 		queuedTokens := p.pendingPrefill(now, t, c.Load, speed)
 		c.Forecast = p.forecast(now, t, r, c.Load)
@@ -375,6 +384,8 @@
 	if r.Copy {
 		return c
 	}
+	p.recordParts(now, t, r, c)
+	r = r.without(c.Kept)
 	if p.isCold(now, t) {
 		t.cold.take()
 	}
@@ -443,7 +454,7 @@
 			delay += limitedCopyCost
 		}
 	} else {
-		delay += time.Duration(load.Awaited) * pendingResumeCost
+		delay += time.Duration(load.Awaited)*pendingResumeCost - p.kept(now, t, r, load).Saving
 	}
 	speed := p.speed(now, t)
 	pending := p.pendingPrefill(now, t, load, speed)
--- a/pkg/usherpool/room.go
+++ b/pkg/usherpool/room.go
@@ -46,6 +46,7 @@
 	r = p.estimateOutput(r)
 	var best *target
 	var choice Choice
+	var plain plainChoice
 	reason := ErrNoTarget
 	for _, t := range p.shuffledCandidates(now, r) {
 		load := p.roomLoad(now, t)
@@ -53,14 +54,16 @@
 			reason = ErrNoRoom
 			continue
 		}
-		if delay := p.delay(now, t, r, load); best == nil || delay < choice.Delay {
+		delay := p.delay(now, t, r, load)
+		plain.consider(t, delay+p.kept(now, t, r, load).Saving)
+		if best == nil || delay < choice.Delay {
 			best, choice = t, Choice{Target: t.entry, Learned: t.learned, Delay: delay, Load: load}
 		}
 	}
 	if best == nil {
 		return Choice{}, reason.New("no target of service %q has room for the request", r.Service)
 	}
-	choice = p.estimatePrefill(now, best, r, choice)
+	choice = plain.otherwise(p.estimatePrefill(now, best, r, choice))
 	// What has waited for room need not be held back by engines once more.
 	choice.Late = choice.Late && room.Beyond
 	speed := p.speed(now, best)
@@ -73,9 +76,10 @@
 		best.reserved = append(best.reserved, reservation{load: load, expires: now.Add(ownReservationLifetime)})
 		choice = p.recordSend(now, best, r, choice)
 	} else {
+		p.recordParts(now, best, r, choice)
 		best.reserve(now, r, choice, speed)
 	}
-	best.expected = append(best.expected, expectedPrompt{tokens: r.PromptTokens, until: now.Add(reportLag + speed.Scale(PrefillTime(int(best.prompts.remaining(now, speed)))))})
+	best.expected = append(best.expected, expectedPrompt{tokens: r.without(choice.Kept).PromptTokens, until: now.Add(reportLag + speed.Scale(PrefillTime(int(best.prompts.remaining(now, speed)))))})
 	return choice, nil
 }
 
--- a/service/usherhost/admin.go
+++ b/service/usherhost/admin.go
@@ -10,6 +10,7 @@
 
 	"github.com/samphireusher/samphireusher/pkg/ushercluster"
 	"github.com/samphireusher/samphireusher/pkg/usherpool"
+	"github.com/samphireusher/samphireusher/pkg/usherprefix"
 	"github.com/samphireusher/samphireusher/pkg/ushershare"
 )
 
@@ -41,6 +42,8 @@
 		Connections connCounts          `json:"connections"`
 		Hosts       []hostWire          `json:"hosts"`
 		Targets     []usherpool.Summary `json:"targets"`
+		// KeptParts is what targets are believed to keep of prompts.
+		KeptParts usherprefix.Summary `json:"kept_parts"`
 		// Suspects is the number of requests that were in progress on crashed targets, as far as they are remembered. Blamed
 		// is what crashes are attributed to, each as the fingerprints of what a request must have.
 		Suspects int      `json:"suspects"`
@@ -106,6 +109,7 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+MetricsPath, h.metrics.serve)
 	mux.HandleFunc("GET "+DumpPath, h.dump)
+	mux.HandleFunc("POST "+ExplainPath, h.explain)
 	return alice.New(noStore).Then(mux)
 }
 
@@ -134,7 +138,7 @@
 		Waiting: waiting,
 		Cores:   self.Cores, LinkMbps: self.LinkMbps, Pressure: level, Signs: signs,
 		Process: s.cluster.Self().Name, DataCentre: s.cluster.Self().DataCentre, State: h.lifecycle.Current(), Revision: s.catalog.Revision(),
-		InProgress: h.inProgress.Load(), Connections: h.conns.counts(), Targets: s.pool.Summaries(now),
+		InProgress: h.inProgress.Load(), Connections: h.conns.counts(), Targets: s.pool.Summaries(now), KeptParts: s.pool.KeptParts(now),
 		Suspects: s.suspicion.tracker.Len(), Blamed: s.suspicion.describeBlamed(now),
 	}
 	if t := s.catalog.Table(); t != nil {
--- a/service/usherhost/ingress.go
+++ b/service/usherhost/ingress.go
@@ -146,13 +146,10 @@
 	if limits.HeaderBytes > 0 && headerBytes(r) > limits.HeaderBytes {
 		return req, refuse(reasonHeaderTooLarge, noRetryAfter, nil)
 	}
-	if req.route, err = table.Route(call.Host, call.Path); err != nil {
-		return req, refuse(reasonNoRoute, noRetryAfter, err)
-	}
-	if req.workspace, err = table.Authenticate(req.route, call.APIKey); err != nil {
-		return req, refuse(reasonUnknownKey, noRetryAfter, err)
+	refusal := req.resolve(table)
+	if refusal != nil {
+		return req, refusal
 	}
-	var refusal *refusal
 	if req.Body, refusal = readRequestBody(r, limits.BodyBytes); refusal != nil {
 		return req, refusal
 	}
@@ -164,6 +161,18 @@
 	return req, nil
 }
 
+// resolve finds the route and the workspace of the request.
+func (req *requestState) resolve(table *usherroute.Table) *refusal {
+	var err error
+	if req.route, err = table.Route(req.Host, req.Path); err != nil {
+		return refuse(reasonNoRoute, noRetryAfter, err)
+	}
+	if req.workspace, err = table.Authenticate(req.route, req.APIKey); err != nil {
+		return refuse(reasonUnknownKey, noRetryAfter, err)
+	}
+	return nil
+}
+
 // timeout returns how long the request may take.
 func (req *requestState) timeout() time.Duration {
 	limit := req.Timeout
@@ -338,7 +347,7 @@
 	}
 	if req.route.Kind == usherroute.Stream {
 		attributes = append(attributes, slog.Any("parts", req.SharedParts), slog.Int("events", req.events), slog.Int("resumes", req.resumes),
-			slog.Group("choice", "by", req.choice.Placer, "expected_ms", req.choice.PrefillTime.Milliseconds(), "late", req.choice.Late, "load", req.choice.Load, "forecast", describeForecast(req.choice.Forecast)), slog.Int64("first_event_ms", req.firstEvent.Milliseconds()), slog.Int64("longest_pause_ms", req.longestPause.Milliseconds()))
+			slog.Group("choice", "by", req.choice.Placer, "expected_ms", req.choice.PrefillTime.Milliseconds(), "late", req.choice.Late, "kept_tokens", req.choice.Kept.Tokens, "saving_ms", req.choice.Kept.Saving.Milliseconds(), "otherwise", req.choice.Kept.Otherwise, "load", req.choice.Load, "forecast", describeForecast(req.choice.Forecast)), slog.Int64("first_event_ms", req.firstEvent.Milliseconds()), slog.Int64("longest_pause_ms", req.longestPause.Milliseconds()))
 	}
 	if cause != nil {
 		attributes = append(attributes, slog.String("error", errorText(cause)))
--- a/service/usherhost/outcome.go
+++ b/service/usherhost/outcome.go
@@ -51,6 +51,8 @@
 		Workspace       string        `cbor:"11,keyasint,omitempty"`
 		OutputHint      int           `cbor:"12,keyasint,omitempty"`
 		MaxOutputTokens int           `cbor:"13,keyasint,omitempty"`
+
+		Kept *usherpool.KeptOutcome `cbor:"14,keyasint,omitempty"`
 	}
 )
 
@@ -79,7 +81,7 @@
 	}
 	g.host.metrics.recordForecast(f.FirstEvent, seen)
 	o := g.outcome()
-	o.Base, o.FirstEvent = f.Base, seen
+	o.Base, o.FirstEvent, o.Kept = f.Base, seen, g.keptOutcome()
 	g.reportOutcome(o)
 }
 
@@ -186,7 +188,9 @@
 
 // reportOutcome records an outcome in this host and tells the placers of it. It is not repeated.
 func (g *generation) reportOutcome(o usherpool.Outcome) {
-	g.host.state.recordOutcome(g.host.state.self().Name, o)
+	if wrongParts := g.host.state.recordOutcome(g.host.state.self().Name, o); wrongParts {
+		g.host.metrics.prefixes.wrong.Inc(1)
+	}
 	g.host.peers.sendOutcome(outcomeWire(o))
 }
 
@@ -225,10 +229,10 @@
 	}
 }
 
-func (s *sharedState) recordOutcome(host string, o usherpool.Outcome) {
+func (s *sharedState) recordOutcome(host string, o usherpool.Outcome) (wrongParts bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.pool.RecordOutcome(time.Now(), host, o)
+	return s.pool.RecordOutcome(time.Now(), host, o)
 }
 
 // forecastLog is a forecast as it is logged.
--- a/service/usherhost/placement.go
+++ b/service/usherhost/placement.go
@@ -80,7 +80,8 @@
 		Load        usherpool.Load `cbor:"4,keyasint,omitempty"`
 		PrefillTime time.Duration  `cbor:"5,keyasint,omitempty"`
 		// Late reports that the first result is not expected within that time.
-		Late bool `cbor:"6,keyasint,omitempty"`
+		Late bool           `cbor:"6,keyasint,omitempty"`
+		Kept usherpool.Kept `cbor:"12,keyasint,omitempty"`
 		// Forecast is what is expected of the request at the target.
 		Forecast usherpool.Forecast `cbor:"10,keyasint,omitempty"`
 		// Verdict is verdictWait if the request waits, with another reply to follow, or verdictRefuse if it cannot begin in its
@@ -125,7 +126,7 @@
 	reply, ok := p.request(ctx, placer, r)
 	if ok && reply.Target != "" {
 		choice := usherpool.Choice{
-			Target: ushercatalog.Target{ID: reply.Target}, Delay: reply.Delay, PrefillTime: reply.PrefillTime, Late: reply.Late, Load: reply.Load, Forecast: reply.Forecast, OutputTokens: reply.OutputTokens, Placer: placer.Name,
+			Target: ushercatalog.Target{ID: reply.Target}, Delay: reply.Delay, PrefillTime: reply.PrefillTime, Late: reply.Late, Load: reply.Load, Kept: reply.Kept, Forecast: reply.Forecast, OutputTokens: reply.OutputTokens, Placer: placer.Name,
 		}
 		if choice, taken := p.state.adoptChoice(r, choice); taken {
 			return choice, nil
@@ -255,6 +256,7 @@
 		d.PlacementReply.Target, d.PlacementReply.Delay, d.PlacementReply.Load = choice.Target.ID, choice.Delay, choice.Load
 		d.PlacementReply.OutputTokens = choice.OutputTokens
 		d.PlacementReply.PrefillTime, d.PlacementReply.Late, d.PlacementReply.Forecast = choice.PrefillTime, choice.Late, choice.Forecast
+		d.PlacementReply.Kept = choice.Kept
 	}
 	p.peers.send(d, from.Address)
 }
