--- a/pkg/usherpool/pool.go
+++ b/pkg/usherpool/pool.go
@@ -196,11 +196,11 @@
 		lengths  usherlength.Tracker
 		// byService has the targets of each service, sorted by id.
 		byService map[string][]*target
-		// adopted has what another host has learned of the targets of a service.
-		adopted map[string]adoptedSpeeds
 		// peerSums are the loads reported by peers as of peerSumsAt, see roomLoad.
 		peerSums   map[*target]Load
 		peerSumsAt time.Time
+		// adopted has what another host has learned of the targets of a service.
+		adopted map[string]adoptedSpeeds
 		// speedsAt is when the speeds of a service's targets were last estimated.
 		speedsAt map[string]time.Time
 	}
--- a/service/usherhost/state.go
+++ b/service/usherhost/state.go
@@ -45,6 +45,10 @@
 		leavingNotices []leavingNotice
 		// limitEnds are the limits that have ended lately, as this host or a peer learned.
 		limitEnds map[limitKey]limitEnd
+		// lentTurns are at targets that have named no limit to this host.
+		lentTurns usherpool.LentTurns
+		// roster are the hosts that share limits, in the order of their places.
+		roster    []ushercluster.Member
 		suspicion suspicion
 		// callOutcomes are what this host saw of plain calls since its last report to the collector.
 		callOutcomes []outcomeWire
@@ -146,6 +150,7 @@
 func (s *sharedState) updatePool(now time.Time) {
 	place, hosts := s.cluster.LimitShare(now)
 	s.pool.SetPlace(place)
+	s.updateRoster(now, hosts)
 	s.pool.Update(now, s.catalog.Targets(), s.catalog.Evacuated, s.catalog.Table(), hosts)
 }
 
