--- a/pkg/usherpool/explain.go
+++ b/pkg/usherpool/explain.go
@@ -125,7 +125,8 @@
 // quietDelay is delay with the same random term for all targets. It must be called on a copy of the pool.
 func (p *Pool) quietDelay(now time.Time, t *target, r Request, load Load) time.Duration {
 	p.options.Random = rand.New(rand.NewPCG(0, 0))
-	return p.delay(now, t, r, load)
+	delay, _ := p.delay(now, t, r, load)
+	return delay
 }
 
 // passedOver returns why t cannot be chosen, and after what time it can.
--- a/pkg/usherpool/place.go
+++ b/pkg/usherpool/place.go
@@ -48,8 +48,8 @@
 			reason = ErrFull
 			continue
 		}
-		delay := p.delay(now, t, r, load)
-		plain.consider(t, delay+p.kept(now, t, r, load).Saving)
+		delay, saving := p.delay(now, t, r, load)
+		plain.consider(t, delay+saving)
 		if best == nil || delay < choice.Delay {
 			best, choice = t, Choice{Target: t.entry, Learned: t.learned, Delay: delay, Load: load}
 		}
--- a/pkg/usherpool/pool.go
+++ b/pkg/usherpool/pool.go
@@ -345,8 +345,8 @@
 			continue
 		}
 		considered++
-		delay := p.delay(now, t, r, load)
-		plain.consider(t, delay+p.kept(now, t, r, load).Saving)
+		delay, saving := p.delay(now, t, r, load)
+		plain.consider(t, delay+saving)
 		if best == nil || delay < choice.Delay {
 			best, choice = t, Choice{Target: t.entry, Learned: t.learned, Delay: delay, Load: load}
 		}
@@ -436,8 +436,15 @@
 	return r.Backup && float64(used) > backupShare*float64(p.usableMemoryTokens(t))/memoryShare
 }
 
-// delay estimates how long r would wait at t for its first result.
-func (p *Pool) delay(now time.Time, t *target, r Request, load Load) time.Duration {
+// delay estimates how long r would wait at t for its first result. saving is by how much that is less because of the parts of the prompt
+// that t keeps.
+func (p *Pool) delay(now time.Time, t *target, r Request, load Load) (delay, saving time.Duration) {
+	saving = p.kept(now, t, r, load).Saving
+	return p.delayWithoutKept(now, t, r, load) - saving, saving
+}
+
+// delayWithoutKept is delay for a target that keeps no part of the prompt.
+func (p *Pool) delayWithoutKept(now time.Time, t *target, r Request, load Load) time.Duration {
 	delay := time.Duration(t.health.failureRate(now) * float64(failureCost))
 	if t.entry.DataCentre != p.origin(r) {
 		delay += remoteCost
@@ -454,7 +461,7 @@
 			delay += limitedCopyCost
 		}
 	} else {
-		delay += time.Duration(load.Awaited)*pendingResumeCost - p.kept(now, t, r, load).Saving
+		delay += time.Duration(load.Awaited) * pendingResumeCost
 	}
 	speed := p.speed(now, t)
 	pending := p.pendingPrefill(now, t, load, speed)
--- a/pkg/usherpool/prefix.go
+++ b/pkg/usherpool/prefix.go
@@ -94,8 +94,8 @@
 // memory returns the memory of t as far as its service declares it.
 func (p *Pool) memory(t *target, load Load) usherprefix.Memory {
 	m := usherprefix.Memory{Used: load.Tokens + load.CopyTokens}
-	if s, ok := p.service(t.entry.Service); ok && s.Engine != nil {
-		m.Capacity = s.Engine.MemoryTokens
+	if t.service.Engine != nil {
+		m.Capacity = t.service.Engine.MemoryTokens
 	}
 	return m
 }
