--- a/cmd/usher-host/daemon/capacity_test.go
+++ b/cmd/usher-host/daemon/capacity_test.go
@@ -134,6 +134,12 @@
 		if n := namedTo(); n < 2 || n > 25 {
 			t.Errorf("the host is named to %d of 80 callers at level 3, want about 10", n)
 		}
+		if dump := b.getAt(b.hosts[0], adminPort, usherhost.DumpPath).body; strings.Count(dump, `"pressure": 3`) != 1 {
+			t.Errorf("the dump of another host does not show one host at level 3: %s", dump)
+		}
+		if text := b.getAt(b.hosts[11], metricsPort, usherhost.MetricsPath).body; !strings.Contains(text, "host.pressure 3") {
+			t.Errorf("the metrics of the host do not show its level: %s", text)
+		}
 		for _, done := range results {
 			if got := <-done; got.err != nil || got.status != http.StatusOK {
 				t.Errorf("stream at a host under pressure: status %d, error %v", got.status, got.err)
--- a/pkg/ushershare/share.go
+++ b/pkg/ushershare/share.go
@@ -99,7 +99,7 @@
 	}
 	slices.Sort(ranks)
 	limit := ranks[min(MinAddresses, len(ranks))-1]
-	var chosen []Host
+	chosen := make([]Host, 0, min(len(candidates), MaxAddresses))
 	for i, c := range candidates {
 		if (c.rank < 1 || c.rank <= limit || i >= local && c.rank == firstRemote) && len(chosen) < MaxAddresses {
 			chosen = append(chosen, c.Host)
@@ -110,6 +110,7 @@
 
 // partition returns the hosts with those of the data centre first, and the number of these.
 func partition(hosts []Host, dataCentre string) (candidates []candidate, local int) {
+	candidates = make([]candidate, 0, len(hosts))
 	for _, h := range hosts {
 		if h.DataCentre == dataCentre {
 			candidates = append(candidates, candidate{Host: h})
--- a/service/usherhost/standstill.go
+++ b/service/usherhost/standstill.go
@@ -79,8 +79,9 @@
 		start := time.Now()
 		sleep(ctx, interval)
 		now := time.Now()
-		if stood := p.checkStandstill(); !stood && ctx.Err() == nil {
-			recordDelay(now, now.Sub(start)-interval)
+		// A standstill is no sign of pressure. The goroutine that receives datagrams may have noticed it first.
+		if delay := now.Sub(start) - interval; !p.checkStandstill() && delay < standstillTime-2*pulseInterval && ctx.Err() == nil {
+			recordDelay(now, delay)
 		}
 	}
 }
