--- a/pkg/usherpool/forecast_test.go
+++ b/pkg/usherpool/forecast_test.go
@@ -169,20 +169,23 @@
 	}
 }
 
-func BenchmarkPlaceAmong64(b *testing.B) {
-	for _, learned := range []bool{false, true} {
-		b.Run(fmt.Sprint("learned=", learned), func(b *testing.B) {
-			p := newPool(1, targets(64), 30)
-			if learned {
-				learnSpeeds(p, start, 64)
-			}
-			r := longRequest()
-			r.Copy, r.Backup = true, false
-			for i := range b.N {
-				if _, err := p.Choose(start.Add(time.Duration(i)*time.Millisecond), r); err != nil {
-					b.Fatal(err)
+func BenchmarkChooseBySpeed(b *testing.B) {
+	for _, n := range []int{64, 1200} {
+		for _, learned := range []bool{false, true} {
+			b.Run(fmt.Sprintf("targets=%d/learned=%t", n, learned), func(b *testing.B) {
+				p := newPool(1, targets(n), 30)
+				if learned {
+					learnSpeeds(p, start, n)
 				}
-			}
-		})
+				r := longRequest()
+				// All targets are compared for a copy.
+				r.Copy = true
+				for i := range b.N {
+					if _, err := p.Choose(start.Add(time.Duration(i)*time.Millisecond), r); err != nil {
+						b.Fatal(err)
+					}
+				}
+			})
+		}
 	}
 }
