usherhost: ask anew after a target that was tried

A stream whose target was withdrawn asked under the same key as before and got the same target again, which it declines: one more round trip. The number of targets tried is part of the key now, and the time waited counts from the request's arrival.

--- a/service/usherhost/waiting.go
+++ b/service/usherhost/waiting.go
@@ -17,8 +17,8 @@
 const (
 	// maxAskInterval bounds what a placer asks for.
 	maxAskInterval = time.Second
-	// maxWaitTries bounds the grants that a host may decline for one request.
-	maxWaitTries = 4
+	// maxDeclined bounds the grants that a host may decline for one request.
+	maxDeclined = 4
 	// pendingReplies is how many replies to asks for one request may be unread.
 	pendingReplies = 4
 )
@@ -34,15 +34,16 @@
 	}
 	id, replies := p.register(pendingReplies)
 	defer p.unregister(id)
-	start, asks := time.Now(), 0
+	start, asks, declined := time.Now(), 0, 0
 	ask := waitWire{Attempt: g.req.Attempt, Content: g.req.content()}
 	for {
 		r := g.placementRequest(g.req.excludedTargets())
 		placer, own := p.selectPlacer()
-		if placer.Name == "" || ask.Try == maxWaitTries {
+		if placer.Name == "" || declined == maxDeclined {
 			return g.placed(h.state.choose(r))
 		}
-		ask.Patience, ask.Waited = time.Until(g.req.deadline), time.Since(start)
+		// Each target that was tried or declined makes the next grant another one.
+		ask.Try, ask.Patience, ask.Waited = len(g.req.targets)+declined, time.Until(g.req.deadline), time.Since(g.req.received)
 		reply, answered := p.ask(ctx, placer, own, id, replies, r, ask)
 		asks++
 		if answered && reply.Verdict == verdictWait {
@@ -77,7 +78,7 @@
 			// Targets may have crashed under requests like this one meanwhile.
 			return choice, h.refuseSuspect(g.req)
 		}
-		ask.Try++
+		declined++
 	}
 }
 
