--- a/pkg/usherpool/place.go
+++ b/pkg/usherpool/place.go
@@ -3,12 +3,16 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/samphireusher/samphireusher/pkg/usherspeed"
 )
 
 const (
 	// reservationLifetime is how long a choice made for another host counts as load on the target. It covers a report
 	// of that host, a report of its collector, and the interval before each of them.
 	reservationLifetime = 600 * time.Millisecond
+	// prefillReportAge is the age of what hosts report of prompts: a report of the host and one of its collector.
+	prefillReportAge = 300 * time.Millisecond
 	// maxFailureRate is the failure rate from which a target is excluded from the choices that other hosts make for
 	// this one.
 	maxFailureRate = 0.25
@@ -33,8 +37,10 @@
 // several hosts send their requests to the same best one. The requesting host passes the result of its ExcludedTargets in
 // r.Exclude.
 func (p *Pool) Place(now time.Time, r Request, own bool) (Choice, error) {
+	r = p.estimateOutput(r)
 	var best *target
 	var choice Choice
+	var plain plainChoice
 	reason := ErrNoTarget
 	for _, t := range p.shuffledCandidates(now, r) {
 		load := p.totalLoad(now, t)
@@ -42,18 +48,21 @@
 			reason = ErrFull
 			continue
 		}
-		if delay := p.delay(now, t, r, load); best == nil || delay < choice.Delay {
+		delay := p.delay(now, t, r, load)
+		plain.consider(t, delay+p.kept(now, t, r, load).Saving)
+		if best == nil || delay < choice.Delay {
 			best, choice = t, Choice{Target: t.entry, Learned: t.learned, Delay: delay, Load: load}
 		}
 	}
 	if best == nil {
 		return Choice{}, reason.New("no target of service %q accepts the request", r.Service)
 	}
-	choice = p.estimatePrefill(now, best, r, choice)
+	choice = plain.otherwise(p.estimatePrefill(now, best, r, choice))
 	if own {
 		return p.recordSend(now, best, r, choice), nil
 	}
-	best.reserve(now, r, choice)
+	p.recordParts(now, best, r, choice)
+	best.reserve(now, r, choice, p.speed(now, best))
 	return choice, nil
 }
 
@@ -83,11 +92,11 @@
 	if !known || !t.accepting || !t.rest.allows(now) || !r.Copy && !p.mayTake(now, t) || t.entry.Service != r.Service || slices.Contains(r.Exclude, c.Target.ID) {
 		return Choice{}, false
 	}
-	c.Target, c.Learned = t.entry, t.learned
+	c.Target, c.Learned, c.Kept = t.entry, t.learned, c.Kept.boundedTo(r)
 	return p.recordSend(now, t, r, c), true
 }
 
-func (t *target) reserve(now time.Time, r Request, c Choice) {
+func (t *target) reserve(now time.Time, r Request, c Choice, speed usherspeed.Estimate) {
 	tokens := r.PromptTokens + r.OutputTokens
 	load := Load{Streams: 1, Tokens: tokens}
 	switch {
@@ -98,7 +107,7 @@
 	case c.Late:
 		load = Load{Streams: 1}
 	default:
-		t.prompts.add(now, r.PromptTokens)
+		t.prompts.add(now, r.without(c.Kept).PromptTokens, speed)
 	}
 	t.reserved = append(t.reserved, reservation{load: load, expires: now.Add(reservationLifetime)})
 }
@@ -113,15 +122,20 @@
 }
 
 // pendingPrefill estimates the prompt tokens that t has to process before those of a new request.
-func (p *Pool) pendingPrefill(now time.Time, t *target, load Load) int {
-	return max(int(t.prompts.remaining(now)), load.Prefill)
+func (p *Pool) pendingPrefill(now time.Time, t *target, load Load, speed usherspeed.Estimate) int {
+	reported := load.Prefill
+	if speed.Uneven() {
+		// Hosts report whole prompts until their first events, and what they report is old.
+		reported -= int(float64(prefillReportAge.Milliseconds()) * prefillTokensPerMs / speed.Factor)
+	}
+	return max(int(t.prompts.remaining(now, speed)), reported)
 }
 
-func (q *promptQueue) add(now time.Time, tokens int) {
-	q.tokens, q.updated = q.remaining(now)+float64(tokens), now
+func (q *promptQueue) add(now time.Time, tokens int, speed usherspeed.Estimate) {
+	q.tokens, q.updated = q.remaining(now, speed)+float64(tokens), now
 }
 
 // remaining returns the tokens left in the queue, as engines process prompts continuously.
-func (q *promptQueue) remaining(now time.Time) float64 {
-	return max(0, q.tokens-float64(now.Sub(q.updated).Milliseconds())*prefillTokensPerMs)
+func (q *promptQueue) remaining(now time.Time, speed usherspeed.Estimate) float64 {
+	return max(0, q.tokens-float64(now.Sub(q.updated).Milliseconds())*prefillTokensPerMs/speed.Factor)
 }
--- a/pkg/usherpool/pool.go
+++ b/pkg/usherpool/pool.go
@@ -20,6 +20,7 @@
 package usherpool
 
 import (
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"strings"
@@ -28,7 +29,10 @@
 	"github.com/joomcode/errorx"
 
 	"github.com/samphireusher/samphireusher/pkg/ushercatalog"
+	"github.com/samphireusher/samphireusher/pkg/usherlength"
+	"github.com/samphireusher/samphireusher/pkg/usherprefix"
 	"github.com/samphireusher/samphireusher/pkg/usherroute"
+	"github.com/samphireusher/samphireusher/pkg/usherspeed"
 )
 
 const (
@@ -103,6 +107,8 @@
 		// DataCentre is the data centre of this host.
 		DataCentre string
 		Random     *rand.Rand
+		// WeighParts makes the pool count what targets keep of earlier prompts.
+		WeighParts bool
 	}
 
 	// Request describes a request before it is sent.
@@ -132,15 +138,16 @@
 		MaxPause time.Duration
 		// Events is the expected number of events.
 		Events int
+		// OutputHint and MaxOutputTokens are what the caller said of the output. From them, OutputTokens and Events are estimated anew where
+		// lengths have been learned.
+		OutputHint      int
+		MaxOutputTokens int
 		// Parts are the parts of the prompt that other requests may share, in order.
 		Parts []Part
 	}
 
 	// Part is a part of a prompt.
-	Part struct {
-		ID     string `cbor:"1,keyasint"`
-		Tokens int    `cbor:"2,keyasint"`
-	}
+	Part = usherprefix.Part
 
 	// Choice is the chosen target with the inputs of the decision.
 	Choice struct {
@@ -151,12 +158,18 @@
 		// target and this one are processed.
 		Delay       time.Duration
 		PrefillTime time.Duration
+		// Forecast is what was expected of the request at the target; zero for copies.
+		Forecast Forecast
+		// OutputTokens is the estimate that was used.
+		OutputTokens int
 		// Late reports that the first result is not expected within the objective.
 		Late bool
 		// Load is the known load on the target from all hosts.
 		Load Load
 		// Placer is the host that chose for the fleet; empty if the host that relays the request chose by itself.
 		Placer string
+		// Kept is what the target is expected to keep of the prompt.
+		Kept Kept
 		// HasTurn reports that the target has named a limit and that this request has used a turn.
 		HasTurn bool
 	}
@@ -177,14 +190,24 @@
 		// resting has the rests of incarnations whose entry is missing. It may come back.
 		resting map[incarnation]rest
 		// limits has the limits of incarnations whose entry is missing.
-		limits map[incarnation]*limit
+		limits   map[incarnation]*limit
+		prefixes usherprefix.View
+		speeds   usherspeed.Tracker
+		lengths  usherlength.Tracker
+		// byService has the targets of each service, sorted by id.
+		byService map[string][]*target
 		// peerSums are the loads reported by peers as of peerSumsAt, see roomLoad.
 		peerSums   map[*target]Load
 		peerSumsAt time.Time
+		// adopted has what another host has learned of the targets of a service.
+		adopted map[string]adoptedSpeeds
+		// speedsAt is when the speeds of a service's targets were last estimated.
+		speedsAt map[string]time.Time
 	}
 
 	target struct {
 		entry     ushercatalog.Target
+		service   usherroute.Service
 		learned   time.Time
 		coldUntil time.Time
 		// accepting reports whether new work may be sent.
@@ -203,12 +226,14 @@
 		prompts  promptQueue
 		// expected holds the prompts that hosts may still report, see queuedPrompts.
 		expected []expectedPrompt
+		// speed is what was known of the target's speed at the time that the pool's speedsAt names.
+		speed usherspeed.Estimate
 	}
 )
 
 // New returns a pool without targets.
 func New(options Options) *Pool {
-	return &Pool{options: options, targets: map[string]*target{}, peers: map[string]peerLoads{}, hosts: 1, departed: map[incarnation]time.Time{}, resting: map[incarnation]rest{}, limits: map[incarnation]*limit{}}
+	return &Pool{options: options, targets: map[string]*target{}, peers: map[string]peerLoads{}, hosts: 1, departed: map[incarnation]time.Time{}, resting: map[incarnation]rest{}, limits: map[incarnation]*limit{}, adopted: map[string]adoptedSpeeds{}}
 }
 
 // Update replaces the published targets, the evacuated data centres and the declarations. hosts is the number of hosts
@@ -249,10 +274,23 @@
 			p.keepLimit(now, t)
 		}
 	}
+	p.indexTargets()
 	p.sweepNotices(now)
 	p.sweepLimits(now)
 }
 
+func (p *Pool) indexTargets() {
+	p.byService, p.speedsAt = map[string][]*target{}, map[string]time.Time{}
+	for _, t := range p.targets {
+		t.service, _ = p.service(t.entry.Service)
+		p.byService[t.entry.Service] = append(p.byService[t.entry.Service], t)
+	}
+	maps.DeleteFunc(p.adopted, func(service string, _ adoptedSpeeds) bool { return p.byService[service] == nil })
+	for _, targets := range p.byService {
+		slices.SortFunc(targets, func(a, b *target) int { return strings.Compare(a.entry.ID, b.entry.ID) })
+	}
+}
+
 // MarkLeaving records that the given incarnation of a target announced, at the given time, that it is leaving, and reports
 // whether this changes the pool's view. A newer entry takes precedence.
 func (p *Pool) MarkLeaving(id string, incarnation int64, at time.Time) bool {
@@ -281,11 +319,15 @@
 
 // Choose returns the target with the least expected delay for r. It counts as a request sent to a cold target.
 func (p *Pool) Choose(now time.Time, r Request) (Choice, error) {
+	r = p.estimateOutput(r)
 	var best *target
 	var choice Choice
+	var plain plainChoice
 	reason := ErrNoTarget
 	considered := 0
-	for _, t := range p.shuffledCandidates(now, r) {
+	candidates := p.shuffledCandidates(now, r)
+	p.preferKept(now, candidates, r)
+	for _, t := range candidates {
 		if !r.Copy && considered == p.sampleSize() && best != nil {
 			break
 		}
@@ -304,6 +346,7 @@
 		}
 		considered++
 		delay := p.delay(now, t, r, load)
+		plain.consider(t, delay+p.kept(now, t, r, load).Saving)
 		if best == nil || delay < choice.Delay {
 			best, choice = t, Choice{Target: t.entry, Learned: t.learned, Delay: delay, Load: load}
 		}
@@ -311,17 +354,27 @@
 	if best == nil {
 		return Choice{}, reason.New("no target of service %q accepts the request", r.Service)
 	}
-	choice = p.estimatePrefill(now, best, r, choice)
+	choice = plain.otherwise(p.estimatePrefill(now, best, r, choice))
 	return p.recordSend(now, best, r, choice), nil
 }
 
 // estimatePrefill sets the expected prefill time of the choice and whether it misses the objective.
 func (p *Pool) estimatePrefill(now time.Time, t *target, r Request, c Choice) Choice {
+	c.OutputTokens = r.OutputTokens
 	if !r.Copy {
-		queuedTokens := p.pendingPrefill(now, t, c.Load)
-		c.PrefillTime = PrefillTime(queuedTokens + r.PromptTokens)
+		c.Kept = p.kept(now, t, r, c.Load)
+		r = r.without(c.Kept)
+		speed := p.speed(now, t)
+		queuedTokens := p.pendingPrefill(now, t, c.Load, speed)
+		c.Forecast = p.forecast(now, t, r, c.Load)
+		if r.PromptTokens == 0 {
+			return c
+		}
+		c.PrefillTime = c.Forecast.FirstEvent
+		// What is learned of the whole service includes the waits on overloaded engines.
+		waitFactor := prefillWaitFactor / min(speed.Slowness(), prefillWaitFactor)
 		// A prompt's own length must not make it late, or long prompts would always wait behind short ones.
-		c.Late = r.Objective > 0 && time.Duration(prefillWaitFactor*float64(PrefillTime(queuedTokens+typicalPromptTokens))) > r.Objective
+		c.Late = r.Objective > 0 && time.Duration(waitFactor*float64(speed.Scale(PrefillTime(queuedTokens+typicalPromptTokens)))) > r.Objective
 	}
 	return c
 }
@@ -331,12 +384,14 @@
 	if r.Copy {
 		return c
 	}
+	p.recordParts(now, t, r, c)
+	r = r.without(c.Kept)
 	if p.isCold(now, t) {
 		t.cold.take()
 	}
 	t.rest.sent(now)
 	if !c.Late {
-		t.prompts.add(now, r.PromptTokens)
+		t.prompts.add(now, r.PromptTokens, p.speed(now, t))
 	}
 	c.HasTurn = t.limit != nil && p.takeTurn(now, t.limit)
 	return c
@@ -344,15 +399,13 @@
 
 // shuffledCandidates returns the targets that may be chosen, in random order.
 func (p *Pool) shuffledCandidates(now time.Time, r Request) []*target {
-	var candidates []*target
-	for _, t := range p.targets {
-		if t.entry.Service == r.Service && t.accepting && !slices.Contains(r.Exclude, t.entry.ID) && !t.health.blocked(now) && t.rest.allows(now) {
+	// The order must depend on the pool's random source only.
+	candidates := make([]*target, 0, len(p.byService[r.Service]))
+	for _, t := range p.byService[r.Service] {
+		if t.accepting && !slices.Contains(r.Exclude, t.entry.ID) && !t.health.blocked(now) && t.rest.allows(now) {
 			candidates = append(candidates, t)
 		}
 	}
-	// Map iteration order is random but does not depend on the pool's random source; sorting makes the order
-	// reproducible.
-	slices.SortFunc(candidates, func(a, b *target) int { return strings.Compare(a.entry.ID, b.entry.ID) })
 	p.options.Random.Shuffle(len(candidates), func(i, j int) { candidates[i], candidates[j] = candidates[j], candidates[i] })
 	return candidates
 }
@@ -392,7 +445,7 @@
 	// Breaks ties between equal targets, so that hosts with the same view do not all choose the same target.
 	delay += time.Duration(p.options.Random.Float64() * float64(time.Millisecond))
 	if r.PromptTokens == 0 {
-		return delay + time.Duration(load.Calls)*callCost/time.Duration(max(t.entry.Slots, 1))
+		return delay + p.callDelay(now, t, load)
 	}
 	tokens := r.PromptTokens + r.OutputTokens
 	if r.Copy {
@@ -401,10 +454,17 @@
 			delay += limitedCopyCost
 		}
 	} else {
-		delay += time.Duration(load.Awaited) * pendingResumeCost
+		delay += time.Duration(load.Awaited)*pendingResumeCost - p.kept(now, t, r, load).Saving
+	}
+	speed := p.speed(now, t)
+	pending := p.pendingPrefill(now, t, load, speed)
+	delay += speed.Scale(PrefillTime(pending)) + pauseCost(speed, r)
+	if !r.Copy {
+		// The time for the prompt itself is the same at all targets but for their speed.
+		prompt := PrefillTime(r.PromptTokens)
+		delay += speed.Scale(prompt) - prompt
 	}
-	delay += PrefillTime(p.pendingPrefill(now, t, load))
-	delay += time.Duration(load.Streams)*streamCost + time.Duration(load.Copies)*streamCost/4
+	delay += speed.Scale(time.Duration(load.Streams)*streamCost + time.Duration(load.Copies)*streamCost/4)
 	if capacity := p.usableMemoryTokens(t); capacity > 0 {
 		used := float64(load.Tokens+load.CopyTokens+tokens) / float64(capacity)
 		delay += time.Duration(used * float64(100*time.Millisecond))
@@ -430,8 +490,8 @@
 
 // usableMemoryTokens returns the number of tokens that an engine's KV cache can hold before it counts as short of memory.
 func (p *Pool) usableMemoryTokens(t *target) int {
-	if s, ok := p.service(t.entry.Service); ok && s.Engine != nil {
-		return int(memoryShare * float64(s.Engine.MemoryTokens))
+	if e := t.service.Engine; e != nil {
+		return int(memoryShare * float64(e.MemoryTokens))
 	}
 	return 0
 }
@@ -458,8 +518,8 @@
 
 // copyTimePerToken returns how long copying the KV cache of one token takes within a data centre.
 func (p *Pool) copyTimePerToken(t *target) time.Duration {
-	if s, ok := p.service(t.entry.Service); ok && s.Engine != nil {
-		return s.Engine.TokenCopyTime
+	if e := t.service.Engine; e != nil {
+		return e.TokenCopyTime
 	}
 	return 0
 }
--- a/pkg/usherpool/room.go
+++ b/pkg/usherpool/room.go
@@ -5,9 +5,13 @@
 	"time"
 
 	"github.com/samphireusher/samphireusher/pkg/usherroute"
+	"github.com/samphireusher/samphireusher/pkg/usherspeed"
 )
 
 const (
+	// lesserMemoryShare is the fraction of the usable memory that requests of a lower rank may fill. The rest is left for urgent ones and for
+	// copies of generations whose engines are reclaimed.
+	lesserMemoryShare = 0.875
 	// lesserPromptShare is the fraction of the most urgent route's objective that the prompts before a new one may take,
 	// if the last of them is of a lower rank.
 	lesserPromptShare = 0.5
@@ -39,8 +43,10 @@
 
 // PlaceInRoom chooses like Place, among the targets that have room for r.
 func (p *Pool) PlaceInRoom(now time.Time, r Request, room Room, own bool) (Choice, error) {
+	r = p.estimateOutput(r)
 	var best *target
 	var choice Choice
+	var plain plainChoice
 	reason := ErrNoTarget
 	for _, t := range p.shuffledCandidates(now, r) {
 		load := p.roomLoad(now, t)
@@ -48,16 +54,19 @@
 			reason = ErrNoRoom
 			continue
 		}
-		if delay := p.delay(now, t, r, load); best == nil || delay < choice.Delay {
+		delay := p.delay(now, t, r, load)
+		plain.consider(t, delay+p.kept(now, t, r, load).Saving)
+		if best == nil || delay < choice.Delay {
 			best, choice = t, Choice{Target: t.entry, Learned: t.learned, Delay: delay, Load: load}
 		}
 	}
 	if best == nil {
 		return Choice{}, reason.New("no target of service %q has room for the request", r.Service)
 	}
-	choice = p.estimatePrefill(now, best, r, choice)
+	choice = plain.otherwise(p.estimatePrefill(now, best, r, choice))
 	// What has waited for room need not be held back by engines once more.
 	choice.Late = choice.Late && room.Beyond
+	speed := p.speed(now, best)
 	if own {
 		// Several requests may be chosen before the first one is sent.
 		load := Load{Streams: 1}
@@ -67,9 +76,10 @@
 		best.reserved = append(best.reserved, reservation{load: load, expires: now.Add(ownReservationLifetime)})
 		choice = p.recordSend(now, best, r, choice)
 	} else {
-		best.reserve(now, r, choice)
+		p.recordParts(now, best, r, choice)
+		best.reserve(now, r, choice, speed)
 	}
-	best.expected = append(best.expected, expectedPrompt{tokens: r.PromptTokens, until: now.Add(reportLag + PrefillTime(int(best.prompts.remaining(now))))})
+	best.expected = append(best.expected, expectedPrompt{tokens: r.without(choice.Kept).PromptTokens, until: now.Add(reportLag + speed.Scale(PrefillTime(int(best.prompts.remaining(now, speed)))))})
 	return choice, nil
 }
 
@@ -80,19 +90,19 @@
 	}
 	urgent := room.Whole || r.Rank <= room.Rank
 	memory := p.usableMemoryTokens(t)
-	if urgent {
-		// What is left for generations that grow beyond their estimated length is enough for a short one.
-		memory = int(float64(memory) / memoryShare)
+	if !urgent {
+		memory = int(lesserMemoryShare * float64(memory))
 	}
 	// A request that is larger than the memory goes to an empty target.
 	if load.Streams+load.Copies > 0 && load.Tokens+load.CopyTokens+r.PromptTokens+r.OutputTokens > memory {
 		return false
 	}
-	queued := t.queuedPrompts(now, load)
+	speed := p.speed(now, t)
+	queued := t.queuedPrompts(now, load, speed)
 	if queued == 0 {
 		return true
 	}
-	wait := PrefillTime(queued + r.PromptTokens)
+	wait := speed.Scale(PrefillTime(queued + r.PromptTokens))
 	if urgent {
 		return time.Duration(prefillWaitFactor*float64(wait)) <= room.Objective
 	}
@@ -114,13 +124,13 @@
 
 // queuedPrompts returns the prompt tokens that wait at t. Those placed lately are still reported after they were processed, and
 // count as reported too many only once they should be gone.
-func (t *target) queuedPrompts(now time.Time, load Load) int {
+func (t *target) queuedPrompts(now time.Time, load Load, speed usherspeed.Estimate) int {
 	t.expected = slices.DeleteFunc(t.expected, func(e expectedPrompt) bool { return !now.Before(e.until) })
 	overdue := load.Prefill
 	for _, e := range t.expected {
 		overdue -= e.tokens
 	}
-	return int(t.prompts.remaining(now)) + max(overdue, 0)
+	return int(t.prompts.remaining(now, speed)) + max(overdue, 0)
 }
 
 // MostRoom returns the target with the most free memory for r and its load, or an empty string.
--- a/pkg/usherqueue/order.go
+++ b/pkg/usherqueue/order.go
@@ -8,7 +8,7 @@
 // requestsPerRound is how many requests of mean size a workspace gets before the next one's turn.
 const requestsPerRound = 4
 
-// class is a rank, with its late requests apart.
+// class is a rank, or one of late requests, which follow all others.
 type class int
 
 const maxClasses = 2 * maxRanks
@@ -29,14 +29,14 @@
 // granted room now.
 func (e *entry[G]) place(now time.Time) {
 	e.late = e.objectiveAt.Before(now.Add(e.Needed))
-	e.class, e.due = class(2*e.Rank), e.objectiveAt
+	e.class, e.due = class(e.Rank), e.objectiveAt
 	if e.late {
-		e.class, e.due = e.class+1, e.patienceAt
+		e.class, e.due = class(maxRanks+e.Rank), e.patienceAt
 	}
 }
 
-// compare orders entries by the places set last: by rank, late ones of a rank behind the others, those that return after a refusal
-// before new ones, by turn among workspaces, and by the time left.
+// compare orders entries by the places set last: by precedence, those that can be in time before late ones, by rank, those that return after
+// a refusal before new ones, by turn among workspaces, and by the time left.
 func compare[G any](a, b *entry[G]) int {
 	first := func(e *entry[G]) int {
 		if e.returned {
@@ -45,6 +45,8 @@
 		return 1
 	}
 	switch {
+	case a.Precedence != b.Precedence:
+		return cmp.Compare(a.Precedence, b.Precedence)
 	case a.class != b.class:
 		return cmp.Compare(a.class, b.class)
 	case a.returned != b.returned:
--- a/pkg/usherqueue/queue.go
+++ b/pkg/usherqueue/queue.go
@@ -84,8 +84,9 @@
 		Key
 		Service   string
 		Workspace string
-		// Rank is the request's priority; zero is the most urgent.
-		Rank int
+		// Precedence orders requests before anything else, Rank is the priority among those of equal precedence; zero is the most urgent.
+		Precedence int
+		Rank       int
 		// Tokens is the expected KV cache size.
 		Tokens int
 		// Content identifies the request if its caller sends it again after a refusal.
--- a/pkg/usherroute/table.go
+++ b/pkg/usherroute/table.go
@@ -58,6 +58,8 @@
 		Objective time.Duration `cbor:"6,keyasint"`
 		// MaxPause is the longest pause between two events that still meets the objective.
 		MaxPause time.Duration `cbor:"7,keyasint"`
+		// Patience is how long callers of a stream wait for its first event before they leave; zero if it is not known.
+		Patience time.Duration `cbor:"13,keyasint,omitempty"`
 		// Priority is the priority of the calls; zero is the most urgent.
 		Priority int `cbor:"8,keyasint"`
 		// MaxTargets is how many targets one attempt of a caller may be sent to.
--- a/service/usherhost/peers.go
+++ b/service/usherhost/peers.go
@@ -54,6 +54,7 @@
 		// reportDue makes the host report at once.
 		reportDue chan struct{}
 		placement *placement
+		lending   *lending
 		// standstill detects that this process stood still; until discardUntil, in Unix nanoseconds, datagrams are dropped.
 		standstill   *standstill
 		discardUntil atomic.Int64
@@ -91,12 +92,19 @@
 		Leaving []leavingNoticeWire `cbor:"16,keyasint,omitempty"`
 		// LimitEnds are the limits that have ended lately.
 		LimitEnds []limitEndWire `cbor:"19,keyasint,omitempty"`
+		// LendQuestion asks for a turn at targets that have named a limit, LendReply responds to that.
+		LendQuestion *lendQuestionWire `cbor:"40,keyasint,omitempty"`
+		LendReply    *lendReplyWire    `cbor:"41,keyasint,omitempty"`
 		// PlacementRequest or PlacementReply makes this a message about the placement of one request; all other fields
 		// but Report.From are then empty.
 		PlacementRequest *placementRequestWire `cbor:"14,keyasint,omitempty"`
 		PlacementReply   *placementReplyWire   `cbor:"15,keyasint,omitempty"`
 		// Suspicion tells of requests that were in progress on crashed targets.
 		Suspicion *suspicionWire `cbor:"18,keyasint,omitempty"`
+		// Outcomes makes this a message about what the sender saw of its runs.
+		Outcomes []outcomeWire `cbor:"20,keyasint,omitempty"`
+		// Speeds makes this a message about what a collector has learned of plain targets.
+		Speeds *speedsWire `cbor:"24,keyasint,omitempty"`
 	}
 
 	// outgoingDatagram is a datagram with its recipients.
@@ -128,7 +136,7 @@
 		localBytes: metrics.NewRegisteredCounter("peers.near_bytes", registry), remoteBytes: metrics.NewRegisteredCounter("peers.far_bytes", registry),
 		reportDue: make(chan struct{}, 1), standstill: newStandstill(platform.Uptime), stale: metrics.NewRegisteredCounter("peers.stale", registry),
 	}
-	p.placement = newPlacement(s, p, registry)
+	p.placement, p.lending = newPlacement(s, p, registry), newLending(s, p, registry)
 	return p, nil
 }
 
@@ -213,11 +221,17 @@
 func describeHosts(members []ushercluster.Member) []hostWire {
 	hosts := make([]hostWire, 0, len(members))
 	for _, m := range members {
-		hosts = append(hosts, hostWire{Name: m.Name, DataCentre: m.DataCentre, State: m.State, Incarnation: m.Incarnation})
+		hosts = append(hosts, describeHost(m))
 	}
 	return hosts
 }
 
+func describeHost(m ushercluster.Member) hostWire {
+	return hostWire{
+		Name: m.Name, DataCentre: m.DataCentre, State: m.State, Incarnation: m.Incarnation, Cores: float64(m.Capacity.MilliCores) / 1000, LinkMbps: m.Capacity.LinkMbps,
+	}
+}
+
 func (p *peers) mergeSuspicion(source string, w suspicionWire) {
 	if err := p.state.mergeSuspicion(w); err != nil {
 		p.unreadable.Inc(1)
@@ -235,6 +249,12 @@
 	case d.PlacementReply != nil:
 		p.placement.handleReply(d.Report.From, *d.PlacementReply)
 		return
+	case len(d.Outcomes) > 0:
+		p.handleOutcomes(d.Report.From.Name, d.Outcomes)
+		return
+	case d.Speeds != nil:
+		p.state.adoptSpeeds(d.Report.From.Name, *d.Speeds)
+		return
 	}
 	learned := p.state.applyDatagram(d)
 	if d.Suspicion != nil {
@@ -247,6 +267,12 @@
 		p.log.Info("target learned", "source", d.Report.From.Name, "target", id, "leaving", true)
 	}
 	p.logLimitEnds(d.Report.From.Name, learned.unlimited)
+	if d.LendQuestion != nil {
+		p.lending.handleQuestion(d.Report.From, *d.LendQuestion)
+	}
+	if d.LendReply != nil {
+		p.lending.handleReply(d.Report.From, *d.LendReply)
+	}
 	if (d.Urgent || learned.limitEnds) && p.state.isCollector() {
 		p.reportNow()
 	}
--- a/service/usherhost/placement.go
+++ b/service/usherhost/placement.go
@@ -67,6 +67,9 @@
 		Parts     []usherpool.Part `cbor:"14,keyasint,omitempty"`
 		// Wait is set if the request can wait for room.
 		Wait *waitWire `cbor:"15,keyasint,omitempty"`
+		// OutputHint and MaxOutputTokens are those of usherpool.Request.
+		OutputHint      int `cbor:"20,keyasint,omitempty"`
+		MaxOutputTokens int `cbor:"21,keyasint,omitempty"`
 	}
 
 	placementReplyWire struct {
@@ -77,13 +80,18 @@
 		Load        usherpool.Load `cbor:"4,keyasint,omitempty"`
 		PrefillTime time.Duration  `cbor:"5,keyasint,omitempty"`
 		// Late reports that the first result is not expected within that time.
-		Late bool `cbor:"6,keyasint,omitempty"`
+		Late bool           `cbor:"6,keyasint,omitempty"`
+		Kept usherpool.Kept `cbor:"12,keyasint,omitempty"`
+		// Forecast is what is expected of the request at the target.
+		Forecast usherpool.Forecast `cbor:"10,keyasint,omitempty"`
 		// Verdict is verdictWait if the request waits, with another reply to follow, or verdictRefuse if it cannot begin in its
-		// time. Forecast is the expected wait, RetryAfter the time until the host should ask again, or until a refused caller
+		// time. ExpectedWait is the time until room is expected, RetryAfter the time until the host should ask again, or until a refused caller
 		// should return.
-		Verdict    int           `cbor:"7,keyasint,omitempty"`
-		RetryAfter time.Duration `cbor:"8,keyasint,omitempty"`
-		Forecast   time.Duration `cbor:"9,keyasint,omitempty"`
+		Verdict      int           `cbor:"7,keyasint,omitempty"`
+		RetryAfter   time.Duration `cbor:"8,keyasint,omitempty"`
+		ExpectedWait time.Duration `cbor:"9,keyasint,omitempty"`
+		// OutputTokens is the expected length of the output.
+		OutputTokens int `cbor:"11,keyasint,omitempty"`
 	}
 )
 
@@ -118,7 +126,7 @@
 	reply, ok := p.request(ctx, placer, r)
 	if ok && reply.Target != "" {
 		choice := usherpool.Choice{
-			Target: ushercatalog.Target{ID: reply.Target}, Delay: reply.Delay, PrefillTime: reply.PrefillTime, Late: reply.Late, Load: reply.Load, Placer: placer.Name,
+			Target: ushercatalog.Target{ID: reply.Target}, Delay: reply.Delay, PrefillTime: reply.PrefillTime, Late: reply.Late, Load: reply.Load, Kept: reply.Kept, Forecast: reply.Forecast, OutputTokens: reply.OutputTokens, Placer: placer.Name,
 		}
 		if choice, taken := p.state.adoptChoice(r, choice); taken {
 			return choice, nil
@@ -157,6 +165,7 @@
 	return placementParameters{
 		Service: r.Service, PromptTokens: r.PromptTokens, OutputTokens: r.OutputTokens, Copy: r.Copy, SourceDataCentre: r.SourceDataCentre, Objective: r.Objective, Backup: r.Backup,
 		Route: r.Route, Workspace: r.Workspace, Rank: r.Rank, MaxPause: r.MaxPause, Events: r.Events, Parts: r.Parts,
+		OutputHint: r.OutputHint, MaxOutputTokens: r.MaxOutputTokens,
 		Exclude: slices.Compact(slices.Sorted(slices.Values(slices.Concat(r.Exclude, p.state.excludedTargets(r))))),
 	}
 }
@@ -214,6 +223,7 @@
 		Service: p.Service, PromptTokens: p.PromptTokens, OutputTokens: p.OutputTokens, Copy: p.Copy, SourceDataCentre: p.SourceDataCentre, Exclude: p.Exclude,
 		Objective: p.Objective, Backup: p.Backup, DataCentre: dataCentre,
 		Route: p.Route, Workspace: p.Workspace, Rank: p.Rank, MaxPause: p.MaxPause, Events: p.Events, Parts: p.Parts,
+		OutputHint: p.OutputHint, MaxOutputTokens: p.MaxOutputTokens,
 	}
 }
 
@@ -244,7 +254,9 @@
 		p.peers.log.Debug("no target for a peer's request", "peer", from.Name, "error", errorText(err))
 	} else {
 		d.PlacementReply.Target, d.PlacementReply.Delay, d.PlacementReply.Load = choice.Target.ID, choice.Delay, choice.Load
-		d.PlacementReply.PrefillTime, d.PlacementReply.Late = choice.PrefillTime, choice.Late
+		d.PlacementReply.OutputTokens = choice.OutputTokens
+		d.PlacementReply.PrefillTime, d.PlacementReply.Late, d.PlacementReply.Forecast = choice.PrefillTime, choice.Late, choice.Forecast
+		d.PlacementReply.Kept = choice.Kept
 	}
 	p.peers.send(d, from.Address)
 }
--- a/service/usherhost/state.go
+++ b/service/usherhost/state.go
@@ -9,6 +9,8 @@
 	"github.com/samphireusher/samphireusher/pkg/ushercluster"
 	"github.com/samphireusher/samphireusher/pkg/usherpool"
 	"github.com/samphireusher/samphireusher/pkg/usherroute"
+	"github.com/samphireusher/samphireusher/pkg/ushershare"
+	"github.com/samphireusher/samphireusher/pkg/usherspeed"
 )
 
 type (
@@ -43,7 +45,15 @@
 		leavingNotices []leavingNotice
 		// limitEnds are the limits that have ended lately, as this host or a peer learned.
 		limitEnds map[limitKey]limitEnd
+		// lentTurns are at targets that have named no limit to this host.
+		lentTurns usherpool.LentTurns
+		// roster are the hosts that share limits, in the order of their places.
+		roster    []ushercluster.Member
 		suspicion suspicion
+		// callOutcomes are what this host saw of plain calls since its last report to the collector.
+		callOutcomes []outcomeWire
+		// callTails has the durations of plain calls, by route.
+		callTails map[string]*usherspeed.Tail
 		changed   chan struct{}
 		// behindPeer is notified when a peer has a newer catalog than this host, readerFailed when a peer reports that
 		// its calls to the store fail.
@@ -72,12 +82,13 @@
 		gracePeriod:   settings.Stop.Grace,
 		random:        random,
 		cluster:       ushercluster.New(self, settings.seeds(), random),
-		pool:          usherpool.New(usherpool.Options{DataCentre: settings.Process.DataCentre, Random: random}),
+		pool:          usherpool.New(usherpool.Options{DataCentre: settings.Process.DataCentre, Random: random, WeighParts: settings.Prefixes.Weigh}),
 		retryBudgets:  map[string]*usherpool.RetryBudget{},
 		retryDefaults: usherpool.RetryBudget{Ratio: settings.Retries.Ratio, Allowance: settings.Retries.Allowance, Window: settings.Retries.Window},
 		peerStatuses:  map[string]peerStatus{},
 		limitEnds:     map[limitKey]limitEnd{},
 		suspicion:     newSuspicion(self.Name),
+		callTails:     map[string]*usherspeed.Tail{},
 		changed:       make(chan struct{}), behindPeer: make(chan struct{}, 1), readerFailed: make(chan struct{}, 1),
 	}
 }
@@ -139,6 +150,7 @@
 func (s *sharedState) updatePool(now time.Time) {
 	place, hosts := s.cluster.LimitShare(now)
 	s.pool.SetPlace(place)
+	s.updateRoster(now, hosts)
 	s.pool.Update(now, s.catalog.Targets(), s.catalog.Evacuated, s.catalog.Table(), hosts)
 }
 
@@ -223,19 +235,19 @@
 	s.cluster.SetState(hostState)
 }
 
-// servingHosts returns the hosts that take requests, including this one, with those of the given data centre first.
-func (s *sharedState) servingHosts(dataCentre string) []ushercluster.Member {
+// servingHosts returns the hosts that take requests, including this one.
+func (s *sharedState) servingHosts() []ushershare.Host {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	var local, remote []ushercluster.Member
-	for _, m := range append(s.cluster.Alive(time.Now()), s.cluster.Self()) {
-		switch {
-		case m.State != ushercluster.Serving:
-		case m.DataCentre == dataCentre:
-			local = append(local, m)
-		default:
-			remote = append(remote, m)
+	now := time.Now()
+	var hosts []ushershare.Host
+	for _, m := range append(s.cluster.Alive(now), s.cluster.Self()) {
+		if m.State == ushercluster.Serving {
+			hosts = append(hosts, ushershare.Host{
+				Name: m.Name, DataCentre: m.DataCentre, Address: m.CallerAddress, MilliCores: m.Capacity.MilliCores, LinkMbps: m.Capacity.LinkMbps,
+				Pressure: int(s.cluster.Pressure(now, m.Name)),
+			})
 		}
 	}
-	return append(local, remote...)
+	return hosts
 }
--- a/service/usherhost/stream.go
+++ b/service/usherhost/stream.go
@@ -116,6 +116,9 @@
 		// resumeAnnounced reports whether the load that peers see includes the pending resume at the holder of the copy.
 		resumeAnnounced bool
 		lastEventAt     time.Time
+		times           runTimes
+		// outputTokens is the expected length of the output; zero before a target is chosen.
+		outputTokens int
 	}
 
 	copyResult struct {
@@ -128,7 +131,9 @@
 
 	streamItem struct {
 		event usherevent.Event
-		err   error
+		// at is when the event arrived.
+		at  time.Time
+		err error
 	}
 )
 
@@ -153,6 +158,7 @@
 	}
 	for {
 		err := g.relay(ctx)
+		g.reportRunEnd(err == nil)
 		switch {
 		case err == nil:
 			g.finish()
@@ -265,7 +271,9 @@
 func (g *generation) placementRequest(exclude []string) usherpool.Request {
 	r := usherpool.Request{
 		Service: g.req.service.Name, PromptTokens: max(g.req.PromptTokens, 1), OutputTokens: g.req.OutputTokens(), Exclude: exclude,
-		Route: g.req.route.Name, Workspace: g.req.workspace.Name, Rank: g.req.rank(), MaxPause: g.req.route.MaxPause,
+		OutputHint: g.req.OutputHint, MaxOutputTokens: g.req.MaxOutputTokens,
+		Route: g.req.route.Name, Workspace: g.req.workspace.Name, Rank: g.req.route.Priority, MaxPause: g.req.route.MaxPause,
+		Parts: g.req.promptParts(),
 	}
 	if e := g.req.service.Engine; e != nil && e.EventTokens > 0 {
 		r.Events = r.OutputTokens / e.EventTokens
@@ -281,9 +289,11 @@
 func (g *generation) send(ctx context.Context, choice usherpool.Choice, from ushercall.Copy) sendResult {
 	id := choice.Target.ID
 	g.req.choice = choice
+	g.host.metrics.prefixes.recordChoice(choice)
+	g.expectOutput(choice)
 	g.closeExchange()
 	g.releaseLoads()
-	g.source, g.resumeAnnounced, g.runEvents, g.runAdvanced = choice, false, 0, false
+	g.source, g.resumeAnnounced, g.runEvents, g.runAdvanced, g.times = choice, false, 0, false, runTimes{}
 	// Results of copies that are still in progress belong to the previous run and must not be received.
 	g.copyResults = make(chan copyResult, 1)
 	g.stopping, g.runEnded, g.mayBeStopped, g.stopResults = false, false, false, make(chan stopResult, 1)
@@ -301,7 +311,7 @@
 		dispatch.Priority = latePriority
 		g.trackLoad(id, usherpool.Load{Streams: 1})
 	} else {
-		g.trackLoad(id, usherpool.Load{Streams: 1, Tokens: g.req.PeakTokens(), Prefill: g.remainingPrefill(from)})
+		g.trackLoad(id, usherpool.Load{Streams: 1, Tokens: g.peakTokens(), Prefill: g.remainingPrefill(from)})
 	}
 	if from.Handle != "" {
 		dispatch = dispatch.WithCopy(from, g.lastEvent)
@@ -364,7 +374,7 @@
 	if from.Handle != "" {
 		return 0
 	}
-	return g.req.PromptTokens
+	return max(g.req.PromptTokens-g.source.Kept.Tokens, 0)
 }
 
 // finish records the regular end of a stream.
--- a/service/usherhost/waiting.go
+++ b/service/usherhost/waiting.go
@@ -35,7 +35,7 @@
 	id, replies := p.register(pendingReplies)
 	defer p.unregister(id)
 	start, asks, declined := time.Now(), 0, 0
-	ask := waitWire{Attempt: g.req.Attempt, Content: g.req.content()}
+	ask := waitWire{Attempt: g.req.Attempt, Content: g.req.content(), Precedence: g.req.rank()}
 	for {
 		r := g.placementRequest(g.req.excludedTargets())
 		placer, own := p.selectPlacer()
@@ -43,7 +43,7 @@
 			return g.placed(h.state.choose(r))
 		}
 		// Each target that was tried or declined makes the next grant another one.
-		ask.Try, ask.Patience, ask.Waited = len(g.req.targets)+declined, time.Until(g.req.deadline), time.Since(g.req.received)
+		ask.Try, ask.Patience, ask.Waited = len(g.req.targets)+declined, g.req.patience(), time.Since(g.req.received)
 		reply, answered := p.ask(ctx, placer, own, id, replies, r, ask)
 		asks++
 		if answered && reply.Verdict == verdictWait {
@@ -63,7 +63,7 @@
 			continue
 		case reply.Verdict == verdictRefuse:
 			g.logWait("refused", placer, start, asks, reply)
-			return usherpool.Choice{}, refuse(reasonNoRoom, reply.RetryAfter, errNoRoom.New("placer %s expects room in %s", placer.Name, reply.Forecast))
+			return usherpool.Choice{}, refuse(reasonNoRoom, reply.RetryAfter, errNoRoom.New("placer %s expects room in %s", placer.Name, reply.ExpectedWait))
 		case reply.Target == "":
 			return g.placed(h.state.choose(r))
 		}
@@ -92,10 +92,10 @@
 
 // logWait records the end of a request's wait.
 func (g *generation) logWait(outcome string, placer ushercluster.Member, start time.Time, asks int, reply placementReplyWire) {
-	waited, rank := time.Since(start), g.req.rank()
+	waited, rank := time.Since(start), g.req.route.Priority
 	metrics.GetOrRegisterHistogram(fmt.Sprintf("waiting.rank_%d_ms", min(max(rank, 0), 9)), g.host.metrics.registry, metrics.NewExpDecaySample(sampleSize, sampleAlpha)).Update(waited.Milliseconds())
 	g.host.log.Info("request waited for room", "attempt", g.req.Attempt, "outcome", outcome, "route", g.req.route.Name, "workspace", g.req.workspace.Name, "rank", rank,
-		"by", placer.Name, "asks", asks, "waited_ms", waited.Milliseconds(), "forecast_ms", reply.Forecast.Milliseconds(), "retry_after", reply.RetryAfter.String(),
+		"by", placer.Name, "asks", asks, "waited_ms", waited.Milliseconds(), "forecast_ms", reply.ExpectedWait.Milliseconds(), "retry_after", reply.RetryAfter.String(),
 		"target", reply.Target, "load", reply.Load)
 }
 
@@ -153,7 +153,7 @@
 // adopt returns the choice that a placer made for this host, if this host too considers the target available.
 func (p *placement) adopt(placer ushercluster.Member, own bool, r usherpool.Request, reply placementReplyWire) (usherpool.Choice, bool) {
 	choice := usherpool.Choice{
-		Target: ushercatalog.Target{ID: reply.Target}, Delay: reply.Delay, PrefillTime: reply.PrefillTime, Late: reply.Late, Load: reply.Load, Placer: placer.Name,
+		Target: ushercatalog.Target{ID: reply.Target}, Delay: reply.Delay, PrefillTime: reply.PrefillTime, Late: reply.Late, Load: reply.Load, Kept: reply.Kept, Forecast: reply.Forecast, OutputTokens: reply.OutputTokens, Placer: placer.Name,
 	}
 	if own {
 		// The turn and the part of a cold target's rate were taken with the grant.
@@ -170,3 +170,12 @@
 	choice.Target = target
 	return choice, known && s.pool.Accepts(target.ID)
 }
+
+// patience returns how much longer the caller of a stream waits for its first event.
+func (req *requestState) patience() time.Duration {
+	left := time.Until(req.deadline)
+	if req.route.Patience > 0 {
+		left = min(left, req.route.Patience-time.Since(req.received))
+	}
+	return left
+}
--- a/service/usherhost/waitingroom.go
+++ b/service/usherhost/waitingroom.go
@@ -65,6 +65,8 @@
 		Waited   time.Duration `cbor:"4,keyasint,omitempty"`
 		// Content identifies the request if its caller sends it again.
 		Content uint64 `cbor:"5,keyasint,omitempty"`
+		// Precedence is the workspace's priority, or the route's if the workspace has none.
+		Precedence int `cbor:"7,keyasint,omitempty"`
 		// Withdrawn reports that the request does not wait any more.
 		Withdrawn bool `cbor:"6,keyasint,omitempty"`
 	}
@@ -167,14 +169,14 @@
 		return replyWithChoice(answer.Grant)
 	case usherqueue.Refuse:
 		_, load := w.placement.state.mostRoom(w.waiting[key].request)
-		return placementReplyWire{Verdict: verdictRefuse, RetryAfter: answer.RetryAfter, Forecast: answer.Forecast, Load: load}
+		return placementReplyWire{Verdict: verdictRefuse, RetryAfter: answer.RetryAfter, ExpectedWait: answer.Forecast, Load: load}
 	default:
-		return placementReplyWire{Verdict: verdictWait, Forecast: answer.Forecast, RetryAfter: answer.AskAgain}
+		return placementReplyWire{Verdict: verdictWait, ExpectedWait: answer.Forecast, RetryAfter: answer.AskAgain}
 	}
 }
 
 func replyWithChoice(c usherpool.Choice) placementReplyWire {
-	return placementReplyWire{Target: c.Target.ID, Delay: c.Delay, Load: c.Load, PrefillTime: c.PrefillTime, Late: c.Late}
+	return placementReplyWire{Target: c.Target.ID, Delay: c.Delay, Load: c.Load, PrefillTime: c.PrefillTime, Late: c.Late, Kept: c.Kept, Forecast: c.Forecast, OutputTokens: c.OutputTokens}
 }
 
 // ask decides about a request that can wait, and returns the reply for now. deliver is called with a later one: if others wait, the next
@@ -203,7 +205,7 @@
 	}
 	w.waiting[key] = waiter{request: r, own: own, deliver: deliver}
 	answer := w.queue.Ask(now, usherqueue.Request{
-		Key: key, Service: r.Service, Workspace: r.Workspace, Rank: r.Rank, Tokens: r.PromptTokens + r.OutputTokens, Content: ask.Content,
+		Key: key, Service: r.Service, Workspace: r.Workspace, Rank: r.Rank, Precedence: ask.Precedence, Tokens: r.PromptTokens + r.OutputTokens, Content: ask.Content,
 		Objective: r.Objective, Patience: ask.Patience, Needed: usherpool.PrefillTime(r.PromptTokens), Waited: ask.Waited,
 	})
 	if answer.Verdict == usherqueue.Refuse && !known {
