--- a/pkg/usherqueue/queue.go
+++ b/pkg/usherqueue/queue.go
@@ -2,9 +2,9 @@
 //
 // A Queue is the placer's list of waiting requests. Each lives in the host that took it from its caller, which asks again
 // each 100 ms, or less often while many wait; an entry ends three of these intervals after the last ask, so the list needs no handover when a host or a placer is lost.
-// Requests are granted room by rank, then in time before late, then by what was refused before, by each workspace's part of what was
-// granted lately, and by what is left of the objective. Late requests, lower ranks and large requests that others have
-// overtaken get every eighth grant, so that none of them starves. Requests that cannot begin before their caller's time is
+// Requests are granted room by precedence, in time before late, by rank, those that were refused before first, by each workspace's part of
+// what was granted lately, and by what is left of the objective. Late requests, lower ranks and large requests that others have
+// overtaken get every ninth grant, so that none of them starves. Requests that cannot begin before their caller's time is
 // over are refused, with the time at which room is expected; those times follow each other at the pace of the measured
 // drain, so that callers do not return at the same moment.
 //
