--- a/cmd/usher-host/daemon/waiting_test.go
+++ b/cmd/usher-host/daemon/waiting_test.go
@@ -127,6 +127,48 @@
 	})
 }
 
+// Load: more long prompts than the engines can read in time, while they have memory for copies. What begins while others wait gets no backup
+// copy.
+func TestBackupCopiesGiveWayWhileStreamsWait(t *testing.T) {
+	withTestbed(t, options{hosts: 3, engines: 2, editDeclarations: contended}, func(t *testing.T, b *testbed) {
+		done := make(chan result)
+		const streams = 20
+		for i := range streams {
+			r := b.request(t.Context(), b.hosts[i%3], http.MethodPost, "/appraisal/20", "")
+			r.Header.Set("Token-Counts", "3000,10")
+			go func() { done <- b.do(r) }()
+			if i == 0 {
+				time.Sleep(10 * time.Millisecond)
+			}
+		}
+		var attempts []string
+		for range streams {
+			got := <-done
+			if got.status != http.StatusOK {
+				t.Errorf("status %d", got.status)
+			}
+			attempts = append(attempts, got.attempt)
+		}
+		waited, copied, spared := 0, 0, 0
+		for _, attempt := range attempts {
+			_, run := b.onlyRun(attempt)
+			backup := run.Header.Get("Kv-Backup") != ""
+			switch waits := b.logBuffer.count(`"attempt":"`+attempt+`","outcome":"granted"`) > 0; {
+			case waits && backup:
+				waited, copied = waited+1, copied+1
+			case waits:
+				waited++
+			case backup:
+				spared++
+			}
+		}
+		// Nothing waits behind the last two, one at each engine.
+		if waited < 8 || copied > 2 || spared == 0 {
+			t.Errorf("%d streams waited, %d of them got a backup copy, and so did %d others", waited, copied, spared)
+		}
+	})
+}
+
 // Failure: the placer loses its machine with a full queue. The hosts ask the next one, and what waits is served.
 func TestQueueMovesOnFromAFrozenPlacer(t *testing.T) {
 	withTestbed(t, options{hosts: 5, engines: 1, editDeclarations: contended}, func(t *testing.T, b *testbed) {
