--- a/cmd/usher-host/daemon/waiting_test.go
+++ b/cmd/usher-host/daemon/waiting_test.go
@@ -1,6 +1,7 @@
 package daemon_test
 
 import (
+	"context"
 	"net/http"
 	"slices"
 	"strconv"
@@ -169,6 +170,31 @@
 	})
 }
 
+// Failure: a caller leaves while its stream waits. It is withdrawn and never runs.
+func TestStreamOfACallerThatLeavesIsWithdrawn(t *testing.T) {
+	withTestbed(t, options{hosts: 3, engines: 1, editDeclarations: contended}, func(t *testing.T, b *testbed) {
+		results := b.fillWithLongStreams(b.hosts[1], 12)
+		ctx, leave := context.WithCancel(t.Context())
+		r := b.request(ctx, b.hosts[2], http.MethodPost, "/appraisal/100", "")
+		attempt, done := r.Header.Get("Attempt-Id"), make(chan result)
+		go func() { done <- b.do(r) }()
+		time.Sleep(100 * time.Millisecond)
+		if dump := b.getAt(b.hosts[0], adminPort, "/dump"); !strings.Contains(dump.body, attempt) {
+			t.Error("the stream does not wait")
+		}
+		leave()
+		<-done
+		time.Sleep(300 * time.Millisecond)
+		if dump := b.getAt(b.hosts[0], adminPort, "/dump"); strings.Contains(dump.body, attempt) {
+			t.Error("the stream of a caller that has left still waits")
+		}
+		b.collect(results)
+		if runs := b.runsOf(attempt); len(runs) > 0 {
+			t.Errorf("the stream of a caller that has left ran: %v", runs)
+		}
+	})
+}
+
 // Failure: the placer loses its machine with a full queue. The hosts ask the next one, and what waits is served.
 func TestQueueMovesOnFromAFrozenPlacer(t *testing.T) {
 	withTestbed(t, options{hosts: 5, engines: 1, editDeclarations: contended}, func(t *testing.T, b *testbed) {
