usherhost: the first call of a host that takes over reading does not wait for changes

When the reader of the store is lost, its successor's first call waited up to 0.9 s for changes. Until it had a response, no other host knew of one, so the collectors of the other data centres and the next hosts of each began to read as well: up to 8 of 24 hosts, 6 allowed (KNOWN-RED, TestDeclarationsOfALostReaderAreReadFromTheStore).

One trace also showed a host that went on reading beside the reader from the start, as both calls ended in the same millisecond; that is not changed here.

--- a/service/usherhost/feed.go
+++ b/service/usherhost/feed.go
@@ -86,6 +86,9 @@
 		failedCalls   metrics.Counter
 		isStoreReader bool
 		storeUp       bool
+		// takingOver is set from when this host starts to read until it has a response. Its first call does not wait for changes, or
+		// the next hosts would start to read before its success is reported.
+		takingOver bool
 
 		// unreachable has the peers from which a pull has failed, and until when they are not asked. Only followPeers uses it.
 		unreachable map[string]time.Time
@@ -151,7 +154,7 @@
 func (f *feed) updateReader() bool {
 	reader := f.state.shouldReadStore()
 	if reader != f.isStoreReader {
-		f.isStoreReader = reader
+		f.isStoreReader, f.takingOver = reader, reader
 		f.log.Info("started or stopped reading the store", "reading", reader, "revision", f.state.revision())
 	}
 	return reader
@@ -175,6 +178,10 @@
 			f.log.Info("store available again", "revision", f.state.revision())
 		}
 		f.backoff = 0
+		if f.takingOver {
+			f.takingOver = false
+			f.peers.reportNow()
+		}
 		sleep(ctx, watchInterval)
 		return
 	}
@@ -273,8 +280,11 @@
 	return f.store.List(ctx, after, f.allowStale)
 }
 
-// watchWait returns how long the store may hold a call: at most until the next list is due.
+// watchWait returns how long the store may hold a call: at most until the next list is due, and not at all if this host takes over.
 func (f *feed) watchWait() time.Duration {
+	if f.takingOver {
+		return time.Millisecond
+	}
 	if f.relistAt.IsZero() {
 		return longPollTime
 	}
