Plan memory for what callers say of their outputs, not for the learned mean

The sum of the learned means is below that of the callers' hints, so engines were filled further and preempted more. The learned length still says whether a stream is a long one. TestOutputLengthsAreLearned also checks that memory is reserved for the hint.

--- a/pkg/usherpool/forecast.go
+++ b/pkg/usherpool/forecast.go
@@ -90,7 +90,8 @@
 	return wrongParts
 }
 
-// estimateOutput returns the request with what is known of the lengths of outputs.
+// estimateOutput returns the request with what is known of the lengths of outputs. Memory is still planned for what the caller says: engines that
+// run out of it preempt generations and process their prompts again, which costs more than memory that stays free.
 func (p *Pool) estimateOutput(r Request) Request {
 	if r.OutputHint < 0 || r.MaxOutputTokens < 0 || r.OutputHint+r.MaxOutputTokens == 0 {
 		return r
@@ -100,7 +101,7 @@
 	if r.OutputTokens > 0 {
 		r.Events = int(int64(r.Events) * int64(estimate) / int64(r.OutputTokens))
 	}
-	r.OutputTokens = estimate
+	r.expectedOutput = estimate
 	return r
 }
 
--- a/pkg/usherpool/forecast_test.go
+++ b/pkg/usherpool/forecast_test.go
@@ -149,7 +149,8 @@
 	}
 }
 
-// Callers whose hints are far too high: memory is planned for what outputs have been, not for what callers say.
+// Callers whose hints are far too high: the length is learned, and memory is planned for what callers say all the same, as engines that run
+// out of it preempt generations.
 func TestOutputLengthsAreLearned(t *testing.T) {
 	p := newPool(1, targets(9), 3)
 	r := longRequest()
@@ -167,6 +168,11 @@
 	if err != nil || after.OutputTokens > 200 {
 		t.Errorf("%d output tokens expected, want about 110; %v", after.OutputTokens, err)
 	}
+	for _, summary := range p.Summaries(start) {
+		if summary.ID == after.Target.ID && summary.All.Tokens%(r.PromptTokens+r.OutputTokens) != 0 {
+			t.Errorf("%d tokens reserved, want a multiple of what the caller says, %d", summary.All.Tokens, r.PromptTokens+r.OutputTokens)
+		}
+	}
 }
 
 func BenchmarkChooseBySpeed(b *testing.B) {
--- a/pkg/usherpool/pool.go
+++ b/pkg/usherpool/pool.go
@@ -142,6 +142,8 @@
 		// lengths have been learned.
 		OutputHint      int
 		MaxOutputTokens int
+		// expectedOutput is the length that is learned, zero if there is none.
+		expectedOutput int
 		// Parts are the parts of the prompt that other requests may share, in order.
 		Parts []Part
 	}
@@ -160,7 +162,7 @@
 		PrefillTime time.Duration
 		// Forecast is what was expected of the request at the target; zero for copies.
 		Forecast Forecast
-		// OutputTokens is the estimate that was used.
+		// OutputTokens is the expected length of the output.
 		OutputTokens int
 		// Late reports that the first result is not expected within the objective.
 		Late bool
@@ -361,6 +363,9 @@
 // estimatePrefill sets the expected prefill time of the choice and whether it misses the objective.
 func (p *Pool) estimatePrefill(now time.Time, t *target, r Request, c Choice) Choice {
 	c.OutputTokens = r.OutputTokens
+	if r.expectedOutput > 0 {
+		c.OutputTokens = r.expectedOutput
+	}
 	if !r.Copy {
 		c.Kept = p.kept(now, t, r, c.Load)
 		r = r.without(c.Kept)
--- a/service/usherhost/failover.go
+++ b/service/usherhost/failover.go
@@ -33,7 +33,7 @@
 		return ushercopies.ResumePoint{}
 	}
 	*d = d.WithBackup(holder.Target.Address)
-	g.trackLoad(holder.Target.ID, usherpool.Load{Copies: 1, CopyTokens: g.peakTokens()})
+	g.trackLoad(holder.Target.ID, usherpool.Load{Copies: 1, CopyTokens: g.req.PeakTokens()})
 	return ushercopies.ResumePoint{Target: holder.Target.ID, Copy: ushercall.Copy{Address: holder.Target.Address, Handle: g.req.Attempt}}
 }
 
@@ -62,7 +62,7 @@
 			return
 		}
 		g.host.log.Info("copy begins", "attempt", g.req.Attempt, "source", g.source.Target.ID, "holder", holder.Target.ID, "load", holder.Load,
-			"entry_age_ms", time.Since(holder.Learned).Milliseconds(), "tokens", g.peakTokens())
+			"entry_age_ms", time.Since(holder.Learned).Milliseconds(), "tokens", g.req.PeakTokens())
 		g.startCopy(ctx, holder.Target.ID, holder.Target.Address)
 		if holder.Placer == "" {
 			// Other hosts choose holders at the same time, and no placer knows of this choice.
@@ -83,7 +83,7 @@
 	}
 	if point, ok := g.copies.ResumePoint(g.host.state.accepts); ok {
 		g.resumeAnnounced = true
-		g.trackLoad(point.Target, usherpool.Load{Copies: 1, CopyTokens: g.peakTokens(), Awaited: 1})
+		g.trackLoad(point.Target, usherpool.Load{Copies: 1, CopyTokens: g.req.PeakTokens(), Awaited: 1})
 		if _, made := g.copies.OnDemandCopy(); !made {
 			// Only this host knows that the backup copy is about to be used, so peers are told at once.
 			g.host.peers.reportNow()
@@ -93,7 +93,7 @@
 
 func (g *generation) startCopy(ctx context.Context, holder string, address netip.AddrPort) {
 	g.copies.BeginCopy(holder)
-	g.trackLoad(holder, usherpool.Load{Copies: 1, CopyTokens: g.peakTokens(), Incoming: g.peakTokens(), Awaited: 1})
+	g.trackLoad(holder, usherpool.Load{Copies: 1, CopyTokens: g.req.PeakTokens(), Incoming: g.req.PeakTokens(), Awaited: 1})
 	source, attempt, start, results := g.source.Target.Address, g.req.Attempt, time.Now(), g.copyResults
 	go func() {
 		result := copyResult{holder: holder}
@@ -116,7 +116,7 @@
 		return
 	}
 	g.copies.CopyCompleted(time.Now(), c.copy)
-	g.trackLoad(c.holder, usherpool.Load{Copies: 1, CopyTokens: g.peakTokens(), Awaited: 1})
+	g.trackLoad(c.holder, usherpool.Load{Copies: 1, CopyTokens: g.req.PeakTokens(), Awaited: 1})
 	g.host.metrics.copies.Inc(1)
 	g.host.log.Info("copy made", attributes...)
 }
--- a/service/usherhost/outcome.go
+++ b/service/usherhost/outcome.go
@@ -102,22 +102,6 @@
 	}
 }
 
-// expectOutput adopts the length that is expected of the output according to a choice.
-func (g *generation) expectOutput(c usherpool.Choice) {
-	if c.OutputTokens > 0 {
-		g.outputTokens = c.OutputTokens
-	}
-}
-
-// peakTokens returns the expected KV cache size of the run at its end, in tokens.
-func (g *generation) peakTokens() int {
-	output := g.outputTokens
-	if output == 0 {
-		output = g.req.OutputTokens()
-	}
-	return g.req.PromptTokens + output
-}
-
 // gapOutcome returns the mean time between the events since the last report.
 func (g *generation) gapOutcome() usherpool.Outcome {
 	t := &g.times
--- a/service/usherhost/relay.go
+++ b/service/usherhost/relay.go
@@ -235,7 +235,7 @@
 	defer g.observeEvent(item.at)
 	if !g.receiving {
 		g.receiving = true
-		g.trackLoad(g.source.Target.ID, usherpool.Load{Streams: 1, Tokens: g.peakTokens()})
+		g.trackLoad(g.source.Target.ID, usherpool.Load{Streams: 1, Tokens: g.req.PeakTokens()})
 	}
 	if item.event.ID == "" && g.lastEvent != "" && !item.event.IsComment() {
 		// The events of a stream have ids, so these bytes are none of it: an error, or the head of another response.
--- a/service/usherhost/stream.go
+++ b/service/usherhost/stream.go
@@ -117,8 +117,6 @@
 		resumeAnnounced bool
 		lastEventAt     time.Time
 		times           runTimes
-		// outputTokens is the expected length of the output; zero before a target is chosen.
-		outputTokens int
 	}
 
 	copyResult struct {
@@ -290,7 +288,6 @@
 	id := choice.Target.ID
 	g.req.choice = choice
 	g.host.metrics.prefixes.recordChoice(choice)
-	g.expectOutput(choice)
 	g.closeExchange()
 	g.releaseLoads()
 	g.source, g.resumeAnnounced, g.runEvents, g.runAdvanced, g.times = choice, false, 0, false, runTimes{}
@@ -311,7 +308,7 @@
 		dispatch.Priority = latePriority
 		g.trackLoad(id, usherpool.Load{Streams: 1})
 	} else {
-		g.trackLoad(id, usherpool.Load{Streams: 1, Tokens: g.peakTokens(), Prefill: g.remainingPrefill(from)})
+		g.trackLoad(id, usherpool.Load{Streams: 1, Tokens: g.req.PeakTokens(), Prefill: g.remainingPrefill(from)})
 	}
 	if from.Handle != "" {
 		dispatch = dispatch.WithCopy(from, g.lastEvent)
