--- a/pkg/usherqueue/queue_test.go
+++ b/pkg/usherqueue/queue_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -323,3 +324,25 @@
 		t.Errorf("%d entries left of hosts that ask no more", n)
 	}
 }
+
+// Load: three kinds wait while there is no room, and the urgent ones are late by then. The workspace's precedence goes first, then what can be in
+// time, then the rank.
+func TestOrderIsPrecedenceThenInTimeThenRank(t *testing.T) {
+	l := newLoad(0)
+	late, second := urgent("weavers"), lesser("weavers")
+	late.Objective = 100 * time.Millisecond
+	second.Precedence = 1
+	early := urgent("weavers")
+	early.Precedence = 1
+	for _, r := range []usherqueue.Request{early, second, late, lesser("weavers")} {
+		l.add(r)
+	}
+	l.run(200*time.Millisecond, nil)
+	var order []string
+	for _, r := range l.queue.Requests(l.now) {
+		order = append(order, fmt.Sprintf("%d.%d", r.Precedence, r.Rank))
+	}
+	if want := []string{"0.2", "0.0", "1.0", "1.2"}; !slices.Equal(order, want) {
+		t.Errorf("precedence and rank in order: %v, want %v", order, want)
+	}
+}
