--- a/service/usherhost/settings.go
+++ b/service/usherhost/settings.go
@@ -58,7 +58,7 @@
 	} `ini:"retries"`
 	Answers  responseLimits `ini:"answers"`
 	Prefixes struct {
-		Weigh bool `ini:"weigh" default:"true" usage:"whether targets that may still hold the beginning of a prompt are preferred by the time that it saves"`
+		Weigh bool `ini:"weigh" default:"false" usage:"whether targets that may still hold the beginning of a prompt are preferred by the time that it saves"`
 	} `ini:"prefixes"`
 	Stop struct {
 		Grace time.Duration `ini:"grace" default:"8s" usage:"time between SIGTERM and SIGKILL"`
