usherpool: keep the index of targets by service between updates

Since the index came in, each change of the catalog sorted all targets again, and each stream that a host was given a target for had the speeds of all targets estimated. The index is rebuilt where a target comes, goes or changes its service, or with new declarations.

--- a/pkg/usherpool/forecast.go
+++ b/pkg/usherpool/forecast.go
@@ -160,6 +160,17 @@
 	return t.speed
 }
 
+// speedOf returns what is known of the speed of one target, without estimating those that it is not compared with.
+func (p *Pool) speedOf(now time.Time, t *target) usherspeed.Estimate {
+	if now.Sub(p.speedsAt[t.entry.Service]) < speedInterval {
+		return t.speed
+	}
+	if told, adopted := p.adoptedSpeed(now, t); adopted {
+		return told
+	}
+	return p.speeds.Estimate(now, speedTarget(t.entry))
+}
+
 func speedTarget(entry ushercatalog.Target) usherspeed.Target {
 	return usherspeed.Target{Service: entry.Service, ID: entry.ID, Incarnation: entry.Incarnation}
 }
--- a/pkg/usherpool/pool.go
+++ b/pkg/usherpool/pool.go
@@ -242,6 +242,7 @@
 // that share the request rate of cold targets. Targets that are no longer published get no new work and are removed
 // once this host has nothing running there.
 func (p *Pool) Update(now time.Time, published []ushercatalog.KnownEntry, evacuated func(dataCentre string) bool, table *usherroute.Table, hosts int) {
+	changed := p.table != table || p.byService == nil
 	p.table, p.hosts = table, max(hosts, 1)
 	for _, t := range p.targets {
 		t.accepting = false
@@ -256,12 +257,13 @@
 			t = &target{cold: newTokenBucket(now, p.options.Random.Float64()), rest: p.resting[incarnationOf(entry)], limit: p.limits[incarnationOf(entry)]}
 			delete(p.resting, incarnationOf(entry))
 			delete(p.limits, incarnationOf(entry))
-			p.targets[entry.ID] = t
+			p.targets[entry.ID], changed = t, true
 		}
 		if !t.learned.Equal(k.Learned) {
 			t.coldUntil = k.Learned.Add(entry.ColdRemaining)
 			t.leaving = false
 		}
+		changed = changed || t.entry.Service != entry.Service
 		t.entry, t.learned = entry, k.Learned
 		t.evacuated = evacuated(entry.DataCentre)
 		_, departed := p.departed[incarnationOf(entry)]
@@ -270,13 +272,16 @@
 	for id, t := range p.targets {
 		if !t.accepting && t.own == (Load{}) && !slices.ContainsFunc(published, func(k ushercatalog.KnownEntry) bool { return k.Target.ID == id }) {
 			delete(p.targets, id)
+			changed = true
 			if now.Before(t.rest.until) && len(p.resting) < maxDepartures {
 				p.resting[incarnationOf(t.entry)] = t.rest
 			}
 			p.keepLimit(now, t)
 		}
 	}
-	p.indexTargets()
+	if changed {
+		p.indexTargets()
+	}
 	p.sweepNotices(now)
 	p.sweepLimits(now)
 }
@@ -396,7 +401,7 @@
 	}
 	t.rest.sent(now)
 	if !c.Late {
-		t.prompts.add(now, r.PromptTokens, p.speed(now, t))
+		t.prompts.add(now, r.PromptTokens, p.speedOf(now, t))
 	}
 	c.HasTurn = t.limit != nil && p.takeTurn(now, t.limit)
 	return c
--- a/pkg/usherpool/pool_test.go
+++ b/pkg/usherpool/pool_test.go
@@ -331,3 +331,25 @@
 		t.Errorf("only %d retries in 40 s", len(retries))
 	}
 }
+
+// The index of targets by service is kept between updates, as most of them change none. An entry with another service, and one that is gone, must
+// change it.
+func TestTargetsAreFoundUnderTheirPresentService(t *testing.T) {
+	known, declarations := targets(3), table()
+	p := newPool(1, nil, 3)
+	p.Update(start, known, noneEvacuated, declarations, 3)
+	moved := *known[0].Target
+	moved.Service = "other"
+	known[0].Target = &moved
+	p.Update(start, known[:2], noneEvacuated, declarations, 3)
+	for range 20 {
+		if c, err := p.Choose(start, engineRequest()); err != nil || c.Target.ID != known[1].Target.ID {
+			t.Fatalf("%s chosen, want %s, the only target of the service; %v", c.Target.ID, known[1].Target.ID, err)
+		}
+	}
+	r := engineRequest()
+	r.Service = "other"
+	if c, err := p.Choose(start, r); err != nil || c.Target.ID != moved.ID {
+		t.Errorf("%s chosen, want %s under its new service; %v", c.Target.ID, moved.ID, err)
+	}
+}
--- a/pkg/usherpool/prefix.go
+++ b/pkg/usherpool/prefix.go
@@ -54,7 +54,7 @@
 	if !p.options.WeighParts || t.service.Engine == nil || o.Base <= 0 || o.FirstEvent <= 0 {
 		return false
 	}
-	answer := usherprefix.Answer{Expected: p.speed(now, t).Scale(o.Base), Seen: o.FirstEvent}
+	answer := usherprefix.Answer{Expected: p.speedOf(now, t).Scale(o.Base), Seen: o.FirstEvent}
 	if o.Kept == nil {
 		return p.prefixes.Observe(prefixTarget(t), nil, answer)
 	}
