--- a/pkg/usherpool/pool.go
+++ b/pkg/usherpool/pool.go
@@ -76,8 +76,7 @@
 	// would delay these streams for longer than the maximum pause promised to callers.
 	pendingResumeCost = 150 * time.Millisecond
 	// prefillWaitFactor is the ratio of the time to the first result to the prefill time on overloaded engines, where
-	// prompts also wait for memory: in the benchmark scenario scale-2 of himig-loans-grown, the median was 2.0 s for
-	// 1.45 s of prefill.
+	// prompts also wait for memory.
 	prefillWaitFactor = 1.35
 	// typicalPromptTokens is the prompt length in the users' data sheets.
 	typicalPromptTokens = 2600
