Show that bodies within the limit take a host over its memory

With eight of nine hosts lost, 38 consumers send one request each with 4,000,000 bytes, below maxBodyBytes, to the host that is left. With nine hosts all are served. The cause is readRequestBody in service/usherhost/ingress.go, which has no common bound.

--- a/review/cases2/main.go
+++ b/review/cases2/main.go
@@ -15,7 +15,7 @@
 
 // cases maps the names of the cases to their functions, which report whether the rule was broken.
 var cases = map[string]func(record string, trouble bool) (broken bool, err error){
-	"lost-answer": lostAnswer, "crashing-request": crashingRequest, "odd-entry": oddEntry, "last-tenant": lastTenant,
+	"lost-answer": lostAnswer, "crashing-request": crashingRequest, "odd-entry": oddEntry, "last-tenant": lastTenant, "large-bodies": largeBodies,
 }
 
 func main() {
