--- a/review/cases2/client.go
+++ b/review/cases2/client.go
@@ -20,13 +20,11 @@
 	faults   []string
 	err      error
 	began    time.Time
-	ended    time.Time
 }
 
 // stream sends one request for a stream to a host and reads the response.
 func stream(ctx context.Context, h *hostProcess, attempt, path string, tokens, events int, deadline time.Duration, body, prefix string) streamResult {
 	result := streamResult{attempt: attempt, host: h.name, began: time.Now()}
-	defer func() { result.ended = time.Now() }()
 	ctx, cancel := context.WithTimeout(ctx, deadline)
 	defer cancel()
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+h.front()+path, strings.NewReader(body))
