--- a/review/cases2/bodies.go
+++ b/review/cases2/bodies.go
@@ -17,7 +17,7 @@
 )
 
 const (
-	// bodyMemoryMB is the memory of a machine of the site, bodyConsumers the number of its consumers.
+	// bodyMemoryMB is the memory of a machine of kcjc-jury, bodyConsumers the number of its consumers.
 	bodyMemoryMB  = 134
 	bodyConsumers = 38
 	// bodyBytes is below maxBodyBytes, 4,194,304.
--- a/review/cases2/engine.go
+++ b/review/cases2/engine.go
@@ -394,8 +394,10 @@
 	e.fleet.mu.Lock()
 	e.fleet.runs = append(e.fleet.runs, x)
 	e.fleet.mu.Unlock()
-	loseAt, loses := e.fleet.losesAnswer(e, number)
-	loses = loses && from == ""
+	loseAt, loses := 0, false
+	if from == "" {
+		loseAt, loses = e.fleet.losesAnswer(e, number)
+	}
 	if from == "" {
 		x.wait(prefillTime(r))
 	}
@@ -424,8 +426,8 @@
 			e.fleet.mu.Lock()
 			x.answerLost = time.Now()
 			e.fleet.mu.Unlock()
-			e.lab.note("replica %s loses the answer of %s after event %d: its connection is reset, the run goes on", x.replica, attempt, id)
-			reset(c)
+			e.lab.note("replica %s loses the answer of %s after event %d: its connection closes, the run goes on", x.replica, attempt, id)
+			_ = c.Close()
 			open = false
 		}
 		event := fmt.Sprintf("id: %d\ndata: piece %d of %s\n\n", id, id, attempt)
--- a/review/cases2/lab.go
+++ b/review/cases2/lab.go
@@ -280,3 +280,14 @@
 	}
 	l.store.Put(key, data)
 }
+
+// keepPublished writes an entry now and at each heartbeat.
+func (l *lab) keepPublished(key string, entry func(seq int) map[string]any) {
+	l.publish(key, entry(1))
+	go func() {
+		for seq := 2; ; seq++ {
+			time.Sleep(heartbeat)
+			l.publish(key, entry(seq))
+		}
+	}()
+}
--- a/review/cases2/lostanswer.go
+++ b/review/cases2/lostanswer.go
@@ -9,19 +9,41 @@
 )
 
 const (
-	// lostShare is the part of the replicas that lose answers, and lostEvery the number of runs of which one loses its answer.
-	lostEvery  = 20
-	lostNumber = 10
-	lostEvent  = 20
+	// For lostTime, lostReplicas of the replicas (a share of 0.45 at most) lose the answer of the lostNumber-th run that starts on one of them
+	// (x is 0.025 at most). That comes lostPeriods times, lostPause apart.
+	lostTime     = 5500 * time.Millisecond
+	lostPause    = 2500 * time.Millisecond
+	lostPeriods  = 3
+	lostReplicas = 5
+	lostNumber   = 40
+	lostEvent    = 20
 	// overlapTime is how long after a request has gone on elsewhere its replica before may still work on it.
 	overlapTime = 400 * time.Millisecond
-	streams     = 260
-	streamPause = 70 * time.Millisecond
+	streamPause = 25 * time.Millisecond
 	streamTotal = 80
 )
 
-// lostAnswer checks that a stream goes on at another replica only once the one before does not work on it any more. Half of the replicas lose
-// the answer of one in twenty of the requests that they run: the connection is reset, the run goes on.
+// lossPeriods are the times in which replicas lose answers. The lock of engines guards them.
+type lossPeriods struct {
+	begin   time.Time
+	periods []int
+}
+
+// loses reports whether the run that starts now on an affected replica loses its answer.
+func (p *lossPeriods) loses(now time.Time) bool {
+	if p.begin.IsZero() || now.Before(p.begin) {
+		return false
+	}
+	period := int(now.Sub(p.begin) / (lostTime + lostPause))
+	if period >= lostPeriods || now.Sub(p.begin)%(lostTime+lostPause) >= lostTime {
+		return false
+	}
+	p.periods[period]++
+	return p.periods[period] == lostNumber
+}
+
+// lostAnswer checks that a stream goes on at another replica only once the one before does not work on it any more. Some replicas lose an
+// answer: its connection closes, the run goes on.
 func lostAnswer(record string, trouble bool) (bool, error) {
 	l, err := newLab(record, 284)
 	if err != nil {
@@ -33,26 +55,37 @@
 	if err != nil {
 		return false, err
 	}
-	if trouble {
-		fleet.losesAnswer = func(e *engine, number int) (int, bool) {
-			return lostEvent, e.index%2 == 0 && number%lostEvery == lostNumber
-		}
+	losses := &lossPeriods{periods: make([]int, lostPeriods)}
+	fleet.losesAnswer = func(e *engine, _ int) (int, bool) {
+		fleet.mu.Lock()
+		defer fleet.mu.Unlock()
+		return lostEvent, e.index < lostReplicas && losses.loses(time.Now()) && trouble
 	}
 	if err := l.startHosts(9); err != nil {
 		return false, err
 	}
-	l.note("hosts ready; %d streams of %d events follow", streams, streamTotal)
-	results := make([]streamResult, streams)
+	// The hosts have been in touch for more than contactTime when the first period begins.
+	begin := time.Now().Add(contactTime + time.Second)
+	fleet.mu.Lock()
+	losses.begin = begin
+	fleet.mu.Unlock()
+	l.note("hosts ready; streams of %d events follow, one each %s; the periods begin at %.3f, and each takes %s", streamTotal, streamPause, l.since(begin), lostTime)
+	var results []streamResult
+	var mu sync.Mutex
 	var wait sync.WaitGroup
-	for i := range streams {
+	for i := 0; time.Now().Before(begin.Add(lostPeriods * (lostTime + lostPause))); i++ {
 		wait.Go(func() {
 			attempt := fmt.Sprintf("%016x", 0x1c41d07b00000000+i)
-			results[i] = stream(context.Background(), l.hosts[i%len(l.hosts)], attempt, fmt.Sprintf("/draft/%d", streamTotal), 700, streamTotal, 39*time.Second, "a lesson plan", fmt.Sprintf("%08x:600,%08x:100", i%20, i+1000))
+			r := stream(context.Background(), l.hosts[i%len(l.hosts)], attempt, fmt.Sprintf("/draft/%d", streamTotal), 700, streamTotal, 39*time.Second, "a lesson plan", fmt.Sprintf("%08x:600,%08x:100", i%20, i+1000))
+			mu.Lock()
+			defer mu.Unlock()
+			results = append(results, r)
 		})
 		time.Sleep(streamPause)
 	}
 	wait.Wait()
 	time.Sleep(time.Second)
+	l.say("runs that started on the %d affected replicas in each period: %v", lostReplicas, losses.periods)
 	return l.checkRuns(fleet, results)
 }
 
@@ -79,7 +112,7 @@
 	for _, r := range results {
 		hostOf[r.attempt] = r.host
 	}
-	broken := 0
+	broken, unreached := 0, 0
 	for attempt, runs := range byAttempt {
 		for i := 1; i < len(runs); i++ {
 			before, after := runs[i-1], runs[i]
@@ -87,18 +120,22 @@
 			if before.engine == after.engine || overlap < overlapTime {
 				continue
 			}
-			broken++
 			reached := 0
 			for _, other := range fleet.runs {
 				if d := other.started.Sub(after.started); other.engine == before.engine && hostOf[other.attempt] == hostOf[attempt] && d > -contactTime && d < contactTime && other != before {
 					reached++
 				}
 			}
+			if reached > 0 {
+				broken++
+			} else {
+				unreached++
+			}
 			l.say("TWICE: %s went on at %s at %.3f while %s worked on it until %.3f, %d ms longer; its host %s sent that replica %d other requests within 3 s of that; the replica's interface answers: %v",
 				attempt, after.replica, l.since(after.started), before.replica, l.since(before.lastWork), overlap.Milliseconds(), hostOf[attempt], reached, before.engine.answersNow())
 		}
 	}
-	l.say("%d streams, %d complete; %d answers lost of %d runs; %d streams went on elsewhere while their replica still worked on them", len(results), complete, lost, len(fleet.runs), broken)
+	l.say("%d streams, %d complete; %d answers lost of %d runs; %d streams went on elsewhere while their replica still worked on them and took other requests of the same host; %d more without such a request", len(results), complete, lost, len(fleet.runs), broken, unreached)
 	if complete < len(results)*9/10 {
 		return false, fmt.Errorf("only %d of %d streams were complete", complete, len(results))
 	}
--- a/review/cases2/oddentry.go
+++ b/review/cases2/oddentry.go
@@ -12,7 +12,11 @@
 	oddPause = 50 * time.Millisecond
 )
 
-// oddEntry checks that an entry of another writer, in which fields are missing or of another type, names no replica to use.
+// foreignService is the service of the other writer's servers. No configuration names it.
+const foreignService = "trial-desk"
+
+// oddEntry checks that an entry of another writer, in which fields are missing or of another type, names no replica to use. The servers that
+// such entries name belong to a service to which no configuration lets a request go.
 func oddEntry(record string, trouble bool) (bool, error) {
 	l, err := newLab(record, 284)
 	if err != nil {
@@ -26,15 +30,15 @@
 		if err != nil {
 			return false, err
 		}
-		l.publish("servers/"+r.id, r.entry(1))
+		l.keepPublished("servers/"+r.id, r.entry)
 		replicas = append(replicas, r)
 	}
 	// These two are no replicas of the installation: another writer has published them.
-	missing, err := l.startReplica(10, "x-trial-1", "hiraman-desk", 5*time.Millisecond)
+	missing, err := l.startReplica(10, "x-trial-1", foreignService, 5*time.Millisecond)
 	if err != nil {
 		return false, err
 	}
-	mistyped, err := l.startReplica(11, "x-trial-2", "hiraman-desk", 5*time.Millisecond)
+	mistyped, err := l.startReplica(11, "x-trial-2", foreignService, 5*time.Millisecond)
 	if err != nil {
 		return false, err
 	}
@@ -42,9 +46,16 @@
 		return false, err
 	}
 	if trouble {
-		l.publish("servers/x-trial-1", map[string]any{"service": "hiraman-desk", "address": missing.address, "zone": missing.zone, "slots": 6, "state": "ready"})
-		l.publish("servers/x-trial-2", map[string]any{"service": "hiraman-desk", "address": mistyped.address, "zone": mistyped.zone, "version": 3, "slots": 6, "state": "ready", "coldLeftMs": 0, "seq": "first"})
-		l.note("another writer has published servers/x-trial-1 (version, coldLeftMs and seq are missing) and servers/x-trial-2 (version is a number, seq a text)")
+		l.keepPublished("servers/x-trial-1", func(int) map[string]any {
+			return map[string]any{"service": "hiraman-desk", "address": missing.address, "zone": missing.zone, "slots": 6, "state": "ready", "born": l.began.UnixMilli()}
+		})
+		l.keepPublished("servers/x-trial-2", func(seq int) map[string]any {
+			return map[string]any{
+				"service": "hiraman-desk", "address": mistyped.address, "zone": mistyped.zone, "version": 3, "slots": 6, "state": "ready", "coldLeftMs": 0,
+				"seq": fmt.Sprint(seq), "born": l.began.UnixMilli(),
+			}
+		})
+		l.note("another writer publishes servers/x-trial-1 (version, coldLeftMs and seq are missing) and servers/x-trial-2 (version is a number, seq a text)")
 	}
 	time.Sleep(2 * time.Second)
 	results := make([]plainResult, oddCalls)
@@ -78,11 +89,11 @@
 			if run.method == http.MethodPost {
 				unsafe++
 			}
-			l.note("ROUTE: %s %s %s ran at %s, a server that an incomplete entry names, for tenant %s", run.attempt, run.method, run.path, r.id, run.tenant)
+			l.note("ROUTE: %s %s %s ran at %s of service %s, for tenant %s", run.attempt, run.method, run.path, r.id, r.service, run.tenant)
 		}
-		l.say("the server %s got %d requests of consumers", r.id, len(r.ran()))
+		l.say("the server %s of service %s ran %d requests of consumers", r.id, r.service, len(r.ran()))
 	}
-	l.say("%d calls, %d answered with 200; %d ran at servers that an entry of another writer names, %d of them loan checkouts", oddCalls, answered, foreign, unsafe)
+	l.say("%d calls, %d answered with 200; %d ran at servers of a service that no configuration names, %d of them loan checkouts", oddCalls, answered, foreign, unsafe)
 	if answered < oddCalls*9/10 {
 		return false, fmt.Errorf("only %d of %d calls were answered", answered, oddCalls)
 	}
--- a/review/cases2/plain.go
+++ b/review/cases2/plain.go
@@ -84,7 +84,7 @@
 	time.Sleep(r.work)
 	w.Header().Set("Server-Seal", r.id+"."+attempt)
 	w.Header().Set("Content-Type", "text/plain")
-	_, _ = fmt.Fprintf(w, "%s %s run by %s", request.Method, request.RequestURI, r.id)
+	_, _ = fmt.Fprintf(w, "%s %s run by %s of %s", request.Method, request.RequestURI, r.id, r.service)
 }
 
 func (r *replica) ran() []plainRun {
