usherhost: ask another peer while one does not respond, and pass pulled changes on at once

Cause: changes that do not fit a datagram are pulled. A host waited 0.5 s for each peer that did not respond and then asked the first by name of those ahead, mostly another host of the same unreachable data centre; after three it read the store. Before that it waited 0.2 s for a push. A data centre of which the reader's hears nothing was told of changes once a second only.

Why the fix works: a peer that has not begun to respond within 0.1 s is left to its time-out while another one is asked, of a data centre whose peers respond if possible; so three of them take 0.3 s in all. New lines and catalog.behind_ms tell which step took the time.

--- a/cmd/usher-host/daemon/catalog_test.go
+++ b/cmd/usher-host/daemon/catalog_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"github.com/samphireusher/samphireusher/pkg/ushercluster"
 	"github.com/samphireusher/samphireusher/service/usherhost"
 )
 
@@ -79,6 +80,60 @@
 	}
 }
 
+// Three peers tell that they have new declarations and lose power, while the store responds late. Hosts that were behind waited for each of
+// them in turn, 0.5 s each, before they turned to anybody else. Found by review/4, played with processes.
+func TestPeersThatDoNotRespondDoNotHoldUpTheDeclarations(t *testing.T) {
+	withTestbed(t, options{hosts: 9, plainTargets: 3}, func(t *testing.T, b *testbed) {
+		const storeDelay = 500 * time.Millisecond
+		b.store.SetWatchDelay(storeDelay)
+		b.storeReader()
+		b.declareLarge(5)
+		published := time.Now()
+		time.Sleep(storeDelay - 100*time.Millisecond)
+		for i := range 3 {
+			ip := mustAddr(fmt.Sprintf("10.1.9.%d", i+1))
+			peer := ushercluster.Member{Name: fmt.Sprint("gone-", i+1), DataCentre: dataCentres[0], Address: netip.AddrPortFrom(ip, peerPort), Incarnation: 1}
+			for _, h := range b.hosts {
+				b.sendPeerReport(h.ip, peer, b.store.Revision())
+			}
+			b.network.Pause(ip)
+		}
+		time.Sleep(time.Until(published.Add(maxConfigDelay)))
+		for _, h := range b.hosts {
+			if v := b.versionOf(h); v != 5 {
+				t.Errorf("%s: version %d after %s, want 5", h.name, v, maxConfigDelay)
+			}
+		}
+	})
+}
+
+// No host outside the reader's data centre can reach it. After 1.25 s it took them for gone, and told them of changes once a second only.
+func TestReaderThatHearsOfNoOtherDataCentrePassesDeclarationsOn(t *testing.T) {
+	for i := range 20 {
+		after := time.Second + time.Duration(i)*50*time.Millisecond
+		t.Run(fmt.Sprint("after ", after), func(t *testing.T) {
+			withTestbed(t, options{hosts: 9, plainTargets: 3}, func(t *testing.T, b *testbed) {
+				reader := dataCentreOf(b, b.storeReader())
+				for i, from := range b.hosts {
+					for j, to := range b.hosts {
+						if i%len(dataCentres) != reader && j%len(dataCentres) == reader {
+							b.network.Block(address(from), address(to))
+						}
+					}
+				}
+				time.Sleep(after)
+				b.declareLarge(5)
+				time.Sleep(maxConfigDelay)
+				for _, h := range b.hosts {
+					if v := b.versionOf(h); v != 5 {
+						t.Errorf("%s: version %d after %s, want 5", h.name, v, maxConfigDelay)
+					}
+				}
+			})
+		})
+	}
+}
+
 func dataCentreOf(b *testbed, h *host) int {
 	for i, other := range b.hosts {
 		if other == h {
--- a/cmd/usher-host/daemon/soak_host_test.go
+++ b/cmd/usher-host/daemon/soak_host_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
@@ -30,31 +31,41 @@
 	return settings
 }
 
-// start starts a host's process. The kernel kills it if the test process dies.
+// start starts a host's process.
 func (s *soak) start(h *soakHost) {
-	settings := s.writeSettings(h)
-	log, err := os.OpenFile(filepath.Join(s.directory, h.ip+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	process, err := startProcess(s.writeSettings(h), filepath.Join(s.directory, h.ip+".log"))
 	if err != nil {
 		s.t.Fatal(err)
 	}
+	h.hostProcess = process
+}
+
+// startProcess starts the program as a process of its own, which appends to a log file. The kernel kills it if the test process
+// dies.
+func startProcess(settings, logFile string, env ...string) (hostProcess, error) {
+	log, err := os.OpenFile(logFile, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return hostProcess{}, err
+	}
 	command := exec.Command(os.Args[0])
 	// The race detector would sleep one second before the process exits.
 	command.Env = append(os.Environ(), soakSettings+"="+settings, "GORACE="+os.Getenv("GORACE")+" atexit_sleep_ms=0")
+	command.Env = append(command.Env, env...)
 	command.Stdout, command.Stderr = log, log
 	command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := command.Start(); err != nil {
-		s.t.Fatal(err)
+		return hostProcess{}, errors.Join(err, log.Close())
 	}
-	exited := make(chan struct{})
-	h.command, h.exited = command, exited
+	p := hostProcess{command: command, exited: make(chan struct{})}
 	go func() {
 		_ = command.Wait()
 		_ = log.Close()
-		close(exited)
+		close(p.exited)
 	}()
+	return p, nil
 }
 
-func (h *soakHost) signal(signal syscall.Signal) { _ = h.command.Process.Signal(signal) }
+func (p hostProcess) signal(signal syscall.Signal) { _ = p.command.Process.Signal(signal) }
 
 // injectHostFault kills, pauses or stops a host, and then starts or resumes it.
 func (s *soak) injectHostFault(ctx context.Context, random *rand.Rand) {
--- a/cmd/usher-host/daemon/soak_test.go
+++ b/cmd/usher-host/daemon/soak_test.go
@@ -73,10 +73,15 @@
 		crashes sync.WaitGroup
 	}
 
-	soakHost struct {
-		ip      string
+	// hostProcess is a process of the program.
+	hostProcess struct {
 		command *exec.Cmd
 		exited  chan struct{}
+	}
+
+	soakHost struct {
+		hostProcess
+		ip string
 		// busy is set while an operator stops or restarts the host.
 		busy bool
 		// allowance is the retry allowance of the settings.
@@ -110,7 +115,10 @@
 
 // TestMain runs the daemon in place of the tests if the soak test started this binary as a host process.
 func TestMain(m *testing.M) {
-	if settings := os.Getenv(soakSettings); settings != "" {
+	switch settings, links := os.Getenv(soakSettings), os.Getenv(brokenLinksFile); {
+	case settings != "" && links != "":
+		os.Exit(runWithBrokenLinks(settings, links))
+	case settings != "":
 		os.Args = []string{"usher-host", settings}
 		os.Exit(daemon.Main())
 	}
@@ -170,13 +178,18 @@
 
 func newSoak(t *testing.T, seed uint64, plannedOnly bool) *soak {
 	return &soak{
-		t: t, seed: seed, plannedOnly: plannedOnly, directory: t.TempDir(), subnet: fmt.Sprintf("127.%d.%d.", 64+os.Getpid()>>8&63, os.Getpid()&255),
+		t: t, seed: seed, plannedOnly: plannedOnly, directory: t.TempDir(), subnet: loopbackSubnet(),
 		store: usherstandin.NewStore(), copies: usherstandin.NewCopyRegistry(), targets: map[string]*soakTarget{}, statuses: map[int]int{},
 		notices: newSoakNotices(), planned: plannedWork{stops: map[string][]time.Time{}, reloads: map[string][]time.Time{}},
 		limits: soakLimits{passedOn: map[[2]string][]time.Time{}},
 	}
 }
 
+// loopbackSubnet returns the beginning of addresses that no other test process uses.
+func loopbackSubnet() string {
+	return fmt.Sprintf("127.%d.%d.", 64+os.Getpid()>>8&63, os.Getpid()&255)
+}
+
 // begin starts the platform, the targets and the hosts.
 func (s *soak) begin(hosts int) {
 	s.publish(1, nil)
--- a/cmd/usher-host/daemon/testbed_test.go
+++ b/cmd/usher-host/daemon/testbed_test.go
@@ -443,7 +443,13 @@
 // sendPeerChange sends a host a catalog change in the datagram format of peers.
 func (b *testbed) sendPeerChange(ip string, revision uint64, change ushercatalog.Entry) {
 	b.t.Helper()
-	peer := netip.AddrPortFrom(netip.MustParseAddr(callerIP), peerPort)
+	peer := ushercluster.Member{Name: "peer", DataCentre: "elsewhere", Address: netip.AddrPortFrom(netip.MustParseAddr(callerIP), peerPort), Incarnation: 1}
+	b.sendPeerReport(ip, peer, revision, change)
+}
+
+// sendPeerReport sends a host a peer's report that it has the changes up to a revision, with some of them.
+func (b *testbed) sendPeerReport(ip string, peer ushercluster.Member, revision uint64, changes ...ushercatalog.Entry) {
+	b.t.Helper()
 	datagram := struct {
 		Version      int                  `cbor:"1,keyasint"`
 		Report       ushercluster.Report  `cbor:"2,keyasint"`
@@ -451,15 +457,12 @@
 		StoreAge     time.Duration        `cbor:"4,keyasint"`
 		BaseRevision uint64               `cbor:"11,keyasint"`
 		Changes      []ushercatalog.Entry `cbor:"12,keyasint"`
-	}{
-		Version: 1, Revision: revision, StoreAge: time.Hour, BaseRevision: revision - 1, Changes: []ushercatalog.Entry{change},
-		Report: ushercluster.Report{From: ushercluster.Member{Name: "peer", DataCentre: "elsewhere", Address: peer, Incarnation: 1}},
-	}
+	}{Version: 1, Revision: revision, StoreAge: time.Hour, BaseRevision: revision - 1, Changes: changes, Report: ushercluster.Report{From: peer}}
 	data, err := cbor.Marshal(datagram)
 	if err != nil {
 		b.t.Fatal(err)
 	}
-	conn, err := b.network.ListenPacket(peer)
+	conn, err := b.network.ListenPacket(peer.Address)
 	if err != nil {
 		b.t.Fatal(err)
 	}
--- a/pkg/ushercluster/cluster.go
+++ b/pkg/ushercluster/cluster.go
@@ -409,6 +409,18 @@
 	return firstOfEach(hosts)
 }
 
+// UnheardCollectors returns hosts of the other data centres of which no host is heard, in the place of RemoteCollectors: packets may be
+// lost only on their way from there, so that these hosts hear of what they are sent.
+func (c *Cluster) UnheardCollectors(now time.Time) []Member {
+	heard, unheard := c.hostsByDataCentre(now), map[string][]Member{}
+	for _, m := range c.ranked() {
+		if len(heard[m.DataCentre]) == 0 {
+			unheard[m.DataCentre] = append(unheard[m.DataCentre], m.Member)
+		}
+	}
+	return firstOfEach(unheard)
+}
+
 // firstOfEach returns the first hosts of each data centre, sorted by data centre.
 func firstOfEach(byDataCentre map[string][]Member) []Member {
 	var first []Member
--- a/service/usherhost/feed.go
+++ b/service/usherhost/feed.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"log/slog"
-	"maps"
-	"net/netip"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -39,17 +37,6 @@
 	// readerCheckInterval is how often a host that does not read the store checks whether it has to. It also does so at
 	// once when a reader reports that its calls fail.
 	readerCheckInterval = 250 * time.Millisecond
-	// pullDelay is how long a host waits before it pulls the changes that a peer has and it lacks, as changes are also
-	// pushed.
-	pullDelay = 200 * time.Millisecond
-	// unreachableTime is how long a peer is not asked again from which a pull has failed, and maxPulls the number of pulls
-	// after which a host that is behind reads the store itself.
-	unreachableTime = 2 * time.Second
-	maxPulls        = 3
-	// storeTurnStep is how long a host leaves the reading of the store to each of up to maxStoreTurns hosts of its data centre,
-	// if nobody can be reached who has the changes. What one of them reads is reported to the next ones in that time.
-	storeTurnStep = 100 * time.Millisecond
-	maxStoreTurns = 5
 )
 
 type (
@@ -67,10 +54,11 @@
 	// feed keeps the catalog up to date, from the store or from peers. One host of the fleet reads the store, as each
 	// call is charged for; other hosts take over if it gets no responses.
 	feed struct {
-		state *sharedState
-		store Store
-		peers *peers
-		log   *slog.Logger
+		state       *sharedState
+		store       Store
+		peers       *peers
+		containment *containment
+		log         *slog.Logger
 
 		listed bool
 		// allowStale reports whether the next list may be out of date. It is set for the first list when the whole
@@ -78,36 +66,32 @@
 		allowStale bool
 		// storeLost is set by a failed call, at failedAt, until the next full list. relistAt is when entries that
 		// expired during the outage must have reappeared.
-		storeLost     bool
-		failedAt      time.Time
-		relistAt      time.Time
-		backoff       time.Duration
-		calls         metrics.Counter
-		failedCalls   metrics.Counter
+		storeLost   bool
+		failedAt    time.Time
+		relistAt    time.Time
+		backoff     time.Duration
+		calls       metrics.Counter
+		failedCalls metrics.Counter
+		// behind has the times in milliseconds from when this host learned that it is behind until it had pulled the changes.
+		behind        metrics.Histogram
 		isStoreReader bool
 		storeUp       bool
 		// takingOver is set from when this host starts to read until it has a response. Its first call does not wait for changes, or
 		// the next hosts would start to read before its success is reported.
 		takingOver bool
 
-		// unreachable has the peers from which a pull has failed, and until when they are not asked. Only followPeers uses it.
-		unreachable map[string]time.Time
+		// unresponsive has the peers that did not respond to a pull, and until when they are not asked. Only followPeers uses it.
+		unresponsive map[string]time.Time
 		// readOnce makes a host that does not read the store make one call.
 		readOnce chan struct{}
 	}
-
-	// aheadPeer is a peer with a newer catalog than this host's.
-	aheadPeer struct {
-		name     string
-		address  netip.AddrPort
-		revision uint64
-	}
 )
 
-func newFeed(s *sharedState, store Store, firstStart bool, p *peers, log *slog.Logger, registry metrics.Registry) *feed {
+func newFeed(s *sharedState, store Store, firstStart bool, p *peers, c *containment, log *slog.Logger, registry metrics.Registry) *feed {
 	return &feed{
-		state: s, store: store, allowStale: firstStart, peers: p, log: log, storeUp: true, unreachable: map[string]time.Time{}, readOnce: make(chan struct{}, 1),
+		state: s, store: store, allowStale: firstStart, peers: p, containment: c, log: log, storeUp: true, unresponsive: map[string]time.Time{}, readOnce: make(chan struct{}, 1),
 		calls: metrics.NewRegisteredCounter("store.calls", registry), failedCalls: metrics.NewRegisteredCounter("store.failed_calls", registry),
+		behind: metrics.NewRegisteredHistogram("catalog.behind_ms", registry, metrics.NewExpDecaySample(sampleSize, sampleAlpha)),
 	}
 }
 
@@ -136,20 +120,6 @@
 	return false
 }
 
-// followPeers pulls missing changes from peers that are ahead, until ctx ends. It does not wait for calls to the store,
-// which may get no response.
-func (f *feed) followPeers(ctx context.Context) {
-	for ctx.Err() == nil {
-		select {
-		case <-ctx.Done():
-		case <-f.state.behindPeer:
-			// The missing changes may already be in transit.
-			sleep(ctx, pullDelay)
-			f.pullFromPeer(ctx)
-		}
-	}
-}
-
 // updateReader reports whether this host has to read the store, and logs when that changes.
 func (f *feed) updateReader() bool {
 	reader := f.state.shouldReadStore()
@@ -306,44 +276,6 @@
 	return changed
 }
 
-// pullFromPeer pulls the changes that peers have and this host lacks. If none of these peers can be reached, one host after the
-// other reads the store, until the changes are at a peer that can be.
-func (f *feed) pullFromPeer(ctx context.Context) {
-	now := time.Now()
-	maps.DeleteFunc(f.unreachable, func(_ string, until time.Time) bool { return now.After(until) })
-	waited := false
-	for range maxPulls {
-		peer, reachable, behind := f.state.peerAhead(f.unreachable)
-		switch {
-		case !behind || ctx.Err() != nil:
-			return
-		case reachable && f.pull(ctx, peer):
-			return
-		case !reachable && !waited:
-			waited = true
-			sleep(ctx, f.state.storeTurn())
-		case !reachable:
-			f.log.Info("no peer that is ahead can be reached; reading the store", "revision", f.state.revision(), "peer_revision", peer.revision)
-			notify(f.readOnce)
-			return
-		}
-	}
-	notify(f.readOnce)
-}
-
-// pull pulls from one peer and reports whether that succeeded.
-func (f *feed) pull(ctx context.Context, peer aheadPeer) bool {
-	changed, err := f.peers.pull(ctx, peer.address, f.state.revision())
-	if err != nil {
-		f.unreachable[peer.name] = time.Now().Add(unreachableTime)
-		f.log.Warn("failed to pull changes from peer; asking another one", "peer", peer.name, "revision", peer.revision, "error", errorText(err))
-		return false
-	}
-	delete(f.unreachable, peer.name)
-	f.logChanges(peer.address.String(), changed)
-	return true
-}
-
 // logChanges logs what this host learned.
 func (f *feed) logChanges(source string, changed []ushercatalog.Entry) {
 	logCatalogChanges(f.log, source, changed)
@@ -437,35 +369,3 @@
 	r, known := s.peerStatuses[name]
 	return known && !r.storeFailing && now.Sub(r.lastStoreResponse) < readerTimeout
 }
-
-// peerAhead returns the peer with the newest catalog that is not known to be unreachable, one of the same data centre if
-// possible, and whether there is one. behind reports whether any peer has a newer catalog than this host; if all of them are
-// unreachable, peer is one of these.
-func (s *sharedState) peerAhead(unreachable map[string]time.Time) (peer aheadPeer, reachable, behind bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	now := time.Now()
-	self := s.cluster.Self()
-	local := false
-	for _, m := range s.cluster.Alive(now) {
-		status, known := s.peerStatuses[m.Name]
-		if !known || status.revision <= s.catalog.Revision() {
-			continue
-		}
-		behind = true
-		mayReach := !now.Before(unreachable[m.Name])
-		isLocal := m.DataCentre == self.DataCentre
-		better := peer.name == "" || mayReach && !reachable || mayReach == reachable && (isLocal && !local || isLocal == local && status.revision > peer.revision)
-		if better {
-			peer, reachable, local = aheadPeer{name: m.Name, address: m.Address, revision: status.revision}, mayReach, isLocal
-		}
-	}
-	return peer, reachable, behind
-}
-
-// storeTurn returns how long this host leaves it to others of its data centre to read the store.
-func (s *sharedState) storeTurn() time.Duration {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return storeTurnStep * time.Duration(min(max(s.cluster.LocalRank(time.Now()), 0), maxStoreTurns))
-}
--- a/service/usherhost/host.go
+++ b/service/usherhost/host.go
@@ -134,7 +134,7 @@
 	h.targetPoller = newTargetPoller(h.state, h.peers, p.Engines, h.containment, log, registry)
 	h.targetPoller.note = h.noteTarget
 	h.pressure = newPressure(h.state, s.Limits.MemoryMegabytes, h.inProgress.Load, log, registry)
-	h.feed = newFeed(h.state, p.Store, s.Process.FirstStart, h.peers, log, registry)
+	h.feed = newFeed(h.state, p.Store, s.Process.FirstStart, h.peers, h.containment, log, registry)
 	h.lifecycle = fsm.NewFSM(stateStarting, fsm.Events{
 		{Name: eventConfigured, Src: []string{stateStarting}, Dst: stateServing},
 		{Name: eventStop, Src: []string{stateStarting, stateServing}, Dst: stateStopping},
--- a/service/usherhost/peers.go
+++ b/service/usherhost/peers.go
@@ -295,7 +295,7 @@
 // pushChanges sends changes read from the store to the hosts of this data centre and to the collectors of the others.
 func (p *peers) pushChanges(base uint64, changes []ushercatalog.Entry) {
 	if len(changes) > 0 {
-		p.distribute(base, p.state.revision(), changes, append(p.state.localPeers(), p.state.remoteCollectors()...))
+		p.distribute(base, p.state.revision(), changes, p.state.changeRecipients())
 	}
 }
 
@@ -318,8 +318,8 @@
 	return to
 }
 
-// pull requests the changes after a revision from a peer.
-func (p *peers) pull(ctx context.Context, address netip.AddrPort, after uint64) (changed []ushercatalog.Entry, err error) {
+// pull requests the changes after a revision from a peer, and calls begun once the peer begins to respond.
+func (p *peers) pull(ctx context.Context, address netip.AddrPort, after uint64, begun func()) (changed []ushercatalog.Entry, err error) {
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address.String()+catalogPath+"?after="+strconv.FormatUint(after, 10), nil)
@@ -331,6 +331,7 @@
 		return nil, err
 	}
 	defer func() { err = errors.Join(err, response.Body.Close()) }()
+	begun()
 	data, err := io.ReadAll(io.LimitReader(response.Body, maxCatalogBytes))
 	if err != nil {
 		return nil, err
--- a/service/usherhost/reports.go
+++ b/service/usherhost/reports.go
@@ -35,10 +35,12 @@
 	return s.cluster.LocalPeers(time.Now())
 }
 
-func (s *sharedState) remoteCollectors() []ushercluster.Member {
+// changeRecipients returns the hosts to which the collector that has learned of a change passes it on.
+func (s *sharedState) changeRecipients() []ushercluster.Member {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.cluster.RemoteCollectors(time.Now())
+	now := time.Now()
+	return slices.Concat(s.cluster.LocalPeers(now), s.cluster.RemoteCollectors(now), s.cluster.UnheardCollectors(now))
 }
 
 // areRemote reports which of the addresses belong to hosts in other data centres.
@@ -90,7 +92,7 @@
 	collector := s.cluster.Collector(now)
 	var out []outgoingDatagram
 	if collector.Name == s.cluster.Self().Name {
-		out = s.collectorReports(now, base)
+		out = s.collectorReports(now, base, urgent)
 	} else {
 		s.dataCentreLoadDeltas, s.fleetLoadDeltas = usherpool.DeltaTracker{}, usherpool.DeltaTracker{}
 		d := base
@@ -123,13 +125,16 @@
 }
 
 // collectorReports returns the reports of a collector to the hosts of its data centre and to the collectors of others.
-func (s *sharedState) collectorReports(now time.Time, base datagramWire) []outgoingDatagram {
+func (s *sharedState) collectorReports(now time.Time, base datagramWire, urgent bool) []outgoingDatagram {
 	s.pool.DropPeerLoads(func(source string) bool { return source == sourceFleet })
 	remote := base
 	remote.Report = s.cluster.DataCentreReport(now)
 	fleet := s.fleetLoadDeltas.Next(s.pool.TotalLoads(now, func(string) bool { return true }))
 	local := s.dataCentreLoadDeltas.Next(s.pool.TotalLoads(now, func(source string) bool { return strings.HasPrefix(source, sourceHost) }))
 	localPeers, remoteCollectors := addresses(s.cluster.LocalPeers(now)), addresses(s.cluster.RemoteCollectors(now))
+	if urgent {
+		remoteCollectors = append(remoteCollectors, addresses(s.cluster.UnheardCollectors(now))...)
+	}
 	out := s.batchReports(base, localPeers, fleet, func(d *datagramWire, loads map[string]usherpool.Load) { d.FleetLoads = loads })
 	return append(out, s.batchReports(remote, remoteCollectors, local, func(d *datagramWire, loads map[string]usherpool.Load) { d.DataCentreLoads = loads })...)
 }
@@ -161,7 +166,7 @@
 	s.mergeStoreContact(now, d)
 	s.mergeLoads(now, d)
 	if d.Revision > s.catalog.Revision() {
-		notify(s.behindPeer)
+		s.recordBehind(now)
 	}
 	if d.StoreFailing {
 		notify(s.readerFailed)
--- a/service/usherhost/state.go
+++ b/service/usherhost/state.go
@@ -59,6 +59,8 @@
 		// its calls to the store fail.
 		behindPeer   chan struct{}
 		readerFailed chan struct{}
+		// behindSince is when this host learned that it is behind, or zero.
+		behindSince time.Time
 	}
 
 	// storeContact is a response of the store to a host.
