ushercluster: tell beats instead of ages, so that reports read late bring no lost host back

Cause: hosts told each other for how long they had not heard of others, and a reader took the time of reading for that of sending. What had waited was to be dropped after a standstill, but the goroutine that found the gap noted the time before it stored until when to drop; another one then saw neither and read a report from before the loss. What was read before the stop and used after it is seen by no check at all.

Why the fix works: a report says for how long its sender has been running, and of third hosts it tells their latest beats. A host maps another one's beats to its own time by the fastest report of the last seconds, so a late one can't make a beat later than it was, wherever it waited. All other ages in a report count from when it was sent, by its beat.

--- a/cmd/usher-host/daemon/standstill_test.go
+++ b/cmd/usher-host/daemon/standstill_test.go
@@ -16,19 +16,25 @@
 // Hosts stand still just before a data centre loses power, and go on seconds later. Datagrams of the lost hosts had waited in
 // their sockets; they took them for news and told all others, so callers were sent to hosts without power. Found by review/5.
 func TestHostsThatStoodStillDoNotBringLostHostsBack(t *testing.T) {
-	var suspended atomic.Int64
-	started := 0
+	// pausedAt is when the machines of the two were suspended, or zero.
+	var pausedAt atomic.Int64
+	started, begin := 0, time.Time{}
 	o := options{hosts: 12, plainTargets: 3, editPlatform: func(p *usherhost.Platform) {
-		begin, stands := time.Now(), started == 1 || started == 4
+		stands := started == 1 || started == 4
+		if started == 0 {
+			begin = time.Now().Add(-time.Hour)
+		}
 		started++
 		p.Uptime = func() time.Duration {
-			if stands {
-				return time.Since(begin) + time.Duration(suspended.Load())
+			// A stand-in's process goes on in virtual time, so only the clock of the machine shows that it stood still.
+			if at := pausedAt.Load(); stands && at > 0 {
+				return time.Duration(at)
 			}
 			return time.Since(begin)
 		}
 	}}
 	withTestbed(t, o, func(t *testing.T, b *testbed) {
+		pausedAt.Store(int64(time.Since(begin)))
 		for _, i := range []int{1, 4} {
 			b.network.Pause(mustAddr(hostIP(i)))
 		}
@@ -38,8 +44,7 @@
 			b.network.Pause(mustAddr(hostIP(i)))
 		}
 		time.Sleep(4 * time.Second)
-		// A stand-in's process goes on in virtual time, so only the clock of the machine shows that it stood still.
-		suspended.Store(int64(4 * time.Second))
+		pausedAt.Store(0)
 		for _, i := range []int{1, 4} {
 			b.network.Resume(mustAddr(hostIP(i)))
 		}
--- a/pkg/ushercluster/cluster.go
+++ b/pkg/ushercluster/cluster.go
@@ -1,19 +1,22 @@
 // Package ushercluster maintains one host's view of the other hosts.
 //
 // Hosts find each other through a few seed addresses and then by gossip: several times a second each host sends a
-// Report to a few others, and a report names further hosts with the time since they were last heard of. There is no
+// Report to a few others, and a report names further hosts with their latest known beats. A beat says for how long its host has been
+// running, by that host's own clock, so it does not matter how long a report was on its way or waited for a process that
+// stood still: each host maps the beats of another one to its own time by those that arrived fastest. There is no
 // consensus. A host that has not been heard of for some time counts as gone, and one that announces that it is stopping
 // is skipped at once. Hosts that are gone are still contacted now and then, so that the parts of a partitioned fleet
 // find each other again.
 //
 // In a large fleet a report describes only few hosts in full. The others are listed in Digest by an ID of their
-// incarnation, with the time since they were heard of; a host that does not know an ID asks for it in its next reports.
+// incarnation, with their beats; a host that does not know an ID asks for it in its next reports.
 //
 // In each data centre the host with the largest capacity, and among equal ones the first by name, is the collector: the
 // others report to it, and it sends them a summary of the fleet. Therefore the traffic of a host does not grow with the fleet, and little of it leaves the data centre.
 // Each host decides for itself to skip a collector that it does not hear; two collectors at the same time do no harm.
 //
-// A Cluster does no I/O and reads no clock. It is not safe for concurrent use.
+// A Cluster does no I/O and reads no clock. Its times must be those of a steady clock that also counts the time in which the machine is
+// suspended. It is not safe for concurrent use.
 //
 // # Usage
 //
@@ -97,19 +100,23 @@
 		Capacity Capacity `cbor:"7,keyasint,omitzero"`
 	}
 
-	// PeerInfo describes a host that the sender of a report has heard of. Age is the time since then.
+	// PeerInfo describes a host that the sender of a report has heard of. Age is the time since then; it counts only for recipients that
+	// have heard no beat of the host.
 	PeerInfo struct {
 		Member Member        `cbor:"1,keyasint"`
 		Age    time.Duration `cbor:"2,keyasint"`
+		// Beat is the latest known beat of the host. Hosts of older versions have none.
+		Beat uint64 `cbor:"3,keyasint,omitempty"`
 	}
 
 	// Report is a gossip message about hosts.
 	Report struct {
 		From  Member     `cbor:"1,keyasint"`
 		Peers []PeerInfo `cbor:"2,keyasint"`
-		// Digest has five bytes for each host: its incarnation ID and the time since it was heard of, in units of
-		// ageUnit.
-		Digest []byte `cbor:"3,keyasint,omitempty"`
+		// Beat is that of the sender when it made the report. Older versions have none, and use number 3 for ages of hosts.
+		Beat uint64 `cbor:"6,keyasint,omitempty"`
+		// Digest has six bytes for each host: its incarnation ID and the lowest bits of its beat.
+		Digest []byte `cbor:"7,keyasint,omitempty"`
 		// UnknownIDs lists incarnation IDs that the sender does not know.
 		UnknownIDs []uint32 `cbor:"4,keyasint,omitempty"`
 		// Pressures has six bytes for each host that has lately been under pressure: its incarnation ID, the level, and the
@@ -147,6 +154,8 @@
 		place       int
 		placedAmong int
 		heardAny    bool
+		// startedAt is when this host's beat was zero.
+		startedAt time.Time
 		// collector is the host to which this one reports, since collectorSince.
 		collector      string
 		collectorSince time.Time
@@ -157,11 +166,16 @@
 	member struct {
 		Member
 		id uint32
+		// replaced is the incarnation that this one has replaced. What is still told of it is outdated.
+		replaced int64
+		// beat is the latest one heard of, clock maps it to lastHeard.
+		beat  uint64
+		clock beatClock
 		// requestedAt is when a peer last asked for the host's description.
 		requestedAt time.Time
 		lastHeard   time.Time
 		changedAt   time.Time
-		// lastDirect is when a message of the host itself was last received.
+		// lastDirect is when the latest message that was received of the host itself was sent.
 		lastDirect time.Time
 		// pressure is the level that the host named at pressureAt.
 		pressure   uint8
@@ -191,61 +205,81 @@
 	var changed []Member
 	known := c.members[r.From.Name]
 	heardBefore := known != nil && known.Incarnation == r.From.Incarnation && !known.lastDirect.IsZero()
-	if c.update(now, r.From, now, true) {
+	if c.update(now, PeerInfo{Member: r.From, Beat: r.Beat}, now) {
 		changed = append(changed, r.From)
 	}
+	sent := c.SentAt(now, r)
+	c.recordDirect(now, r.From, sent)
 	if !heardBefore && r.From.DataCentre != c.self.DataCentre && len(c.newRemoteHosts) < maxNewRemoteHosts {
 		c.newRemoteHosts = append(c.newRemoteHosts, r.From)
 	}
-	for _, s := range r.Peers {
-		if s.Age >= 0 && s.Age < c.failureTimeout() && c.update(now, s.Member, now.Add(-s.Age), false) {
-			changed = append(changed, s.Member)
+	for _, p := range r.Peers {
+		if p.Age >= 0 && p.Age < c.failureTimeout() && c.update(now, p, sent.Add(-p.Age)) {
+			changed = append(changed, p.Member)
 		}
 	}
 	c.receiveUnknownIDs(now, r.UnknownIDs)
-	c.receivePressures(now, r.Pressures)
+	c.receivePressures(sent, r.Pressures)
 	return append(changed, c.receiveDigest(now, r.Digest)...)
 }
 
-// update processes a host's description of itself, received directly or through a peer, and reports whether the host is
-// new or has changed. A newer incarnation is recognised by the time at which it was heard, not by its number:
-// incarnations are derived from clocks that may have been set back.
-func (c *Cluster) update(now time.Time, m Member, heard time.Time, direct bool) bool {
+// recordDirect records that a host itself has sent a message.
+func (c *Cluster) recordDirect(now time.Time, from Member, sent time.Time) {
+	m, known := c.members[from.Name]
+	if !known || m.Incarnation != from.Incarnation || sent.Before(m.lastDirect) {
+		return
+	}
+	m.lastDirect = sent
+	if now.Sub(sent) <= FailureTimeout {
+		delete(c.skippedCollectors, from.Name)
+	}
+}
+
+// update processes what is told of a host by itself or by a peer, and reports whether the host is new, has recovered or has changed. heard is
+// when the host was heard of if no beat of it is known here. A newer incarnation is recognised by the time at which it was heard, not by
+// its number: incarnations are derived from clocks that may have been set back.
+func (c *Cluster) update(now time.Time, p PeerInfo, heard time.Time) bool {
+	m := p.Member
 	if m.Name == c.self.Name || m.Name == "" {
 		return false
 	}
 	c.heardAny = true
 	old, known := c.members[m.Name]
-	if known && m.Incarnation == old.Incarnation && m.State < old.State {
+	same := known && m.Incarnation == old.Incarnation
+	switch {
+	case same && m.State < old.State:
 		return false
-	}
-	if known && m.Incarnation != old.Incarnation && !heard.After(old.lastHeard) {
+	case !same && now.Sub(heard) > c.failureTimeout():
+		return false
+	case known && !same && (!heard.After(old.lastHeard) || m.Incarnation == old.replaced):
 		return false
 	}
-	if known && m.Incarnation == old.Incarnation && m.Capacity == (Capacity{}) {
+	if same && m.Capacity == (Capacity{}) {
 		// Hosts that do not know of capacities pass on descriptions without them.
 		m.Capacity = old.Capacity
 	}
-	changed := !known || old.Incarnation != m.Incarnation || old.State != m.State || now.Sub(old.lastHeard) > c.failureTimeout()
 	updated := &member{Member: m, id: incarnationID(m), lastHeard: heard, changedAt: now}
 	if known {
-		updated.requestedAt = old.requestedAt
-		if m.Incarnation == old.Incarnation {
-			updated.lastDirect, updated.pressure, updated.pressureAt = old.lastDirect, old.pressure, old.pressureAt
-		}
 		delete(c.namesByID, old.id)
+		updated.requestedAt, updated.replaced = old.requestedAt, old.Incarnation
 	}
-	c.namesByID[updated.id] = m.Name
-	if direct {
-		updated.lastDirect = now
-		delete(c.skippedCollectors, m.Name)
+	if same {
+		updated.replaced, updated.beat, updated.clock, updated.lastDirect = old.replaced, old.beat, old.clock, old.lastDirect
+		updated.pressure, updated.pressureAt = old.pressure, old.pressureAt
+		if p.Beat > 0 || old.beat > 0 || old.lastHeard.After(heard) {
+			updated.lastHeard = old.lastHeard
+		}
 	}
-	if known && old.lastHeard.After(heard) {
-		updated.lastHeard = old.lastHeard
+	if updated.beat > 0 {
+		heard = now
 	}
+	updated.hear(now, p.Beat, heard)
+	recovered := same && now.Sub(old.lastHeard) > c.failureTimeout() && now.Sub(updated.lastHeard) <= c.failureTimeout()
+	changed := !same || old.State != m.State || recovered
 	if !changed {
 		updated.changedAt = old.changedAt
 	}
+	c.namesByID[updated.id] = m.Name
 	if !known || old.Capacity != m.Capacity {
 		c.byName, c.byRank = nil, nil
 	}
@@ -261,19 +295,6 @@
 	return changed
 }
 
-// PassTime makes all news of other hosts older, by time that the clock of the calls has not counted.
-func (c *Cluster) PassTime(missed time.Duration) {
-	for _, m := range c.members {
-		m.lastHeard, m.changedAt = m.lastHeard.Add(-missed), m.changedAt.Add(-missed)
-		if !m.lastDirect.IsZero() {
-			m.lastDirect = m.lastDirect.Add(-missed)
-		}
-		if !m.pressureAt.IsZero() {
-			m.pressureAt = m.pressureAt.Add(-missed)
-		}
-	}
-}
-
 // failureTimeout returns how long a host may not be heard of before it counts as gone.
 func (c *Cluster) failureTimeout() time.Duration {
 	if len(c.members) > smallFleet {
--- a/pkg/ushercluster/cluster_test.go
+++ b/pkg/ushercluster/cluster_test.go
@@ -18,6 +18,10 @@
 	order       []netip.AddrPort
 	blocked     map[[2]netip.AddrPort]bool
 	down        map[netip.AddrPort]bool
+	// standing are the hosts whose processes stand still, with the reports that wait for them.
+	standing map[netip.AddrPort][]ushercluster.Report
+	// slow is by how much the clocks of hosts are behind.
+	slow map[netip.AddrPort]time.Duration
 	// remoteBytes counts the bytes sent between data centres.
 	remoteBytes int
 }
@@ -29,7 +33,8 @@
 func newFleet(hosts, seeds int) *fleet { return newFleetOf(hosts, seeds, 3) }
 
 func newFleetOf(hosts, seeds, dataCentres int) *fleet {
-	f := &fleet{dataCentres: dataCentres, now: time.Unix(1000, 0), hosts: map[netip.AddrPort]*ushercluster.Cluster{}, blocked: map[[2]netip.AddrPort]bool{}, down: map[netip.AddrPort]bool{}}
+	f := &fleet{dataCentres: dataCentres, now: time.Unix(1000, 0), hosts: map[netip.AddrPort]*ushercluster.Cluster{}, blocked: map[[2]netip.AddrPort]bool{}, down: map[netip.AddrPort]bool{},
+		standing: map[netip.AddrPort][]ushercluster.Report{}, slow: map[netip.AddrPort]time.Duration{}}
 	var first []netip.AddrPort
 	for i := range seeds {
 		first = append(first, address(i))
@@ -54,7 +59,7 @@
 	sent := 0
 	for end := f.now.Add(d); f.now.Before(end); f.now = f.now.Add(ushercluster.ReportInterval) {
 		for _, from := range f.order {
-			if f.down[from] {
+			if _, stands := f.standing[from]; f.down[from] || stands {
 				continue
 			}
 			c := f.hosts[from]
@@ -65,7 +70,7 @@
 						f.remoteBytes += m.bytes()
 					}
 					if f.hosts[to] != nil && !f.down[to] && !f.blocked[[2]netip.AddrPort{from, to}] {
-						f.hosts[to].Receive(f.now, m.report)
+						f.deliver(to, m.report)
 					}
 				}
 			}
@@ -74,6 +79,29 @@
 	return sent
 }
 
+// deliver lets a host receive a report, or wait for it to go on.
+func (f *fleet) deliver(to netip.AddrPort, r ushercluster.Report) {
+	if waiting, stands := f.standing[to]; stands {
+		f.standing[to] = append(waiting, r)
+		return
+	}
+	f.hosts[to].Receive(f.at(to), r)
+}
+
+// at returns the time of a host's clock.
+func (f *fleet) at(host netip.AddrPort) time.Time { return f.now.Add(-f.slow[host]) }
+
+// goOn lets the hosts that stand still go on, which then read what has waited.
+func (f *fleet) goOn() {
+	waiting := f.standing
+	f.standing = map[netip.AddrPort][]ushercluster.Report{}
+	for to, reports := range waiting {
+		for _, r := range reports {
+			f.deliver(to, r)
+		}
+	}
+}
+
 // message is a report with its recipients.
 type message struct {
 	to     []netip.AddrPort
@@ -87,20 +115,21 @@
 
 // messages returns the gossip reports and those that collectors exchange.
 func (f *fleet) messages(c *ushercluster.Cluster) []message {
-	local, remote := c.Recipients(f.now)
-	all := c.Report(f.now)
+	now := f.at(c.Self().Address)
+	local, remote := c.Recipients(now)
+	all := c.Report(now)
 	out := []message{{local, all}}
 	if len(remote) > 0 {
-		out = append(out, message{remote, c.DataCentreReport(f.now)})
+		out = append(out, message{remote, c.DataCentreReport(now)})
 	}
-	for _, introduction := range c.Introductions(f.now) {
+	for _, introduction := range c.Introductions(now) {
 		out = append(out, message{[]netip.AddrPort{introduction.To}, introduction.Report})
 	}
-	collector := c.Collector(f.now)
+	collector := c.Collector(now)
 	if collector.Name != c.Self().Name {
 		return append(out, message{[]netip.AddrPort{collector.Address}, all})
 	}
-	return append(out, message{addresses(c.LocalPeers(f.now)), all}, message{addresses(c.RemoteCollectors(f.now)), c.DataCentreReport(f.now)})
+	return append(out, message{addresses(c.LocalPeers(now)), all}, message{addresses(c.RemoteCollectors(now)), c.DataCentreReport(now)})
 }
 
 func addresses(members []ushercluster.Member) []netip.AddrPort {
@@ -114,7 +143,7 @@
 func (f *fleet) countKnowing(want int) int {
 	n := 0
 	for _, a := range f.order {
-		if !f.down[a] && len(f.hosts[a].Alive(f.now)) == want {
+		if !f.down[a] && len(f.hosts[a].Alive(f.at(a))) == want {
 			n++
 		}
 	}
@@ -283,7 +312,7 @@
 			t.Errorf("%d of %d hosts know all others", n, hosts)
 		}
 	}
-	// Each host takes five bytes in a digest.
+	// Each host takes six bytes in a digest.
 	if bytes[195] > 2*bytes[60] {
 		t.Errorf("bytes per second between data centres: %v", bytes)
 	}
@@ -371,20 +400,87 @@
 	}
 }
 
-// A machine is suspended and its steady clock does not count the time. What it had heard before must not look fresh to others.
+// A host that is behind a standstill, or on a machine that was suspended, must not tell others that what it had heard before is fresh.
 func TestSuspendedHostDoesNotTellFreshAges(t *testing.T) {
 	now := time.Unix(1000, 0)
 	c := ushercluster.New(ushercluster.Member{Name: "a", DataCentre: "x", Incarnation: 1}, nil, rand.New(rand.NewPCG(1, 1)))
-	c.Receive(now, ushercluster.Report{From: ushercluster.Member{Name: "b", DataCentre: "x", Incarnation: 1}})
+	c.Receive(now, ushercluster.Report{From: ushercluster.Member{Name: "b", DataCentre: "x", Incarnation: 1}, Beat: 1})
 	if len(c.Alive(now)) != 1 {
 		t.Fatal("a host that was just heard of counts as gone")
 	}
-	c.PassTime(500 * time.Millisecond)
-	if peers := c.Report(now).Peers; len(peers) != 1 || peers[0].Age != 500*time.Millisecond {
+	now = now.Add(500 * time.Millisecond)
+	if peers := c.Report(now).Peers; len(peers) != 1 || peers[0].Age != 500*time.Millisecond || peers[0].Beat != 1 {
 		t.Errorf("told %+v after a suspension of 0.5 s", peers)
 	}
-	c.PassTime(ushercluster.FailureTimeout)
+	now = now.Add(ushercluster.FailureTimeout)
 	if alive, told := c.Alive(now), c.Report(now).Peers; len(alive) > 0 || len(told) > 0 {
 		t.Errorf("alive %v, told %+v after a suspension beyond the failure time-out", alive, told)
 	}
 }
+
+// Two hosts stand still just before a data centre loses power, and go on seconds later. They took what had waited for them for news, and
+// told all others so. Found by review/5.
+func TestReportsReadLateDoNotBringLostHostsBack(t *testing.T) {
+	const hosts = 12
+	f := newFleet(hosts, 3)
+	f.run(10 * time.Second)
+	f.standing[address(1)], f.standing[address(4)] = nil, nil
+	f.run(ushercluster.ReportInterval)
+	lost := map[string]bool{}
+	for i := 2; i < hosts; i += 3 {
+		f.down[address(i)] = true
+		lost[f.hosts[address(i)].Self().Name] = true
+	}
+	f.run(4 * time.Second)
+	f.goOn()
+	f.run(2 * time.Second)
+	for range 24 {
+		for _, a := range f.order {
+			for _, m := range f.hosts[a].Alive(f.now) {
+				if !f.down[a] && lost[m.Name] {
+					t.Fatalf("%s takes %s for alive 6 s after it was lost", f.hosts[a].Self().Name, m.Name)
+				}
+			}
+		}
+		f.run(ushercluster.ReportInterval)
+	}
+}
+
+// A report of a host's incarnation is received after that of the one that has replaced it.
+func TestReplacedIncarnationDoesNotComeBack(t *testing.T) {
+	f := newFleet(9, 3)
+	f.run(3 * time.Second)
+	outdated := f.hosts[address(5)].Report(f.now)
+	f.start(5, []netip.AddrPort{address(0)}, 2)
+	f.run(2 * time.Second)
+	f.deliver(address(0), outdated)
+	for _, m := range f.hosts[address(0)].Alive(f.now) {
+		if m.Address == address(5) && m.Incarnation != 2 {
+			t.Errorf("host 5 counts as running with incarnation %d, want 2", m.Incarnation)
+		}
+	}
+}
+
+// A host's clock is set back for good, as when its virtual machine is stopped and its clocks with it. Its beats are late from then on.
+func TestHostWhoseClockIsSetBackIsKnownAgain(t *testing.T) {
+	f := newFleet(9, 3)
+	f.run(10 * time.Second)
+	f.slow[address(7)] = 4 * time.Second
+	f.run(11 * time.Second)
+	if n := f.countKnowing(8); n != 9 {
+		t.Errorf("%d of 9 hosts know all others 11 s later", n)
+	}
+}
+
+// Clocks run at slightly different speeds.
+func TestSlowClockKeepsHostKnown(t *testing.T) {
+	f := newFleet(9, 3)
+	f.run(5 * time.Second)
+	for range 600 {
+		f.slow[address(3)] += ushercluster.ReportInterval / 100
+		f.run(ushercluster.ReportInterval)
+		if n := f.countKnowing(8); n != 9 {
+			t.Fatalf("%d of 9 hosts know all others with a clock that is %s behind", n, f.slow[address(3)])
+		}
+	}
+}
--- a/pkg/ushercluster/report.go
+++ b/pkg/ushercluster/report.go
@@ -3,17 +3,18 @@
 import (
 	"encoding/binary"
 	"hash/fnv"
-	"math"
 	"net/netip"
 	"slices"
 	"time"
 )
 
 const (
-	// digestEntryBytes is the size of a host's entry in Report.Digest: the incarnation ID and the age.
-	digestEntryBytes = idBytes + 1
+	// digestEntryBytes is the size of a host's entry in Report.Digest: the incarnation ID and the lowest bits of the beat, which stand
+	// for a time that is much longer than removalTimeout.
+	digestEntryBytes = idBytes + beatBytes
 	idBytes          = 4
-	// ageUnit is the unit of the age. The largest age that can be encoded exceeds IndirectFailureTimeout.
+	beatBytes        = 2
+	// ageUnit is the unit of ages in Report.Pressures.
 	ageUnit = 20 * time.Millisecond
 	// maxDigestHosts bounds the hosts in Report.Digest, so that a report fits a datagram together with the loads. In
 	// larger fleets the hosts take turns.
@@ -48,19 +49,18 @@
 	return h.Sum32()
 }
 
-// digest encodes the ages of the hosts, as far as they fit.
-func (c *Cluster) digest(now time.Time, hosts []*member) []byte {
+// digest encodes the beats of the hosts, as far as they fit.
+func (c *Cluster) digest(hosts []*member) []byte {
 	hosts = hosts[:min(len(hosts), maxDigestHosts)]
 	out := make([]byte, 0, digestEntryBytes*len(hosts))
 	for _, m := range hosts {
-		age := (now.Sub(m.lastHeard) + ageUnit - 1) / ageUnit
 		out = binary.BigEndian.AppendUint32(out, m.id)
-		out = append(out, byte(min(max(age, 0), math.MaxUint8)))
+		out = binary.BigEndian.AppendUint16(out, uint16(m.beat))
 	}
 	return out
 }
 
-// receiveDigest processes the ages of hosts and returns the hosts that had counted as gone.
+// receiveDigest processes the beats of hosts and returns the hosts that had counted as gone.
 func (c *Cluster) receiveDigest(now time.Time, digest []byte) []Member {
 	var recovered []Member
 	for entry := range slices.Chunk(digest, digestEntryBytes) {
@@ -76,15 +76,17 @@
 			continue
 		}
 		m := c.members[name]
-		heard := now.Add(-time.Duration(entry[idBytes]) * ageUnit)
-		if !heard.After(m.lastHeard) {
+		// The difference is below zero for older beats.
+		newer := int16(binary.BigEndian.Uint16(entry[idBytes:]) - uint16(m.beat))
+		if newer <= 0 || m.beat == 0 {
 			continue
 		}
-		if now.Sub(m.lastHeard) > c.failureTimeout() && now.Sub(heard) <= c.failureTimeout() {
+		gone := now.Sub(m.lastHeard) > c.failureTimeout()
+		m.hear(now, m.beat+uint64(newer), now)
+		if gone && now.Sub(m.lastHeard) <= c.failureTimeout() {
 			m.changedAt = now
 			recovered = append(recovered, m.Member)
 		}
-		m.lastHeard = heard
 	}
 	return recovered
 }
@@ -120,7 +122,8 @@
 
 // report returns a report whose Digest lists the hosts for which include returns true.
 func (c *Cluster) report(now time.Time, include func(m *member) bool) Report {
-	r := Report{From: c.self, UnknownIDs: c.takeUnknownIDs(now)}
+	r := c.Status(now)
+	r.UnknownIDs = c.takeUnknownIDs(now)
 	alive := make([]*member, 0, len(c.members))
 	maxDescribed := stablePeers
 	for _, m := range c.sorted() {
@@ -137,17 +140,26 @@
 	if len(alive) <= maxPeers {
 		maxDescribed = maxPeers
 	} else {
-		r.Digest = c.digest(now, slices.DeleteFunc(slices.Clone(alive), func(m *member) bool { return !include(m) }))
+		r.Digest = c.digest(slices.DeleteFunc(slices.Clone(alive), func(m *member) bool { return m.beat == 0 || !include(m) }))
 	}
 	slices.SortStableFunc(alive, func(a, b *member) int { return c.priority(now, a) - c.priority(now, b) })
 	for i, m := range alive[:min(len(alive), maxPeers)] {
 		if i < maxDescribed || c.priority(now, m) == 0 {
-			r.Peers = append(r.Peers, PeerInfo{Member: m.Member, Age: now.Sub(m.lastHeard)})
+			r.Peers = append(r.Peers, m.info(now))
 		}
 	}
 	return r
 }
 
+// Status returns the report without other hosts.
+func (c *Cluster) Status(now time.Time) Report {
+	return Report{From: c.self, Beat: c.beatAt(now)}
+}
+
+func (m *member) info(now time.Time) PeerInfo {
+	return PeerInfo{Member: m.Member, Age: now.Sub(m.lastHeard), Beat: m.beat}
+}
+
 // Introductions returns the reports for hosts of other data centres that have just sent their first report. They
 // describe the other hosts of the recipient's data centre: a data centre may have no seed, and its hosts have to find
 // each other.
@@ -156,11 +168,11 @@
 	for len(c.newRemoteHosts) > 0 && len(out) < maxIntroductions {
 		to := c.newRemoteHosts[0]
 		c.newRemoteHosts = c.newRemoteHosts[1:]
-		r := Report{From: c.self}
+		r := c.Status(now)
 		for _, i := range c.random.Perm(len(c.sorted())) {
 			m := c.sorted()[i]
 			if m.DataCentre == to.DataCentre && m.Name != to.Name && now.Sub(m.lastHeard) <= c.failureTimeout() && len(r.Peers) < maxPeers {
-				r.Peers = append(r.Peers, PeerInfo{Member: m.Member, Age: now.Sub(m.lastHeard)})
+				r.Peers = append(r.Peers, m.info(now))
 			}
 		}
 		if len(r.Peers) > 0 {
--- a/service/usherhost/admin.go
+++ b/service/usherhost/admin.go
@@ -68,7 +68,7 @@
 
 // locate tells a caller which hosts to use, those of its data centre first and strong ones more often than weak ones.
 func (h *Host) locate(w http.ResponseWriter, r *http.Request) {
-	if !h.peers.standstill.isSettled() {
+	if h.peers.checkStandstill(); !h.peers.standstill.isSettled() {
 		// Callers ask another host.
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
@@ -144,9 +144,10 @@
 	if t := s.catalog.Table(); t != nil {
 		d.Version = t.Version()
 	}
-	for _, m := range s.cluster.Alive(now) {
+	known := s.clock.now()
+	for _, m := range s.cluster.Alive(known) {
 		host := describeHost(m)
-		host.Revision, host.Pressure = s.peerStatuses[m.Name].revision, s.cluster.Pressure(now, m.Name)
+		host.Revision, host.Pressure = s.peerStatuses[m.Name].revision, s.cluster.Pressure(known, m.Name)
 		d.Hosts = append(d.Hosts, host)
 	}
 	return d
--- a/service/usherhost/callspeed.go
+++ b/service/usherhost/callspeed.go
@@ -33,18 +33,18 @@
 	s.callOutcomes = nil
 	if collector.Name != s.cluster.Self().Name {
 		if len(outcomes) > 0 {
-			d := s.outcomeDatagramAt(now)
+			d := s.newOutcomeDatagram()
 			d.Outcomes = outcomes
 			out = append(out, outgoingDatagram{to: []netip.AddrPort{collector.Address}, datagram: d})
 		}
 		return out
 	}
-	to := addresses(s.cluster.LocalPeers(now))
+	to := addresses(s.cluster.LocalPeers(s.clock.now()))
 	for service, speeds := range s.pool.SharedSpeeds(now) {
 		if len(to) == 0 || len(out) == maxSharedServices {
 			break
 		}
-		d := s.outcomeDatagramAt(now)
+		d := s.newOutcomeDatagram()
 		d.Speeds = &speedsWire{Service: service, Speeds: speeds}
 		out = append(out, outgoingDatagram{to: to, datagram: d})
 	}
@@ -55,7 +55,7 @@
 func (s *sharedState) adoptSpeeds(from string, w speedsWire) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if now := time.Now(); s.cluster.Collector(now).Name == from {
-		s.pool.AdoptSpeeds(now, w.Service, w.Speeds)
+	if s.cluster.Collector(s.clock.now()).Name == from {
+		s.pool.AdoptSpeeds(time.Now(), w.Service, w.Speeds)
 	}
 }
--- a/service/usherhost/catchup.go
+++ b/service/usherhost/catchup.go
@@ -204,7 +204,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
-	self, alive := s.cluster.Self(), s.cluster.Alive(now)
+	self, alive := s.cluster.Self(), s.cluster.Alive(s.clock.now())
 	silent := map[string]bool{}
 	for _, m := range alive {
 		if now.Before(unresponsive[m.Name]) {
@@ -234,5 +234,5 @@
 func (s *sharedState) storeTurn() time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return storeTurnStep * time.Duration(min(max(s.cluster.LocalRank(time.Now()), 0), maxStoreTurns))
+	return storeTurnStep * time.Duration(min(max(s.cluster.LocalRank(s.clock.now()), 0), maxStoreTurns))
 }
--- a/service/usherhost/feed.go
+++ b/service/usherhost/feed.go
@@ -310,7 +310,7 @@
 func (s *sharedState) recordStoreResponse() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.lastStoreResponse = time.Now()
+	s.lastStoreResponse = s.clock.now()
 	s.recordContact(storeContact{host: s.cluster.Self().Name, at: s.lastStoreResponse})
 }
 
@@ -330,7 +330,7 @@
 	defer s.mu.Unlock()
 	s.storeFailing = failing
 	if failing && s.latestContact.host == s.cluster.Self().Name {
-		s.invalidateContact(time.Now())
+		s.invalidateContact(s.clock.now())
 	}
 }
 
@@ -340,7 +340,7 @@
 func (s *sharedState) shouldReadStore() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	now := time.Now()
+	now := s.clock.now()
 	self := s.cluster.Self()
 	isCollector := s.cluster.Collector(now).Name == self.Name
 	for _, m := range s.cluster.RemoteCollectors(now) {
--- a/service/usherhost/host.go
+++ b/service/usherhost/host.go
@@ -122,7 +122,7 @@
 		Capacity: s.capacity(),
 	}
 	h := &Host{
-		settings: s, platform: p, codec: p.Codec, engines: p.Engines, log: log, state: newSharedState(s, self, uint64(os.Getpid())),
+		settings: s, platform: p, codec: p.Codec, engines: p.Engines, log: log, state: newSharedState(s, self, uint64(os.Getpid()), newBootClock(p.Uptime)),
 		conns: newConns(registry), buffers: newBufferBudget(s.Limits.MemoryMegabytes), metrics: newHostMetrics(registry),
 	}
 	h.containment = newContainment(log, registry)
--- a/service/usherhost/lend.go
+++ b/service/usherhost/lend.go
@@ -215,8 +215,8 @@
 }
 
 // updateRoster keeps the hosts in the order of their places. Hosts that are lost from sight keep theirs.
-func (s *sharedState) updateRoster(now time.Time, hosts int) {
-	alive := s.cluster.Alive(now)
+func (s *sharedState) updateRoster(hosts int) {
+	alive := s.cluster.Alive(s.clock.now())
 	if len(alive)+1 < hosts && len(s.roster) == hosts {
 		return
 	}
@@ -256,7 +256,7 @@
 			}
 		}
 	}
-	add(s.cluster.Collector(now))
+	add(s.cluster.Collector(s.clock.now()))
 	return chosen
 }
 
--- a/service/usherhost/outcome.go
+++ b/service/usherhost/outcome.go
@@ -5,7 +5,6 @@
 	"math"
 	"time"
 
-	"github.com/samphireusher/samphireusher/pkg/ushercluster"
 	"github.com/samphireusher/samphireusher/pkg/usherpool"
 	"github.com/samphireusher/samphireusher/pkg/usherspeed"
 )
@@ -203,12 +202,13 @@
 func (s *sharedState) outcomeDatagram() datagramWire {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.outcomeDatagramAt(time.Now())
+	return s.newOutcomeDatagram()
 }
 
-func (s *sharedState) outcomeDatagramAt(now time.Time) datagramWire {
+func (s *sharedState) newOutcomeDatagram() datagramWire {
+	now := s.clock.now()
 	return datagramWire{
-		Version: protocolVersion, Report: ushercluster.Report{From: s.cluster.Self()}, Revision: s.catalog.Revision(),
+		Version: protocolVersion, Report: s.cluster.Status(now), Revision: s.catalog.Revision(),
 		StoreAge: now.Sub(s.lastStoreResponse), StoreFailing: s.storeFailing,
 	}
 }
--- a/service/usherhost/peers.go
+++ b/service/usherhost/peers.go
@@ -10,7 +10,6 @@
 	"net/http"
 	"net/netip"
 	"strconv"
-	"sync/atomic"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -55,10 +54,11 @@
 		reportDue chan struct{}
 		placement *placement
 		lending   *lending
-		// standstill detects that this process stood still; until discardUntil, in Unix nanoseconds, datagrams are dropped.
-		standstill   *standstill
-		discardUntil atomic.Int64
-		stale        metrics.Counter
+		// standstill detects that this process stood still, stale counts the datagrams dropped then.
+		standstill *standstill
+		stale      metrics.Counter
+		// late counts the reports received long after they were sent.
+		late metrics.Counter
 	}
 
 	datagramWire struct {
@@ -135,6 +135,7 @@
 		unreadable: metrics.NewRegisteredCounter("peers.unreadable", registry),
 		localBytes: metrics.NewRegisteredCounter("peers.near_bytes", registry), remoteBytes: metrics.NewRegisteredCounter("peers.far_bytes", registry),
 		reportDue: make(chan struct{}, 1), standstill: newStandstill(platform.Uptime), stale: metrics.NewRegisteredCounter("peers.stale", registry),
+		late: metrics.NewRegisteredCounter("peers.late", registry),
 	}
 	p.placement, p.lending = newPlacement(s, p, registry), newLending(s, p, registry)
 	return p, nil
@@ -232,8 +233,8 @@
 	}
 }
 
-func (p *peers) mergeSuspicion(source string, w suspicionWire) {
-	if err := p.state.mergeSuspicion(w); err != nil {
+func (p *peers) mergeSuspicion(source string, w suspicionWire, delay time.Duration) {
+	if err := p.state.mergeSuspicion(w, delay); err != nil {
 		p.unreadable.Inc(1)
 		p.log.Warn("crash reports dropped: malformed", "peer", source, "error", errorText(err))
 		return
@@ -257,8 +258,12 @@
 		return
 	}
 	learned := p.state.applyDatagram(d)
+	if learned.delay >= standstillTime {
+		p.late.Inc(1)
+		p.log.Debug("report received long after it was sent", "source", d.Report.From.Name, "delay_ms", learned.delay.Milliseconds())
+	}
 	if d.Suspicion != nil {
-		p.mergeSuspicion(d.Report.From.Name, *d.Suspicion)
+		p.mergeSuspicion(d.Report.From.Name, *d.Suspicion, learned.delay)
 	}
 	if len(learned.hosts) > 0 {
 		p.log.Info("hosts learned", "source", d.Report.From.Name, "hosts", describeHosts(learned.hosts))
--- a/service/usherhost/placement.go
+++ b/service/usherhost/placement.go
@@ -281,14 +281,14 @@
 func (s *sharedState) placers() ([]ushercluster.Member, string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.cluster.Placers(time.Now()), s.cluster.Self().Name
+	return s.cluster.Placers(s.clock.now()), s.cluster.Self().Name
 }
 
 // identityDatagram returns a datagram that only names its sender.
 func (s *sharedState) identityDatagram() datagramWire {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return datagramWire{Version: protocolVersion, Report: ushercluster.Report{From: s.cluster.Self()}}
+	return datagramWire{Version: protocolVersion, Report: s.cluster.Status(s.clock.now())}
 }
 
 func (s *sharedState) place(r usherpool.Request, own bool) (usherpool.Choice, error) {
--- a/service/usherhost/pressure.go
+++ b/service/usherhost/pressure.go
@@ -60,7 +60,7 @@
 	p.delay, p.timers, p.last, p.signs = 0, 0, now, signs
 	before := p.level
 	p.level = p.gauge.Update(now, signs)
-	p.state.setPressure(now, p.level)
+	p.state.setPressure(p.level)
 	p.levelGauge.Update(int64(p.level))
 	p.delayGauge.Update(signs.Delay.Microseconds())
 	if p.level != before {
@@ -91,10 +91,10 @@
 	return p.level, p.signs
 }
 
-func (s *sharedState) setPressure(now time.Time, level int) {
+func (s *sharedState) setPressure(level int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.cluster.SetPressure(now, uint8(level))
+	s.cluster.SetPressure(s.clock.now(), uint8(level))
 }
 
 // partOfRequests returns how many of the fleet's requests in progress this host would have if they were divided by capacity.
--- a/service/usherhost/reports.go
+++ b/service/usherhost/reports.go
@@ -21,6 +21,8 @@
 
 // learned is what a peer's report changes.
 type learned struct {
+	// delay is how long the report was on its way, or waited for this process.
+	delay time.Duration
 	hosts []ushercluster.Member
 	// leaving are the targets newly reported as leaving.
 	leaving []string
@@ -32,14 +34,14 @@
 func (s *sharedState) localPeers() []ushercluster.Member {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.cluster.LocalPeers(time.Now())
+	return s.cluster.LocalPeers(s.clock.now())
 }
 
 // changeRecipients returns the hosts to which the collector that has learned of a change passes it on.
 func (s *sharedState) changeRecipients() []ushercluster.Member {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	now := time.Now()
+	now := s.clock.now()
 	return slices.Concat(s.cluster.LocalPeers(now), s.cluster.RemoteCollectors(now), s.cluster.UnheardCollectors(now))
 }
 
@@ -58,20 +60,22 @@
 func (s *sharedState) isCollector() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.cluster.Collector(time.Now()).Name == s.cluster.Self().Name
+	return s.cluster.Collector(s.clock.now()).Name == s.cluster.Self().Name
 }
 
 // statusDatagram returns the datagram with the status that is sent to every peer.
 func (s *sharedState) statusDatagram() datagramWire {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.statusDatagramAt(time.Now())
+	return s.newStatusDatagram()
 }
 
-func (s *sharedState) statusDatagramAt(now time.Time) datagramWire {
+// newStatusDatagram is statusDatagram for callers that hold the lock.
+func (s *sharedState) newStatusDatagram() datagramWire {
+	now := s.clock.now()
 	d := datagramWire{
-		Version: protocolVersion, Report: ushercluster.Report{From: s.cluster.Self()}, Revision: s.catalog.Revision(), StoreAge: now.Sub(s.lastStoreResponse),
-		StoreFailing: s.storeFailing, Leaving: s.currentLeavingNotices(now), LimitEnds: s.currentLimitEnds(now),
+		Version: protocolVersion, Report: s.cluster.Status(now), Revision: s.catalog.Revision(), StoreAge: now.Sub(s.lastStoreResponse),
+		StoreFailing: s.storeFailing, Leaving: s.currentLeavingNotices(time.Now()), LimitEnds: s.currentLimitEnds(time.Now()),
 	}
 	if age := now.Sub(s.contactLostAt); age < staleAfter {
 		d.StoreContactLostAge = &age
@@ -86,8 +90,8 @@
 func (s *sharedState) nextReports(urgent bool) []outgoingDatagram {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	now := time.Now()
-	base := s.statusDatagramAt(now)
+	now := s.clock.now()
+	base := s.newStatusDatagram()
 	base.Report = s.cluster.Report(now)
 	collector := s.cluster.Collector(now)
 	var out []outgoingDatagram
@@ -105,12 +109,12 @@
 		collectors = addresses(slices.Concat(s.cluster.LocalPeers(now), s.cluster.RemoteCollectors(now)))
 	}
 	if urgent && base.Report.From.State != ushercluster.Stopping {
-		return append(out, s.suspicionReports(now, true, nil, collectors)...)
+		return append(out, s.suspicionReports(time.Now(), true, nil, collectors)...)
 	}
 	local, remote := s.cluster.Recipients(now)
 	out = append(out, outgoingDatagram{to: local, datagram: base})
-	out = append(out, s.callReports(now, collector)...)
-	out = append(out, s.suspicionReports(now, false, slices.Concat(local, remote), collectors)...)
+	out = append(out, s.callReports(time.Now(), collector)...)
+	out = append(out, s.suspicionReports(time.Now(), false, slices.Concat(local, remote), collectors)...)
 	if len(remote) > 0 {
 		d := base
 		d.Report = s.cluster.DataCentreReport(now)
@@ -129,8 +133,8 @@
 	s.pool.DropPeerLoads(func(source string) bool { return source == sourceFleet })
 	remote := base
 	remote.Report = s.cluster.DataCentreReport(now)
-	fleet := s.fleetLoadDeltas.Next(s.pool.TotalLoads(now, func(string) bool { return true }))
-	local := s.dataCentreLoadDeltas.Next(s.pool.TotalLoads(now, func(source string) bool { return strings.HasPrefix(source, sourceHost) }))
+	fleet := s.fleetLoadDeltas.Next(s.pool.TotalLoads(time.Now(), func(string) bool { return true }))
+	local := s.dataCentreLoadDeltas.Next(s.pool.TotalLoads(time.Now(), func(source string) bool { return strings.HasPrefix(source, sourceHost) }))
 	localPeers, remoteCollectors := addresses(s.cluster.LocalPeers(now)), addresses(s.cluster.RemoteCollectors(now))
 	if urgent {
 		remoteCollectors = append(remoteCollectors, addresses(s.cluster.UnheardCollectors(now))...)
@@ -144,7 +148,7 @@
 	out := []outgoingDatagram{{to: to, datagram: report}}
 	for i, batch := range loads {
 		if i > 0 {
-			more := s.statusDatagramAt(time.Now())
+			more := s.newStatusDatagram()
 			out = append(out, outgoingDatagram{to: to, datagram: more})
 		}
 		set(&out[i].datagram, batch)
@@ -156,14 +160,19 @@
 func (s *sharedState) applyDatagram(d datagramWire) (l learned) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	now := time.Now()
+	now, received := time.Now(), s.clock.now()
 	from := d.Report.From
 	if from.Name == s.cluster.Self().Name {
 		return l
 	}
-	l.hosts = s.cluster.Receive(now, d.Report)
-	s.peerStatuses[from.Name] = peerStatus{revision: d.Revision, lastStoreResponse: now.Add(-d.StoreAge), storeFailing: d.StoreFailing}
-	s.mergeStoreContact(now, d)
+	l.hosts = s.cluster.Receive(received, d.Report)
+	// All ages count from when the report was sent, as it may have waited.
+	sent := s.cluster.SentAt(received, d.Report)
+	l.delay = received.Sub(sent)
+	if status, known := s.peerStatuses[from.Name]; !known || !sent.Before(status.sent) {
+		s.peerStatuses[from.Name] = peerStatus{sent: sent, revision: d.Revision, lastStoreResponse: sent.Add(-d.StoreAge), storeFailing: d.StoreFailing}
+	}
+	s.mergeStoreContact(sent, d)
 	s.mergeLoads(now, d)
 	if d.Revision > s.catalog.Revision() {
 		s.recordBehind(now)
@@ -174,24 +183,24 @@
 	if len(l.hosts) > 0 {
 		s.updatePool(now)
 	}
-	l.leaving = s.mergeLeavingNotices(now, d.Leaving)
-	l.unlimited, l.limitEnds = s.mergeLimitEnds(now, d.LimitEnds)
+	l.leaving = s.mergeLeavingNotices(now.Add(-l.delay), d.Leaving)
+	l.unlimited, l.limitEnds = s.mergeLimitEnds(now.Add(-l.delay), d.LimitEnds)
 	return l
 }
 
-// mergeStoreContact updates the latest known response of the store.
-func (s *sharedState) mergeStoreContact(now time.Time, d datagramWire) {
+// mergeStoreContact updates the latest known response of the store from a report with the time at which it was sent.
+func (s *sharedState) mergeStoreContact(sent time.Time, d datagramWire) {
 	if d.StoreContactLostAge != nil && *d.StoreContactLostAge >= 0 {
-		s.invalidateContact(now.Add(-*d.StoreContactLostAge))
+		s.invalidateContact(sent.Add(-*d.StoreContactLostAge))
 	}
 	if d.StoreFailing && s.latestContact.host == d.Report.From.Name {
-		s.invalidateContact(now)
+		s.invalidateContact(sent)
 	}
 	if !d.StoreFailing {
-		s.recordContact(storeContact{host: d.Report.From.Name, at: now.Add(-d.StoreAge)})
+		s.recordContact(storeContact{host: d.Report.From.Name, at: sent.Add(-d.StoreAge)})
 	}
 	if r, known := s.peerStatuses[d.StoreContactHost]; d.StoreContactHost != "" && (!known || !r.storeFailing) {
-		s.recordContact(storeContact{host: d.StoreContactHost, at: now.Add(-d.StoreContactAge)})
+		s.recordContact(storeContact{host: d.StoreContactHost, at: sent.Add(-d.StoreContactAge)})
 	}
 }
 
@@ -221,7 +230,7 @@
 	if d.DataCentreLoads != nil {
 		s.pool.MergePeerLoads(now, sourceDataCentre+from.DataCentre, d.DataCentreLoads)
 	}
-	if d.FleetLoads != nil && s.cluster.Collector(now).Name == from.Name {
+	if d.FleetLoads != nil && s.cluster.Collector(s.clock.now()).Name == from.Name {
 		s.pool.DropPeerLoads(func(source string) bool { return source != sourceFleet })
 		s.pool.MergePeerLoads(now, sourceFleet, usherpool.SubtractLoads(d.FleetLoads, s.reportedLoads))
 	}
--- a/service/usherhost/standstill.go
+++ b/service/usherhost/standstill.go
@@ -27,7 +27,10 @@
 		uptime     func() time.Duration
 		last       time.Time
 		lastUptime time.Duration
-		settled    time.Time
+		// settled is when the process has been running for long enough to know the other hosts again, discardUntil when its socket has
+		// nothing left that waited. Both are set with the check that finds the gap: other goroutines see no moment between.
+		settled      time.Time
+		discardUntil time.Time
 	}
 
 	// gap is a time in which the process stood still. missed is the part of it that the steady clock has not counted.
@@ -60,7 +63,7 @@
 	if g.length < standstillTime {
 		return gap{}, false
 	}
-	s.settled = now.Add(settleTime)
+	s.settled, s.discardUntil = now.Add(settleTime), now.Add(discardTime)
 	return g, true
 }
 
@@ -71,6 +74,13 @@
 	return !time.Now().Before(s.settled)
 }
 
+// isDiscarding reports whether what is read from the socket may have waited there.
+func (s *standstill) isDiscarding() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return time.Now().Before(s.discardUntil)
+}
+
 // runPulse checks for standstills until ctx ends, and reports by how much the checks came late. The times between them vary, as
 // a quota of processor time may end in the same part of each period.
 func (p *peers) runPulse(ctx context.Context, recordDelay func(now time.Time, delay time.Duration)) {
@@ -86,42 +96,30 @@
 	}
 }
 
-// checkStandstill corrects what this host believes if it stood still, and reports whether it did. What arrived meanwhile waited
-// in the socket, so its ages are not true any more; what this host knew is older than the steady clock says if it stood still,
-// too.
+// checkStandstill corrects what this host believes if it stood still, and reports whether it did.
 func (p *peers) checkStandstill() bool {
 	g, stood := p.standstill.check()
 	if !stood {
 		return false
 	}
-	p.state.passTime(g.missed)
-	p.discardUntil.Store(time.Now().Add(discardTime).UnixNano())
+	if g.missed > 0 {
+		p.state.forgetLimitEnds()
+	}
 	p.log.Warn("process stood still; dropping the datagrams that have waited", "duration_ms", g.length.Milliseconds(), "missed_ms", g.missed.Milliseconds())
 	return true
 }
 
-// isStale reports whether a datagram that has just been read may have waited while the process stood still.
+// isStale reports whether a datagram that has just been read may have waited while the process stood still. The beats of reports show
+// that as well, but not for hosts that were not known before.
 func (p *peers) isStale() bool {
 	p.checkStandstill()
-	return time.Now().UnixNano() < p.discardUntil.Load()
+	return p.standstill.isDiscarding()
 }
 
-// passTime makes what is known of others older by time that the steady clock has not counted.
-func (s *sharedState) passTime(missed time.Duration) {
-	if missed <= 0 {
-		return
-	}
+// forgetLimitEnds forgets the limits that have ended, as their times would seem later than they are once the process's clock has missed
+// some.
+func (s *sharedState) forgetLimitEnds() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.cluster.PassTime(missed)
-	// Their moments would seem later than they are.
 	clear(s.limitEnds)
-	for name, status := range s.peerStatuses {
-		status.lastStoreResponse = status.lastStoreResponse.Add(-missed)
-		s.peerStatuses[name] = status
-	}
-	s.lastStoreResponse = s.lastStoreResponse.Add(-missed)
-	if !s.latestContact.at.IsZero() {
-		s.latestContact.at = s.latestContact.at.Add(-missed)
-	}
 }
--- a/service/usherhost/state.go
+++ b/service/usherhost/state.go
@@ -17,10 +17,12 @@
 	// sharedState holds the state that all parts of a host share. Its methods are safe for concurrent use and never
 	// block on I/O.
 	sharedState struct {
-		mu            sync.Mutex
-		random        *rand.Rand
-		catalog       ushercatalog.Catalog
-		cluster       *ushercluster.Cluster
+		mu      sync.Mutex
+		random  *rand.Rand
+		catalog ushercatalog.Catalog
+		cluster *ushercluster.Cluster
+		// clock has the times of what is known of other hosts and of the store's responses.
+		clock         bootClock
 		pool          *usherpool.Pool
 		retryBudgets  map[string]*usherpool.RetryBudget
 		retryDefaults usherpool.RetryBudget
@@ -71,6 +73,8 @@
 
 	// peerStatus is what a peer last reported about its catalog and its contact with the store.
 	peerStatus struct {
+		// sent is when the report was sent.
+		sent              time.Time
 		revision          uint64
 		lastStoreResponse time.Time
 		// storeFailing reports that the peer's last call to the store failed.
@@ -78,11 +82,12 @@
 	}
 )
 
-func newSharedState(settings *Settings, self ushercluster.Member, seed uint64) *sharedState {
+func newSharedState(settings *Settings, self ushercluster.Member, seed uint64, clock bootClock) *sharedState {
 	random := rand.New(rand.NewPCG(seed, uint64(self.Incarnation)))
 	return &sharedState{
 		gracePeriod:   settings.Stop.Grace,
 		random:        random,
+		clock:         clock,
 		cluster:       ushercluster.New(self, settings.seeds(), random),
 		pool:          usherpool.New(usherpool.Options{DataCentre: settings.Process.DataCentre, Random: random, WeighParts: settings.Prefixes.Weigh}),
 		retryBudgets:  map[string]*usherpool.RetryBudget{},
@@ -150,9 +155,9 @@
 }
 
 func (s *sharedState) updatePool(now time.Time) {
-	place, hosts := s.cluster.LimitShare(now)
+	place, hosts := s.cluster.LimitShare(s.clock.now())
 	s.pool.SetPlace(place)
-	s.updateRoster(now, hosts)
+	s.updateRoster(hosts)
 	s.pool.Update(now, s.catalog.Targets(), s.catalog.Evacuated, s.catalog.Table(), hosts)
 }
 
@@ -206,7 +211,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
-	return s.retryBudget(service).AllowRetry(now, s.cluster.LimitDivisor(now))
+	return s.retryBudget(service).AllowRetry(now, s.cluster.LimitDivisor(s.clock.now()))
 }
 
 func (s *sharedState) retryBudget(service string) *usherpool.RetryBudget {
@@ -241,7 +246,7 @@
 func (s *sharedState) servingHosts() []ushershare.Host {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	now := time.Now()
+	now := s.clock.now()
 	var hosts []ushershare.Host
 	for _, m := range append(s.cluster.Alive(now), s.cluster.Self()) {
 		if m.State == ushercluster.Serving {
--- a/service/usherhost/suspicion.go
+++ b/service/usherhost/suspicion.go
@@ -78,7 +78,7 @@
 // servingNames returns the names of this host and of the others that take requests.
 func (s *sharedState) servingNames() []string {
 	names := []string{s.cluster.Self().Name}
-	for _, m := range s.cluster.Alive(time.Now()) {
+	for _, m := range s.cluster.Alive(s.clock.now()) {
 		if m.State == ushercluster.Serving {
 			names = append(names, m.Name)
 		}
@@ -157,7 +157,7 @@
 	var out []outgoingDatagram
 	add := func(message ushersuspect.Message, to []netip.AddrPort) {
 		if !message.IsEmpty() && len(to) > 0 {
-			d := s.statusDatagramAt(now)
+			d := s.newStatusDatagram()
 			d.Suspicion = encodeSuspicion(message)
 			out = append(out, outgoingDatagram{to: to, datagram: d})
 		}
@@ -191,11 +191,11 @@
 	return out
 }
 
-// mergeSuspicion merges what a peer tells of crashes.
-func (s *sharedState) mergeSuspicion(w suspicionWire) error {
+// mergeSuspicion merges what a peer has told of crashes, some time ago.
+func (s *sharedState) mergeSuspicion(w suspicionWire, delay time.Duration) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.suspicion.tracker.Merge(time.Now(), w.decode())
+	return s.suspicion.tracker.Merge(time.Now().Add(-delay), w.decode())
 }
 
 func encodeSuspicion(m ushersuspect.Message) *suspicionWire {
