A status outside 100 to 599 is no answer

In usher-gateway the promise of such a response that the request did not run counted, and a failed load report as incarnation 0; usherclient took a status below 100 for a success.

Cause: net/http reads any three digits, and what is below 200 was taken for an interim response without a body.

Why the fix works: such a response ends the exchange as one that may have run, so nothing after it is read and only idempotent calls are sent again.

--- a/service/usherclient/client.go
+++ b/service/usherclient/client.go
@@ -29,6 +29,8 @@
 	"time"
 
 	"github.com/joomcode/errorx"
+
+	"github.com/samphireusher/samphireusher/pkg/ushercall"
 )
 
 var (
@@ -224,7 +226,7 @@
 		return err
 	}
 	defer response.Body.Close()
-	if response.StatusCode >= http.StatusMultipleChoices {
+	if response.StatusCode < http.StatusOK || response.StatusCode >= http.StatusMultipleChoices {
 		return refusalOf(response)
 	}
 	if result == nil {
@@ -264,6 +266,9 @@
 }
 
 func refusalOf(response *http.Response) error {
+	if !ushercall.IsStatus(response.StatusCode) {
+		return ErrConnection.New("invalid status %q", response.Status)
+	}
 	var refusal Refusal
 	if err := decode(response.Body, &refusal); err != nil {
 		return err
--- /dev/null
+++ b/service/usherclient/status_test.go
@@ -0,0 +1,31 @@
+package usherclient_test
+
+import (
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/samphireusher/samphireusher/service/usherclient"
+)
+
+// A response with a status like 000 was taken for a success, as it is below 300.
+func TestResponseWithAnInvalidStatusIsAnError(t *testing.T) {
+	for _, status := range []string{"000", "099", "600", "999"} {
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			conn, _, err := http.NewResponseController(w).Hijack()
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			defer conn.Close()
+			fmt.Fprintf(conn, "HTTP/1.1 %s Trouble\r\nContent-Length: 2\r\n\r\n{}", status)
+		}))
+		defer server.Close()
+		address := strings.TrimPrefix(server.URL, "http://")
+		if location, err := usherclient.New("w", "k").Locate(t.Context(), address); err == nil {
+			t.Errorf("status %s: %+v, want an error", status, location)
+		}
+	}
+}
--- a/service/usherhost/exchange.go
+++ b/service/usherhost/exchange.go
@@ -189,7 +189,11 @@
 		return false, errConnectionLost.Wrap(x.limiter.cause(err), "read response header")
 	}
 	response.Body = responseBody{response.Body, x.limiter}
-	if response.StatusCode < http.StatusOK {
+	switch {
+	case !ushercall.IsStatus(response.StatusCode):
+		// What follows belongs to no response either.
+		return false, errUnexpectedResponse.New("invalid status %q", response.Status)
+	case response.StatusCode < http.StatusOK:
 		return false, nil
 	}
 	info := codec.DecodeResponse(response.StatusCode, response.Header)
--- a/service/ushertarget/sending.go
+++ b/service/ushertarget/sending.go
@@ -121,6 +121,9 @@
 		return 0, ErrConnection.Wrap(err, "fetch incarnation")
 	}
 	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		return 0, ErrConnection.New("target responded to the request for its load report with status %q", response.Status)
+	}
 	var report Report
 	if err := decode(response.Body, &report); err != nil {
 		return 0, err
--- a/service/ushertarget/target.go
+++ b/service/ushertarget/target.go
@@ -32,6 +32,8 @@
 	"time"
 
 	"github.com/joomcode/errorx"
+
+	"github.com/samphireusher/samphireusher/pkg/ushercall"
 )
 
 const (
@@ -279,6 +281,10 @@
 
 func resultOf(response *http.Response) SendResult {
 	defer response.Body.Close()
+	if !ushercall.IsStatus(response.StatusCode) {
+		// Nothing that it says counts, not even that the request was not run.
+		return SendResult{Written: true}
+	}
 	result := SendResult{Written: true, Status: response.StatusCode}
 	var r errorResponse
 	if err := decode(response.Body, &r); err == nil {
