Bound the heads of all responses that processes read

What callers would have seen: a target that sends bytes without end in a head takes a gateway or scheduler over its memory within half a second, and the requests of all its callers end with the process (LOST, reported from similar systems).

Cause: the load report on a new connection is read with http.ReadResponse, which keeps a head of any size. net/http's own bound for other responses is 10 MB each, as none was set; catalogs of peers and callers' responses had it, too.

Why the fix works: heads are bounded by 64 KB everywhere and the body of a load report by 1 MB, whatever a target sends.

--- a/service/usherclient/client.go
+++ b/service/usherclient/client.go
@@ -33,6 +33,12 @@
 	"github.com/samphireusher/samphireusher/pkg/ushercall"
 )
 
+const (
+	// maxHeaderBytes and maxBodyBytes bound what is read of a response of a gateway.
+	maxHeaderBytes = 64 << 10
+	maxBodyBytes   = 64 << 20
+)
+
 var (
 	// Errors is the namespace of this package's errors.
 	Errors = errorx.NewNamespace("usher_client")
@@ -121,17 +127,17 @@
 
 // New returns a client for a workspace.
 func New(workspace, key string) *Client {
-	return &Client{workspace: workspace, key: key, scheme: "http", http: &http.Client{Transport: &http.Transport{}}}
+	return &Client{workspace: workspace, key: key, scheme: "http", http: &http.Client{Transport: &http.Transport{MaxResponseHeaderBytes: maxHeaderBytes}}}
 }
 
 // NewWith returns a client for a workspace that opens connections with dial.
 func NewWith(workspace, key string, dial Dial) *Client {
-	return &Client{workspace: workspace, key: key, scheme: "http", http: &http.Client{Transport: &http.Transport{DialContext: dial}}}
+	return &Client{workspace: workspace, key: key, scheme: "http", http: &http.Client{Transport: &http.Transport{DialContext: dial, MaxResponseHeaderBytes: maxHeaderBytes}}}
 }
 
 // WithTLS returns a client that uses TLS and verifies the gateways' certificates according to config.
 func (c *Client) WithTLS(config *tls.Config) *Client {
-	transport := &http.Transport{TLSClientConfig: config}
+	transport := &http.Transport{TLSClientConfig: config, MaxResponseHeaderBytes: maxHeaderBytes}
 	return &Client{workspace: c.workspace, key: c.key, scheme: "https", http: &http.Client{Transport: transport}}
 }
 
@@ -279,7 +285,7 @@
 }
 
 func decode(body io.Reader, value any) error {
-	if err := json.NewDecoder(body).Decode(value); err != nil {
+	if err := json.NewDecoder(io.LimitReader(body, maxBodyBytes)).Decode(value); err != nil {
 		return ErrConnection.Wrap(err, "decode response")
 	}
 	return nil
--- a/service/usherfeed/platform.go
+++ b/service/usherfeed/platform.go
@@ -14,7 +14,9 @@
 
 const (
 	maxValueBytes = 1 << 20
-	readTimeout   = 2 * time.Second
+	// maxHeaderBytes bounds the header of a response of the platform.
+	maxHeaderBytes = 64 << 10
+	readTimeout    = 2 * time.Second
 )
 
 var (
@@ -61,7 +63,7 @@
 
 // NewPlatformWith returns a client for the platform at address that opens connections with dial.
 func NewPlatformWith(address netip.AddrPort, dial Dial) *Platform {
-	return &Platform{address: address, http: &http.Client{Transport: &http.Transport{DialContext: dial}}}
+	return &Platform{address: address, http: &http.Client{Transport: &http.Transport{DialContext: dial, MaxResponseHeaderBytes: maxHeaderBytes}}}
 }
 
 // Close closes idle connections.
--- a/service/usherhost/peers.go
+++ b/service/usherhost/peers.go
@@ -129,7 +129,7 @@
 	p := &peers{
 		state: s, log: log, conn: conn,
 		client: &http.Client{
-			Transport: &http.Transport{DialContext: network.Dial, MaxIdleConnsPerHost: 1, IdleConnTimeout: 10 * time.Second},
+			Transport: &http.Transport{DialContext: network.Dial, MaxIdleConnsPerHost: 1, IdleConnTimeout: 10 * time.Second, MaxResponseHeaderBytes: maxServerHeaderBytes},
 		},
 		sent: metrics.NewRegisteredCounter("peers.sent", registry), received: metrics.NewRegisteredCounter("peers.received", registry),
 		unreadable: metrics.NewRegisteredCounter("peers.unreadable", registry),
--- a/service/ushertarget/sending.go
+++ b/service/ushertarget/sending.go
@@ -116,7 +116,9 @@
 	if err := request.Write(conn); err != nil {
 		return 0, ErrConnection.Wrap(err, "fetch incarnation")
 	}
-	response, err := http.ReadResponse(bufio.NewReader(conn), request)
+	// net/http bounds the heads that its own connections read, but not this one.
+	bounded := io.LimitReader(conn, maxHeaderBytes+maxResponseBytes)
+	response, err := http.ReadResponse(bufio.NewReader(bounded), request)
 	if err != nil {
 		return 0, ErrConnection.Wrap(err, "fetch incarnation")
 	}
--- a/service/ushertarget/target.go
+++ b/service/ushertarget/target.go
@@ -40,6 +40,8 @@
 	dialTimeout      = 500 * time.Millisecond
 	idleConnections  = 256
 	maxResponseBytes = 1 << 20
+	// maxHeaderBytes bounds the header of a response, far above what targets send.
+	maxHeaderBytes = 64 << 10
 
 	incarnationHeader = "Usher-Incarnation"
 	reportPath        = "/v1/report"
@@ -140,9 +142,10 @@
 // NewClientWith returns a client that opens connections with dial.
 func NewClientWith(dial Dial) *Client {
 	return &Client{http: &http.Client{Transport: &http.Transport{
-		DialContext:         dialGuarded(dial),
-		MaxIdleConnsPerHost: idleConnections,
-		DisableCompression:  true,
+		DialContext:            dialGuarded(dial),
+		MaxIdleConnsPerHost:    idleConnections,
+		MaxResponseHeaderBytes: maxHeaderBytes,
+		DisableCompression:     true,
 	}}}
 }
 
