usherhost: pass a response of the store on with its own revision

What callers would have seen: hosts stay on an old configuration, or use a target that has gone, until that entry changes again.

Cause: the reader passed the changes of a response on with the revision of its catalog at that moment. If the next change of another reader had reached it meanwhile, the recipients took themselves to be up to date with that one, which they had not got.

The review suspected it and found no order of events; hosts that reach nobody who is ahead read the store beside the reader, so there is one.

Why the fix works: recipients count as up to date only with what the response says, see that the reader is ahead of that, and pull.

--- a/cmd/usher-host/daemon/catalog_test.go
+++ b/cmd/usher-host/daemon/catalog_test.go
@@ -3,10 +3,14 @@
 import (
 	"encoding/json"
 	"fmt"
+	"log/slog"
 	"net/netip"
+	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/samphireusher/samphireusher/pkg/ushercatalog"
 	"github.com/samphireusher/samphireusher/pkg/ushercluster"
 	"github.com/samphireusher/samphireusher/service/usherhost"
 )
@@ -134,6 +138,46 @@
 	}
 }
 
+// Between the moments at which the reader applies a response of the store and passes it on, another reader's next change reaches it. It passed
+// its own on as if it were all up to that one, and the others never asked for what they lacked.
+func TestChangeOfAnotherReaderIsNotSkipped(t *testing.T) {
+	// overtake is what happens when the reader has applied the response that it logs.
+	var overtake atomic.Pointer[func()]
+	o := options{hosts: 9, plainTargets: 2, intercept: func(r slog.Record) {
+		isChange := false
+		r.Attrs(func(a slog.Attr) bool {
+			isChange = isChange || r.Message == "target learned" && a.Key == "source" && a.Value.String() == "store"
+			return !isChange
+		})
+		if isChange {
+			if f := overtake.Swap(nil); f != nil {
+				(*f)()
+			}
+		}
+	}}
+	withTestbed(t, o, func(t *testing.T, b *testbed) {
+		reader := b.storeReader()
+		next := b.store.Revision() + 2
+		change := func() {
+			b.store.Delete("servers/plain-0")
+			b.sendPeerChange(reader.ip, next, ushercatalog.Entry{
+				Key: ushercatalog.Key{Kind: ushercatalog.TargetEntry, Name: "plain-0"}, Revision: next, Removed: true,
+			})
+		}
+		overtake.Store(&change)
+		b.publish("plain-1", "draining")
+		time.Sleep(maxDrainDelay)
+		if overtake.Load() != nil {
+			t.Fatal("the reader has not learned of the first change")
+		}
+		for _, h := range b.hosts {
+			if body := b.getAt(h, adminPort, usherhost.DumpPath).body; strings.Contains(body, `"plain-0"`) {
+				t.Errorf("%s still has a target that has gone %s ago", h.name, maxDrainDelay)
+			}
+		}
+	})
+}
+
 func dataCentreOf(b *testbed, h *host) int {
 	for i, other := range b.hosts {
 		if other == h {
--- a/cmd/usher-host/daemon/testbed_test.go
+++ b/cmd/usher-host/daemon/testbed_test.go
@@ -88,6 +88,12 @@
 		text strings.Builder
 	}
 
+	// interceptingHandler calls intercept with each log record before it is written, in the goroutine that logs it.
+	interceptingHandler struct {
+		slog.Handler
+		intercept func(r slog.Record)
+	}
+
 	options struct {
 		hosts        int
 		engines      int
@@ -110,6 +116,8 @@
 		editPlatform func(p *usherhost.Platform)
 		// editSettings changes the settings of a host before it starts.
 		editSettings func(i int, s *usherhost.Settings)
+		// intercept is called with each log record, in the goroutine that logs it.
+		intercept func(r slog.Record)
 		// wantPanics allows panics in the hosts, which fail the test otherwise.
 		wantPanics bool
 	}
@@ -135,6 +143,15 @@
 	return l.text.Write(line)
 }
 
+func (h interceptingHandler) Handle(ctx context.Context, r slog.Record) error {
+	h.intercept(r)
+	return h.Handler.Handle(ctx, r)
+}
+
+func (h interceptingHandler) WithAttrs(attributes []slog.Attr) slog.Handler {
+	return interceptingHandler{h.Handler.WithAttrs(attributes), h.intercept}
+}
+
 func (l *logBuffer) count(part string) int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -305,10 +322,14 @@
 	if b.options.editSettings != nil {
 		b.options.editSettings(i, &s)
 	}
-	log := slog.New(slog.NewJSONHandler(&b.logBuffer, nil)).With("host", s.Process.Name)
+	var handler slog.Handler = slog.NewJSONHandler(&b.logBuffer, nil)
 	if os.Getenv("USHER_LOG") != "" {
-		log = slog.New(slog.NewTextHandler(os.Stderr, nil)).With("host", s.Process.Name)
+		handler = slog.NewTextHandler(os.Stderr, nil)
+	}
+	if b.options.intercept != nil {
+		handler = interceptingHandler{handler, b.options.intercept}
 	}
+	log := slog.New(handler).With("host", s.Process.Name)
 	platform := daemon.Platform(&s, hostNetwork{network: b.network, ip: netip.MustParseAddr(ip)})
 	platform.Settings = b.settings
 	if b.options.editPlatform != nil {
--- a/service/usherhost/feed.go
+++ b/service/usherhost/feed.go
@@ -209,11 +209,11 @@
 	f.logChanges("store", changed)
 	if listing {
 		// A list does not contain every intermediate change, so peers must not count as caught up by it.
-		f.peers.pushChanges(revision, changed)
+		f.peers.pushChanges(revision, revision, changed)
 		return nil
 	}
 	// Entries that this host already had from a peer are new to others.
-	f.peers.pushChanges(before, entries)
+	f.peers.pushChanges(before, revision, entries)
 	return nil
 }
 
--- a/service/usherhost/peers.go
+++ b/service/usherhost/peers.go
@@ -297,10 +297,11 @@
 	}
 }
 
-// pushChanges sends changes read from the store to the hosts of this data centre and to the collectors of the others.
-func (p *peers) pushChanges(base uint64, changes []ushercatalog.Entry) {
+// pushChanges sends the changes between two revisions, read from the store, to the hosts of this data centre and to the collectors of
+// the others. The catalog may have a later revision by now, from another host that reads the store.
+func (p *peers) pushChanges(base, revision uint64, changes []ushercatalog.Entry) {
 	if len(changes) > 0 {
-		p.distribute(base, p.state.revision(), changes, p.state.changeRecipients())
+		p.distribute(base, revision, changes, p.state.changeRecipients())
 	}
 }
 
