ushercluster: ignore beats that cannot be

A beat is only taken if it is later than the ones before, so a report with one far ahead, from a faulty host, would make all that is heard of its host later seem outdated: the host would count as gone until it is forgotten. TestImplausibleBeatIsIgnored fails without the check. Which of two reports of a host is newer is told by their beats as well.

--- a/pkg/ushercluster/beat.go
+++ b/pkg/ushercluster/beat.go
@@ -8,6 +8,10 @@
 	// beatClockWindow is for how long the fastest report that brought a beat counts at least, and half of how long at most. It is much
 	// longer than the time between reports, and short enough that a host whose clock has been set is known again soon.
 	beatClockWindow = 5 * time.Second
+	// maxBeat is a beat that no host reaches, and maxBeatLead by how much a beat may be ahead of those heard before. What is beyond is
+	// garbage, and would make all later beats seem outdated.
+	maxBeat     = 1 << 40
+	maxBeatLead = removalTimeout
 )
 
 // beatClock maps the beats of another host to times of this one. The report of a beat takes some time to arrive, or is read late, so the
@@ -43,7 +47,7 @@
 
 // hear records a beat that is no later than at.
 func (m *member) hear(now time.Time, beat uint64, at time.Time) {
-	if beat <= m.beat {
+	if beat <= m.beat || beat > maxBeat || m.beat > 0 && m.clock.timeOf(beat).Sub(now) > maxBeatLead {
 		return
 	}
 	m.clock.add(now, beat, at)
@@ -63,7 +67,7 @@
 // process or its sender stood still.
 func (c *Cluster) SentAt(now time.Time, r Report) time.Time {
 	m, known := c.members[r.From.Name]
-	if !known || m.Incarnation != r.From.Incarnation || r.Beat == 0 || m.beat == 0 {
+	if !known || m.Incarnation != r.From.Incarnation || r.Beat == 0 || r.Beat > m.beat {
 		return now
 	}
 	if sent := m.clock.timeOf(r.Beat); sent.Before(now) {
--- a/pkg/ushercluster/cluster_test.go
+++ b/pkg/ushercluster/cluster_test.go
@@ -484,3 +484,22 @@
 		}
 	}
 }
+
+// A report with a beat that cannot be, as from a faulty host, must not make all that is heard later seem outdated.
+func TestImplausibleBeatIsIgnored(t *testing.T) {
+	f := newFleet(9, 3)
+	f.run(5 * time.Second)
+	sound := f.hosts[address(4)].Status(f.now)
+	for _, beat := range []uint64{1 << 63, 1 << 41, sound.Beat + 30_000, sound.Beat + 7_000} {
+		r := sound
+		r.Beat = beat
+		f.deliver(address(0), r)
+		f.deliver(address(1), ushercluster.Report{From: f.hosts[address(2)].Self(), Peers: []ushercluster.PeerInfo{{Member: sound.From, Beat: beat}}})
+	}
+	for range 40 {
+		f.run(ushercluster.ReportInterval)
+		if n := f.countKnowing(8); n != 9 {
+			t.Fatalf("%d of 9 hosts know all others", n)
+		}
+	}
+}
--- a/service/usherhost/reports.go
+++ b/service/usherhost/reports.go
@@ -169,8 +169,10 @@
 	// All ages count from when the report was sent, as it may have waited.
 	sent := s.cluster.SentAt(received, d.Report)
 	l.delay = received.Sub(sent)
-	if status, known := s.peerStatuses[from.Name]; !known || !sent.Before(status.sent) {
-		s.peerStatuses[from.Name] = peerStatus{sent: sent, revision: d.Revision, lastStoreResponse: sent.Add(-d.StoreAge), storeFailing: d.StoreFailing}
+	if status := s.peerStatuses[from.Name]; status.incarnation != from.Incarnation || d.Report.Beat >= status.beat {
+		s.peerStatuses[from.Name] = peerStatus{
+			incarnation: from.Incarnation, beat: d.Report.Beat, revision: d.Revision, lastStoreResponse: sent.Add(-d.StoreAge), storeFailing: d.StoreFailing,
+		}
 	}
 	s.mergeStoreContact(sent, d)
 	s.mergeLoads(now, d)
