--- a/cmd/usher-host/daemon/catalog_test.go
+++ b/cmd/usher-host/daemon/catalog_test.go
@@ -53,6 +53,30 @@
 
 func address(h *host) netip.Addr { return netip.MustParseAddr(h.ip) }
 
+// blockLinks loses the packets from some data centres to another. The other way they pass.
+func (b *testbed) blockLinks(from func(dataCentre int) bool, to int) {
+	for i, sender := range b.hosts {
+		for j, recipient := range b.hosts {
+			if from(i%len(dataCentres)) && j%len(dataCentres) == to {
+				b.network.Block(address(sender), address(recipient))
+			}
+		}
+	}
+}
+
+// checkLargeDeclarations publishes declarations that do not fit a datagram, after a time, and checks that all hosts have them in time.
+func (b *testbed) checkLargeDeclarations(after time.Duration) {
+	b.t.Helper()
+	time.Sleep(after)
+	b.declareLarge(5)
+	time.Sleep(maxConfigDelay)
+	for _, h := range b.hosts {
+		if v := b.versionOf(h); v != 5 {
+			b.t.Errorf("%s: version %d after %s, want 5", h.name, v, maxConfigDelay)
+		}
+	}
+}
+
 // Packets from one data centre to that of the reader are lost, the other way they pass. The hosts there saw that the reader had newer
 // declarations, failed to pull them from it again and again, and asked neither the hosts that had them nor the store. Found by
 // review/4.
@@ -63,21 +87,8 @@
 				withTestbed(t, options{hosts: hosts, plainTargets: 3}, func(t *testing.T, b *testbed) {
 					reader := dataCentreOf(b, b.storeReader())
 					other := (reader + 1) % len(dataCentres)
-					for i, from := range b.hosts {
-						for j, to := range b.hosts {
-							if i%len(dataCentres) == other && j%len(dataCentres) == reader {
-								b.network.Block(address(from), address(to))
-							}
-						}
-					}
-					time.Sleep(after)
-					b.declareLarge(5)
-					time.Sleep(maxConfigDelay)
-					for _, h := range b.hosts {
-						if v := b.versionOf(h); v != 5 {
-							t.Errorf("%s: version %d after %s, want 5", h.name, v, maxConfigDelay)
-						}
-					}
+					b.blockLinks(func(dataCentre int) bool { return dataCentre == other }, reader)
+					b.checkLargeDeclarations(after)
 				})
 			})
 		}
@@ -118,21 +129,8 @@
 		t.Run(fmt.Sprint("after ", after), func(t *testing.T) {
 			withTestbed(t, options{hosts: 9, plainTargets: 3}, func(t *testing.T, b *testbed) {
 				reader := dataCentreOf(b, b.storeReader())
-				for i, from := range b.hosts {
-					for j, to := range b.hosts {
-						if i%len(dataCentres) != reader && j%len(dataCentres) == reader {
-							b.network.Block(address(from), address(to))
-						}
-					}
-				}
-				time.Sleep(after)
-				b.declareLarge(5)
-				time.Sleep(maxConfigDelay)
-				for _, h := range b.hosts {
-					if v := b.versionOf(h); v != 5 {
-						t.Errorf("%s: version %d after %s, want 5", h.name, v, maxConfigDelay)
-					}
-				}
+				b.blockLinks(func(dataCentre int) bool { return dataCentre != reader }, reader)
+				b.checkLargeDeclarations(after)
 			})
 		})
 	}
--- a/cmd/usher-host/daemon/process_config_test.go
+++ b/cmd/usher-host/daemon/process_config_test.go
@@ -54,8 +54,7 @@
 		latest := f.checkDeclared(published, running)
 		t.Logf("loss of %s %s after the change: the last refusal was of a request sent %s after the change", lost[0].dataCentre, killedAfter, latest)
 		for _, h := range lost {
-			<-h.exited
-			f.start(h)
+			f.restart(h)
 		}
 		f.awaitFleet()
 		time.Sleep(time.Duration(f.random.IntN(1000)) * time.Millisecond)
--- a/cmd/usher-host/daemon/process_fleet_test.go
+++ b/cmd/usher-host/daemon/process_fleet_test.go
@@ -15,6 +15,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -52,7 +53,10 @@
 	}
 
 	fleetHost struct {
-		hostProcess
+		// process is the latest one of the host.
+		process atomic.Pointer[hostProcess]
+		// standing is set while a test lets the process stand still.
+		standing   atomic.Bool
 		ip         string
 		name       string
 		dataCentre string
@@ -138,7 +142,26 @@
 	if err != nil {
 		f.t.Fatal(err)
 	}
-	h.hostProcess = process
+	h.process.Store(&process)
+}
+
+func (h *fleetHost) signal(signal syscall.Signal) { h.process.Load().signal(signal) }
+
+// stand lets the process stand still, goOn lets it go on.
+func (h *fleetHost) stand() {
+	h.standing.Store(true)
+	h.signal(syscall.SIGSTOP)
+}
+
+func (h *fleetHost) goOn() {
+	h.standing.Store(false)
+	h.signal(syscall.SIGCONT)
+}
+
+// restart starts the host's process again after it was killed.
+func (f *processFleet) restart(h *fleetHost) {
+	<-h.process.Load().exited
+	f.start(h)
 }
 
 func (f *processFleet) path(h *fleetHost, suffix string) string {
@@ -242,7 +265,9 @@
 			for ctx.Err() == nil {
 				h.signal(syscall.SIGSTOP)
 				sleepFor(ctx, throttlePeriod-runs)
-				h.signal(syscall.SIGCONT)
+				if !h.standing.Load() {
+					h.signal(syscall.SIGCONT)
+				}
 				sleepFor(ctx, runs)
 			}
 		})
@@ -272,9 +297,9 @@
 // shutdown ends the processes. The logs are kept if the test has failed.
 func (f *processFleet) shutdown() {
 	for _, h := range f.hosts {
-		if h.exited != nil {
-			h.signal(syscall.SIGKILL)
-			<-h.exited
+		if process := h.process.Load(); process != nil {
+			process.signal(syscall.SIGKILL)
+			<-process.exited
 		}
 	}
 	if f.server != nil {
--- a/cmd/usher-host/daemon/process_loss_test.go
+++ b/cmd/usher-host/daemon/process_loss_test.go
@@ -16,7 +16,7 @@
 		order := f.random.Perm(len(dataCentres))
 		standing, lost := f.in(dataCentres[order[0]])[:2], f.in(dataCentres[order[1]])
 		for _, h := range standing {
-			h.signal(syscall.SIGSTOP)
+			h.stand()
 		}
 		time.Sleep(100 * time.Millisecond)
 		for _, h := range lost {
@@ -26,7 +26,7 @@
 		back := []time.Duration{8 * time.Second, 11 * time.Second}[f.random.IntN(2)]
 		wake := time.AfterFunc(3900*time.Millisecond, func() {
 			for _, h := range standing {
-				h.signal(syscall.SIGCONT)
+				h.goOn()
 			}
 		})
 		defer wake.Stop()
@@ -63,8 +63,7 @@
 			t.Logf("hosts of %s were last named %s after they were lost", lost[0].dataCentre, last)
 		}
 		for _, h := range lost {
-			<-h.exited
-			f.start(h)
+			f.restart(h)
 		}
 		f.awaitFleet()
 	})
