--- a/pkg/ushercluster/beat.go
+++ b/pkg/ushercluster/beat.go
@@ -5,8 +5,8 @@
 const (
 	// beatUnit is the unit of a host's beat: how long its incarnation has been running.
 	beatUnit = 20 * time.Millisecond
-	// beatClockWindow is for how long the fastest report that brought a beat counts at least, and half of how long at most. It is much
-	// longer than the time between reports, and short enough that a host whose clock has been set is known again soon.
+	// The fastest report that brought a beat counts for one to two times beatClockWindow. That is much longer than the time between
+	// reports, and short enough that a host whose clock has been set back is known again soon.
 	beatClockWindow = 5 * time.Second
 	// maxBeat is a beat that no host reaches, and maxBeatLead by how much a beat may be ahead of those heard before. What is beyond is
 	// garbage, and would make all later beats seem outdated.
@@ -55,7 +55,7 @@
 	m.lastHeard = m.clock.timeOf(beat)
 }
 
-// beatAt returns the beat of this host.
+// beatAt returns the beat of this host. It begins at one, as zero stands for none.
 func (c *Cluster) beatAt(now time.Time) uint64 {
 	if c.startedAt.IsZero() {
 		c.startedAt = now
--- a/service/usherhost/admin.go
+++ b/service/usherhost/admin.go
@@ -144,10 +144,10 @@
 	if t := s.catalog.Table(); t != nil {
 		d.Version = t.Version()
 	}
-	known := s.clock.now()
-	for _, m := range s.cluster.Alive(known) {
+	fleetTime := s.clock.now()
+	for _, m := range s.cluster.Alive(fleetTime) {
 		host := describeHost(m)
-		host.Revision, host.Pressure = s.peerStatuses[m.Name].revision, s.cluster.Pressure(known, m.Name)
+		host.Revision, host.Pressure = s.peerStatuses[m.Name].revision, s.cluster.Pressure(fleetTime, m.Name)
 		d.Hosts = append(d.Hosts, host)
 	}
 	return d
