usherhost: read the store once the reader is not heard, not only when it gets no responses

Cause: a time-out that eats the bound. Other hosts waited until the reader had had no response of the store for 1.5 s, although collectors hear it four times a second.

TestAnotherHostReadsTheStoreSoonAfterTheReaderIsLost failed before: no call within half of the bound with 9, 12 and 24 hosts.

Why it works: a collector that has not heard a reader itself for three reports reads too, and stops once it hears it again. A needless call, as when reports are lost, is one call more.

--- a/service/usherhost/feed.go
+++ b/service/usherhost/feed.go
@@ -29,6 +29,9 @@
 	// readerTimeout is how long the reader of a data centre may go without a response from the store before the next
 	// host reads too: one call with its margin. A reader whose call fails reports that at once.
 	readerTimeout = longPollTime + storeTimeoutMargin + 200*time.Millisecond
+	// readerSilence is how long a collector may not hear a reader itself before it reads too: three reports. It leaves more than half of
+	// the time in which operators expect changes to take effect for passing them on; a needless call does no harm.
+	readerSilence = 3 * ushercluster.ReportInterval
 	// readerTakeoverStep is how long the first host waits before it starts to read if no host gets responses: enough
 	// for another host's success to be reported. Each further host waits twice as long, so that few hosts call a store
 	// that is down.
@@ -36,7 +39,7 @@
 	maxReaderTakeoverSteps = 10
 	// readerCheckInterval is how often a host that does not read the store checks whether it has to. It also does so at
 	// once when a reader reports that its calls fail.
-	readerCheckInterval = 250 * time.Millisecond
+	readerCheckInterval = 100 * time.Millisecond
 )
 
 type (
@@ -344,7 +347,8 @@
 	self := s.cluster.Self()
 	isCollector := s.cluster.Collector(now).Name == self.Name
 	for _, m := range s.cluster.RemoteCollectors(now) {
-		if (m.DataCentre < self.DataCentre || !isCollector) && s.hasStoreContact(now, m.Name) {
+		silent := isCollector && now.Sub(s.cluster.LastDirect(m.Name)) > readerSilence
+		if (m.DataCentre < self.DataCentre || !isCollector) && s.hasStoreContact(now, m.Name) && !silent {
 			return false
 		}
 	}
