usherhost: take no end of a connection for the end of a run

What callers saw: whole streams.

Cause: awaitRunEnd returned at once if the target had closed the connection. A target that loses an answer closes it and works on.

Why it works: a target that can be reached is ordered to end the run, whatever ended the connection; one that has ended it answers so within a round trip, and one that is gone refuses the connection. An engine that takes no such order, or turns it away, and has closed the connection is asked for its runs a second later, longer than its reports are old; a stream that no copy is left of is cut at once. The order names another target even if none has room, as engines end the run first: streams that may be resumed would have been cut otherwise.

--- a/cmd/usher-host/daemon/cut_test.go
+++ b/cmd/usher-host/daemon/cut_test.go
@@ -285,8 +285,8 @@
 	}
 }
 
-// A stream goes on at the engine that has its copy, which breaks off its response. Engines take no orders here, but one that closes the connection
-// has ended the run. Where the end cut a line, callers got neither the rest of the stream nor its end before their time was over.
+// A stream goes on at the engine that has its copy, which breaks off its response. Engines take no orders here, and no other copy is left. Where
+// the end cut a line, callers got neither the rest of the stream nor its end before their time was over.
 func TestStreamWhoseEnginesAllBreakOffIsCutAtOnce(t *testing.T) {
 	for _, after := range cutsInLines {
 		t.Run(fmt.Sprint("after ", after), func(t *testing.T) {
--- a/cmd/usher-host/daemon/silence_test.go
+++ b/cmd/usher-host/daemon/silence_test.go
@@ -267,3 +267,72 @@
 		}
 	})
 }
+
+// Engines lose the answer of a run: its connection closes and the run goes on. The stream went on at another engine while the first one
+// worked on it. Found by review/7.
+func TestStreamWhoseAnswerIsLostIsStoppedBeforeItGoesOn(t *testing.T) {
+	noMoves := func(d map[string]any) {
+		d["services"].([]any)[0].(map[string]any)["engine"].(map[string]any)["moves"] = false
+	}
+	fillMemory := func(b *testbed) {
+		for _, target := range b.targets {
+			_, entry := target.Entry("ready")
+			b.copies.SetFull(entry.(map[string]any)["address"].(string), true)
+		}
+	}
+	for _, c := range []struct {
+		name, path string
+		events     int
+		prepare    func(b *testbed)
+		// editDeclarations changes what is declared of the engines.
+		editDeclarations func(d map[string]any)
+	}{
+		{name: "stream that runs once", path: "/appraisal/100", events: 100},
+		{name: "stream that may be resumed", path: "/eligibility/100", events: 100},
+		{name: "stream that runs once, engines turn the order to stop away", path: "/appraisal/100", events: 100, prepare: refuseMoves},
+		{name: "stream that may be resumed, engines turn the order to stop away", path: "/eligibility/60", events: 60, prepare: refuseMoves},
+		{name: "stream that may be resumed, no engine has room for a copy", path: "/eligibility/100", events: 100, prepare: fillMemory},
+		{name: "stream that runs once, engines take no such order", path: "/appraisal/100", events: 100, editDeclarations: noMoves},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			withTestbed(t, options{hosts: 1, engines: 4, editDeclarations: c.editDeclarations}, func(t *testing.T, b *testbed) {
+				faults := &faultSequence{faults: []usherstandin.Fault{usherstandin.LosesAnswerLater}}
+				for _, target := range b.targets {
+					target.SetFaultSource(faults.next)
+				}
+				if c.prepare != nil {
+					c.prepare(b)
+				}
+				got := b.post(b.hosts[0], c.path)
+				b.checkOverlap(got.attempt)
+				if got.err != nil || !isComplete(got.body, got.attempt, c.events) {
+					t.Errorf("error %v, %d events; want %d", got.err, len(events(got.body)), c.events)
+				}
+			})
+		})
+	}
+}
+
+// An engine that takes no order to end a run breaks a stream off and ends the run. Streams that run once went on elsewhere at once; they
+// must not be lost, although the end of the connection does not show that of the run any more.
+func TestStreamGoesOnOnceTheReportShowsTheEndOfItsRun(t *testing.T) {
+	for _, listed := range []bool{true, false} {
+		t.Run(fmt.Sprint("report lists runs: ", listed), func(t *testing.T) {
+			withTestbed(t, options{hosts: 1, engines: 4, editDeclarations: func(d map[string]any) {
+				d["services"].([]any)[0].(map[string]any)["engine"].(map[string]any)["moves"] = false
+			}}, func(t *testing.T, b *testbed) {
+				faults := &faultSequence{faults: []usherstandin.Fault{usherstandin.EndsInsideEvent}}
+				for _, target := range b.targets {
+					target.SetFaultSource(faults.next)
+					if !listed {
+						target.OmitRuns()
+					}
+				}
+				got := b.post(b.hosts[0], "/appraisal/100")
+				if complete := got.err == nil && isComplete(got.body, got.attempt, 100); complete != listed {
+					t.Errorf("error %v, %d events; want a complete stream: %t", got.err, len(events(got.body)), listed)
+				}
+			})
+		})
+	}
+}
--- a/pkg/usherpool/pool.go
+++ b/pkg/usherpool/pool.go
@@ -323,6 +323,17 @@
 	return t.entry, true
 }
 
+// Other returns another target of the same service, the first by name, whether or not it accepts work.
+func (p *Pool) Other(than ushercatalog.Target) (ushercatalog.Target, bool) {
+	var other ushercatalog.Target
+	for id, t := range p.targets {
+		if id != than.ID && t.entry.Service == than.Service && (other.ID == "" || id < other.ID) {
+			other = t.entry
+		}
+	}
+	return other, other.ID != ""
+}
+
 // Choose returns the target with the least expected delay for r. It counts as a request sent to a cold target.
 func (p *Pool) Choose(now time.Time, r Request) (Choice, error) {
 	r = p.estimateOutput(r)
--- a/service/usherhost/state.go
+++ b/service/usherhost/state.go
@@ -179,6 +179,13 @@
 	return s.pool.Target(id)
 }
 
+// otherTarget returns another target of the same service, whether or not it accepts work.
+func (s *sharedState) otherTarget(than ushercatalog.Target) (ushercatalog.Target, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.pool.Other(than)
+}
+
 func (s *sharedState) addLoad(id string, l usherpool.Load) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/service/usherhost/stoprun.go
+++ b/service/usherhost/stoprun.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"syscall"
 	"time"
 
@@ -20,6 +21,8 @@
 	reportTimeout = 250 * time.Millisecond
 	// stopRetryInterval is the pause before an order that the engine turned away is repeated.
 	stopRetryInterval = 200 * time.Millisecond
+	// maxReportAge bounds the age of what an engine reports. The users state some hundred milliseconds.
+	maxReportAge = time.Second
 )
 
 // errStillRunning is the type of errors for runs that may go on at an engine which can be reached.
@@ -42,42 +45,54 @@
 // To close the connection is not enough: on one that has gone silent, the engine does not learn of it.
 func (g *generation) beginStop(ctx context.Context) {
 	g.stopping = true
-	results, stop := g.stopResults, g.prepareStop(ctx)
+	results, stop, source, attempt := g.stopResults, g.prepareStop(ctx), g.source.Target, g.req.Attempt
 	go func() {
 		var result stopResult
-		if err := g.host.containment.run("order to end a run", func() { result = stop(ctx) }); err != nil {
+		end := func() {
+			if !g.host.isUnreachable(ctx, source, attempt) {
+				result = stop(ctx)
+			}
+		}
+		if err := g.host.containment.run("order to end a run", end); err != nil {
 			result.err = errStillRunning.Wrap(err, "order not made")
 		}
 		results <- result
 	}()
 }
 
-// prepareStop returns the call that ends the run, which may be made by another goroutine.
+// prepareStop returns the call that ends the run at a target that can be reached, which may be made by another goroutine.
 func (g *generation) prepareStop(ctx context.Context) func(ctx context.Context) stopResult {
 	source, attempt, atMostOnce := g.source.Target, g.req.Attempt, g.req.route.AtMostOnce()
-	engine := g.req.service.Engine
-	takesOrders := engine != nil && engine.OnDemandCopies
-	var holder ushercatalog.Target
-	if takesOrders {
-		var err error
-		if holder, err = g.stopDestination(ctx); err != nil {
-			return func(context.Context) stopResult { return stopResult{err: err} }
+	if g.takesOrders() {
+		holder, err := g.stopDestination(ctx)
+		return func(ctx context.Context) stopResult {
+			if err != nil {
+				return stopResult{err: err}
+			}
+			return g.host.orderStop(ctx, source, attempt, holder)
 		}
 	}
-	return func(ctx context.Context) stopResult {
-		if err := g.host.probeTwice(ctx, source); err != nil {
-			g.host.logUnreachable(source, attempt, err)
-			return stopResult{}
-		}
-		switch {
-		case takesOrders:
-			return g.host.orderStop(ctx, source, attempt, holder)
-		case atMostOnce:
+	return func(context.Context) stopResult {
+		if atMostOnce {
 			return stopResult{err: errStillRunning.New("target %s may still work on the request", source.ID)}
-		default:
-			return stopResult{}
 		}
+		return stopResult{}
+	}
+}
+
+// takesOrders reports whether the stream's engines take orders to end a run.
+func (g *generation) takesOrders() bool {
+	engine := g.req.service.Engine
+	return engine != nil && engine.OnDemandCopies
+}
+
+// isUnreachable reports whether the target of a run takes no connection, so that nothing here can end the run.
+func (h *Host) isUnreachable(ctx context.Context, source ushercatalog.Target, attempt string) bool {
+	err := h.probeTwice(ctx, source)
+	if err != nil {
+		h.logUnreachable(source, attempt, err)
 	}
+	return err != nil
 }
 
 // probeTwice returns an error if a target refuses a connection or does not accept two in a row: one packet can get lost.
@@ -177,7 +192,14 @@
 	r := g.placementRequest(g.req.excludedTargets(append(g.copies.UnavailableHolders, g.source.Target.ID)...))
 	r.Copy, r.SourceDataCentre = true, g.source.Target.DataCentre
 	choice, err := g.host.peers.placement.place(ctx, r)
-	return choice.Target, err
+	if err == nil {
+		return choice.Target, nil
+	}
+	// An engine ends the run whether or not the destination has room.
+	if other, known := g.host.state.otherTarget(g.source.Target); known {
+		return other, nil
+	}
+	return ushercatalog.Target{}, err
 }
 
 // recordStop records that the run has ended, with what is left of it. A stream that may run once goes on at its own target if no
@@ -192,11 +214,18 @@
 	}
 }
 
-// awaitRunEnd returns once the run does not go on at its target, or the stream cannot go on elsewhere. A target that closed
-// the connection has ended the run itself.
+// awaitRunEnd returns once the run does not go on at its target, or the stream cannot go on elsewhere. That the target has closed the
+// connection shows no end of the run: the response may be lost and the run go on.
 func (g *generation) awaitRunEnd(ctx context.Context, cause error) error {
-	for !g.runEnded && !endedByTarget(cause) {
-		result := g.prepareStop(ctx)(ctx)
+	since := time.Now()
+	for !g.runEnded {
+		if g.req.route.AtMostOnce() && !g.takesOrders() {
+			// Only an order would make a copy.
+			if _, err := g.resumePoint(); err != nil {
+				return err
+			}
+		}
+		result := g.endRun(ctx)
 		if result.err == nil {
 			g.recordStop(result)
 			return nil
@@ -204,6 +233,9 @@
 		if !errorx.IsOfType(result.err, errStillRunning) {
 			return result.err
 		}
+		if endedByTarget(cause) && time.Since(since) >= maxReportAge && g.host.reportsEnd(ctx, g.source.Target, g.req.Attempt) {
+			return nil
+		}
 		sleep(ctx, stopRetryInterval)
 		if ctx.Err() != nil {
 			return result.err
@@ -211,3 +243,25 @@
 	}
 	return nil
 }
+
+// endRun ends the run unless its target cannot be reached.
+func (g *generation) endRun(ctx context.Context) stopResult {
+	if g.host.isUnreachable(ctx, g.source.Target, g.req.Attempt) {
+		return stopResult{}
+	}
+	return g.prepareStop(ctx)(ctx)
+}
+
+// reportsEnd reports whether an engine says that it does not work on a request. Only the report of an engine that has closed the
+// request's connection maxReportAge ago counts: others may be older than the run, or leave out one that was preempted.
+func (h *Host) reportsEnd(ctx context.Context, target ushercatalog.Target, attempt string) bool {
+	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
+	defer cancel()
+	h.state.spendTurn(target.ID)
+	sent := time.Now()
+	runs, notice, err := h.engines.Runs(ctx, target.Address)
+	h.noteTarget(target, "", sent, notice)
+	ended := err == nil && !slices.Contains(runs, attempt)
+	h.log.Info("target asked for its runs", "attempt", attempt, "source", target.ID, "ended", ended, "error", errorTextOrEmpty(err))
+	return ended
+}
--- a/service/usherhost/stream.go
+++ b/service/usherhost/stream.go
@@ -66,6 +66,9 @@
 		Release(ctx context.Context, at netip.AddrPort, handle string) (ushercall.Notice, error)
 		// Leaving reports whether an engine accepts no new work.
 		Leaving(ctx context.Context, at netip.AddrPort) (bool, ushercall.Notice, error)
+		// Runs returns the attempts that an engine works on, as it reports them: some hundred milliseconds late. It returns an error
+		// if the report does not list them.
+		Runs(ctx context.Context, at netip.AddrPort) ([]string, ushercall.Notice, error)
 		// Stop ends a run and then copies its KV cache to another engine. Without an error the run has ended.
 		Stop(ctx context.Context, source netip.AddrPort, attempt string, to netip.AddrPort) (ushercall.StoppedRun, ushercall.Notice, error)
 		// IsUnreachable reports whether an error of Stop means that the engine cannot be reached or does not respond.
