usherhost: end a run whose answer is lost before it begins

What callers saw: whole streams. A stream that may be resumed ran at two engines where the first one's answer was lost before its head: the host sent it to another engine at once and left the first at work for as long as the stream lasts.

A retry took the end of the connection for the end of the run.

Why it works: the engine is ordered to end the run beside the retry, and the copy that comes of it is freed. Such a request may run again, so its caller does not wait for that. Only where the engine closed the connection: one that the host closes itself tells the engine.

--- a/cmd/usher-host/daemon/silence_test.go
+++ b/cmd/usher-host/daemon/silence_test.go
@@ -336,3 +336,24 @@
 		})
 	}
 }
+
+// An engine loses the answer before it begins. The request was sent to another engine while the first one worked on it.
+func TestLostRunIsStoppedWhenItsRequestIsSentAgain(t *testing.T) {
+	withTestbed(t, options{hosts: 1, engines: 4}, func(t *testing.T, b *testbed) {
+		faults := &faultSequence{faults: []usherstandin.Fault{usherstandin.LosesAnswerAtOnce}}
+		for _, target := range b.targets {
+			target.SetFaultSource(faults.next)
+		}
+		got := b.post(b.hosts[0], "/eligibility/60")
+		b.checkOverlap(got.attempt)
+		if got.err != nil || !isComplete(got.body, got.attempt, 60) {
+			t.Errorf("error %v, %d events; want 60", got.err, len(events(got.body)))
+		}
+		for _, target := range b.targets {
+			_, entry := target.Entry("ready")
+			if address := entry.(map[string]any)["address"].(string); b.copies.Holds(address, "h-"+got.attempt) {
+				t.Errorf("%s still holds a copy that nothing uses", address)
+			}
+		}
+	})
+}
--- a/service/usherhost/stoprun.go
+++ b/service/usherhost/stoprun.go
@@ -244,6 +244,28 @@
 	return nil
 }
 
+// endLostRun orders an engine that has closed the connection before it began to answer to end the run, as only the answer may be lost. The
+// request goes to another target meanwhile: it may run again, and its caller would bear the wait.
+func (g *generation) endLostRun(ctx context.Context) {
+	h, source, attempt := g.host, g.source.Target, g.req.Attempt
+	destination, known := h.state.otherTarget(source)
+	if !known || !g.takesOrders() {
+		return
+	}
+	// The order is not the caller's to cancel.
+	ctx = context.WithoutCancel(ctx)
+	go func() {
+		_ = h.containment.run("order to end a lost run", func() {
+			if h.isUnreachable(ctx, source, attempt) {
+				return
+			}
+			if result := h.orderStop(ctx, source, attempt, destination); result.run.Kept.Handle != "" {
+				h.callRelease(result.run.Kept)
+			}
+		})
+	}()
+}
+
 // endRun ends the run unless its target cannot be reached.
 func (g *generation) endRun(ctx context.Context) stopResult {
 	if g.host.isUnreachable(ctx, g.source.Target, g.req.Attempt) {
--- a/service/usherhost/stream.go
+++ b/service/usherhost/stream.go
@@ -220,6 +220,9 @@
 		if ctx.Err() != nil || !g.takeRetryFor(result) {
 			break
 		}
+		if result.ran && result.reply.status == 0 && endedByTarget(result.err) {
+			g.endLostRun(ctx)
+		}
 		g.host.metrics.retries.Inc(1)
 	}
 	return g.startFailure(ctx, last, cause)
