usherhost: ask whether the run goes on when an unframed stream ends

What callers saw: the first events of a stream as the whole of it (3 of 60), where the engine sends neither a length nor chunks and lost the answer between two events. The engine worked on it to its end.

The end of the connection is the only mark of such a stream's end, and was taken for the end of the run if the engine still accepted connections.

Evidence: TestUnframedStreamWhoseAnswerIsLostIsNotComplete failed before for both kinds of streams.

Why it works: the engine is ordered to end the run. One that has ended it says that it has none, and the stream is complete; otherwise the stream goes on from the copy that the order made. An order that is turned away shows nothing, and the stream counts as complete as before.

--- a/cmd/usher-host/daemon/silence_test.go
+++ b/cmd/usher-host/daemon/silence_test.go
@@ -357,3 +357,23 @@
 		}
 	})
 }
+
+// Engines that send neither a length nor chunks lose an answer between two events. The end of the connection looked like that of the
+// stream.
+func TestUnframedStreamWhoseAnswerIsLostIsNotComplete(t *testing.T) {
+	for _, path := range []string{"/appraisal/60", "/eligibility/60"} {
+		t.Run(path, func(t *testing.T) {
+			withTestbed(t, options{hosts: 1, engines: 4, unframed: true}, func(t *testing.T, b *testbed) {
+				faults := &faultSequence{faults: []usherstandin.Fault{usherstandin.LosesAnswerLater}}
+				for _, target := range b.targets {
+					target.SetFaultSource(faults.next)
+				}
+				got := b.post(b.hosts[0], path)
+				b.checkOverlap(got.attempt)
+				if got.err != nil || !isComplete(got.body, got.attempt, 60) {
+					t.Errorf("error %v, %d events; want 60", got.err, len(events(got.body)))
+				}
+			})
+		})
+	}
+}
--- a/service/usherhost/relay.go
+++ b/service/usherhost/relay.go
@@ -75,7 +75,7 @@
 // endOfRun returns the error with which the current run has ended: io.EOF only if the stream is complete.
 func (g *generation) endOfRun(ctx context.Context, err error) error {
 	stopped := g.endedOnRequest(err)
-	if errors.Is(err, io.EOF) && (stopped || g.continuesNothing() || g.brokenOff(ctx)) {
+	if errors.Is(err, io.EOF) && (stopped || g.continuesNothing() || g.brokenOff(ctx) || g.goesOn(ctx)) {
 		return io.ErrUnexpectedEOF
 	}
 	return err
@@ -103,6 +103,19 @@
 	return g.host.brokenOff(ctx, g.exchange, g.source.Target, int64(g.req.events))
 }
 
+// goesOn reports whether the run goes on although its response has ended with its connection. If so, the run has been ended.
+func (g *generation) goesOn(ctx context.Context) bool {
+	if !isUnframed(g.exchange.response) || !g.takesOrders() {
+		return false
+	}
+	result := g.prepareStop(ctx)(ctx)
+	if result.err != nil || result.run.Kept.Handle == "" {
+		return false
+	}
+	g.recordStop(result)
+	return true
+}
+
 // continuesNothing reports whether the current run, which was to continue a stream, has not added an event to it. Its end
 // then says nothing about the stream.
 func (g *generation) continuesNothing() bool {
