usherhost: count a run as ended once another target has its engine's address

What callers saw: nothing for the rest of their time, then a broken stream, where an engine crashed behind a connection that had gone silent and its address went to another service.

The target that had the address turned it away each 200 ms.

Why it works: an address has one owner. A published target with another id there, or a later start, shows that the earlier one is gone; the entry of an earlier one may outlast it and shows nothing.

--- a/cmd/usher-host/daemon/silence_test.go
+++ b/cmd/usher-host/daemon/silence_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/http"
 	"net/netip"
 	"slices"
 	"testing"
@@ -377,3 +378,32 @@
 		})
 	}
 }
+
+// An engine crashes behind a silent connection, and a plain service gets its address. That turned the order to end the run away like an
+// engine that works on, and the stream waited for it until its caller's time was over.
+func TestStreamGoesOnOnceItsEnginesAddressIsAnothers(t *testing.T) {
+	for _, path := range []string{"/appraisal/150", "/eligibility/100"} {
+		t.Run(path, func(t *testing.T) {
+			withTestbed(t, options{hosts: 1, engines: 4}, func(t *testing.T, b *testbed) {
+				attempt, done := b.startStream(b.hosts[0], path)
+				time.Sleep(time.Second)
+				source := b.currentEngine(attempt)
+				_, entry := b.targets[source].Entry("ready")
+				address := entry.(map[string]any)["address"].(string)
+				b.silence(b.hosts[0], 0)
+				b.kill(source)
+				b.store.Delete("servers/" + source)
+				b.serve(netip.MustParseAddrPort(address), "successor", http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+					w.WriteHeader(http.StatusBadRequest)
+				}))
+				successor := usherstandin.NewTarget(usherstandin.TargetOptions{ID: "successor", Service: plainService, Address: address, DataCentre: dataCentres[0]}, b.copies)
+				key, value := successor.Entry("ready")
+				b.store.PutJSON(key, value)
+				got := <-done
+				if n := len(events(got.body)); got.err != nil || !isComplete(got.body, attempt, n) {
+					t.Errorf("error %v after %s, %d events", got.err, got.elapsed, n)
+				}
+			})
+		})
+	}
+}
--- a/pkg/usherpool/pool.go
+++ b/pkg/usherpool/pool.go
@@ -213,6 +213,8 @@
 		coldUntil time.Time
 		// accepting reports whether new work may be sent.
 		accepting bool
+		// published reports whether its entry is there; targets where requests run are kept without.
+		published bool
 		evacuated bool
 		// leaving is set if the target itself announced, after the entry was learned, that it is leaving.
 		leaving bool
@@ -244,7 +246,7 @@
 	changed := p.table != table || p.byService == nil
 	p.table, p.hosts = table, max(hosts, 1)
 	for _, t := range p.targets {
-		t.accepting = false
+		t.accepting, t.published = false, false
 	}
 	for _, k := range published {
 		entry := *k.Target
@@ -263,7 +265,7 @@
 			t.leaving = false
 		}
 		changed = changed || t.entry.Service != entry.Service
-		t.entry, t.learned = entry, k.Learned
+		t.entry, t.learned, t.published = entry, k.Learned, true
 		t.evacuated = evacuated(entry.DataCentre)
 		_, departed := p.departed[incarnationOf(entry)]
 		t.accepting = !entry.Leaving && !t.leaving && !t.evacuated && !departed
@@ -334,6 +336,20 @@
 	return other, other.ID != ""
 }
 
+// Replaced reports whether another target, or a later start of this one, has the address of a target. The entry of an earlier one may
+// outlast it and shows nothing.
+func (p *Pool) Replaced(earlier ushercatalog.Target) bool {
+	current, known := p.targets[earlier.ID]
+	known = known && current.published && incarnationOf(current.entry) == incarnationOf(earlier)
+	for _, t := range p.targets {
+		later := !known || t.entry.Incarnation > earlier.Incarnation
+		if t.published && t.entry.Address == earlier.Address && incarnationOf(t.entry) != incarnationOf(earlier) && later {
+			return true
+		}
+	}
+	return false
+}
+
 // Choose returns the target with the least expected delay for r. It counts as a request sent to a cold target.
 func (p *Pool) Choose(now time.Time, r Request) (Choice, error) {
 	r = p.estimateOutput(r)
--- a/service/usherhost/state.go
+++ b/service/usherhost/state.go
@@ -186,6 +186,13 @@
 	return s.pool.Other(than)
 }
 
+// isReplaced reports whether another target, or a later start of this one, has its address.
+func (s *sharedState) isReplaced(target ushercatalog.Target) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.pool.Replaced(target)
+}
+
 func (s *sharedState) addLoad(id string, l usherpool.Load) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/service/usherhost/stoprun.go
+++ b/service/usherhost/stoprun.go
@@ -25,8 +25,12 @@
 	maxReportAge = time.Second
 )
 
-// errStillRunning is the type of errors for runs that may go on at an engine which can be reached.
-var errStillRunning = errNamespace.NewType("still_running")
+var (
+	// errStillRunning is the type of errors for runs that may go on at an engine which can be reached.
+	errStillRunning = errNamespace.NewType("still_running")
+	// errReplaced is the type of errors for targets whose address another one has.
+	errReplaced = errNamespace.NewType("replaced")
+)
 
 // stopResult is the outcome of an order to end a run. Without an error the run does not go on at a target that this host
 // can reach.
@@ -86,8 +90,13 @@
 	return engine != nil && engine.OnDemandCopies
 }
 
-// isUnreachable reports whether the target of a run takes no connection, so that nothing here can end the run.
+// isUnreachable reports whether the target of a run takes no connection, so that nothing here can end the run, or its address is
+// another one's.
 func (h *Host) isUnreachable(ctx context.Context, source ushercatalog.Target, attempt string) bool {
+	if h.state.isReplaced(source) {
+		h.logUnreachable(source, attempt, errReplaced.New("another target has the address %s", source.Address))
+		return true
+	}
 	err := h.probeTwice(ctx, source)
 	if err != nil {
 		h.logUnreachable(source, attempt, err)
