--- a/cmd/usher-host/daemon/soak_test.go
+++ b/cmd/usher-host/daemon/soak_test.go
@@ -116,7 +116,12 @@
 
 // TestMain runs the daemon in place of the tests if the soak test started this binary as a host process.
 func TestMain(m *testing.M) {
-	switch settings, links := os.Getenv(soakSettings), os.Getenv(brokenLinksFile); {
+	switch settings, links, dayLinks := os.Getenv(soakSettings), os.Getenv(brokenLinksFile), os.Getenv(dayLinksFile); {
+	case settings != "" && dayLinks != "":
+		if err := runOnDayNetwork(settings, dayLinks); err != nil {
+			log.Fatal(err)
+		}
+		os.Exit(0)
 	case settings != "" && links != "":
 		if err := runWithBrokenLinks(settings, links); err != nil {
 			log.Fatal(err)
