--- a/cmd/usher-host/daemon/day_test.go
+++ b/cmd/usher-host/daemon/day_test.go
@@ -35,6 +35,7 @@
 //	USHER_CHANGES=all ...               changes of the declarations also move and drop routes and change timeouts, in turn
 //	USHER_WATCH_DELAY_MS=800 ...                                                     the store's watches are late
 //	USHER_LOAD=500 ...                                                               five times the site's traffic
+//	USHER_REFUSE=1 ...                                  the addresses of a data centre without power refuse connections
 //	USHER_CUT_CALLERS=1 ...                                               broken links are those of the data centre's callers too
 func TestDay(t *testing.T) {
 	sitePath, dayPath := os.Getenv("USHER_SITE"), os.Getenv("USHER_DAY")
@@ -86,6 +87,7 @@
 		t: t, site: site, day: day, record: usherday.NewRecord(site.Bounds), directory: t.TempDir(), base: [2]int{64 + os.Getpid()%128, 16 * (os.Getpid() >> 7 & 15)},
 		links: &dayLinks{}, store: usherstandin.NewStore(), copies: usherstandin.NewCopyRegistry(), random: rand.New(rand.NewPCG(seed, 0)),
 		services: map[string]string{}, statuses: map[string]int{}, load: float64(envNumber(t, "USHER_LOAD", 100)) / 100, cutsCallers: os.Getenv("USHER_CUT_CALLERS") != "",
+		refuses: os.Getenv("USHER_REFUSE") != "",
 	}
 	p.linksFile = filepath.Join(p.directory, "links")
 	return p
