usherhost: take no first report of a host for a second after a standstill

Cause: no beat tells how long the first report of a host that was not known has waited, so it counts from when it is read. What waited in the socket was dropped for 20 ms after the standstill was noticed. A quota of processor time may end in between, for the rest of a tenth of a second, and the rest is read after that.

Evidence: TestFirstReportThatWaitedIsDroppedHoweverLateItIsRead failed before.

Why it works: beats show the age of all other reports. A host that runs sends its next report soon, and one that has just stood still names nobody for 0.3 s in any case.

--- a/cmd/usher-host/daemon/standstill_test.go
+++ b/cmd/usher-host/daemon/standstill_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net"
 	"net/netip"
 	"strings"
 	"sync/atomic"
@@ -80,6 +81,75 @@
 	})
 }
 
+type (
+	// pausingNetwork lets the process stand still once more, for pause, after the given number of datagrams.
+	pausingNetwork struct {
+		usherhost.Network
+		datagrams *atomic.Int64
+		pause     time.Duration
+	}
+
+	pausingPacketConn struct {
+		net.PacketConn
+		network pausingNetwork
+	}
+)
+
+func (n pausingNetwork) ListenPacket(address netip.AddrPort) (net.PacketConn, error) {
+	conn, err := n.Network.ListenPacket(address)
+	return pausingPacketConn{conn, n}, err
+}
+
+func (c pausingPacketConn) ReadFrom(data []byte) (int, net.Addr, error) {
+	n, from, err := c.PacketConn.ReadFrom(data)
+	if c.network.datagrams.Load() > 0 && c.network.datagrams.Add(-1) == 0 {
+		time.Sleep(c.network.pause)
+	}
+	return n, from, err
+}
+
+// A host starts while another one stands still, and is lost before that one goes on. The quota of processor time ends while what has waited
+// is read, so the first report of the lost host was read too late to be dropped, and the host was named for its whole time-out.
+func TestFirstReportThatWaitedIsDroppedHoweverLateItIsRead(t *testing.T) {
+	newcomer := elsewhere
+	newcomer.Name, newcomer.State, newcomer.CallerAddress = "newcomer", ushercluster.Serving, netip.MustParseAddrPort("10.1.9.9:8740")
+	var pausedAt, datagrams atomic.Int64
+	started, begin := 0, time.Time{}
+	o := options{hosts: 12, editPlatform: func(p *usherhost.Platform) {
+		if started == 0 {
+			begin = time.Now().Add(-time.Hour)
+		}
+		stands := started == 1
+		started++
+		p.Uptime = func() time.Duration {
+			if at := pausedAt.Load(); stands && at > 0 {
+				return time.Duration(at)
+			}
+			return time.Since(begin)
+		}
+		if stands {
+			// A quota ends for the rest of a tenth of a second.
+			p.Network = pausingNetwork{p.Network, &datagrams, 90 * time.Millisecond}
+		}
+	}}
+	withTestbed(t, o, func(t *testing.T, b *testbed) {
+		pausedAt.Store(int64(time.Since(begin)))
+		b.network.Pause(mustAddr(hostIP(1)))
+		time.Sleep(3 * time.Second)
+		b.sendPeerReport(hostIP(1), elsewhere, map[int]any{2: ushercluster.Report{From: newcomer, Beat: 1}})
+		time.Sleep(time.Second)
+		datagrams.Store(10)
+		pausedAt.Store(0)
+		b.network.Resume(mustAddr(hostIP(1)))
+		for range 20 {
+			time.Sleep(100 * time.Millisecond)
+			if list := b.resolvedAddresses(b.hosts[1]); strings.Contains(list, newcomer.CallerAddress.String()) {
+				t.Fatalf("%s names a host that it has heard of in a report that had waited", b.hosts[1].name)
+			}
+		}
+	})
+}
+
 // A machine is suspended, and the steady clock of its process does not count that. Hosts that were lost meanwhile seemed to have been heard of just now.
 func TestSuspendedHostDoesNotNameHostsThatItHeardBefore(t *testing.T) {
 	var suspended atomic.Int64
--- a/pkg/ushercluster/beat.go
+++ b/pkg/ushercluster/beat.go
@@ -59,6 +59,12 @@
 	m.lastHeard = m.clock.timeOf(beat)
 }
 
+// Knows reports whether a beat of this incarnation of a host has been heard.
+func (c *Cluster) Knows(m Member) bool {
+	known := c.members[m.Name]
+	return known != nil && known.Incarnation == m.Incarnation && known.beat > 0
+}
+
 // beatAt returns the beat of this host. It begins at one, as zero stands for none.
 func (c *Cluster) beatAt(now time.Time) uint64 {
 	if c.startedAt.IsZero() {
--- a/service/usherhost/peers.go
+++ b/service/usherhost/peers.go
@@ -262,6 +262,9 @@
 func (p *peers) handle(d datagramWire) {
 	isReport := d.PlacementRequest == nil && d.PlacementReply == nil && len(d.Outcomes) == 0 && d.Speeds == nil
 	switch {
+	case p.isDoubtful(d.Report):
+		p.stale.Inc(1)
+		return
 	case !isReport && p.state.isOutdated(d.Report):
 		p.late.Inc(1)
 		return
--- a/service/usherhost/standstill.go
+++ b/service/usherhost/standstill.go
@@ -4,6 +4,8 @@
 	"context"
 	"sync"
 	"time"
+
+	"github.com/samphireusher/samphireusher/pkg/ushercluster"
 )
 
 const (
@@ -16,6 +18,9 @@
 	settleTime = 300 * time.Millisecond
 	// discardTime is how long a host reads and drops datagrams after a standstill: what its socket has kept is read within.
 	discardTime = 20 * time.Millisecond
+	// strangerTime is how long after a standstill reports of hosts that were not known before are dropped: a quota of processor time may
+	// end while what has waited is read. A host that runs sends the next one soon.
+	strangerTime = time.Second
 )
 
 type (
@@ -28,9 +33,11 @@
 		last       time.Time
 		lastUptime time.Duration
 		// settled is when the process has been running for long enough to know the other hosts again, discardUntil when its socket has
-		// nothing left that waited. Both are set with the check that finds the gap: other goroutines see no moment between.
-		settled      time.Time
-		discardUntil time.Time
+		// nothing left that waited, strangersUntil when not even a process that is short of processor time has. They are set with the check
+		// that finds the gap: other goroutines see no moment between.
+		settled        time.Time
+		discardUntil   time.Time
+		strangersUntil time.Time
 	}
 
 	// gap is a time in which the process stood still. missed is the part of it that the steady clock has not counted.
@@ -63,7 +70,7 @@
 	if g.length < standstillTime {
 		return gap{}, false
 	}
-	s.settled, s.discardUntil = now.Add(settleTime), now.Add(discardTime)
+	s.settled, s.discardUntil, s.strangersUntil = now.Add(settleTime), now.Add(discardTime), now.Add(strangerTime)
 	return g, true
 }
 
@@ -81,6 +88,13 @@
 	return time.Now().Before(s.discardUntil)
 }
 
+// mistrustsStrangers reports whether the first report of a host may have waited in the socket.
+func (s *standstill) mistrustsStrangers() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return time.Now().Before(s.strangersUntil)
+}
+
 // runPulse checks for standstills until ctx ends, and reports by how much the checks came late. The times between them vary, as
 // a quota of processor time may end in the same part of each period.
 func (p *peers) runPulse(ctx context.Context, recordDelay func(now time.Time, delay time.Duration)) {
@@ -109,13 +123,25 @@
 	return true
 }
 
-// isStale reports whether a datagram that has just been read may have waited while the process stood still. The beats of reports show
-// that as well, but not for hosts that were not known before.
+// isStale reports whether a datagram that has just been read may have waited while the process stood still.
 func (p *peers) isStale() bool {
 	p.checkStandstill()
 	return p.standstill.isDiscarding()
 }
 
+// isDoubtful reports whether a message may have waited while the process stood still, though it was read long after that. Beats show that for
+// all hosts but those that were not known before.
+func (p *peers) isDoubtful(r ushercluster.Report) bool {
+	return p.standstill.mistrustsStrangers() && !p.state.knows(r.From)
+}
+
+// knows reports whether a beat of this start of a host has been heard.
+func (s *sharedState) knows(m ushercluster.Member) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.cluster.Knows(m)
+}
+
 // forgetLimitEnds forgets the limits that have ended, as their times would seem later than they are once the process's clock has missed
 // some.
 func (s *sharedState) forgetLimitEnds() {
