usherhost: ask for an engine's runs once a second, spend a turn on freed copies, and name what is dropped after a standstill

Read again as a newcomer: a report that lists the run was asked for again with each order, five times a second; a copy that nothing uses was freed at an engine that rests or limits requests as well.

--- a/service/usherhost/peers.go
+++ b/service/usherhost/peers.go
@@ -262,7 +262,7 @@
 func (p *peers) handle(d datagramWire) {
 	isReport := d.PlacementRequest == nil && d.PlacementReply == nil && len(d.Outcomes) == 0 && d.Speeds == nil
 	switch {
-	case p.isDoubtful(d.Report):
+	case p.mayHaveWaited(d.Report):
 		p.stale.Inc(1)
 		return
 	case !isReport && p.state.isOutdated(d.Report):
--- a/service/usherhost/standstill.go
+++ b/service/usherhost/standstill.go
@@ -18,9 +18,9 @@
 	settleTime = 300 * time.Millisecond
 	// discardTime is how long a host reads and drops datagrams after a standstill: what its socket has kept is read within.
 	discardTime = 20 * time.Millisecond
-	// strangerTime is how long after a standstill reports of hosts that were not known before are dropped: a quota of processor time may
-	// end while what has waited is read. A host that runs sends the next one soon.
-	strangerTime = time.Second
+	// unknownTime is how long after a standstill datagrams of unknown hosts are dropped as well: a quota of processor time may end while
+	// what has waited is read. A host that runs sends the next one soon.
+	unknownTime = time.Second
 )
 
 type (
@@ -33,11 +33,11 @@
 		last       time.Time
 		lastUptime time.Duration
 		// settled is when the process has been running for long enough to know the other hosts again, discardUntil when its socket has
-		// nothing left that waited, strangersUntil when not even a process that is short of processor time has. They are set with the check
+		// nothing left that waited, dropUnknownUntil when not even a process that is short of processor time has. They are set with the check
 		// that finds the gap: other goroutines see no moment between.
-		settled        time.Time
-		discardUntil   time.Time
-		strangersUntil time.Time
+		settled          time.Time
+		discardUntil     time.Time
+		dropUnknownUntil time.Time
 	}
 
 	// gap is a time in which the process stood still. missed is the part of it that the steady clock has not counted.
@@ -70,7 +70,7 @@
 	if g.length < standstillTime {
 		return gap{}, false
 	}
-	s.settled, s.discardUntil, s.strangersUntil = now.Add(settleTime), now.Add(discardTime), now.Add(strangerTime)
+	s.settled, s.discardUntil, s.dropUnknownUntil = now.Add(settleTime), now.Add(discardTime), now.Add(unknownTime)
 	return g, true
 }
 
@@ -88,11 +88,11 @@
 	return time.Now().Before(s.discardUntil)
 }
 
-// mistrustsStrangers reports whether the first report of a host may have waited in the socket.
-func (s *standstill) mistrustsStrangers() bool {
+// isDroppingUnknown reports whether datagrams of unknown hosts may have waited in the socket.
+func (s *standstill) isDroppingUnknown() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return time.Now().Before(s.strangersUntil)
+	return time.Now().Before(s.dropUnknownUntil)
 }
 
 // runPulse checks for standstills until ctx ends, and reports by how much the checks came late. The times between them vary, as
@@ -129,10 +129,10 @@
 	return p.standstill.isDiscarding()
 }
 
-// isDoubtful reports whether a message may have waited while the process stood still, though it was read long after that. Beats show that for
-// all hosts but those that were not known before.
-func (p *peers) isDoubtful(r ushercluster.Report) bool {
-	return p.standstill.mistrustsStrangers() && !p.state.knows(r.From)
+// mayHaveWaited reports whether a datagram of an unknown host may have waited while the process stood still. Beats show that for the
+// others.
+func (p *peers) mayHaveWaited(r ushercluster.Report) bool {
+	return p.standstill.isDroppingUnknown() && !p.state.knows(r.From)
 }
 
 // knows reports whether a beat of this start of a host has been heard.
--- a/service/usherhost/stoprun.go
+++ b/service/usherhost/stoprun.go
@@ -53,7 +53,7 @@
 	go func() {
 		var result stopResult
 		end := func() {
-			if !g.host.isUnreachable(ctx, source, attempt) {
+			if !g.host.isGone(ctx, source, attempt) {
 				result = stop(ctx)
 			}
 		}
@@ -90,9 +90,8 @@
 	return engine != nil && engine.OnDemandCopies
 }
 
-// isUnreachable reports whether the target of a run takes no connection, so that nothing here can end the run, or its address is
-// another one's.
-func (h *Host) isUnreachable(ctx context.Context, source ushercatalog.Target, attempt string) bool {
+// isGone reports whether nothing here can end a run: its target takes no connection, or another one has its address.
+func (h *Host) isGone(ctx context.Context, source ushercatalog.Target, attempt string) bool {
 	if h.state.isReplaced(source) {
 		h.logUnreachable(source, attempt, errReplaced.New("another target has the address %s", source.Address))
 		return true
@@ -226,6 +225,7 @@
 // awaitRunEnd returns once the run does not go on at its target, or the stream cannot go on elsewhere. That the target has closed the
 // connection shows no end of the run: the response may be lost and the run go on.
 func (g *generation) awaitRunEnd(ctx context.Context, cause error) error {
+	// Reports from a moment after the end of the connection are asked for, one after the other.
 	since := time.Now()
 	for !g.runEnded {
 		if g.req.route.AtMostOnce() && !g.takesOrders() {
@@ -242,8 +242,11 @@
 		if !errorx.IsOfType(result.err, errStillRunning) {
 			return result.err
 		}
-		if endedByTarget(cause) && time.Since(since) >= maxReportAge && g.host.reportsEnd(ctx, g.source.Target, g.req.Attempt) {
-			return nil
+		if endedByTarget(cause) && time.Since(since) >= maxReportAge {
+			if g.host.reportsEnd(ctx, g.source.Target, g.req.Attempt) {
+				return nil
+			}
+			since = time.Now()
 		}
 		sleep(ctx, stopRetryInterval)
 		if ctx.Err() != nil {
@@ -265,19 +268,20 @@
 	ctx = context.WithoutCancel(ctx)
 	go func() {
 		_ = h.containment.run("order to end a lost run", func() {
-			if h.isUnreachable(ctx, source, attempt) {
+			if h.isGone(ctx, source, attempt) {
 				return
 			}
-			if result := h.orderStop(ctx, source, attempt, destination); result.run.Kept.Handle != "" {
+			result := h.orderStop(ctx, source, attempt, destination)
+			if result.run.Kept.Handle != "" && !h.state.rests(source.ID) && h.takeTurn(source.ID) {
 				h.callRelease(result.run.Kept)
 			}
 		})
 	}()
 }
 
-// endRun ends the run unless its target cannot be reached.
+// endRun ends the run unless its target is gone.
 func (g *generation) endRun(ctx context.Context) stopResult {
-	if g.host.isUnreachable(ctx, g.source.Target, g.req.Attempt) {
+	if g.host.isGone(ctx, g.source.Target, g.req.Attempt) {
 		return stopResult{}
 	}
 	return g.prepareStop(ctx)(ctx)
