--- a/cmd/usher-host/daemon/day_test.go
+++ b/cmd/usher-host/daemon/day_test.go
@@ -32,7 +32,7 @@
 //	USHER_SITE=site.toml USHER_DAY=mix ...                                     changes, planned work and faults at any moment
 //	USHER_ROUNDS=5 USHER_SEED=7 ...                                                                           five seeds
 //	USHER_SHARE=40 ...                                                                  each process runs for 40% of the time
-//	USHER_CHANGES=all ...               changes of the declarations also move and drop routes and change timeouts, in turn
+//	USHER_CHANGES=all ...        changes of the declarations also move and drop routes, add and drop keys and change timeouts
 //	USHER_WATCH_DELAY_MS=800 ...                                                     the store's watches are late
 //	USHER_LOAD=500 ...                                                               five times the site's traffic
 //	USHER_REFUSE=1 ...                                  the addresses of a data centre without power refuse connections
