ushercopies: ask the same holder again for a copy whose order got no answer

Callers saw nothing; engines' memory was taken up twice. An order for a copy that got no answer, or was cut off, counted as failed, and the next holder was asked. The same holder is asked for again until the engine has answered; its load stays counted.

--- a/pkg/ushercopies/copies.go
+++ b/pkg/ushercopies/copies.go
@@ -15,7 +15,7 @@
 //		tracker.BeginCopy(holder)
 //	case ushercopies.Renew: // copy to the same holder again
 //	}
-//	tracker.CopyCompleted(now, copy) // or tracker.CopyFailed(now, destinationUnavailable)
+//	tracker.CopyCompleted(now, copy) // or tracker.CopyFailed(now, destinationUnavailable), tracker.CopyUnanswered(now)
 //	if point, ok := tracker.ResumePoint(accepts); ok {
 //		// send the request to point.Target with point.Copy
 //	}
@@ -77,7 +77,9 @@
 		onDemand      ResumePoint
 		completedAt   time.Time
 		pendingHolder string
-		failedAt      time.Time
+		// unanswered is the holder of a copy that the source may still make, as the order for it got no answer.
+		unanswered string
+		failedAt   time.Time
 	}
 )
 
@@ -96,6 +98,10 @@
 		return Action{}
 	}
 	if t.onDemand.Target == "" || !accepts(t.onDemand.Target) {
+		if t.unanswered != "" && accepts(t.unanswered) {
+			// Another holder would take up memory as well.
+			return Action{Kind: Renew, Holder: t.unanswered}
+		}
 		return Action{Kind: Place}
 	}
 	if now.Sub(t.completedAt) >= RenewInterval {
@@ -110,7 +116,7 @@
 // CopyCompleted records that the copy in progress is complete.
 func (t *Tracker) CopyCompleted(now time.Time, c ushercall.Copy) {
 	t.onDemand, t.completedAt = ResumePoint{Target: t.pendingHolder, Copy: c}, now
-	t.pendingHolder = ""
+	t.pendingHolder, t.unanswered = "", ""
 }
 
 // RunEnded records the copy of a run that was ended, at holder.
@@ -131,7 +137,14 @@
 	} else {
 		t.failedAt = now
 	}
-	t.pendingHolder = ""
+	t.pendingHolder, t.unanswered = "", ""
+}
+
+// CopyUnanswered records that the order for the copy in progress got no answer. The source may have made the copy or still make it, so
+// the same holder is asked for again.
+func (t *Tracker) CopyUnanswered(now time.Time) {
+	t.failedAt = now
+	t.pendingHolder, t.unanswered = "", t.pendingHolder
 }
 
 // ResumePoint returns where the generation can resume: the copy of the ended run, or else the backup copy, the on-demand
@@ -157,7 +170,7 @@
 // Holders returns the targets that hold or are receiving a copy.
 func (t *Tracker) Holders() []string {
 	var holders []string
-	for _, target := range []string{t.final.Target, t.backup.Target, t.onDemand.Target, t.pendingHolder} {
+	for _, target := range []string{t.final.Target, t.backup.Target, t.onDemand.Target, t.pendingHolder, t.unanswered} {
 		if target != "" {
 			holders = append(holders, target)
 		}
--- a/pkg/ushercopies/copies_test.go
+++ b/pkg/ushercopies/copies_test.go
@@ -1,6 +1,7 @@
 package ushercopies_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -89,6 +90,32 @@
 	}
 }
 
+// An order for a copy got no answer, and another holder was chosen while the first one may have got the copy as well.
+func TestUnansweredCopyIsAskedForAtTheSameHolder(t *testing.T) {
+	accepts := acceptingOnly("a", "b")
+	later := start.Add(time.Second)
+	tracker := ushercopies.NewTracker("source", ushercopies.ResumePoint{})
+	tracker.BeginCopy("a")
+	tracker.CopyUnanswered(start)
+	if got := tracker.Next(start, accepts); got.Kind != ushercopies.NoAction {
+		t.Errorf("at once: %+v", got)
+	}
+	if got := tracker.Next(later, accepts); got.Kind != ushercopies.Renew || got.Holder != "a" {
+		t.Errorf("later: %+v, want the same holder", got)
+	}
+	if holders := tracker.Holders(); !slices.Equal(holders, []string{"a"}) {
+		t.Errorf("holders %v, want a", holders)
+	}
+	if got := tracker.Next(later, acceptingOnly("b")); got.Kind != ushercopies.Place {
+		t.Errorf("once the holder is leaving: %+v, want another one", got)
+	}
+	tracker.BeginCopy("a")
+	tracker.CopyFailed(later, true)
+	if got := tracker.Next(later.Add(time.Second), accepts); got.Kind != ushercopies.Place {
+		t.Errorf("once the holder has no room: %+v, want another one", got)
+	}
+}
+
 func TestResumeRequiresAcceptingHolder(t *testing.T) {
 	tracker := ushercopies.NewTracker("source", backupAt("a"))
 	tracker.BeginCopy("b")
--- a/service/usherhost/failover.go
+++ b/service/usherhost/failover.go
@@ -109,10 +109,16 @@
 	attributes := []any{"attempt", g.req.Attempt, "source", g.source.Target.ID, "holder", c.holder, "duration_ms", c.duration.Milliseconds(), "events", g.req.events}
 	g.host.noteTarget(g.source.Target, g.req.Attempt, time.Now().Add(-c.duration), c.notice)
 	if c.err != nil {
-		g.copies.CopyFailed(time.Now(), g.host.engines.IsDestinationUnavailable(c.err))
-		g.releaseLoad(c.holder)
+		unanswered := g.host.engines.MayBeCopying(c.err)
+		if unanswered {
+			// The copy may take up the holder's memory.
+			g.copies.CopyUnanswered(time.Now())
+		} else {
+			g.copies.CopyFailed(time.Now(), g.host.engines.IsDestinationUnavailable(c.err))
+			g.releaseLoad(c.holder)
+		}
 		g.host.metrics.copiesFailed.Inc(1)
-		g.host.log.Info("copy failed", append(attributes, "error", errorText(c.err))...)
+		g.host.log.Info("copy failed", append(attributes, "unanswered", unanswered, "error", errorText(c.err))...)
 		return
 	}
 	g.copies.CopyCompleted(time.Now(), c.copy)
--- a/service/usherhost/stream.go
+++ b/service/usherhost/stream.go
@@ -73,6 +73,8 @@
 		Stop(ctx context.Context, source netip.AddrPort, attempt string, to netip.AddrPort) (ushercall.StoppedRun, ushercall.Notice, error)
 		// IsUnreachable reports whether an error of Stop means that the engine cannot be reached or does not respond.
 		IsUnreachable(err error) bool
+		// MayBeCopying reports whether an engine may make a copy although Copy has failed.
+		MayBeCopying(err error) bool
 		// IsDestinationUnavailable reports whether an error of Copy means that the destination has no memory for the
 		// copy or cannot be reached.
 		IsDestinationUnavailable(err error) bool
