Pin what earlier repairs rely on with tests

A beat is that of one start of a host; a predecessor whose entry is gone as well replaces no target; a host that stood still names those that it knew; a request that its guard rejects is reported so even if its connection ends meanwhile.

--- a/cmd/usher-host/daemon/standstill_test.go
+++ b/cmd/usher-host/daemon/standstill_test.go
@@ -135,15 +135,20 @@
 	withTestbed(t, o, func(t *testing.T, b *testbed) {
 		pausedAt.Store(int64(time.Since(begin)))
 		b.network.Pause(mustAddr(hostIP(1)))
-		time.Sleep(3 * time.Second)
+		time.Sleep(4 * time.Second)
 		b.sendPeerReport(hostIP(1), elsewhere, map[int]any{2: ushercluster.Report{From: newcomer, Beat: 1}})
+		// All others are gone for the host that stands still.
 		time.Sleep(time.Second)
 		datagrams.Store(10)
 		pausedAt.Store(0)
 		b.network.Resume(mustAddr(hostIP(1)))
-		for range 20 {
+		for i := range 20 {
 			time.Sleep(100 * time.Millisecond)
-			if list := b.resolvedAddresses(b.hosts[1]); strings.Contains(list, newcomer.CallerAddress.String()) {
+			list := b.resolvedAddresses(b.hosts[1])
+			if i == 5 && !strings.Contains(list, hostIP(0)+":") {
+				t.Errorf("%s does not name a host that it knew before and that runs: %s", b.hosts[1].name, list)
+			}
+			if strings.Contains(list, newcomer.CallerAddress.String()) {
 				t.Fatalf("%s names a host that it has heard of in a report that had waited", b.hosts[1].name)
 			}
 		}
--- a/pkg/ushercluster/beat_test.go
+++ b/pkg/ushercluster/beat_test.go
@@ -112,3 +112,21 @@
 		}
 	}
 }
+
+// A host that has started again, or of which no beat was heard, looks like a known one by its name only. What waited of it can't be dated.
+func TestOnlyAStartWhoseBeatWasHeardIsKnown(t *testing.T) {
+	now := time.Unix(1000, 0)
+	first, again := ushercluster.Member{Name: "b", DataCentre: "x", Incarnation: 1}, ushercluster.Member{Name: "b", DataCentre: "x", Incarnation: 2}
+	c := ushercluster.New(ushercluster.Member{Name: "a", DataCentre: "x", Incarnation: 1}, nil, rand.New(rand.NewPCG(1, 1)))
+	if c.Knows(first) {
+		t.Error("a host that was never heard of is known")
+	}
+	c.Receive(now, ushercluster.Report{From: first})
+	if c.Knows(first) {
+		t.Error("a host without a beat is known")
+	}
+	c.Receive(now, ushercluster.Report{From: first, Beat: 1})
+	if !c.Knows(first) || c.Knows(again) {
+		t.Errorf("first start known %t, second %t; want only the first", c.Knows(first), c.Knows(again))
+	}
+}
--- a/pkg/usherpool/replaced_test.go
+++ b/pkg/usherpool/replaced_test.go
@@ -21,22 +21,32 @@
 	for _, c := range []struct {
 		name    string
 		entries []ushercatalog.Target
-		want    bool
+		// kept are targets whose entries are gone, and at which requests of this host still run.
+		kept []ushercatalog.Target
+		want bool
 	}{
-		{"only its own entry", []ushercatalog.Target{entry("a", 10)}, false},
-		{"no entry", nil, false},
-		{"another address", []ushercatalog.Target{elsewhere}, false},
-		{"a successor beside its own entry", []ushercatalog.Target{entry("a", 10), entry("b", 20)}, true},
-		{"a predecessor beside its own entry", []ushercatalog.Target{entry("a", 10), entry("b", 5)}, false},
-		{"its own entry is gone", []ushercatalog.Target{entry("b", 0)}, true},
-		{"a later start with its id", []ushercatalog.Target{entry("a", 20)}, true},
+		{name: "only its own entry", entries: []ushercatalog.Target{entry("a", 10)}},
+		{name: "no entry"},
+		{name: "another address", entries: []ushercatalog.Target{elsewhere}},
+		{name: "a successor beside its own entry", entries: []ushercatalog.Target{entry("a", 10), entry("b", 20)}, want: true},
+		{name: "a predecessor beside its own entry", entries: []ushercatalog.Target{entry("a", 10), entry("b", 5)}},
+		{name: "its own entry is gone", entries: []ushercatalog.Target{entry("b", 0)}, want: true},
+		{name: "a later start with its id", entries: []ushercatalog.Target{entry("a", 20)}, want: true},
+		{name: "its own entry and that of a predecessor are gone", kept: []ushercatalog.Target{entry("b", 5)}},
 	} {
 		pool := usherpool.New(usherpool.Options{Random: rand.New(rand.NewPCG(1, 1))})
-		var published []ushercatalog.KnownEntry
-		for _, target := range c.entries {
-			published = append(published, ushercatalog.KnownEntry{Entry: ushercatalog.Entry{Target: &target}, Learned: start})
+		publish := func(targets []ushercatalog.Target) {
+			var published []ushercatalog.KnownEntry
+			for _, target := range targets {
+				published = append(published, ushercatalog.KnownEntry{Entry: ushercatalog.Entry{Target: &target}, Learned: start})
+			}
+			pool.Update(start, published, noneEvacuated, table(), 1)
 		}
-		pool.Update(start, published, noneEvacuated, table(), 1)
+		publish(c.kept)
+		for _, target := range c.kept {
+			pool.AddLoad(target.ID, usherpool.Load{Calls: 1})
+		}
+		publish(c.entries)
 		if got := pool.Replaced(entry("a", 10)); got != c.want {
 			t.Errorf("%s: replaced %t, want %t", c.name, got, c.want)
 		}
--- a/service/ushertarget/target_test.go
+++ b/service/ushertarget/target_test.go
@@ -87,6 +87,30 @@
 	}
 }
 
+// The connection ends while the guard decides. The rejection was reported as a broken connection, as net/http saw the end first.
+func TestRejectionIsReportedAlsoIfTheConnectionEnds(t *testing.T) {
+	var server *httptest.Server
+	var served atomic.Int64
+	server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/v1/report" {
+			fmt.Fprint(w, `{"incarnation":7}`)
+			return
+		}
+		served.Add(1)
+	}))
+	defer server.Close()
+	reject := func(uint64) error {
+		server.CloseClientConnections()
+		// The transport reports the end of the connection meanwhile.
+		time.Sleep(200 * time.Millisecond)
+		return errors.New("expired")
+	}
+	_, result, err := ushertarget.NewClient().Call(t.Context(), netip.MustParseAddrPort(server.Listener.Addr().String()), ushertarget.Call{ID: "c"}, reject)
+	if !errorx.IsOfType(err, ushertarget.ErrGuard) || result.Written || served.Load() > 0 {
+		t.Errorf("error %v, result %+v, %d requests received; want the guard's rejection", err, result, served.Load())
+	}
+}
+
 // TestRestartedTargetReceivesNoRequest restarts a target at the same address. A request whose grant names the previous
 // incarnation must not reach the new one, neither over an old nor over a new connection.
 func TestRestartedTargetReceivesNoRequest(t *testing.T) {
