--- a/cmd/usher-host/daemon/silence_test.go
+++ b/cmd/usher-host/daemon/silence_test.go
@@ -66,6 +66,11 @@
 		{name: "engines turn the order to stop away, on a connection that times out", path: "/appraisal/250", events: 250, detection: 3 * time.Second, prepare: refuseMoves},
 		{name: "engines turn the order to stop a stream that may be resumed away", path: "/eligibility/90", events: 90, prepare: refuseMoves},
 		{name: "engines take no such order", path: "/appraisal/250", noMoves: true},
+		{name: "engines take no such order, and report none of their runs", path: "/appraisal/250", noMoves: true, prepare: func(b *testbed) {
+			for _, target := range b.targets {
+				target.HideRuns()
+			}
+		}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			withTestbed(t, options{hosts: 1, engines: 4, editDeclarations: func(d map[string]any) {
@@ -281,6 +286,18 @@
 			b.copies.SetFull(entry.(map[string]any)["address"].(string), true)
 		}
 	}
+	fillSlots := func(b *testbed) {
+		for _, target := range b.targets {
+			key, entry := target.Entry("ready")
+			entry.(map[string]any)["slots"] = 1
+			b.store.PutJSON(key, entry)
+		}
+		time.Sleep(time.Second)
+		for range b.targets {
+			b.startStream(b.hosts[0], "/eligibility/150")
+		}
+		time.Sleep(500 * time.Millisecond)
+	}
 	for _, c := range []struct {
 		name, path string
 		events     int
@@ -293,17 +310,18 @@
 		{name: "stream that runs once, engines turn the order to stop away", path: "/appraisal/100", events: 100, prepare: refuseMoves},
 		{name: "stream that may be resumed, engines turn the order to stop away", path: "/eligibility/60", events: 60, prepare: refuseMoves},
 		{name: "stream that may be resumed, no engine has room for a copy", path: "/eligibility/100", events: 100, prepare: fillMemory},
+		{name: "stream that may be resumed, no engine has a slot for a copy", path: "/eligibility/100", events: 100, prepare: fillSlots},
 		{name: "stream that runs once, engines take no such order", path: "/appraisal/100", events: 100, editDeclarations: noMoves},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			withTestbed(t, options{hosts: 1, engines: 4, editDeclarations: c.editDeclarations}, func(t *testing.T, b *testbed) {
+				if c.prepare != nil {
+					c.prepare(b)
+				}
 				faults := &faultSequence{faults: []usherstandin.Fault{usherstandin.LosesAnswerLater}}
 				for _, target := range b.targets {
 					target.SetFaultSource(faults.next)
 				}
-				if c.prepare != nil {
-					c.prepare(b)
-				}
 				got := b.post(b.hosts[0], c.path)
 				b.checkOverlap(got.attempt)
 				if got.err != nil || !isComplete(got.body, got.attempt, c.events) {
