usherhost: count a run as work at its engine until it has ended

Other callers waited at engines that were full. While a stream waits for the end of its run at an engine that turns the order away, the run works on, but its load had been released when the stream broke off: the host sent other work there. The load is released once the run has ended. TestRunCountsAsWorkUntilItHasEnded failed before: 0 streams counted at the engine that works on one.

--- a/cmd/usher-host/daemon/silence_test.go
+++ b/cmd/usher-host/daemon/silence_test.go
@@ -1,6 +1,7 @@
 package daemon_test
 
 import (
+	"encoding/json"
 	"fmt"
 	"net/http"
 	"net/netip"
@@ -8,7 +9,9 @@
 	"testing"
 	"time"
 
+	"github.com/samphireusher/samphireusher/pkg/usherpool"
 	"github.com/samphireusher/samphireusher/platform/usherstandin"
+	"github.com/samphireusher/samphireusher/service/usherhost"
 )
 
 // overlapAllowed is how long two engines may work on the same request: the time for the order to stop to arrive.
@@ -425,3 +428,36 @@
 		})
 	}
 }
+
+// Engines turn the order to end a run away. The run did not count as work at its engine meanwhile, and other work was sent there.
+func TestRunCountsAsWorkUntilItHasEnded(t *testing.T) {
+	withTestbed(t, options{hosts: 1, engines: 4}, func(t *testing.T, b *testbed) {
+		faults := &faultSequence{faults: []usherstandin.Fault{usherstandin.LosesAnswerLater}}
+		for _, target := range b.targets {
+			target.SetFaultSource(faults.next)
+		}
+		refuseMoves(b)
+		attempt, done := b.startStream(b.hosts[0], "/appraisal/100")
+		time.Sleep(time.Second)
+		var dump struct {
+			Targets []struct {
+				ID   string         `json:"id"`
+				Load usherpool.Load `json:"own"`
+			} `json:"targets"`
+		}
+		body := b.getAt(b.hosts[0], adminPort, usherhost.DumpPath).body
+		if err := json.Unmarshal([]byte(body), &dump); err != nil {
+			t.Fatal(err)
+		}
+		source, streams := b.currentEngine(attempt), 0
+		for _, target := range dump.Targets {
+			if target.ID == source {
+				streams = target.Load.Streams
+			}
+		}
+		if streams != 1 {
+			t.Errorf("%d streams count at the engine that works on one: %s", streams, body)
+		}
+		<-done
+	})
+}
--- a/service/usherhost/failover.go
+++ b/service/usherhost/failover.go
@@ -130,14 +130,15 @@
 // resume continues a broken or stalled stream at another target.
 func (g *generation) resume(ctx context.Context, cause error) error {
 	g.closeExchange()
-	g.releaseLoad(g.source.Target.ID)
 	start, from := time.Now(), g.source.Target.ID
 	if !g.mayResume() {
 		return errNotResumed.Wrap(cause, "no further target allowed")
 	}
+	// Until then the run counts as work at its target.
 	if err := g.awaitRunEnd(ctx, cause); err != nil {
 		return errNotResumed.Wrap(err, "stream not resumed after %s", errorText(cause))
 	}
+	g.releaseLoad(from)
 	for g.req.resumes < maxResumes && ctx.Err() == nil {
 		if refusal := g.host.refuseSuspect(g.req); refusal != nil {
 			return errNotResumed.Wrap(refusal.cause, "stream not resumed after %s", errorText(cause))
