usherhost: log what showed the end of the run before a stream that goes on

Each line "stream resumed" now has run_end, and "run ordered to end" has end: an answer to the order, a report, a refused connection, another target at the address, no connection, or silence.

--- a/service/usherhost/failover.go
+++ b/service/usherhost/failover.go
@@ -139,6 +139,7 @@
 		return errNotResumed.Wrap(err, "stream not resumed after %s", errorText(cause))
 	}
 	g.releaseLoad(from)
+	end := g.runEnd
 	for g.req.resumes < maxResumes && ctx.Err() == nil {
 		if refusal := g.host.refuseSuspect(g.req); refusal != nil {
 			return errNotResumed.Wrap(refusal.cause, "stream not resumed after %s", errorText(cause))
@@ -154,7 +155,7 @@
 		g.req.targets = append(g.req.targets, choice.Target.ID)
 		g.host.state.recordResult(choice.Target.ID, result.result)
 		g.host.log.Info("stream resumed", "attempt", g.req.Attempt, "from", from, "to", choice.Target.ID, "events", g.req.events,
-			"last_event", g.lastEvent, "copy", point.Copy.Handle != "", "cause", errorText(cause), "ok", result.err == nil,
+			"last_event", g.lastEvent, "copy", point.Copy.Handle != "", "cause", errorText(cause), "run_end", end, "ok", result.err == nil,
 			"error", errorTextOrEmpty(result.err), "duration_ms", time.Since(start).Milliseconds())
 		if result.err == nil {
 			g.host.metrics.streamsResumed.Inc(1)
@@ -168,11 +169,15 @@
 			copies.DropCopy(point)
 		}
 		g.copies = copies
-		if result.ran && result.reply.status == 0 {
-			// A target that has sent a whole failure has ended the run.
+		switch {
+		case !result.ran:
+		case result.reply.status != 0:
+			end = endWithResponse
+		default:
 			if err := g.awaitRunEnd(ctx, result.err); err != nil {
 				return errNotResumed.Wrap(err, "stream not resumed after %s", errorText(result.err))
 			}
+			end = g.runEnd
 		}
 	}
 	return errNotResumed.Wrap(cause, "stream not resumed after %d tries", g.req.resumes)
--- a/service/usherhost/stoprun.go
+++ b/service/usherhost/stoprun.go
@@ -38,7 +38,9 @@
 	// holder is the target to which the KV cache was to be copied.
 	holder string
 	run    ushercall.StoppedRun
-	err    error
+	// end says what has shown the end of the run; endNone if err is set.
+	end runEnd
+	err error
 	// unanswered reports that the order got no answer, so that the target may have ended the run or not.
 	unanswered bool
 }
@@ -53,7 +55,7 @@
 	go func() {
 		var result stopResult
 		end := func() {
-			if !g.host.isGone(ctx, source, attempt) {
+			if result.end = g.host.goneBy(ctx, source, attempt); result.end == endNone {
 				result = stop(ctx)
 			}
 		}
@@ -90,17 +92,21 @@
 	return engine != nil && engine.OnDemandCopies
 }
 
-// isGone reports whether nothing here can end a run: its target takes no connection, or another one has its address.
-func (h *Host) isGone(ctx context.Context, source ushercatalog.Target, attempt string) bool {
+// goneBy returns what shows that nothing here can end a run: its target takes no connection, or another one has its address.
+func (h *Host) goneBy(ctx context.Context, source ushercatalog.Target, attempt string) runEnd {
 	if h.state.isReplaced(source) {
 		h.logUnreachable(source, attempt, errReplaced.New("another target has the address %s", source.Address))
-		return true
+		return endReplaced
 	}
 	err := h.probeTwice(ctx, source)
-	if err != nil {
-		h.logUnreachable(source, attempt, err)
+	if err == nil {
+		return endNone
+	}
+	h.logUnreachable(source, attempt, err)
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		return endRefused
 	}
-	return err != nil
+	return endUnreachable
 }
 
 // probeTwice returns an error if a target refuses a connection or does not accept two in a row: one packet can get lost.
@@ -122,7 +128,7 @@
 	}
 	result := h.awaitStopAnswer(ctx, source, attempt, holder)
 	h.log.Info("run ordered to end", "attempt", attempt, "source", source.ID, "holder", holder.ID, "copy", result.run.Copied, "kept", result.run.Kept.Handle != "",
-		"duration_ms", time.Since(start).Milliseconds(), "error", errorTextOrEmpty(result.err))
+		"end", result.end, "duration_ms", time.Since(start).Milliseconds(), "error", errorTextOrEmpty(result.err))
 	if result.err != nil {
 		h.metrics.stopsRefused.Inc(1)
 	} else {
@@ -151,7 +157,7 @@
 	}
 	if !h.isResponsive(ctx, source) {
 		h.logUnreachable(source, attempt, errStillRunning.New("no answer within %s, and no report", stopPatience))
-		return stopResult{holder: holder.ID, unanswered: true}
+		return stopResult{holder: holder.ID, end: endSilent, unanswered: true}
 	}
 	return <-results
 }
@@ -168,14 +174,22 @@
 	run, notice, err := h.engines.Stop(ctx, source.Address, attempt, holder.Address)
 	h.noteTarget(source, attempt, sent, notice)
 	if err == nil {
-		return stopResult{holder: holder.ID, run: run}
+		return stopResult{holder: holder.ID, run: run, end: endOfStopped(run)}
 	}
 	unanswered := h.engines.IsUnreachable(err)
 	if !unanswered || h.isResponsive(context.WithoutCancel(ctx), source) {
 		return stopResult{err: errStillRunning.Wrap(err, "target %s may still work on the request", source.ID), unanswered: unanswered}
 	}
 	h.logUnreachable(source, attempt, err)
-	return stopResult{holder: holder.ID, unanswered: true}
+	return stopResult{holder: holder.ID, end: endSilent, unanswered: true}
+}
+
+// endOfStopped returns what an answer to an order shows: a target that had the run keeps its KV cache.
+func endOfStopped(run ushercall.StoppedRun) runEnd {
+	if run.Kept.Handle == "" {
+		return endNotFound
+	}
+	return endOnOrder
 }
 
 // isResponsive reports whether an engine gives a report.
@@ -213,7 +227,7 @@
 // recordStop records that the run has ended, with what is left of it. A stream that may run once goes on at its own target if no
 // other one takes it; others are better off in a new run than at a target that has sent nothing for long.
 func (g *generation) recordStop(r stopResult) {
-	g.runEnded = true
+	g.runEnded, g.runEnd = true, r.end
 	if r.run.Copied {
 		g.copies.RunEnded(r.holder, r.run.Kept)
 	}
@@ -244,6 +258,7 @@
 		}
 		if endedByTarget(cause) && time.Since(since) >= maxReportAge {
 			if g.host.reportsEnd(ctx, g.source.Target, g.req.Attempt) {
+				g.recordStop(stopResult{end: endNotReported})
 				return nil
 			}
 			since = time.Now()
@@ -268,7 +283,7 @@
 	ctx = context.WithoutCancel(ctx)
 	go func() {
 		_ = h.containment.run("order to end a lost run", func() {
-			if h.isGone(ctx, source, attempt) {
+			if h.goneBy(ctx, source, attempt) != endNone {
 				return
 			}
 			result := h.orderStop(ctx, source, attempt, destination)
@@ -281,8 +296,8 @@
 
 // endRun ends the run unless its target is gone.
 func (g *generation) endRun(ctx context.Context) stopResult {
-	if g.host.isGone(ctx, g.source.Target, g.req.Attempt) {
-		return stopResult{}
+	if end := g.host.goneBy(ctx, g.source.Target, g.req.Attempt); end != endNone {
+		return stopResult{end: end}
 	}
 	return g.prepareStop(ctx)(ctx)
 }
--- a/service/usherhost/stream.go
+++ b/service/usherhost/stream.go
@@ -95,9 +95,10 @@
 		copies      *ushercopies.Tracker
 		copyResults chan copyResult
 		// stopping reports whether the target has been ordered to end the current run, runEnded whether that run goes on
-		// nowhere that this host can reach.
+		// nowhere that this host can reach, and runEnd what has shown so.
 		stopping    bool
 		runEnded    bool
+		runEnd      runEnd
 		stopResults chan stopResult
 		// mayBeStopped reports whether the target may have ended the current run because of an order, so that the end of a
 		// response without framing is not that of the stream.
@@ -301,7 +302,7 @@
 	g.source, g.resumeAnnounced, g.runEvents, g.runAdvanced, g.times = choice, false, 0, false, runTimes{}
 	// Results of copies that are still in progress belong to the previous run and must not be received.
 	g.copyResults = make(chan copyResult, 1)
-	g.stopping, g.runEnded, g.mayBeStopped, g.stopResults = false, false, false, make(chan stopResult, 1)
+	g.stopping, g.runEnded, g.runEnd, g.mayBeStopped, g.stopResults = false, false, endNone, false, make(chan stopResult, 1)
 	x, err := g.host.connect(ctx, choice.Target)
 	if err != nil {
 		return sendResult{choice: choice, result: usherpool.Unreachable, err: err}
