usherhost: take no failed probe for the end of a run

Engines worked on streams that had gone on elsewhere. Before a stream goes on, its host tries whether the engine takes a connection; two tries of 250 ms that failed counted as an engine that cannot be reached. On a link that loses packets both may get lost, and a host without free descriptors fails them itself: no error of its own system says anything about the engine.

Evidence: TestFailedProbesEndNoRun failed before. Packets lost for 2 s: the first engine worked on for 2.4 s after the stream had gone on. No descriptors for 4 s: the stream was cut after 33 of 250 events, as the host took the engine for gone and had no connection to another one.

A refused connection still shows the end at once: that had been taken for a time-out, as errors.Is does not look into errorx errors, so each crash had cost a second probe. The stand-in network returns the errors of a real one now (TestLogSaysWhatShowedTheEndOfTheRunBefore, the engine ends).

--- a/cmd/usher-host/daemon/runend_test.go
+++ b/cmd/usher-host/daemon/runend_test.go
@@ -1,10 +1,18 @@
 package daemon_test
 
 import (
+	"context"
 	"fmt"
+	"net"
+	"net/netip"
+	"os"
+	"sync/atomic"
+	"syscall"
 	"testing"
+	"time"
 
 	"github.com/samphireusher/samphireusher/platform/usherstandin"
+	"github.com/samphireusher/samphireusher/service/usherhost"
 )
 
 // A stream went on at a second engine, and the log did not say how its host knew that the first one had ended the run.
@@ -23,21 +31,34 @@
 	}
 	for _, c := range []struct {
 		name string
-		// prepare changes the engines before the stream begins.
-		prepare func(b *testbed)
-		noMoves bool
-		want    string
+		// prepare changes the engines before the stream begins, disturb does so while it runs.
+		prepare, disturb func(b *testbed)
+		noMoves          bool
+		want             string
 	}{
 		{name: "the engine loses the answer", prepare: loses, want: "ended_on_order"},
 		{name: "the engine breaks off", prepare: breaks, want: "no_such_run"},
 		{name: "the engine breaks off and takes no orders", prepare: breaks, noMoves: true, want: "not_in_report"},
+		{name: "the engine ends", disturb: func(b *testbed) {
+			for id, target := range b.targets {
+				if len(target.Runs()) > 0 {
+					b.kill(id)
+				}
+			}
+		}, want: "connection_refused"},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			withTestbed(t, options{hosts: 1, engines: 4, editDeclarations: func(d map[string]any) {
 				d["services"].([]any)[0].(map[string]any)["engine"].(map[string]any)["moves"] = !c.noMoves
 			}}, func(t *testing.T, b *testbed) {
-				c.prepare(b)
+				if c.prepare != nil {
+					c.prepare(b)
+				}
 				_, done := b.startStream(b.hosts[0], "/appraisal/100")
+				time.Sleep(time.Second)
+				if c.disturb != nil {
+					c.disturb(b)
+				}
 				if got := <-done; got.err != nil {
 					t.Errorf("error %v", got.err)
 				}
@@ -48,3 +69,57 @@
 		})
 	}
 }
+
+// No connection to an engine was accepted twice in 250 ms, or this host had no descriptor left for one. The engine counted as one that
+// cannot be reached, and worked on the stream while it went on at another one.
+func TestFailedProbesEndNoRun(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		// fail makes connections from the host to the engine fail.
+		fail func(b *testbed, n *scarceNetwork, engine netip.Addr)
+	}{
+		{"packets are lost for 2 s", func(b *testbed, _ *scarceNetwork, engine netip.Addr) {
+			host := netip.MustParseAddr(b.hosts[0].ip)
+			b.network.Block(host, engine)
+			time.Sleep(2 * time.Second)
+			b.network.Unblock(host, engine)
+		}},
+		{"no descriptors for 4 s", func(_ *testbed, n *scarceNetwork, _ netip.Addr) {
+			n.exhausted.Store(true)
+			time.Sleep(4 * time.Second)
+			n.exhausted.Store(false)
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			network := &scarceNetwork{}
+			withTestbed(t, options{hosts: 1, engines: 4, editPlatform: func(p *usherhost.Platform) {
+				network.Network, p.Network = p.Network, network
+			}}, func(t *testing.T, b *testbed) {
+				attempt, done := b.startStream(b.hosts[0], "/appraisal/250")
+				time.Sleep(time.Second)
+				_, entry := b.targets[b.currentEngine(attempt)].Entry("ready")
+				b.silence(b.hosts[0], 0)
+				// The stream counts as stalled 3.6 s after its last event.
+				time.Sleep(3500 * time.Millisecond)
+				c.fail(b, network, netip.MustParseAddrPort(entry.(map[string]any)["address"].(string)).Addr())
+				if got := <-done; got.err != nil || !isComplete(got.body, attempt, 250) {
+					t.Errorf("error %v, %d events; want 250", got.err, len(events(got.body)))
+				}
+				b.checkOverlap(attempt)
+			})
+		})
+	}
+}
+
+// scarceNetwork opens no connection while exhausted is set.
+type scarceNetwork struct {
+	usherhost.Network
+	exhausted atomic.Bool
+}
+
+func (n *scarceNetwork) Dial(ctx context.Context, network, address string) (net.Conn, error) {
+	if n.exhausted.Load() {
+		return nil, &net.OpError{Op: "dial", Net: network, Err: os.NewSyscallError("socket", syscall.EMFILE)}
+	}
+	return n.Network.Dial(ctx, network, address)
+}
--- a/service/usherhost/stoprun.go
+++ b/service/usherhost/stoprun.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"errors"
 	"slices"
-	"syscall"
 	"time"
 
 	"github.com/joomcode/errorx"
@@ -25,12 +23,8 @@
 	maxReportAge = time.Second
 )
 
-var (
-	// errStillRunning is the type of errors for runs that may go on at an engine which can be reached.
-	errStillRunning = errNamespace.NewType("still_running")
-	// errReplaced is the type of errors for targets whose address another one has.
-	errReplaced = errNamespace.NewType("replaced")
-)
+// errStillRunning is the type of errors for runs that may go on at an engine which can be reached.
+var errStillRunning = errNamespace.NewType("still_running")
 
 // stopResult is the outcome of an order to end a run. Without an error the run does not go on at a target that this host
 // can reach.
@@ -55,7 +49,7 @@
 	go func() {
 		var result stopResult
 		end := func() {
-			if result.end = g.host.goneBy(ctx, source, attempt); result.end == endNone {
+			if result.end, result.err = g.host.goneBy(ctx, source, attempt); result.end == endNone && result.err == nil {
 				result = stop(ctx)
 			}
 		}
@@ -92,30 +86,17 @@
 	return engine != nil && engine.OnDemandCopies
 }
 
-// goneBy returns what shows that nothing here can end a run: its target takes no connection, or another one has its address.
-func (h *Host) goneBy(ctx context.Context, source ushercatalog.Target, attempt string) runEnd {
-	if h.state.isReplaced(source) {
-		h.logUnreachable(source, attempt, errReplaced.New("another target has the address %s", source.Address))
-		return endReplaced
-	}
-	err := h.probeTwice(ctx, source)
-	if err == nil {
-		return endNone
+// goneBy returns what shows that nothing here can end a run: its target takes no connection, or another one has its address. It returns
+// an error if this host can't tell whether the target takes one.
+func (h *Host) goneBy(ctx context.Context, source ushercatalog.Target, attempt string) (runEnd, error) {
+	end, err := endReplaced, error(nil)
+	if !h.state.isReplaced(source) {
+		end, err = h.reach(ctx, source)
 	}
-	h.logUnreachable(source, attempt, err)
-	if errors.Is(err, syscall.ECONNREFUSED) {
-		return endRefused
-	}
-	return endUnreachable
-}
-
-// probeTwice returns an error if a target refuses a connection or does not accept two in a row: one packet can get lost.
-func (h *Host) probeTwice(ctx context.Context, target ushercatalog.Target) error {
-	err := h.probeTarget(ctx, target)
-	if err == nil || errors.Is(err, syscall.ECONNREFUSED) {
-		return err
+	if end != endNone {
+		h.log.Info("target cannot be reached; its run may go on elsewhere", "attempt", attempt, "source", source.ID, "end", end)
 	}
-	return h.probeTarget(ctx, target)
+	return end, err
 }
 
 // orderStop orders an engine to end a run and to copy its KV cache to holder.
@@ -163,7 +144,7 @@
 }
 
 func (h *Host) logUnreachable(source ushercatalog.Target, attempt string, err error) {
-	h.log.Info("target cannot be reached; its run may go on elsewhere", "attempt", attempt, "source", source.ID, "error", errorText(err))
+	h.log.Info("target cannot be reached; its run may go on elsewhere", "attempt", attempt, "source", source.ID, "end", endSilent, "error", errorText(err))
 }
 
 // callStop makes the call that orders an engine to end a run.
@@ -283,7 +264,7 @@
 	ctx = context.WithoutCancel(ctx)
 	go func() {
 		_ = h.containment.run("order to end a lost run", func() {
-			if h.goneBy(ctx, source, attempt) != endNone {
+			if end, err := h.goneBy(ctx, source, attempt); end != endNone || err != nil {
 				return
 			}
 			result := h.orderStop(ctx, source, attempt, destination)
@@ -296,8 +277,8 @@
 
 // endRun ends the run unless its target is gone.
 func (g *generation) endRun(ctx context.Context) stopResult {
-	if end := g.host.goneBy(ctx, g.source.Target, g.req.Attempt); end != endNone {
-		return stopResult{end: end}
+	if end, err := g.host.goneBy(ctx, g.source.Target, g.req.Attempt); end != endNone || err != nil {
+		return stopResult{end: end, err: err}
 	}
 	return g.prepareStop(ctx)(ctx)
 }
--- a/standin/ushernet/network.go
+++ b/standin/ushernet/network.go
@@ -17,10 +17,13 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"net"
 	"net/netip"
+	"os"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/joomcode/errorx"
@@ -36,7 +39,7 @@
 var (
 	// Errors is the namespace of this package's errors.
 	Errors = errorx.NewNamespace("usher_net")
-	// ErrRefused is the type of errors for connections that could not be opened and packets that could not be sent.
+	// ErrRefused is the type of errors for packets that could not be sent.
 	ErrRefused = Errors.NewType("refused")
 	// ErrInUse is the type of errors for addresses that already have a listener or socket.
 	ErrInUse = Errors.NewType("in_use")
@@ -238,10 +241,10 @@
 	return func(ctx context.Context, _, address string) (net.Conn, error) {
 		to, err := netip.ParseAddrPort(address)
 		if err != nil {
-			return nil, dialError(ErrRefused.Wrap(err, "dial %q", address))
+			return nil, dialError(to, err)
 		}
 		if err := n.awaitRoundTrip(ctx, from, to.Addr()); err != nil {
-			return nil, dialError(err)
+			return nil, dialError(to, err)
 		}
 		n.mu.Lock()
 		l := n.listeners[to]
@@ -250,15 +253,18 @@
 		accepted := l != nil && l.offer(server)
 		n.mu.Unlock()
 		if !accepted {
-			return nil, dialError(ErrRefused.New("no listener at %s accepts the connection", to))
+			return nil, dialError(to, syscall.ECONNREFUSED)
 		}
 		return client, nil
 	}
 }
 
-// dialError returns the error of a net.Dialer for a connection that failed.
-func dialError(cause error) error {
-	return &net.OpError{Op: "dial", Net: "tcp", Err: cause}
+// dialError returns the error of a net.Dialer for a connection that failed: callers tell a refused one from one that timed out.
+func dialError(to netip.AddrPort, cause error) error {
+	if errors.Is(cause, context.DeadlineExceeded) {
+		cause = os.ErrDeadlineExceeded
+	}
+	return &net.OpError{Op: "dial", Net: "tcp", Addr: net.TCPAddrFromAddrPort(to), Err: cause}
 }
 
 // awaitRoundTrip waits until the links between two hosts are open, and then for the time of one round trip.
@@ -274,14 +280,14 @@
 		select {
 		case <-changed:
 		case <-ctx.Done():
-			return ErrRefused.Wrap(ctx.Err(), "dial from %s to %s", a, b)
+			return ctx.Err()
 		}
 	}
 	select {
 	case <-time.After(2 * n.options.Latency):
 		return nil
 	case <-ctx.Done():
-		return ErrRefused.Wrap(ctx.Err(), "dial from %s to %s", a, b)
+		return ctx.Err()
 	}
 }
 
