usherhost: take no late answer of an engine for the end of a run

Engines worked on streams that had gone on elsewhere. An engine loses the answer of a stream and takes 1.4 s for each control call. Its host waited 0.5 s for the answer to its order and 0.25 s for a report, counted the engine as one that hangs, and sent the stream to another one. The sums of these time-outs are what an order may take; the engine, which had just closed the connection, worked on for the rest of its 1.4 s.

Orders are repeated after 1, 2 and 4 s without an answer, three at most at once, and each may be answered for 10 s; a late answer counts as well. An engine that has closed the connection never counts as one that hangs. One whose connection is open does if that carries nothing for the stall timeout and then neither that, nor any other connection of this host to it, nor a call for 0.7 of it: 0.76 s for a stream with pauses of 180 ms, as before, and 2.5 s for drafts. Engines that take no orders: a stream that may be resumed waits for a report, as others did; it went on at once.

What callers wait longer: as long as the engine's answer takes, and up to 1.8 s for drafts at an engine that hangs.

--- a/cmd/usher-host/daemon/daemon.go
+++ b/cmd/usher-host/daemon/daemon.go
@@ -24,9 +24,7 @@
 const (
 	exitFailure  = 1
 	signalBuffer = 4
-	// copyTimeout limits the time for a copy between engines, which may wait for other copies on the same links.
-	copyTimeout = 3 * time.Second
-	idleTimeout = 5 * time.Second
+	idleTimeout  = 5 * time.Second
 	// maxHeaderBytes limits the response header of the store and of an engine's control interface.
 	maxHeaderBytes = 64 << 10
 )
@@ -73,15 +71,14 @@
 func Platform(s *usherhost.Settings, network usherhost.Network) usherhost.Platform {
 	return usherhost.Platform{
 		Network: network,
-		Store:   usheradapter.NewStore(s.Store.Address.String(), client(network, 0, false)),
-		Engines: usheradapter.NewEngineClient(client(network, copyTimeout, true)),
+		Store:   usheradapter.NewStore(s.Store.Address.String(), client(network, false)),
+		Engines: usheradapter.NewEngineClient(client(network, true)),
 		Codec:   usheradapter.Codec{}, LocatePath: usheradapter.LocatePath, ReadyPath: usheradapter.ReadyPath,
 	}
 }
 
-func client(network usherhost.Network, timeout time.Duration, disableKeepAlives bool) *http.Client {
+func client(network usherhost.Network, disableKeepAlives bool) *http.Client {
 	return &http.Client{
-		Timeout: timeout,
 		Transport: &http.Transport{
 			DialContext: network.Dial, DisableKeepAlives: disableKeepAlives, MaxIdleConnsPerHost: 1, IdleConnTimeout: idleTimeout, MaxResponseHeaderBytes: maxHeaderBytes,
 		},
--- a/cmd/usher-host/daemon/runend_test.go
+++ b/cmd/usher-host/daemon/runend_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net"
+	"net/http"
 	"net/netip"
 	"os"
 	"sync/atomic"
@@ -123,3 +124,58 @@
 	}
 	return n.Network.Dial(ctx, network, address)
 }
+
+// slowControl returns a wrapper of targets whose control calls take the given time.
+func slowControl(delay time.Duration) func(string, http.Handler) http.Handler {
+	return func(_ string, target http.Handler) http.Handler {
+		return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if r.URL.Path == "/kv-move" || r.URL.Path == "/report" {
+				time.Sleep(delay)
+			}
+			target.ServeHTTP(w, r)
+		})
+	}
+}
+
+// An engine loses the answer of a stream and answers control calls late. It counted as one that hangs, and worked on the stream while that
+// went on at another one. Found by variants of review/7.
+func TestSlowControlCallsEndNoRun(t *testing.T) {
+	for _, path := range []string{"/appraisal/100", "/eligibility/60"} {
+		for _, delay := range []time.Duration{900 * time.Millisecond, 1400 * time.Millisecond, 3 * time.Second} {
+			t.Run(fmt.Sprintf("%s, %s", path, delay), func(t *testing.T) {
+				withTestbed(t, options{hosts: 1, engines: 4, wrapTarget: slowControl(delay), editDeclarations: func(d map[string]any) {
+					d["routes"].([]any)[1].(map[string]any)["timeoutMs"] = 20000
+				}}, func(t *testing.T, b *testbed) {
+					faults := &faultSequence{faults: []usherstandin.Fault{usherstandin.LosesAnswerLater}}
+					for _, target := range b.targets {
+						target.SetFaultSource(faults.next)
+					}
+					got := b.post(b.hosts[0], path)
+					b.checkOverlap(got.attempt)
+					if n := len(events(got.body)); got.err != nil || !isComplete(got.body, got.attempt, n) {
+						t.Errorf("error %v, %d events", got.err, n)
+					}
+				})
+			})
+		}
+	}
+}
+
+// The connection of a stream carries nothing any more, and its engine answers control calls late while it sends another stream. It counted as one that hangs.
+func TestEngineThatSendsAnotherStreamDoesNotHang(t *testing.T) {
+	withTestbed(t, options{hosts: 1, engines: 1, wrapTarget: slowControl(3 * time.Second), editDeclarations: func(d map[string]any) {
+		d["routes"].([]any)[1].(map[string]any)["timeoutMs"] = 20000
+	}}, func(t *testing.T, b *testbed) {
+		attempt, done := b.startStream(b.hosts[0], "/eligibility/200")
+		time.Sleep(500 * time.Millisecond)
+		b.silence(b.hosts[0], 0)
+		_, other := b.startStream(b.hosts[0], "/appraisal/300")
+		time.Sleep(500 * time.Millisecond)
+		b.addTarget("engine-1", engineService, 1)
+		if got := <-done; got.err != nil || !isComplete(got.body, attempt, 200) {
+			t.Errorf("error %v, %d events; want 200", got.err, len(events(got.body)))
+		}
+		<-other
+		b.checkOverlap(attempt)
+	})
+}
--- a/service/usherhost/exchange.go
+++ b/service/usherhost/exchange.go
@@ -64,16 +64,20 @@
 		stopCancel  func() bool
 	}
 
-	// countedConn counts the bytes read and written.
+	// countedConn counts the bytes read and written, and records when the target has sent some.
 	countedConn struct {
 		net.Conn
-		bytes metrics.Counter
+		bytes   metrics.Counter
+		contact *contact
 	}
 )
 
 func (c countedConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
 	c.bytes.Inc(int64(n))
+	if n > 0 {
+		c.contact.record()
+	}
 	return n, err
 }
 
@@ -95,7 +99,7 @@
 	if target.DataCentre != h.settings.Process.DataCentre {
 		bytes = h.metrics.remoteBytes
 	}
-	conn = countedConn{Conn: conn, bytes: bytes}
+	conn = countedConn{Conn: conn, bytes: bytes, contact: h.contacts.of(target.Address)}
 	r := &limitedReader{reader: conn}
 	x := &exchange{conn: conn, limiter: r, reader: bufio.NewReaderSize(r, readBufferSize), limits: h.settings.Answers, written: make(chan error, 1), foreign: h.metrics.foreign, unframed: h.metrics.unframed, containment: h.containment}
 	// The connection is closed when the caller leaves or the deadline passes, which ends the target's work as well.
--- a/service/usherhost/failover.go
+++ b/service/usherhost/failover.go
@@ -11,6 +11,9 @@
 	"github.com/samphireusher/samphireusher/pkg/usherroute"
 )
 
+// copyTimeout bounds a copy between engines, which may wait for other copies on the same links.
+const copyTimeout = 3 * time.Second
+
 // copyEngine returns the engine properties of the service if the generation may run only once, so that it can
 // survive the loss of its target only through a copy of its KV cache. Otherwise it returns nil.
 func (g *generation) copyEngine() *usherroute.Engine {
@@ -96,6 +99,8 @@
 	g.trackLoad(holder, usherpool.Load{Copies: 1, CopyTokens: g.req.PeakTokens(), Incoming: g.req.PeakTokens(), Awaited: 1})
 	source, attempt, start, results := g.source.Target.Address, g.req.Attempt, time.Now(), g.copyResults
 	go func() {
+		ctx, cancel := context.WithTimeout(ctx, copyTimeout)
+		defer cancel()
 		result := copyResult{holder: holder}
 		if err := g.host.containment.run("copy", func() { result.copy, result.notice, result.err = g.host.engines.Copy(ctx, source, attempt, address) }); err != nil {
 			result.err = err
--- a/service/usherhost/host.go
+++ b/service/usherhost/host.go
@@ -99,6 +99,7 @@
 		background     sync.WaitGroup
 		containment    *containment
 		inProgress     atomic.Int64
+		contacts       contacts
 		// stop is nil before a planned stop. At its endsAt, endRequests cancels requestsCtx.
 		stop        atomic.Pointer[stopTimes]
 		requestsCtx context.Context
--- a/service/usherhost/relay.go
+++ b/service/usherhost/relay.go
@@ -48,6 +48,10 @@
 				stall.Reset(g.stallTimeout())
 				continue
 			}
+			if !g.takesOrders() && !g.req.route.AtMostOnce() {
+				// Only a report from after the end of its connection can show the end of the run.
+				return g.stalled()
+			}
 			g.beginStop(ctx)
 		case result := <-g.stopResults:
 			stop()
@@ -55,7 +59,7 @@
 			g.mayBeStopped = g.mayBeStopped || result.unanswered
 			if result.err == nil {
 				g.recordStop(result)
-				return errStalled.New("target %s sent nothing for %s", g.source.Target.ID, g.stallTimeout())
+				return g.stalled()
 			}
 			// The stream must not go on elsewhere while the target works on it.
 			stall.Reset(stopRetryInterval)
@@ -72,6 +76,10 @@
 	}
 }
 
+func (g *generation) stalled() error {
+	return errStalled.New("target %s sent nothing for %s", g.source.Target.ID, g.stallTimeout())
+}
+
 // endOfRun returns the error with which the current run has ended: io.EOF only if the stream is complete.
 func (g *generation) endOfRun(ctx context.Context, err error) error {
 	stopped := g.endedOnRequest(err)
@@ -108,7 +116,7 @@
 	if !isUnframed(g.exchange.response) || !g.takesOrders() {
 		return false
 	}
-	result := g.prepareStop(ctx)(ctx)
+	result := g.prepareStop(ctx, 0)(ctx)
 	if result.err != nil || result.run.Kept.Handle == "" {
 		return false
 	}
--- a/service/usherhost/stoprun.go
+++ b/service/usherhost/stoprun.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
 	"github.com/joomcode/errorx"
@@ -12,14 +11,10 @@
 )
 
 const (
-	// stopTimeout bounds an order to end a run, whose response comes once the KV cache has been copied. An engine that has not
-	// answered within stopPatience is asked for a report: one that gives none within reportTimeout hangs and works on nothing.
-	stopTimeout   = 2500 * time.Millisecond
-	stopPatience  = 500 * time.Millisecond
-	reportTimeout = 250 * time.Millisecond
-	// stopRetryInterval is the pause before an order that the engine turned away is repeated.
+	// stopRetryInterval is the pause before the next try to end a run.
 	stopRetryInterval = 200 * time.Millisecond
-	// maxReportAge bounds the age of what an engine reports. The users state some hundred milliseconds.
+	// maxReportAge bounds the age of what an engine reports. The users state some hundred milliseconds. Only what it says of a moment after
+	// it has closed the run's connection counts: before, it may leave out a run that is newer than the report, or preempted.
 	maxReportAge = time.Second
 )
 
@@ -39,44 +34,39 @@
 	unanswered bool
 }
 
-// beginStop orders the engine to end the run and to copy its KV cache to where the stream can go on. The result is sent
+// beginStop makes a try to end the run, with an order to copy its KV cache to where the stream can go on. The result is sent
 // on stopResults. The connection stays open until then, as a run that its engine has preempted continues by itself.
 //
 // To close the connection is not enough: on one that has gone silent, the engine does not learn of it.
 func (g *generation) beginStop(ctx context.Context) {
 	g.stopping = true
-	results, stop, source, attempt := g.stopResults, g.prepareStop(ctx), g.source.Target, g.req.Attempt
+	results, end := g.stopResults, g.prepareStop(ctx, g.silenceAllowed())
 	go func() {
 		var result stopResult
-		end := func() {
-			if result.end, result.err = g.host.goneBy(ctx, source, attempt); result.end == endNone && result.err == nil {
-				result = stop(ctx)
-			}
-		}
-		if err := g.host.containment.run("order to end a run", end); err != nil {
+		if err := g.host.containment.run("end of a run", func() { result = end(ctx) }); err != nil {
 			result.err = errStillRunning.Wrap(err, "order not made")
 		}
 		results <- result
 	}()
 }
 
-// prepareStop returns the call that ends the run at a target that can be reached, which may be made by another goroutine.
-func (g *generation) prepareStop(ctx context.Context) func(ctx context.Context) stopResult {
-	source, attempt, atMostOnce := g.source.Target, g.req.Attempt, g.req.route.AtMostOnce()
-	if g.takesOrders() {
-		holder, err := g.stopDestination(ctx)
-		return func(ctx context.Context) stopResult {
-			if err != nil {
-				return stopResult{err: err}
-			}
-			return g.host.orderStop(ctx, source, attempt, holder)
-		}
+// silenceAllowed returns how long the target may leave calls without an answer while the run's connection is open.
+func (g *generation) silenceAllowed() time.Duration {
+	return time.Duration(silenceFactor * float64(g.stallTimeout()))
+}
+
+// prepareStop returns the call that makes a try to end the run, which may be made by another goroutine. silence is as in runStopper.end.
+func (g *generation) prepareStop(ctx context.Context, silence time.Duration) func(ctx context.Context) stopResult {
+	stopper := g.stopper
+	if !g.takesOrders() || !stopper.orderDue() {
+		return func(ctx context.Context) stopResult { return stopper.end(ctx, nil, silence) }
 	}
-	return func(context.Context) stopResult {
-		if atMostOnce {
-			return stopResult{err: errStillRunning.New("target %s may still work on the request", source.ID)}
+	holder, err := g.stopDestination(ctx)
+	return func(ctx context.Context) stopResult {
+		if err != nil {
+			return stopResult{err: err}
 		}
-		return stopResult{}
+		return stopper.end(ctx, &holder, silence)
 	}
 }
 
@@ -94,75 +84,13 @@
 		end, err = h.reach(ctx, source)
 	}
 	if end != endNone {
-		h.log.Info("target cannot be reached; its run may go on elsewhere", "attempt", attempt, "source", source.ID, "end", end)
+		h.logUnreachable(source, attempt, end)
 	}
 	return end, err
 }
 
-// orderStop orders an engine to end a run and to copy its KV cache to holder.
-func (h *Host) orderStop(ctx context.Context, source ushercatalog.Target, attempt string, holder ushercatalog.Target) stopResult {
-	ctx, cancel := context.WithTimeout(ctx, stopTimeout)
-	defer cancel()
-	start := time.Now()
-	if h.state.rests(source.ID) {
-		return stopResult{err: errStillRunning.New("target %s rests", source.ID)}
-	}
-	result := h.awaitStopAnswer(ctx, source, attempt, holder)
-	h.log.Info("run ordered to end", "attempt", attempt, "source", source.ID, "holder", holder.ID, "copy", result.run.Copied, "kept", result.run.Kept.Handle != "",
-		"end", result.end, "duration_ms", time.Since(start).Milliseconds(), "error", errorTextOrEmpty(result.err))
-	if result.err != nil {
-		h.metrics.stopsRefused.Inc(1)
-	} else {
-		h.metrics.stops.Inc(1)
-	}
-	return result
-}
-
-// awaitStopAnswer waits for the response to an order to end a run. Without one the run counts as ended only if the engine gives no
-// report either.
-func (h *Host) awaitStopAnswer(ctx context.Context, source ushercatalog.Target, attempt string, holder ushercatalog.Target) stopResult {
-	results := make(chan stopResult, 1)
-	go func() {
-		result := stopResult{holder: holder.ID}
-		if err := h.containment.run("order to end a run", func() { result = h.callStop(ctx, source, attempt, holder) }); err != nil {
-			result.err = errStillRunning.Wrap(err, "no answer of target %s", source.ID)
-		}
-		results <- result
-	}()
-	patience := time.NewTimer(stopPatience)
-	defer patience.Stop()
-	select {
-	case result := <-results:
-		return result
-	case <-patience.C:
-	}
-	if !h.isResponsive(ctx, source) {
-		h.logUnreachable(source, attempt, errStillRunning.New("no answer within %s, and no report", stopPatience))
-		return stopResult{holder: holder.ID, end: endSilent, unanswered: true}
-	}
-	return <-results
-}
-
-func (h *Host) logUnreachable(source ushercatalog.Target, attempt string, err error) {
-	h.log.Info("target cannot be reached; its run may go on elsewhere", "attempt", attempt, "source", source.ID, "end", endSilent, "error", errorText(err))
-}
-
-// callStop makes the call that orders an engine to end a run.
-func (h *Host) callStop(ctx context.Context, source ushercatalog.Target, attempt string, holder ushercatalog.Target) stopResult {
-	// Callers lose more if the run goes on than the target does by one request.
-	h.state.spendTurn(source.ID)
-	sent := time.Now()
-	run, notice, err := h.engines.Stop(ctx, source.Address, attempt, holder.Address)
-	h.noteTarget(source, attempt, sent, notice)
-	if err == nil {
-		return stopResult{holder: holder.ID, run: run, end: endOfStopped(run)}
-	}
-	unanswered := h.engines.IsUnreachable(err)
-	if !unanswered || h.isResponsive(context.WithoutCancel(ctx), source) {
-		return stopResult{err: errStillRunning.Wrap(err, "target %s may still work on the request", source.ID), unanswered: unanswered}
-	}
-	h.logUnreachable(source, attempt, err)
-	return stopResult{holder: holder.ID, end: endSilent, unanswered: true}
+func (h *Host) logUnreachable(source ushercatalog.Target, attempt string, end runEnd) {
+	h.log.Info("target cannot be reached; its run may go on elsewhere", "attempt", attempt, "source", source.ID, "end", end)
 }
 
 // endOfStopped returns what an answer to an order shows: a target that had the run keeps its KV cache.
@@ -173,17 +101,6 @@
 	return endOnOrder
 }
 
-// isResponsive reports whether an engine gives a report.
-func (h *Host) isResponsive(ctx context.Context, target ushercatalog.Target) bool {
-	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
-	defer cancel()
-	h.state.spendTurn(target.ID)
-	sent := time.Now()
-	_, notice, err := h.engines.Leaving(ctx, target.Address)
-	h.noteTarget(target, "", sent, notice)
-	return err == nil || !h.engines.IsUnreachable(err)
-}
-
 // stopDestination returns the target that gets the KV cache of a run that is ended: the one that has a copy already, if
 // there is one.
 func (g *generation) stopDestination(ctx context.Context) (ushercatalog.Target, error) {
@@ -220,8 +137,10 @@
 // awaitRunEnd returns once the run does not go on at its target, or the stream cannot go on elsewhere. That the target has closed the
 // connection shows no end of the run: the response may be lost and the run go on.
 func (g *generation) awaitRunEnd(ctx context.Context, cause error) error {
-	// Reports from a moment after the end of the connection are asked for, one after the other.
-	since := time.Now()
+	closed, silence := time.Now(), time.Duration(0)
+	if !endedByTarget(cause) {
+		silence = g.silenceAllowed()
+	}
 	for !g.runEnded {
 		if g.req.route.AtMostOnce() && !g.takesOrders() {
 			// Only an order would make a copy.
@@ -229,7 +148,10 @@
 				return err
 			}
 		}
-		result := g.endRun(ctx)
+		if (endedByTarget(cause) || !g.req.route.AtMostOnce()) && time.Since(closed) >= maxReportAge {
+			g.stopper.askForRuns(ctx, true)
+		}
+		result := g.prepareStop(ctx, silence)(ctx)
 		if result.err == nil {
 			g.recordStop(result)
 			return nil
@@ -237,13 +159,6 @@
 		if !errorx.IsOfType(result.err, errStillRunning) {
 			return result.err
 		}
-		if endedByTarget(cause) && time.Since(since) >= maxReportAge {
-			if g.host.reportsEnd(ctx, g.source.Target, g.req.Attempt) {
-				g.recordStop(stopResult{end: endNotReported})
-				return nil
-			}
-			since = time.Now()
-		}
 		sleep(ctx, stopRetryInterval)
 		if ctx.Err() != nil {
 			return result.err
@@ -261,38 +176,17 @@
 		return
 	}
 	// The order is not the caller's to cancel.
-	ctx = context.WithoutCancel(ctx)
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), controlTimeout)
 	go func() {
+		defer cancel()
 		_ = h.containment.run("order to end a lost run", func() {
 			if end, err := h.goneBy(ctx, source, attempt); end != endNone || err != nil {
 				return
 			}
-			result := h.orderStop(ctx, source, attempt, destination)
+			result := h.callStop(ctx, source, attempt, destination)
 			if result.run.Kept.Handle != "" && !h.state.rests(source.ID) && h.takeTurn(source.ID) {
 				h.callRelease(result.run.Kept)
 			}
 		})
 	}()
 }
-
-// endRun ends the run unless its target is gone.
-func (g *generation) endRun(ctx context.Context) stopResult {
-	if end, err := g.host.goneBy(ctx, g.source.Target, g.req.Attempt); end != endNone || err != nil {
-		return stopResult{end: end, err: err}
-	}
-	return g.prepareStop(ctx)(ctx)
-}
-
-// reportsEnd reports whether an engine says that it does not work on a request. Only the report of an engine that has closed the
-// request's connection maxReportAge ago counts: others may be older than the run, or leave out one that was preempted.
-func (h *Host) reportsEnd(ctx context.Context, target ushercatalog.Target, attempt string) bool {
-	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
-	defer cancel()
-	h.state.spendTurn(target.ID)
-	sent := time.Now()
-	runs, notice, err := h.engines.Runs(ctx, target.Address)
-	h.noteTarget(target, "", sent, notice)
-	ended := err == nil && !slices.Contains(runs, attempt)
-	h.log.Info("target asked for its runs", "attempt", attempt, "source", target.ID, "ended", ended, "error", errorTextOrEmpty(err))
-	return ended
-}
--- a/service/usherhost/stream.go
+++ b/service/usherhost/stream.go
@@ -99,6 +99,7 @@
 		stopping    bool
 		runEnded    bool
 		runEnd      runEnd
+		stopper     *runStopper
 		stopResults chan stopResult
 		// mayBeStopped reports whether the target may have ended the current run because of an order, so that the end of a
 		// response without framing is not that of the stream.
@@ -303,6 +304,7 @@
 	// Results of copies that are still in progress belong to the previous run and must not be received.
 	g.copyResults = make(chan copyResult, 1)
 	g.stopping, g.runEnded, g.runEnd, g.mayBeStopped, g.stopResults = false, false, endNone, false, make(chan stopResult, 1)
+	g.stopper = newRunStopper(g.host, choice.Target, g.req.Attempt)
 	x, err := g.host.connect(ctx, choice.Target)
 	if err != nil {
 		return sendResult{choice: choice, result: usherpool.Unreachable, err: err}
