usherhost: send a stream again only once its lost run has ended

Two engines worked on one request. An engine closes the connection of a stream that may be resumed before it begins to answer, and works on: only its answer is lost. The host sent the stream to another engine at once and gave one order to end the first run beside that. An order that is lost, turned away or carried out late shows no end, and nobody repeated it (endLostRun).

The stream waits as one that goes on elsewhere does (awaitRunEnd): the order is repeated until an answer, a report or the address shows the end. The line "stream sent again" says which; streams.lost_answers counts runs that went on. What the first run leaves is freed. Calls in progress are ended once the end is shown, as a late order could end a later run of the request.

--- a/cmd/usher-host/daemon/runend_test.go
+++ b/cmd/usher-host/daemon/runend_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"net/netip"
@@ -179,3 +180,61 @@
 		b.checkOverlap(attempt)
 	})
 }
+
+// An engine loses the answer of a stream before it begins, and the order to end the run is lost, turned away or carried out late. There was one
+// order, beside the request that was sent again at once, so that two engines worked on it. Found by variants of review/7.
+func TestStreamIsSentAgainOnceItsLostRunHasEnded(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		orders int64
+		// spoil serves the first orders.
+		spoil http.HandlerFunc
+	}{
+		{"orders are turned away", 3, func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusConflict) }},
+		{"engine has no room for orders", 3, func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusServiceUnavailable) }},
+		{"connections of orders end", 2, func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }},
+		{"an order gets no answer", 1, func(_ http.ResponseWriter, r *http.Request) {
+			_, _ = io.Copy(io.Discard, r.Body)
+			<-r.Context().Done()
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			var orders atomic.Int64
+			o := options{hosts: 1, engines: 4, wrapTarget: func(_ string, target http.Handler) http.Handler {
+				return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+					if r.URL.Path == "/kv-move" && orders.Add(1) <= c.orders {
+						c.spoil(w, r)
+						return
+					}
+					target.ServeHTTP(w, r)
+				})
+			}}
+			withTestbed(t, o, func(t *testing.T, b *testbed) {
+				b.checkLostAtOnce(60)
+				if n := orders.Load(); n <= c.orders {
+					t.Errorf("%d orders, so the test shows nothing", n)
+				}
+			})
+		})
+	}
+	for _, delay := range []time.Duration{900 * time.Millisecond, 2 * time.Second} {
+		t.Run(fmt.Sprintf("control calls take %s", delay), func(t *testing.T) {
+			withTestbed(t, options{hosts: 1, engines: 4, wrapTarget: slowControl(delay)}, func(_ *testing.T, b *testbed) { b.checkLostAtOnce(60) })
+		})
+	}
+}
+
+// checkLostAtOnce sends a stream that may be resumed and whose first answer is lost before it begins, and fails the test if it is
+// incomplete or two engines work on it.
+func (b *testbed) checkLostAtOnce(total int) {
+	b.t.Helper()
+	faults := &faultSequence{faults: []usherstandin.Fault{usherstandin.LosesAnswerAtOnce}}
+	for _, target := range b.targets {
+		target.SetFaultSource(faults.next)
+	}
+	got := b.post(b.hosts[0], fmt.Sprintf("/eligibility/%d", total))
+	b.checkOverlap(got.attempt)
+	if got.err != nil || !isComplete(got.body, got.attempt, total) {
+		b.t.Errorf("error %v, %d events; want %d", got.err, len(events(got.body)), total)
+	}
+}
--- a/service/usherhost/failover.go
+++ b/service/usherhost/failover.go
@@ -261,7 +261,11 @@
 // releaseTimeout bounds the call that frees a copy; otherwise the copy expires at the target.
 const releaseTimeout = time.Second
 
-func (h *Host) releaseCopy(c ushercall.Copy) {
+// releaseCopy frees a copy that nothing uses, unless the engine that made it rests or it is not this host's turn there. It then expires.
+func (h *Host) releaseCopy(source string, c ushercall.Copy) {
+	if h.state.rests(source) || !h.takeTurn(source) {
+		return
+	}
 	_ = h.containment.run("release of a copy", func() { h.callRelease(c) })
 }
 
--- a/service/usherhost/runstopper.go
+++ b/service/usherhost/runstopper.go
@@ -35,6 +35,8 @@
 		asking bool
 		// silentSince is when the first call was made that has no answer and after which none came to another one.
 		silentSince time.Time
+		// cancel ends the calls in progress.
+		cancel []context.CancelFunc
 	}
 
 	// controlAnswer is the outcome of an order, or of a question for a report.
@@ -84,8 +86,9 @@
 		s.silentSince = time.Now()
 	}
 	answers, source := s.answers, s.source.ID
+	ctx, cancel := context.WithTimeout(ctx, controlTimeout)
+	s.cancel = append(s.cancel, cancel)
 	go func() {
-		ctx, cancel := context.WithTimeout(ctx, controlTimeout)
 		defer cancel()
 		answer := failed
 		if err := s.host.containment.run(task, func() { answer = call(ctx) }); err != nil {
@@ -150,6 +153,14 @@
 	return answer.stopResult
 }
 
+// close ends the calls in progress. An order that is carried out late could end a later run of the request at the same target.
+func (s *runStopper) close() {
+	for _, cancel := range s.cancel {
+		cancel()
+	}
+	s.cancel = nil
+}
+
 // end makes one try to end the run, with an order to copy its KV cache to holder if that is known. Without an error the run has ended.
 // silence is the time after which an open connection that carries nothing counts; zero if the target has closed it.
 func (s *runStopper) end(ctx context.Context, holder *ushercatalog.Target, silence time.Duration) stopResult {
--- a/service/usherhost/stoprun.go
+++ b/service/usherhost/stoprun.go
@@ -109,6 +109,12 @@
 			return target, nil
 		}
 	}
+	if !g.receiving && !g.req.route.AtMostOnce() {
+		// The request begins anew, so the copy is for nobody.
+		if other, known := g.host.state.otherTarget(g.source.Target); known {
+			return other, nil
+		}
+	}
 	r := g.placementRequest(g.req.excludedTargets(append(g.copies.UnavailableHolders, g.source.Target.ID)...))
 	r.Copy, r.SourceDataCentre = true, g.source.Target.DataCentre
 	choice, err := g.host.peers.placement.place(ctx, r)
@@ -125,7 +131,8 @@
 // recordStop records that the run has ended, with what is left of it. A stream that may run once goes on at its own target if no
 // other one takes it; others are better off in a new run than at a target that has sent nothing for long.
 func (g *generation) recordStop(r stopResult) {
-	g.runEnded, g.runEnd = true, r.end
+	g.stopper.close()
+	g.runEnded, g.runEnd, g.runKept = true, r.end, r.run.Kept
 	if r.run.Copied {
 		g.copies.RunEnded(r.holder, r.run.Kept)
 	}
@@ -153,6 +160,9 @@
 		}
 		result := g.prepareStop(ctx, silence)(ctx)
 		if result.err == nil {
+			if endedByTarget(cause) && result.end == endOnOrder {
+				g.host.metrics.lostAnswers.Inc(1)
+			}
 			g.recordStop(result)
 			return nil
 		}
@@ -167,26 +177,15 @@
 	return nil
 }
 
-// endLostRun orders an engine that has closed the connection before it began to answer to end the run, as only the answer may be lost. The
-// request goes to another target meanwhile: it may run again, and its caller would bear the wait.
-func (g *generation) endLostRun(ctx context.Context) {
-	h, source, attempt := g.host, g.source.Target, g.req.Attempt
-	destination, known := h.state.otherTarget(source)
-	if !known || !g.takesOrders() {
-		return
+// awaitLostRunEnd returns once a run whose target has closed the connection before it began to answer does not go on: only the answer may be
+// lost. What is left of the run is freed, as the request begins anew.
+func (g *generation) awaitLostRunEnd(ctx context.Context, cause error) error {
+	if err := g.awaitRunEnd(ctx, cause); err != nil {
+		return err
 	}
-	// The order is not the caller's to cancel.
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), controlTimeout)
-	go func() {
-		defer cancel()
-		_ = h.containment.run("order to end a lost run", func() {
-			if end, err := h.goneBy(ctx, source, attempt); end != endNone || err != nil {
-				return
-			}
-			result := h.callStop(ctx, source, attempt, destination)
-			if result.run.Kept.Handle != "" && !h.state.rests(source.ID) && h.takeTurn(source.ID) {
-				h.callRelease(result.run.Kept)
-			}
-		})
-	}()
+	g.host.log.Info("stream sent again", "attempt", g.req.Attempt, "from", g.source.Target.ID, "cause", errorText(cause), "run_end", g.runEnd, "duration_ms", time.Since(g.req.received).Milliseconds())
+	if g.runKept.Handle != "" {
+		go g.host.releaseCopy(g.source.Target.ID, g.runKept)
+	}
+	return nil
 }
--- a/service/usherhost/stream.go
+++ b/service/usherhost/stream.go
@@ -96,9 +96,11 @@
 		copyResults chan copyResult
 		// stopping reports whether the target has been ordered to end the current run, runEnded whether that run goes on
 		// nowhere that this host can reach, and runEnd what has shown so.
-		stopping    bool
-		runEnded    bool
-		runEnd      runEnd
+		stopping bool
+		runEnded bool
+		runEnd   runEnd
+		// runKept is the KV cache that the target keeps of the run that it has ended on order.
+		runKept     ushercall.Copy
 		stopper     *runStopper
 		stopResults chan stopResult
 		// mayBeStopped reports whether the target may have ended the current run because of an order, so that the end of a
@@ -225,7 +227,10 @@
 			break
 		}
 		if result.ran && result.reply.status == 0 && endedByTarget(result.err) {
-			g.endLostRun(ctx)
+			if err := g.awaitLostRunEnd(ctx, result.err); err != nil {
+				cause = err
+				break
+			}
 		}
 		g.host.metrics.retries.Inc(1)
 	}
@@ -303,7 +308,7 @@
 	g.source, g.resumeAnnounced, g.runEvents, g.runAdvanced, g.times = choice, false, 0, false, runTimes{}
 	// Results of copies that are still in progress belong to the previous run and must not be received.
 	g.copyResults = make(chan copyResult, 1)
-	g.stopping, g.runEnded, g.runEnd, g.mayBeStopped, g.stopResults = false, false, endNone, false, make(chan stopResult, 1)
+	g.stopping, g.runEnded, g.runEnd, g.runKept, g.mayBeStopped, g.stopResults = false, false, endNone, ushercall.Copy{}, false, make(chan stopResult, 1)
 	g.stopper = newRunStopper(g.host, choice.Target, g.req.Attempt)
 	x, err := g.host.connect(ctx, choice.Target)
 	if err != nil {
@@ -392,8 +397,8 @@
 	h.state.recordAnswer(g.req)
 	h.metrics.recordResponse(g.req, time.Since(g.req.received))
 	h.logRequest(g.req, "answered", slog.Int("status", g.exchange.response.StatusCode), nil)
-	if point, made := g.copies.OnDemandCopy(); made && !h.state.rests(g.source.Target.ID) && h.takeTurn(g.source.Target.ID) {
-		go h.releaseCopy(point.Copy)
+	if point, made := g.copies.OnDemandCopy(); made {
+		go h.releaseCopy(g.source.Target.ID, point.Copy)
 	}
 }
 
