usherhost: take no unframed end for that of a stream unless the first order finds no run

An engine that sends neither a length nor chunks loses an answer between two events; that looks like the end of the stream. The host gave one order to see whether the run was still there, and counted the stream as complete if the order failed: turned away, or lost with its connection.

The host now waits for what shows the end of the run, as elsewhere. The stream is complete only if the answer to the first order says that there is no run: after a later one, the run may have worked on until then. Otherwise it goes on elsewhere.

--- a/cmd/usher-host/daemon/runend_test.go
+++ b/cmd/usher-host/daemon/runend_test.go
@@ -238,3 +238,37 @@
 		b.t.Errorf("error %v, %d events; want %d", got.err, len(events(got.body)), total)
 	}
 }
+
+// An engine without a length or chunks loses an answer between two events, and turns the order to end the run away, or leaves it without an
+// answer. The stream counted as complete, as one order showed no run that went on.
+func TestUnframedStreamIsIncompleteUnlessItsRunWasAlreadyOver(t *testing.T) {
+	refuses := func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusConflict) }
+	breaks := func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }
+	for name, spoil := range map[string]http.HandlerFunc{"order turned away": refuses, "order lost": breaks} {
+		for _, path := range []string{"/appraisal/60", "/eligibility/60"} {
+			t.Run(name+", "+path, func(t *testing.T) {
+				var orders atomic.Int64
+				o := options{hosts: 1, engines: 4, unframed: true, wrapTarget: func(_ string, target http.Handler) http.Handler {
+					return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+						if r.URL.Path == "/kv-move" && orders.Add(1) == 1 {
+							spoil(w, r)
+							return
+						}
+						target.ServeHTTP(w, r)
+					})
+				}}
+				withTestbed(t, o, func(t *testing.T, b *testbed) {
+					faults := &faultSequence{faults: []usherstandin.Fault{usherstandin.LosesAnswerLater}}
+					for _, target := range b.targets {
+						target.SetFaultSource(faults.next)
+					}
+					got := b.post(b.hosts[0], path)
+					b.checkOverlap(got.attempt)
+					if got.err != nil || !isComplete(got.body, got.attempt, 60) {
+						t.Errorf("error %v, %d events; want 60", got.err, len(events(got.body)))
+					}
+				})
+			})
+		}
+	}
+}
--- a/service/usherhost/failover.go
+++ b/service/usherhost/failover.go
@@ -144,7 +144,7 @@
 		return errNotResumed.Wrap(err, "stream not resumed after %s", errorText(cause))
 	}
 	g.releaseLoad(from)
-	end := g.runEnd
+	end := g.stopped.end
 	for g.req.resumes < maxResumes && ctx.Err() == nil {
 		if refusal := g.host.refuseSuspect(g.req); refusal != nil {
 			return errNotResumed.Wrap(refusal.cause, "stream not resumed after %s", errorText(cause))
@@ -182,7 +182,7 @@
 			if err := g.awaitRunEnd(ctx, result.err); err != nil {
 				return errNotResumed.Wrap(err, "stream not resumed after %s", errorText(result.err))
 			}
-			end = g.runEnd
+			end = g.stopped.end
 		}
 	}
 	return errNotResumed.Wrap(cause, "stream not resumed after %d tries", g.req.resumes)
--- a/service/usherhost/relay.go
+++ b/service/usherhost/relay.go
@@ -83,7 +83,7 @@
 // endOfRun returns the error with which the current run has ended: io.EOF only if the stream is complete.
 func (g *generation) endOfRun(ctx context.Context, err error) error {
 	stopped := g.endedOnRequest(err)
-	if errors.Is(err, io.EOF) && (stopped || g.continuesNothing() || g.brokenOff(ctx) || g.goesOn(ctx)) {
+	if errors.Is(err, io.EOF) && (stopped || g.continuesNothing() || g.brokenOff(ctx) || g.outlivesResponse(ctx)) {
 		return io.ErrUnexpectedEOF
 	}
 	return err
@@ -111,17 +111,16 @@
 	return g.host.brokenOff(ctx, g.exchange, g.source.Target, int64(g.req.events))
 }
 
-// goesOn reports whether the run goes on although its response has ended with its connection. If so, the run has been ended.
-func (g *generation) goesOn(ctx context.Context) bool {
+// outlivesResponse reports whether the run may have gone on although its response has ended with its connection. If so, it has ended by
+// now. Only the answer to the first order tells: a run that ended after another one may have been at work when the response ended.
+func (g *generation) outlivesResponse(ctx context.Context) bool {
 	if !isUnframed(g.exchange.response) || !g.takesOrders() {
 		return false
 	}
-	result := g.prepareStop(ctx, 0)(ctx)
-	if result.err != nil || result.run.Kept.Handle == "" {
-		return false
+	if err := g.awaitRunEnd(ctx, io.EOF); err != nil {
+		return ctx.Err() != nil
 	}
-	g.recordStop(result)
-	return true
+	return g.stopped.end != endNotFound || !g.stopped.first
 }
 
 // continuesNothing reports whether the current run, which was to continue a stream, has not added an event to it. Its end
--- a/service/usherhost/runstopper.go
+++ b/service/usherhost/runstopper.go
@@ -28,7 +28,9 @@
 		source  ushercatalog.Target
 		attempt string
 		// answers has room for the answers to all calls in progress.
-		answers   chan controlAnswer
+		answers chan controlAnswer
+		// given counts all orders, orders those without an answer.
+		given     int
 		orders    int
 		orderedAt time.Time
 		// asking is set while the target is asked for its runs.
@@ -59,9 +61,15 @@
 
 // order orders the target to end the run and to copy its KV cache to holder.
 func (s *runStopper) order(ctx context.Context, holder ushercatalog.Target) {
+	s.given++
 	s.orders++
 	s.orderedAt = time.Now()
-	s.call(ctx, controlAnswer{}, "order to end a run", func(ctx context.Context) controlAnswer { return s.host.callStop(ctx, s.source, s.attempt, holder) })
+	first := s.given == 1
+	s.call(ctx, controlAnswer{}, "order to end a run", func(ctx context.Context) controlAnswer {
+		answer := s.host.callStop(ctx, s.source, s.attempt, holder)
+		answer.first = first
+		return answer
+	})
 }
 
 // askForRuns asks the target which runs it has. Unless closed is set, the answer shows only that the target answers: a report of a moment
--- a/service/usherhost/stoprun.go
+++ b/service/usherhost/stoprun.go
@@ -29,7 +29,9 @@
 	run    ushercall.StoppedRun
 	// end says what has shown the end of the run; endNone if err is set.
 	end runEnd
-	err error
+	// first is set if the answer to the first order has shown it, so that no other one can have ended the run before.
+	first bool
+	err   error
 	// unanswered reports that the order got no answer, so that the target may have ended the run or not.
 	unanswered bool
 }
@@ -132,7 +134,7 @@
 // other one takes it; others are better off in a new run than at a target that has sent nothing for long.
 func (g *generation) recordStop(r stopResult) {
 	g.stopper.close()
-	g.runEnded, g.runEnd, g.runKept = true, r.end, r.run.Kept
+	g.runEnded, g.stopped = true, r
 	if r.run.Copied {
 		g.copies.RunEnded(r.holder, r.run.Kept)
 	}
@@ -183,9 +185,9 @@
 	if err := g.awaitRunEnd(ctx, cause); err != nil {
 		return err
 	}
-	g.host.log.Info("stream sent again", "attempt", g.req.Attempt, "from", g.source.Target.ID, "cause", errorText(cause), "run_end", g.runEnd, "duration_ms", time.Since(g.req.received).Milliseconds())
-	if g.runKept.Handle != "" {
-		go g.host.releaseCopy(g.source.Target.ID, g.runKept)
+	g.host.log.Info("stream sent again", "attempt", g.req.Attempt, "from", g.source.Target.ID, "cause", errorText(cause), "run_end", g.stopped.end, "duration_ms", time.Since(g.req.received).Milliseconds())
+	if kept := g.stopped.run.Kept; kept.Handle != "" {
+		go g.host.releaseCopy(g.source.Target.ID, kept)
 	}
 	return nil
 }
--- a/service/usherhost/stream.go
+++ b/service/usherhost/stream.go
@@ -95,12 +95,10 @@
 		copies      *ushercopies.Tracker
 		copyResults chan copyResult
 		// stopping reports whether the target has been ordered to end the current run, runEnded whether that run goes on
-		// nowhere that this host can reach, and runEnd what has shown so.
-		stopping bool
-		runEnded bool
-		runEnd   runEnd
-		// runKept is the KV cache that the target keeps of the run that it has ended on order.
-		runKept     ushercall.Copy
+		// nowhere that this host can reach, and stopped what has shown so.
+		stopping    bool
+		runEnded    bool
+		stopped     stopResult
 		stopper     *runStopper
 		stopResults chan stopResult
 		// mayBeStopped reports whether the target may have ended the current run because of an order, so that the end of a
@@ -308,7 +306,7 @@
 	g.source, g.resumeAnnounced, g.runEvents, g.runAdvanced, g.times = choice, false, 0, false, runTimes{}
 	// Results of copies that are still in progress belong to the previous run and must not be received.
 	g.copyResults = make(chan copyResult, 1)
-	g.stopping, g.runEnded, g.runEnd, g.runKept, g.mayBeStopped, g.stopResults = false, false, endNone, ushercall.Copy{}, false, make(chan stopResult, 1)
+	g.stopping, g.runEnded, g.stopped, g.mayBeStopped, g.stopResults = false, false, stopResult{}, false, make(chan stopResult, 1)
 	g.stopper = newRunStopper(g.host, choice.Target, g.req.Attempt)
 	x, err := g.host.connect(ctx, choice.Target)
 	if err != nil {
