usherhost: end runs for which nobody waits, with orders that are repeated

Engines worked on for nobody. A stream that may be resumed is sent to another engine once the first one has sent nothing for its start timeout; its connection is closed, which an engine behind a silent one does not learn. And a caller that leaves while its host waits for the end of a run whose answer was lost took the order with it: that was the caller's to cancel.

Such runs are ended beside the request, in the way of all others, for 10 s at most. The connection is closed 0.3 s before the first order, as most engines end the run with it, and an order would copy its KV cache. 16 at once and no more (TestOrdersForAbandonedRunsAreBounded); streams.abandoned_left counts those that are left to their engines. Nothing of such a stream has reached the caller, so it goes on nowhere, and the caller does not wait for a target that may be silent for long.

--- a/service/usherhost/host.go
+++ b/service/usherhost/host.go
@@ -98,8 +98,10 @@
 		callerListener net.Listener
 		background     sync.WaitGroup
 		containment    *containment
-		inProgress     atomic.Int64
-		contacts       contacts
+		// abandonedRuns has an element for each run that is ended although nobody waits for it.
+		abandonedRuns chan struct{}
+		inProgress    atomic.Int64
+		contacts      contacts
 		// stop is nil before a planned stop. At its endsAt, endRequests cancels requestsCtx.
 		stop        atomic.Pointer[stopTimes]
 		requestsCtx context.Context
@@ -126,7 +128,7 @@
 		settings: s, platform: p, codec: p.Codec, engines: p.Engines, log: log, state: newSharedState(s, self, uint64(os.Getpid()), newBootClock(p.Uptime)),
 		conns: newConns(registry), buffers: newBufferBudget(s.Limits.MemoryMegabytes), metrics: newHostMetrics(registry),
 	}
-	h.containment = newContainment(log, registry)
+	h.containment, h.abandonedRuns = newContainment(log, registry), make(chan struct{}, maxAbandonedRuns)
 	h.requestsCtx, h.endRequests = context.WithCancel(context.Background())
 	var err error
 	if h.peers, err = newPeers(h.state, p, s.Listen.Peers, log, registry); err != nil {
--- a/service/usherhost/metrics.go
+++ b/service/usherhost/metrics.go
@@ -39,7 +39,9 @@
 	stopsRefused metrics.Counter
 	// lostAnswers counts the runs that went on although their engine had closed the connection, and were ended then.
 	lostAnswers metrics.Counter
-	retries     metrics.Counter
+	// abandonedLeft counts the runs that were left to their targets, as too many were being ended.
+	abandonedLeft metrics.Counter
+	retries       metrics.Counter
 	// earlyEnds counts the requests whose target closed the connection before it began to answer, crashes those of them
 	// whose target had crashed.
 	earlyEnds metrics.Counter
@@ -76,8 +78,8 @@
 		streamsResumed: metrics.NewRegisteredCounter("streams.resumed", r), copies: metrics.NewRegisteredCounter("streams.copies", r),
 		copiesFailed: metrics.NewRegisteredCounter("streams.copies_failed", r), retries: metrics.NewRegisteredCounter("requests.repeats", r),
 		stops: metrics.NewRegisteredCounter("streams.stops", r), stopsRefused: metrics.NewRegisteredCounter("streams.stops_refused", r),
-		lostAnswers: metrics.NewRegisteredCounter("streams.lost_answers", r),
-		earlyEnds:   metrics.NewRegisteredCounter("targets.early_ends", r), crashes: metrics.NewRegisteredCounter("targets.crashes", r), probes: metrics.NewRegisteredCounter("requests.suspect_probes", r),
+		lostAnswers: metrics.NewRegisteredCounter("streams.lost_answers", r), abandonedLeft: metrics.NewRegisteredCounter("streams.abandoned_left", r),
+		earlyEnds: metrics.NewRegisteredCounter("targets.early_ends", r), crashes: metrics.NewRegisteredCounter("targets.crashes", r), probes: metrics.NewRegisteredCounter("requests.suspect_probes", r),
 		departures: metrics.NewRegisteredCounter("targets.departures", r), rests: metrics.NewRegisteredCounter("targets.rests", r),
 		noticesIgnored: metrics.NewRegisteredCounter("targets.notices_ignored", r), withdrawn: metrics.NewRegisteredCounter("requests.withdrawn", r),
 		limits: metrics.NewRegisteredCounter("targets.limits", r), heldOff: metrics.NewRegisteredCounter("requests.held_off", r),
--- a/service/usherhost/stoprun.go
+++ b/service/usherhost/stoprun.go
@@ -16,6 +16,11 @@
 	// maxReportAge bounds the age of what an engine reports. The users state some hundred milliseconds. Only what it says of a moment after
 	// it has closed the run's connection counts: before, it may leave out a run that is newer than the report, or preempted.
 	maxReportAge = time.Second
+	// maxAbandonedRuns bounds the runs that are ended although nobody waits for it, for abandonTimeout each at most. Their connections are
+	// closed first: within closeGrace most engines have ended the run themselves, and an order would copy its KV cache.
+	maxAbandonedRuns = 16
+	abandonTimeout   = 10 * time.Second
+	closeGrace       = 300 * time.Millisecond
 )
 
 // errStillRunning is the type of errors for runs that may go on at an engine which can be reached.
@@ -146,6 +151,14 @@
 // awaitRunEnd returns once the run does not go on at its target, or the stream cannot go on elsewhere. That the target has closed the
 // connection shows no end of the run: the response may be lost and the run go on.
 func (g *generation) awaitRunEnd(ctx context.Context, cause error) error {
+	if g.stopping {
+		// The try that is in progress uses the stopper.
+		result := <-g.stopResults
+		g.stopping = false
+		if result.err == nil {
+			g.recordStop(result)
+		}
+	}
 	closed, silence := time.Now(), time.Duration(0)
 	if !endedByTarget(cause) {
 		silence = g.silenceAllowed()
@@ -173,15 +186,58 @@
 		}
 		sleep(ctx, stopRetryInterval)
 		if ctx.Err() != nil {
+			g.abandonRun(ctx)
 			return result.err
 		}
 	}
 	return nil
 }
 
-// awaitLostRunEnd returns once a run whose target has closed the connection before it began to answer does not go on: only the answer may be
-// lost. What is left of the run is freed, as the request begins anew.
-func (g *generation) awaitLostRunEnd(ctx context.Context, cause error) error {
+// abandonRun ends a run whose result nobody takes, beside the request: its target may not learn that its connection is closed. Where many
+// runs are abandoned at once, only some are ended so.
+func (g *generation) abandonRun(ctx context.Context) {
+	h, source, attempt, stopper := g.host, g.source.Target, g.req.Attempt, g.stopper
+	destination, known := h.state.otherTarget(source)
+	if !known || !g.takesOrders() {
+		return
+	}
+	select {
+	case h.abandonedRuns <- struct{}{}:
+	default:
+		h.metrics.abandonedLeft.Inc(1)
+		h.log.Debug("too many abandoned runs to end this one", "attempt", attempt, "source", source.ID)
+		return
+	}
+	g.closeExchange()
+	// The order is not the caller's to cancel.
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), abandonTimeout)
+	go func() {
+		defer func() {
+			cancel()
+			<-h.abandonedRuns
+		}()
+		_ = h.containment.run("end of an abandoned run", func() {
+			sleep(ctx, closeGrace)
+			result := stopper.end(ctx, &destination, 0)
+			for result.err != nil && ctx.Err() == nil {
+				sleep(ctx, stopRetryInterval)
+				result = stopper.end(ctx, &destination, 0)
+			}
+			stopper.close()
+			if kept := result.run.Kept; kept.Handle != "" {
+				h.releaseCopy(source.ID, kept)
+			}
+		})
+	}()
+}
+
+// leaveRun ends a run that has sent nothing, before its request is sent again. If its target has closed the connection, only the answer may
+// be lost, and leaveRun returns once the run does not go on. The caller does not wait for a target that is late: it may be silent for long.
+func (g *generation) leaveRun(ctx context.Context, cause error) error {
+	if !endedByTarget(cause) {
+		g.abandonRun(ctx)
+		return nil
+	}
 	if err := g.awaitRunEnd(ctx, cause); err != nil {
 		return err
 	}
--- a/service/usherhost/stream.go
+++ b/service/usherhost/stream.go
@@ -224,8 +224,8 @@
 		if ctx.Err() != nil || !g.takeRetryFor(result) {
 			break
 		}
-		if result.ran && result.reply.status == 0 && endedByTarget(result.err) {
-			if err := g.awaitLostRunEnd(ctx, result.err); err != nil {
+		if result.ran && result.reply.status == 0 {
+			if err := g.leaveRun(ctx, result.err); err != nil {
 				cause = err
 				break
 			}
