usherhost: count no target as unreachable that sends on older connections

Engines worked on streams that had gone on elsewhere. An engine that accepts no connection for 2.5 s, as with a full queue of them, counted as one that cannot be reached, while it sent another stream to the same host.

What comes from the address meanwhile counts as well. Calls to a target that could not be reached, or hung, are left to their ends: an order that it finds when it comes back ends the run. A report that does not list a run counts only after its target has closed the connection, or where the engine takes no orders: it may leave out one that is preempted.

--- a/cmd/usher-host/daemon/runend_test.go
+++ b/cmd/usher-host/daemon/runend_test.go
@@ -114,19 +114,57 @@
 	}
 }
 
-// scarceNetwork opens no connection while exhausted is set.
+// An engine accepts no connection for long and sends another stream meanwhile. It counted as one that cannot be reached, and worked on a stream whose
+// connection had gone silent while that went on at another engine.
+func TestEngineThatSendsAnotherStreamIsReached(t *testing.T) {
+	network := &scarceNetwork{}
+	withTestbed(t, options{hosts: 1, engines: 1, editPlatform: func(p *usherhost.Platform) {
+		network.Network, p.Network = p.Network, network
+	}, editDeclarations: func(d map[string]any) {
+		d["routes"].([]any)[1].(map[string]any)["timeoutMs"] = 20000
+	}}, func(t *testing.T, b *testbed) {
+		attempt, done := b.startStream(b.hosts[0], "/eligibility/200")
+		time.Sleep(500 * time.Millisecond)
+		b.silence(b.hosts[0], 0)
+		_, other := b.startStream(b.hosts[0], "/appraisal/300")
+		time.Sleep(500 * time.Millisecond)
+		_, entry := b.targets[b.currentEngine(attempt)].Entry("ready")
+		network.closed.Store(entry.(map[string]any)["address"])
+		b.addTarget("engine-1", engineService, 1)
+		time.Sleep(4 * time.Second)
+		network.closed.Store("")
+		if got := <-done; got.err != nil || !isComplete(got.body, attempt, 200) {
+			t.Errorf("error %v, %d events; want 200", got.err, len(events(got.body)))
+		}
+		<-other
+		b.checkOverlap(attempt)
+	})
+}
+
+// scarceNetwork opens no connection while exhausted is set, and none to the address closed.
 type scarceNetwork struct {
 	usherhost.Network
 	exhausted atomic.Bool
+	closed    atomic.Value
 }
 
 func (n *scarceNetwork) Dial(ctx context.Context, network, address string) (net.Conn, error) {
 	if n.exhausted.Load() {
 		return nil, &net.OpError{Op: "dial", Net: network, Err: os.NewSyscallError("socket", syscall.EMFILE)}
 	}
+	if n.closed.Load() == address {
+		sleep(ctx, 500*time.Millisecond)
+		return nil, &net.OpError{Op: "dial", Net: network, Err: os.ErrDeadlineExceeded}
+	}
 	return n.Network.Dial(ctx, network, address)
 }
 
+func sleep(ctx context.Context, d time.Duration) {
+	ctx, cancel := context.WithTimeout(ctx, d)
+	defer cancel()
+	<-ctx.Done()
+}
+
 // slowControl returns a wrapper of targets whose control calls take the given time.
 func slowControl(delay time.Duration) func(string, http.Handler) http.Handler {
 	return func(_ string, target http.Handler) http.Handler {
--- a/service/usherhost/reach.go
+++ b/service/usherhost/reach.go
@@ -20,7 +20,7 @@
 )
 
 // reach returns what shows that a target runs nothing that this host can reach: a refused connection, or none accepted for
-// unreachableTime. It returns endNone if the target accepts a connection, and an error if nothing is shown either way.
+// unreachableTime, in which nothing comes on older ones either. It returns endNone if the target accepts a connection, and an error if nothing is shown either way.
 func (h *Host) reach(ctx context.Context, target ushercatalog.Target) (runEnd, error) {
 	ctx, cancel := context.WithTimeout(ctx, unreachableTime)
 	defer cancel()
@@ -61,6 +61,9 @@
 		if took := time.Since(start); took > unreachableTime+lateTolerance || took < unreachableTime-reachInterval {
 			return endNone, errStillRunning.New("%d tries to reach %s in %s show nothing", tries, target.Address, took)
 		}
+		if h.contacts.heardSince(target.Address, start) {
+			return endNone, errStillRunning.New("%s accepts no connection, and sends on others", target.Address)
+		}
 		return endUnreachable, nil
 	}
 }
--- a/service/usherhost/runend.go
+++ b/service/usherhost/runend.go
@@ -22,3 +22,6 @@
 	// endWithResponse is a complete failure response.
 	endWithResponse runEnd = "failure_response"
 )
+
+// isFinal reports whether the run has ended for good. One that can't be reached goes on if its target can be reached again.
+func (e runEnd) isFinal() bool { return e != endNone && e != endUnreachable && e != endSilent }
--- a/service/usherhost/runstopper.go
+++ b/service/usherhost/runstopper.go
@@ -37,8 +37,9 @@
 		asking bool
 		// silentSince is when the first call was made that has no answer and after which none came to another one.
 		silentSince time.Time
-		// cancel ends the calls in progress.
-		cancel []context.CancelFunc
+		// close ends the calls in progress, with inUse.
+		inUse context.Context
+		close context.CancelFunc
 	}
 
 	// controlAnswer is the outcome of an order, or of a question for a report.
@@ -51,7 +52,8 @@
 )
 
 func newRunStopper(h *Host, source ushercatalog.Target, attempt string) *runStopper {
-	return &runStopper{host: h, source: source, attempt: attempt, answers: make(chan controlAnswer, maxPendingOrders+1)}
+	inUse, end := context.WithCancel(context.Background())
+	return &runStopper{host: h, source: source, attempt: attempt, answers: make(chan controlAnswer, maxPendingOrders+1), inUse: inUse, close: end}
 }
 
 // orderDue reports whether the run is to be ordered to end, for the first time or again.
@@ -94,10 +96,10 @@
 		s.silentSince = time.Now()
 	}
 	answers, source := s.answers, s.source.ID
-	ctx, cancel := context.WithTimeout(ctx, controlTimeout)
-	s.cancel = append(s.cancel, cancel)
 	go func() {
+		ctx, cancel := context.WithTimeout(ctx, controlTimeout)
 		defer cancel()
+		defer context.AfterFunc(s.inUse, cancel)()
 		answer := failed
 		if err := s.host.containment.run(task, func() { answer = call(ctx) }); err != nil {
 			answer.err = errStillRunning.Wrap(err, "no answer of target %s", source)
@@ -161,14 +163,6 @@
 	return answer.stopResult
 }
 
-// close ends the calls in progress. An order that is carried out late could end a later run of the request at the same target.
-func (s *runStopper) close() {
-	for _, cancel := range s.cancel {
-		cancel()
-	}
-	s.cancel = nil
-}
-
 // end makes one try to end the run, with an order to copy its KV cache to holder if that is known. Without an error the run has ended.
 // silence is the time after which an open connection that carries nothing counts; zero if the target has closed it.
 func (s *runStopper) end(ctx context.Context, holder *ushercatalog.Target, silence time.Duration) stopResult {
--- a/service/usherhost/stoprun.go
+++ b/service/usherhost/stoprun.go
@@ -138,7 +138,10 @@
 // recordStop records that the run has ended, with what is left of it. A stream that may run once goes on at its own target if no
 // other one takes it; others are better off in a new run than at a target that has sent nothing for long.
 func (g *generation) recordStop(r stopResult) {
-	g.stopper.close()
+	if r.end.isFinal() {
+		// An order that is carried out late could end a later run of the request at this target.
+		g.stopper.close()
+	}
 	g.runEnded, g.stopped = true, r
 	if r.run.Copied {
 		g.copies.RunEnded(r.holder, r.run.Kept)
@@ -170,7 +173,7 @@
 				return err
 			}
 		}
-		if (endedByTarget(cause) || !g.req.route.AtMostOnce()) && time.Since(closed) >= maxReportAge {
+		if (endedByTarget(cause) || !g.req.route.AtMostOnce() && !g.takesOrders()) && time.Since(closed) >= maxReportAge {
 			g.stopper.askForRuns(ctx, true)
 		}
 		result := g.prepareStop(ctx, silence)(ctx)
@@ -239,6 +242,10 @@
 		return nil
 	}
 	if err := g.awaitRunEnd(ctx, cause); err != nil {
+		if !errorx.IsOfType(err, errStillRunning) {
+			// There is no other target that an order could name.
+			return nil
+		}
 		return err
 	}
 	g.host.log.Info("stream sent again", "attempt", g.req.Attempt, "from", g.source.Target.ID, "cause", errorText(cause), "run_end", g.stopped.end, "duration_ms", time.Since(g.req.received).Milliseconds())
