usherhost: take no failure of the host itself for a crash of a target

Requests could be refused as suspect that had crashed nothing. A target that ends a connection before it answers is tried with a new one; any error of that counted as a crash, also one of the host's own system, as without free descriptors. A failed probe shows neither the end of a run nor that of its target.

Only a refused connection, or one that nothing comes back for, counts now.

--- a/cmd/usher-host/daemon/crash_test.go
+++ b/cmd/usher-host/daemon/crash_test.go
@@ -385,3 +385,30 @@
 		}
 	})
 }
+
+// An engine breaks a stream off before it begins, and the host has no descriptor left to try a connection. That counted as a crash of the engine,
+// and requests that share parts with the stream were refused after some more.
+func TestFailureOfTheHostIsNoCrashOfATarget(t *testing.T) {
+	network := &scarceNetwork{}
+	withTestbed(t, options{hosts: 1, engines: 4, editPlatform: func(p *usherhost.Platform) {
+		network.Network, p.Network = p.Network, network
+	}, wrapTarget: func(_ string, target http.Handler) http.Handler {
+		return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if strings.HasPrefix(r.URL.Path, "/appraisal/") {
+				time.Sleep(300 * time.Millisecond)
+				panic(http.ErrAbortHandler)
+			}
+			target.ServeHTTP(w, r)
+		})
+	}}, func(t *testing.T, b *testbed) {
+		_, done := b.startStream(b.hosts[0], "/appraisal/10")
+		time.Sleep(100 * time.Millisecond)
+		network.exhausted.Store(true)
+		<-done
+		network.exhausted.Store(false)
+		metrics := b.getAt(b.hosts[0], adminPort, usherhost.MetricsPath).body
+		if !strings.Contains(metrics, "targets.early_ends 1\n") || !strings.Contains(metrics, "targets.crashes 0\n") {
+			t.Errorf("want an early end and no crash")
+		}
+	})
+}
--- a/service/usherhost/crash.go
+++ b/service/usherhost/crash.go
@@ -28,7 +28,7 @@
 	target := choice.Target
 	accepting := h.state.accepts(target.ID)
 	err := h.probeTarget(ctx, target)
-	crashed := err != nil && accepting && ctx.Err() == nil
+	crashed := (isRefused(err) || isPathError(err)) && accepting && ctx.Err() == nil
 	h.metrics.earlyEnds.Inc(1)
 	if crashed {
 		h.metrics.crashes.Inc(1)
@@ -93,11 +93,9 @@
 
 // probeTarget returns an error if a target accepts no connection.
 func (h *Host) probeTarget(ctx context.Context, target ushercatalog.Target) error {
-	x, err := h.connect(ctx, target)
-	if err == nil {
-		x.close()
-	}
-	return err
+	ctx, cancel := context.WithTimeout(ctx, connectTimeout)
+	defer cancel()
+	return h.openOnce(ctx, target)
 }
 
 // endedByTarget reports whether an exchange failed because the target, or its operating system, closed the connection.
--- a/service/usherhost/reach.go
+++ b/service/usherhost/reach.go
@@ -44,7 +44,7 @@
 			switch {
 			case err == nil:
 				return endNone, nil
-			case errors.Is(err, syscall.ECONNREFUSED):
+			case isRefused(err):
 				return endRefused, nil
 			case !isPathError(err):
 				return endNone, errStillRunning.Wrap(err, "no connection to %s tried", target.Address)
@@ -77,6 +77,9 @@
 	return err
 }
 
+// isRefused reports whether no process listens at the other end.
+func isRefused(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
+
 // isPathError reports whether a connection could not be opened because nothing came back from the other end. Other errors, as of a
 // process without free descriptors, say nothing about it.
 func isPathError(err error) bool {
