--- a/service/usherhost/relay.go
+++ b/service/usherhost/relay.go
@@ -120,7 +120,7 @@
 	if err := g.awaitRunEnd(ctx, io.EOF); err != nil {
 		return ctx.Err() != nil
 	}
-	return g.stopped.end != endNotFound || !g.stopped.first
+	return g.stopped.end != endNotFound || !g.stopped.firstOrder
 }
 
 // continuesNothing reports whether the current run, which was to continue a stream, has not added an event to it. Its end
--- a/service/usherhost/runstopper.go
+++ b/service/usherhost/runstopper.go
@@ -29,12 +29,11 @@
 		attempt string
 		// answers has room for the answers to all calls in progress.
 		answers chan controlAnswer
-		// given counts all orders, orders those without an answer.
-		given     int
-		orders    int
-		orderedAt time.Time
-		// asking is set while the target is asked for its runs.
-		asking bool
+		// orders counts all orders, pendingOrders those without an answer yet. reportPending is set while the target is asked for its runs.
+		orders        int
+		pendingOrders int
+		orderedAt     time.Time
+		reportPending bool
 		// silentSince is when the first call was made that has no answer and after which none came to another one.
 		silentSince time.Time
 		// close ends the calls in progress, with inUse.
@@ -58,18 +57,18 @@
 
 // orderDue reports whether the run is to be ordered to end, for the first time or again.
 func (s *runStopper) orderDue() bool {
-	return s.orders == 0 || s.orders < maxPendingOrders && time.Since(s.orderedAt) >= orderPatience<<(s.orders-1)
+	return s.pendingOrders == 0 || s.pendingOrders < maxPendingOrders && time.Since(s.orderedAt) >= orderPatience<<(s.pendingOrders-1)
 }
 
 // order orders the target to end the run and to copy its KV cache to holder.
 func (s *runStopper) order(ctx context.Context, holder ushercatalog.Target) {
-	s.given++
 	s.orders++
+	s.pendingOrders++
 	s.orderedAt = time.Now()
-	first := s.given == 1
+	first := s.orders == 1
 	s.call(ctx, controlAnswer{}, "order to end a run", func(ctx context.Context) controlAnswer {
 		answer := s.host.callStop(ctx, s.source, s.attempt, holder)
-		answer.first = first
+		answer.firstOrder = first
 		return answer
 	})
 }
@@ -77,10 +76,10 @@
 // askForRuns asks the target which runs it has. Unless closed is set, the answer shows only that the target answers: a report of a moment
 // before the run's connection was closed may leave out a run that is newer, or preempted.
 func (s *runStopper) askForRuns(ctx context.Context, closed bool) {
-	if s.asking {
+	if s.reportPending {
 		return
 	}
-	s.asking = true
+	s.reportPending = true
 	s.call(ctx, controlAnswer{report: true}, "question for runs", func(ctx context.Context) controlAnswer {
 		answer := s.host.callRuns(ctx, s.source, s.attempt)
 		if !closed && answer.err == nil {
@@ -108,19 +107,20 @@
 	}()
 }
 
-// await waits for an answer for orderPatience at most. After silence the target counts as silent, unless that is zero: a target that has
+// await waits for an answer for orderPatience at most. After maxSilence the target counts as silent, unless that is zero: a target that has
 // closed the run's connection has shown that it works.
-func (s *runStopper) await(ctx context.Context, silence time.Duration) stopResult {
-	still := stopResult{err: errStillRunning.New("no answer of target %s yet", s.source.ID), unanswered: s.orders > 0}
+func (s *runStopper) await(ctx context.Context, maxSilence time.Duration) stopResult {
+	still := stopResult{err: errStillRunning.New("no answer of target %s yet", s.source.ID), unanswered: s.pendingOrders > 0}
 	for until := time.Now().Add(orderPatience); ; {
 		next := until
-		if silence > 0 {
-			next = s.silentSince.Add(silence)
-			if !s.asking {
-				next = s.silentSince.Add(silence / 2)
+		if maxSilence > 0 {
+			next = s.silentSince.Add(maxSilence)
+			if !s.reportPending {
+				next = s.silentSince.Add(maxSilence / 2)
 			}
 		}
-		timer := time.NewTimer(time.Until(next))
+		began, wait := time.Now(), max(time.Until(next), 0)
+		timer := time.NewTimer(wait)
 		select {
 		case answer := <-s.answers:
 			timer.Stop()
@@ -131,51 +131,51 @@
 		case <-timer.C:
 		}
 		switch {
-		case silence == 0:
+		case maxSilence == 0:
 			return still
-		case time.Since(next) > lateTolerance:
+		case time.Since(began) > wait+lateTolerance:
 			s.silentSince = time.Now()
 			return still
-		case !s.asking:
+		case !s.reportPending:
 			s.askForRuns(ctx, false)
 		case s.host.contacts.heardSince(s.source.Address, s.silentSince):
 			s.silentSince = time.Now()
 			return still
 		default:
-			return stopResult{end: endSilent, unanswered: s.orders > 0}
+			return stopResult{end: endSilent, unanswered: s.pendingOrders > 0}
 		}
 	}
 }
 
 func (s *runStopper) receive(answer controlAnswer) stopResult {
 	if answer.report {
-		s.asking = false
+		s.reportPending = false
 	} else {
-		s.orders--
+		s.pendingOrders--
 	}
 	if !answer.silent {
 		s.silentSince = time.Time{}
-		if s.orders > 0 || s.asking {
+		if s.pendingOrders > 0 || s.reportPending {
 			s.silentSince = time.Now()
 		}
 	}
-	answer.unanswered = answer.unanswered || s.orders > 0
+	answer.unanswered = answer.unanswered || s.pendingOrders > 0
 	return answer.stopResult
 }
 
 // end makes one try to end the run, with an order to copy its KV cache to holder if that is known. Without an error the run has ended.
-// silence is the time after which an open connection that carries nothing counts; zero if the target has closed it.
-func (s *runStopper) end(ctx context.Context, holder *ushercatalog.Target, silence time.Duration) stopResult {
+// maxSilence is the time after which an open connection that carries nothing counts; zero if the target has closed it.
+func (s *runStopper) end(ctx context.Context, holder *ushercatalog.Target, maxSilence time.Duration) stopResult {
 	if end, err := s.host.goneBy(ctx, s.source, s.attempt); end != endNone || err != nil {
 		return stopResult{end: end, err: err}
 	}
 	if holder != nil && s.orderDue() && !s.host.state.rests(s.source.ID) {
 		s.order(ctx, *holder)
 	}
-	if s.orders == 0 && !s.asking {
+	if s.pendingOrders == 0 && !s.reportPending {
 		return stopResult{err: errStillRunning.New("target %s may still work on the request", s.source.ID)}
 	}
-	result := s.await(ctx, silence)
+	result := s.await(ctx, maxSilence)
 	if result.end == endSilent {
 		s.host.logUnreachable(s.source, s.attempt, endSilent)
 	}
--- a/service/usherhost/stoprun.go
+++ b/service/usherhost/stoprun.go
@@ -34,9 +34,9 @@
 	run    ushercall.StoppedRun
 	// end says what has shown the end of the run; endNone if err is set.
 	end runEnd
-	// first is set if the answer to the first order has shown it, so that no other one can have ended the run before.
-	first bool
-	err   error
+	// firstOrder is set if the answer to the first order has shown it, so that no other one can have ended the run before.
+	firstOrder bool
+	err        error
 	// unanswered reports that the order got no answer, so that the target may have ended the run or not.
 	unanswered bool
 }
@@ -47,7 +47,7 @@
 // To close the connection is not enough: on one that has gone silent, the engine does not learn of it.
 func (g *generation) beginStop(ctx context.Context) {
 	g.stopping = true
-	results, end := g.stopResults, g.prepareStop(ctx, g.silenceAllowed())
+	results, end := g.stopResults, g.prepareStop(ctx, g.maxSilence())
 	go func() {
 		var result stopResult
 		if err := g.host.containment.run("end of a run", func() { result = end(ctx) }); err != nil {
@@ -57,23 +57,23 @@
 	}()
 }
 
-// silenceAllowed returns how long the target may leave calls without an answer while the run's connection is open.
-func (g *generation) silenceAllowed() time.Duration {
+// maxSilence returns how long the target may leave calls without an answer while the run's connection is open.
+func (g *generation) maxSilence() time.Duration {
 	return time.Duration(silenceFactor * float64(g.stallTimeout()))
 }
 
-// prepareStop returns the call that makes a try to end the run, which may be made by another goroutine. silence is as in runStopper.end.
-func (g *generation) prepareStop(ctx context.Context, silence time.Duration) func(ctx context.Context) stopResult {
+// prepareStop returns the call that makes a try to end the run, which may be made by another goroutine. maxSilence is as in runStopper.end.
+func (g *generation) prepareStop(ctx context.Context, maxSilence time.Duration) func(ctx context.Context) stopResult {
 	stopper := g.stopper
 	if !g.takesOrders() || !stopper.orderDue() {
-		return func(ctx context.Context) stopResult { return stopper.end(ctx, nil, silence) }
+		return func(ctx context.Context) stopResult { return stopper.end(ctx, nil, maxSilence) }
 	}
 	holder, err := g.stopDestination(ctx)
 	return func(ctx context.Context) stopResult {
 		if err != nil {
 			return stopResult{err: err}
 		}
-		return stopper.end(ctx, &holder, silence)
+		return stopper.end(ctx, &holder, maxSilence)
 	}
 }
 
@@ -162,9 +162,9 @@
 			g.recordStop(result)
 		}
 	}
-	closed, silence := time.Now(), time.Duration(0)
+	closed, maxSilence := time.Now(), time.Duration(0)
 	if !endedByTarget(cause) {
-		silence = g.silenceAllowed()
+		maxSilence = g.maxSilence()
 	}
 	for !g.runEnded {
 		if g.req.route.AtMostOnce() && !g.takesOrders() {
@@ -176,7 +176,7 @@
 		if (endedByTarget(cause) || !g.req.route.AtMostOnce() && !g.takesOrders()) && time.Since(closed) >= maxReportAge {
 			g.stopper.askForRuns(ctx, true)
 		}
-		result := g.prepareStop(ctx, silence)(ctx)
+		result := g.prepareStop(ctx, maxSilence)(ctx)
 		if result.err == nil {
 			if endedByTarget(cause) && result.end == endOnOrder {
 				g.host.metrics.lostAnswers.Inc(1)
