usherhost: ask no resting engine for its runs, and others once a second

Orders wait for that, reports did not.

Reports wait for the end of a rest as well, and are asked for once a second again, as on.

--- a/cmd/usher-host/daemon/runend_test.go
+++ b/cmd/usher-host/daemon/runend_test.go
@@ -18,20 +18,23 @@
 	"github.com/samphireusher/samphireusher/service/usherhost"
 )
 
+// failNextRun lets the next run at any engine fail.
+func (b *testbed) failNextRun(f usherstandin.Fault) {
+	faults := &faultSequence{faults: []usherstandin.Fault{f}}
+	for _, target := range b.targets {
+		target.SetFaultSource(faults.next)
+	}
+}
+
+// extendTimeout gives streams that may be resumed time to wait for slow engines.
+func extendTimeout(d map[string]any) {
+	d["routes"].([]any)[1].(map[string]any)["timeoutMs"] = 20000
+}
+
 // A stream went on at a second engine, and the log did not say how its host knew that the first one had ended the run.
 func TestLogSaysWhatShowedTheEndOfTheRunBefore(t *testing.T) {
-	loses := func(b *testbed) {
-		faults := &faultSequence{faults: []usherstandin.Fault{usherstandin.LosesAnswerLater}}
-		for _, target := range b.targets {
-			target.SetFaultSource(faults.next)
-		}
-	}
-	breaks := func(b *testbed) {
-		faults := &faultSequence{faults: []usherstandin.Fault{usherstandin.EndsInsideEvent}}
-		for _, target := range b.targets {
-			target.SetFaultSource(faults.next)
-		}
-	}
+	loses := func(b *testbed) { b.failNextRun(usherstandin.LosesAnswerLater) }
+	breaks := func(b *testbed) { b.failNextRun(usherstandin.EndsInsideEvent) }
 	for _, c := range []struct {
 		name string
 		// prepare changes the engines before the stream begins, disturb does so while it runs.
@@ -120,9 +123,7 @@
 	network := &scarceNetwork{}
 	withTestbed(t, options{hosts: 1, engines: 1, editPlatform: func(p *usherhost.Platform) {
 		network.Network, p.Network = p.Network, network
-	}, editDeclarations: func(d map[string]any) {
-		d["routes"].([]any)[1].(map[string]any)["timeoutMs"] = 20000
-	}}, func(t *testing.T, b *testbed) {
+	}, editDeclarations: extendTimeout}, func(t *testing.T, b *testbed) {
 		attempt, done := b.startStream(b.hosts[0], "/eligibility/200")
 		time.Sleep(500 * time.Millisecond)
 		b.silence(b.hosts[0], 0)
@@ -183,13 +184,8 @@
 	for _, path := range []string{"/appraisal/100", "/eligibility/60"} {
 		for _, delay := range []time.Duration{900 * time.Millisecond, 1400 * time.Millisecond, 3 * time.Second} {
 			t.Run(fmt.Sprintf("%s, %s", path, delay), func(t *testing.T) {
-				withTestbed(t, options{hosts: 1, engines: 4, wrapTarget: slowControl(delay), editDeclarations: func(d map[string]any) {
-					d["routes"].([]any)[1].(map[string]any)["timeoutMs"] = 20000
-				}}, func(t *testing.T, b *testbed) {
-					faults := &faultSequence{faults: []usherstandin.Fault{usherstandin.LosesAnswerLater}}
-					for _, target := range b.targets {
-						target.SetFaultSource(faults.next)
-					}
+				withTestbed(t, options{hosts: 1, engines: 4, wrapTarget: slowControl(delay), editDeclarations: extendTimeout}, func(t *testing.T, b *testbed) {
+					b.failNextRun(usherstandin.LosesAnswerLater)
 					got := b.post(b.hosts[0], path)
 					b.checkOverlap(got.attempt)
 					if n := len(events(got.body)); got.err != nil || !isComplete(got.body, got.attempt, n) {
@@ -203,9 +199,7 @@
 
 // The connection of a stream carries nothing any more, and its engine answers control calls late while it sends another stream. It counted as one that hangs.
 func TestEngineThatSendsAnotherStreamDoesNotHang(t *testing.T) {
-	withTestbed(t, options{hosts: 1, engines: 1, wrapTarget: slowControl(3 * time.Second), editDeclarations: func(d map[string]any) {
-		d["routes"].([]any)[1].(map[string]any)["timeoutMs"] = 20000
-	}}, func(t *testing.T, b *testbed) {
+	withTestbed(t, options{hosts: 1, engines: 1, wrapTarget: slowControl(3 * time.Second), editDeclarations: extendTimeout}, func(t *testing.T, b *testbed) {
 		attempt, done := b.startStream(b.hosts[0], "/eligibility/200")
 		time.Sleep(500 * time.Millisecond)
 		b.silence(b.hosts[0], 0)
@@ -267,10 +261,7 @@
 // incomplete or two engines work on it.
 func (b *testbed) checkLostAtOnce(total int) {
 	b.t.Helper()
-	faults := &faultSequence{faults: []usherstandin.Fault{usherstandin.LosesAnswerAtOnce}}
-	for _, target := range b.targets {
-		target.SetFaultSource(faults.next)
-	}
+	b.failNextRun(usherstandin.LosesAnswerAtOnce)
 	got := b.post(b.hosts[0], fmt.Sprintf("/eligibility/%d", total))
 	b.checkOverlap(got.attempt)
 	if got.err != nil || !isComplete(got.body, got.attempt, total) {
@@ -297,10 +288,7 @@
 					})
 				}}
 				withTestbed(t, o, func(t *testing.T, b *testbed) {
-					faults := &faultSequence{faults: []usherstandin.Fault{usherstandin.LosesAnswerLater}}
-					for _, target := range b.targets {
-						target.SetFaultSource(faults.next)
-					}
+					b.failNextRun(usherstandin.LosesAnswerLater)
 					got := b.post(b.hosts[0], path)
 					b.checkOverlap(got.attempt)
 					if got.err != nil || !isComplete(got.body, got.attempt, 60) {
@@ -335,10 +323,7 @@
 	for _, path := range []string{"/appraisal/200", "/eligibility/150"} {
 		t.Run(path, func(t *testing.T) {
 			withTestbed(t, options{hosts: 1, engines: 4}, func(t *testing.T, b *testbed) {
-				faults := &faultSequence{faults: []usherstandin.Fault{usherstandin.LosesAnswerLater}}
-				for _, target := range b.targets {
-					target.SetFaultSource(faults.next)
-				}
+				b.failNextRun(usherstandin.LosesAnswerLater)
 				refuseMoves(b)
 				ctx, leave := context.WithCancel(t.Context())
 				r := b.request(ctx, b.hosts[0], http.MethodPost, path, "a body")
@@ -408,3 +393,37 @@
 		time.Sleep(20 * time.Second)
 	})
 }
+
+// An engine loses the answer of a stream and asks for a rest when it is ordered to end the run. It was asked for its runs a second later.
+func TestRestingEngineIsNotAskedForItsRuns(t *testing.T) {
+	const rest = 4 * time.Second
+	withTestbed(t, options{hosts: 1, engines: 4}, func(t *testing.T, b *testbed) {
+		b.failNextRun(usherstandin.LosesAnswerLater)
+		attempt, done := b.startStream(b.hosts[0], "/appraisal/100")
+		for len(b.runsOf(attempt)) == 0 {
+			time.Sleep(100 * time.Microsecond)
+		}
+		for _, target := range b.targets {
+			target.AskForRest(fmt.Sprint(int(rest.Seconds())))
+		}
+		time.Sleep(rest)
+		var asked time.Time
+		for _, a := range b.targets[b.currentEngine(attempt)].Arrivals() {
+			switch {
+			case a.Path == "/kv-move" && asked.IsZero():
+				asked = a.At
+			case !asked.IsZero() && a.At.Sub(asked) < rest:
+				t.Errorf("%s %s after the engine had asked for a rest of %s", a.Path, a.At.Sub(asked), rest)
+			}
+		}
+		if asked.IsZero() {
+			t.Error("the engine was not ordered to end the run, so the test shows nothing")
+		}
+		for _, target := range b.targets {
+			target.AskForRest()
+		}
+		if got := <-done; got.err != nil || !isComplete(got.body, attempt, 100) {
+			t.Errorf("error %v, %d events; want 100", got.err, len(events(got.body)))
+		}
+	})
+}
--- a/service/usherhost/runstopper.go
+++ b/service/usherhost/runstopper.go
@@ -73,10 +73,10 @@
 	})
 }
 
-// askForRuns asks the target which runs it has. Unless closed is set, the answer shows only that the target answers: a report of a moment
-// before the run's connection was closed may leave out a run that is newer, or preempted.
+// askForRuns asks the target which runs it has, unless it rests or is being asked. Without closed, the answer shows only that the target
+// answers: a report of a moment before the run's connection was closed may leave out a run that is newer, or preempted.
 func (s *runStopper) askForRuns(ctx context.Context, closed bool) {
-	if s.reportPending {
+	if s.reportPending || s.host.state.rests(s.source.ID) {
 		return
 	}
 	s.reportPending = true
@@ -98,7 +98,8 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(ctx, controlTimeout)
 		defer cancel()
-		defer context.AfterFunc(s.inUse, cancel)()
+		stop := context.AfterFunc(s.inUse, cancel)
+		defer stop()
 		answer := failed
 		if err := s.host.containment.run(task, func() { answer = call(ctx) }); err != nil {
 			answer.err = errStillRunning.Wrap(err, "no answer of target %s", source)
@@ -137,7 +138,9 @@
 			s.silentSince = time.Now()
 			return still
 		case !s.reportPending:
-			s.askForRuns(ctx, false)
+			if s.askForRuns(ctx, false); !s.reportPending {
+				return still
+			}
 		case s.host.contacts.heardSince(s.source.Address, s.silentSince):
 			s.silentSince = time.Now()
 			return still
--- a/service/usherhost/stoprun.go
+++ b/service/usherhost/stoprun.go
@@ -162,7 +162,7 @@
 			g.recordStop(result)
 		}
 	}
-	closed, maxSilence := time.Now(), time.Duration(0)
+	nextReport, maxSilence := time.Now().Add(maxReportAge), time.Duration(0)
 	if !endedByTarget(cause) {
 		maxSilence = g.maxSilence()
 	}
@@ -173,8 +173,9 @@
 				return err
 			}
 		}
-		if (endedByTarget(cause) || !g.req.route.AtMostOnce() && !g.takesOrders()) && time.Since(closed) >= maxReportAge {
+		if (endedByTarget(cause) || !g.req.route.AtMostOnce() && !g.takesOrders()) && !time.Now().Before(nextReport) {
 			g.stopper.askForRuns(ctx, true)
+			nextReport = time.Now().Add(maxReportAge)
 		}
 		result := g.prepareStop(ctx, maxSilence)(ctx)
 		if result.err == nil {
