usherhost: let repeated orders and reports take a turn where their engine has named a limit

Engines that had named a limit got more calls than that. An order to end a run that is turned away is repeated each 0.2 s; each counted as a turn but was sent whether there was one or not, as callers lose more if the run goes on than the target does by one request. That holds for one order, not for five a second from each stream.

Evidence: TestRepeatedOrdersKeepTheLimitOfTheirEngine failed before, 20 calls in 4 s where the limit gives a turn each 1.25 s.

The first order is given at once, as before; later ones and questions for reports take a turn.

--- a/cmd/usher-host/daemon/runend_test.go
+++ b/cmd/usher-host/daemon/runend_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/netip"
 	"os"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"syscall"
@@ -427,3 +428,26 @@
 		}
 	})
 }
+
+// An engine that has named a limit loses the answer of a stream and turns orders to end the run away. The host repeated them five times a
+// second, whatever the limit.
+func TestRepeatedOrdersKeepTheLimitOfTheirEngine(t *testing.T) {
+	withTestbed(t, options{hosts: 1, engines: 1}, func(t *testing.T, b *testbed) {
+		engine := b.targets["engine-0"]
+		engine.NameLimit(loneLimit)
+		engine.RefuseMoves(true)
+		b.failNextRun(usherstandin.LosesAnswerLater)
+		b.addTarget("engine-1", engineService, 1)
+		attempt, done := b.startStream(b.hosts[0], "/appraisal/150")
+		const watched = 4 * time.Second
+		time.Sleep(watched)
+		calls := slices.DeleteFunc(engine.Arrivals(), func(a usherstandin.Arrival) bool { return a.Path != "/kv-move" && a.Path != "/report" })
+		// The first order needs no turn, and a turn may be used late.
+		if most := int(watched/loneTurn) + 2; len(calls) < 2 || len(calls) > most {
+			t.Errorf("%d calls in %s, want 2 to %d", len(calls), watched, most)
+		}
+		engine.RefuseMoves(false)
+		<-done
+		b.checkOverlap(attempt)
+	})
+}
--- a/service/usherhost/runstopper.go
+++ b/service/usherhost/runstopper.go
@@ -60,8 +60,17 @@
 	return s.pendingOrders == 0 || s.pendingOrders < maxPendingOrders && time.Since(s.orderedAt) >= orderPatience<<(s.pendingOrders-1)
 }
 
-// order orders the target to end the run and to copy its KV cache to holder.
+// order orders the target to end the run and to copy its KV cache to holder, unless it rests. The first order is given whatever limit the
+// target has named, as callers lose more if the run goes on than the target does by one request.
 func (s *runStopper) order(ctx context.Context, holder ushercatalog.Target) {
+	if s.host.state.rests(s.source.ID) {
+		return
+	}
+	if s.orders == 0 {
+		s.host.state.spendTurn(s.source.ID)
+	} else if !s.host.takeTurn(s.source.ID) {
+		return
+	}
 	s.orders++
 	s.pendingOrders++
 	s.orderedAt = time.Now()
@@ -73,10 +82,10 @@
 	})
 }
 
-// askForRuns asks the target which runs it has, unless it rests or is being asked. Without closed, the answer shows only that the target
+// askForRuns asks the target which runs it has, unless it rests, is being asked, or wants no call now by the limit that it has named. Without closed, the answer shows only that the target
 // answers: a report of a moment before the run's connection was closed may leave out a run that is newer, or preempted.
 func (s *runStopper) askForRuns(ctx context.Context, closed bool) {
-	if s.reportPending || s.host.state.rests(s.source.ID) {
+	if s.reportPending || s.host.state.rests(s.source.ID) || !s.host.state.takeTurnForPoll(s.source.ID) {
 		return
 	}
 	s.reportPending = true
@@ -172,7 +181,7 @@
 	if end, err := s.host.goneBy(ctx, s.source, s.attempt); end != endNone || err != nil {
 		return stopResult{end: end, err: err}
 	}
-	if holder != nil && s.orderDue() && !s.host.state.rests(s.source.ID) {
+	if holder != nil && s.orderDue() {
 		s.order(ctx, *holder)
 	}
 	if s.pendingOrders == 0 && !s.reportPending {
@@ -187,8 +196,6 @@
 
 // callStop makes the call that orders an engine to end a run.
 func (h *Host) callStop(ctx context.Context, source ushercatalog.Target, attempt string, holder ushercatalog.Target) controlAnswer {
-	// Callers lose more if the run goes on than the target does by one request.
-	h.state.spendTurn(source.ID)
 	sent := time.Now()
 	run, notice, err := h.engines.Stop(ctx, source.Address, attempt, holder.Address)
 	h.noteTarget(source, attempt, sent, notice)
@@ -209,7 +216,6 @@
 
 // callRuns asks an engine for its runs.
 func (h *Host) callRuns(ctx context.Context, source ushercatalog.Target, attempt string) controlAnswer {
-	h.state.spendTurn(source.ID)
 	sent := time.Now()
 	runs, notice, err := h.engines.Runs(ctx, source.Address)
 	h.noteTarget(source, "", sent, notice)
