--- a/cmd/usher-host/daemon/process_answers_test.go
+++ b/cmd/usher-host/daemon/process_answers_test.go
@@ -54,6 +54,7 @@
 	runFleet(t, 3, 2, func(f *processFleet) {
 		if p == nil {
 			p = &answerPlay{processFleet: f, engines: map[string]*usherstandin.Target{}, client: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}}
+			p.declarePatience()
 		}
 		troubles := []orderTrouble{
 			{name: "none"},
@@ -70,6 +71,19 @@
 	})
 }
 
+// declarePatience publishes routes on which no stream counts as late or stalled on a slow machine: only lost answers are under test.
+func (p *answerPlay) declarePatience() {
+	p.version++
+	d := declarations()
+	d["version"] = p.version
+	for _, route := range d["routes"].([]any)[:2] {
+		route := route.(map[string]any)
+		route["goalMs"], route["gapTargetMs"], route["timeoutMs"] = 20000, 5000, 39000
+	}
+	p.store.PutJSON("op/config", d)
+	p.awaitFleet()
+}
+
 // play starts engines of its own, sends streams and checks the runs of each.
 func (p *answerPlay) play(trouble orderTrouble) {
 	copies, faults := usherstandin.NewCopyRegistry(), &answerFaults{share: lostAnswerShare}
@@ -95,16 +109,13 @@
 	// The hosts hear of the engines.
 	time.Sleep(2 * time.Second)
 	var streams sync.WaitGroup
-	var complete, cut atomic.Int64
+	var complete atomic.Int64
 	for range answerStreams {
 		p.sent++
 		attempt, path, host := fmt.Sprintf("%016x", p.sent), []string{"/appraisal/40", "/eligibility/40"}[p.random.IntN(2)], p.hosts[p.sent%len(p.hosts)]
 		streams.Go(func() {
-			switch {
-			case p.stream(host, attempt, path):
+			if p.stream(host, attempt, path) {
 				complete.Add(1)
-			case strings.HasPrefix(path, "/appraisal/"):
-				cut.Add(1)
 			}
 		})
 		time.Sleep(answerPause)
@@ -117,9 +128,9 @@
 	if faults.lost.Load() == 0 {
 		p.t.Error("no answer was lost, so the round shows nothing")
 	}
-	// A stream that may run once and whose answer is lost before it begins cannot be sent again. The others' time may be over before the engine answers.
-	if n := cut.Load(); n > faults.lostAtOnce.Load() {
-		p.t.Errorf("%d streams that may run once are incomplete, %d answers were lost before their head", n, faults.lostAtOnce.Load())
+	// A stream that may run once and whose answer is lost before it begins cannot be sent again.
+	if cut := answerStreams - complete.Load(); cut > faults.lostAtOnce.Load() {
+		p.t.Errorf("%d streams are incomplete, %d answers were lost before their head", cut, faults.lostAtOnce.Load())
 	}
 }
 
