soak: replace the settings file of a host at once

Callers saw nothing. The host's log ends with "process.name must be given; process.data_centre must be given" and all other required settings: the process read an empty file. The test rewrites the settings in place for a reload, which truncates them first, while the same host starts again beside it.

The test writes a second file and renames it, as the process fleets do for their links. What it checks is unchanged.

--- a/cmd/usher-host/daemon/soak_host_test.go
+++ b/cmd/usher-host/daemon/soak_host_test.go
@@ -25,7 +25,11 @@
 	text := fmt.Sprintf("[process]\nname = host-%s\ndata_centre = %s\n[listen]\ncallers = %s\nready = %s\nlocate = %s\nadmin = %s\npeers = %s\n"+
 		"[cluster]\nseeds = %s1:1, %s2:1, %s3:1\n[store]\naddress = %s250:%d\n[retries]\nallowance = %d\n[stop]\ngrace = %s\n",
 		h.ip, dataCentres[len(h.ip)%len(dataCentres)], at(0), at(1), at(2), at(3), at(4), s.subnet, s.subnet, s.subnet, s.subnet, soakPort, h.allowance, soakGrace)
-	if err := os.WriteFile(settings, []byte(text), 0o600); err != nil {
+	// A process that starts meanwhile must not read half a file.
+	if err := os.WriteFile(settings+".new", []byte(text), 0o600); err != nil {
+		s.t.Error(err)
+	}
+	if err := os.Rename(settings+".new", settings); err != nil {
 		s.t.Error(err)
 	}
 	return settings
