usherconn: report a reset to the reader of a response, also if the write got its error

What callers saw: a target answered a long upload at once with a 200 without framing, sent a part of its body and reset the connection during the upload. Callers got the part as a complete response; idempotent calls were not sent again, streams ended as complete after some of their events.

Cause: the kernel reports the error of a socket to one system call only. With an upload in progress that is often the write, and the read returns an ordinary end. The exchange did not look at the error of the write. net/http's transport has the same fault: it closes the connection after a failed write, which a reader of the body may precede.

Fix: a usherconn.Conn returns the end of the connection to its reader only if no write has failed with an error of the socket, and that error otherwise. A write in progress is made to return first by a deadline; one that has taken the error returns that. All connections on which responses are read are such: to targets, engines' control interfaces, the store and peers, and those of ushertarget, usherfeed and usherclient. A peer that closes its sending side does so before any reset, and the write gets EPIPE or the deadline, which counts for nothing; framed responses never need the end. TestEarlyResponseThatEndsWholeIsRelayed and TestOrderlyEndDuringAWriteStaysOne keep early and half-closed responses whole; they passed before.

A rejection counts also if its body is broken off: its header says that the call has not run, and its body is not relayed. Without this, a rejection of an upload that is reset would have become a 502.

The in-memory network knew no resets and took writes of any size at once, so it did not show the fault. It can reset connections now, hands the error to a blocked write as Linux mostly does, and blocks long writes.

--- a/cmd/usher-host/daemon/daemon.go
+++ b/cmd/usher-host/daemon/daemon.go
@@ -17,6 +17,7 @@
 
 	"github.com/alecthomas/kong"
 
+	"github.com/samphireusher/samphireusher/pkg/usherconn"
 	"github.com/samphireusher/samphireusher/platform/usheradapter"
 	"github.com/samphireusher/samphireusher/service/usherhost"
 )
@@ -80,7 +81,7 @@
 func client(network usherhost.Network, disableKeepAlives bool) *http.Client {
 	return &http.Client{
 		Transport: &http.Transport{
-			DialContext: network.Dial, DisableKeepAlives: disableKeepAlives, MaxIdleConnsPerHost: 1, IdleConnTimeout: idleTimeout, MaxResponseHeaderBytes: maxHeaderBytes,
+			DialContext: usherconn.Dialer(network.Dial), DisableKeepAlives: disableKeepAlives, MaxIdleConnsPerHost: 1, IdleConnTimeout: idleTimeout, MaxResponseHeaderBytes: maxHeaderBytes,
 		},
 	}
 }
--- a/service/usherclient/client.go
+++ b/service/usherclient/client.go
@@ -31,6 +31,7 @@
 	"github.com/joomcode/errorx"
 
 	"github.com/samphireusher/samphireusher/pkg/ushercall"
+	"github.com/samphireusher/samphireusher/pkg/usherconn"
 )
 
 const (
@@ -127,17 +128,17 @@
 
 // New returns a client for a workspace.
 func New(workspace, key string) *Client {
-	return &Client{workspace: workspace, key: key, scheme: "http", http: &http.Client{Transport: &http.Transport{MaxResponseHeaderBytes: maxHeaderBytes}}}
+	return NewWith(workspace, key, (&net.Dialer{}).DialContext)
 }
 
 // NewWith returns a client for a workspace that opens connections with dial.
 func NewWith(workspace, key string, dial Dial) *Client {
-	return &Client{workspace: workspace, key: key, scheme: "http", http: &http.Client{Transport: &http.Transport{DialContext: dial, MaxResponseHeaderBytes: maxHeaderBytes}}}
+	return &Client{workspace: workspace, key: key, scheme: "http", http: &http.Client{Transport: &http.Transport{DialContext: usherconn.Dialer(dial), MaxResponseHeaderBytes: maxHeaderBytes}}}
 }
 
 // WithTLS returns a client that uses TLS and verifies the gateways' certificates according to config.
 func (c *Client) WithTLS(config *tls.Config) *Client {
-	transport := &http.Transport{TLSClientConfig: config, MaxResponseHeaderBytes: maxHeaderBytes}
+	transport := &http.Transport{DialContext: usherconn.Dialer((&net.Dialer{}).DialContext), TLSClientConfig: config, MaxResponseHeaderBytes: maxHeaderBytes}
 	return &Client{workspace: c.workspace, key: c.key, scheme: "https", http: &http.Client{Transport: transport}}
 }
 
--- a/service/usherfeed/platform.go
+++ b/service/usherfeed/platform.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/joomcode/errorx"
+
+	"github.com/samphireusher/samphireusher/pkg/usherconn"
 )
 
 const (
@@ -63,7 +65,7 @@
 
 // NewPlatformWith returns a client for the platform at address that opens connections with dial.
 func NewPlatformWith(address netip.AddrPort, dial Dial) *Platform {
-	return &Platform{address: address, http: &http.Client{Transport: &http.Transport{DialContext: dial, MaxResponseHeaderBytes: maxHeaderBytes}}}
+	return &Platform{address: address, http: &http.Client{Transport: &http.Transport{DialContext: usherconn.Dialer(dial), MaxResponseHeaderBytes: maxHeaderBytes}}}
 }
 
 // Close closes idle connections.
--- a/service/usherhost/exchange.go
+++ b/service/usherhost/exchange.go
@@ -18,6 +18,7 @@
 
 	"github.com/samphireusher/samphireusher/pkg/ushercall"
 	"github.com/samphireusher/samphireusher/pkg/ushercatalog"
+	"github.com/samphireusher/samphireusher/pkg/usherconn"
 )
 
 const (
@@ -53,7 +54,6 @@
 		info     ushercall.ResponseInfo
 		limiter  *limitedReader
 		limits   responseLimits
-		written  chan error
 		// foreign counts the responses that were skipped as they do not name the attempt.
 		foreign metrics.Counter
 		// unframed counts the responses whose end only that of their connection shows.
@@ -99,9 +99,9 @@
 	if target.DataCentre != h.settings.Process.DataCentre {
 		bytes = h.metrics.remoteBytes
 	}
-	conn = countedConn{Conn: conn, bytes: bytes, contact: h.contacts.of(target.Address)}
+	conn = countedConn{Conn: usherconn.New(conn), bytes: bytes, contact: h.contacts.of(target.Address)}
 	r := &limitedReader{reader: conn}
-	x := &exchange{conn: conn, limiter: r, reader: bufio.NewReaderSize(r, readBufferSize), limits: h.settings.Answers, written: make(chan error, 1), foreign: h.metrics.foreign, unframed: h.metrics.unframed, containment: h.containment}
+	x := &exchange{conn: conn, limiter: r, reader: bufio.NewReaderSize(r, readBufferSize), limits: h.settings.Answers, foreign: h.metrics.foreign, unframed: h.metrics.unframed, containment: h.containment}
 	// The connection is closed when the caller leaves or the deadline passes, which ends the target's work as well.
 	x.stopCancel = context.AfterFunc(ctx, func() { conn.Close() })
 	return x, nil
@@ -115,8 +115,9 @@
 	}
 	x.sentAt = time.Now()
 	go func() {
-		// A request that is not written whole shows by the target's response, or by none.
-		_ = x.containment.run("request to a target", func() { x.written <- x.write(call, header) })
+		// A request that is not written whole shows by the target's response, or by none. The connection returns the error to the reader
+		// as well, if it shows that the response is incomplete.
+		_ = x.containment.run("request to a target", func() { _ = x.write(call, header) })
 	}()
 }
 
--- a/service/usherhost/peers.go
+++ b/service/usherhost/peers.go
@@ -17,6 +17,7 @@
 
 	"github.com/samphireusher/samphireusher/pkg/ushercatalog"
 	"github.com/samphireusher/samphireusher/pkg/ushercluster"
+	"github.com/samphireusher/samphireusher/pkg/usherconn"
 	"github.com/samphireusher/samphireusher/pkg/usherpool"
 )
 
@@ -133,7 +134,7 @@
 	p := &peers{
 		state: s, log: log, conn: conn,
 		client: &http.Client{
-			Transport: &http.Transport{DialContext: network.Dial, MaxIdleConnsPerHost: 1, IdleConnTimeout: peerIdleTimeout, MaxResponseHeaderBytes: maxServerHeaderBytes},
+			Transport: &http.Transport{DialContext: usherconn.Dialer(network.Dial), MaxIdleConnsPerHost: 1, IdleConnTimeout: peerIdleTimeout, MaxResponseHeaderBytes: maxServerHeaderBytes},
 		},
 		sent: metrics.NewRegisteredCounter("peers.sent", registry), received: metrics.NewRegisteredCounter("peers.received", registry),
 		unreadable: metrics.NewRegisteredCounter("peers.unreadable", registry),
--- a/service/usherhost/plain.go
+++ b/service/usherhost/plain.go
@@ -297,8 +297,14 @@
 	}
 	status := x.response.StatusCode
 	r := reply{status: status, header: h.codec.ResponseHeader(x.response.Header), length: x.response.ContentLength}
+	result := classify(status, x.info)
 	body, complete, err := x.readBody(reservation)
-	if err != nil {
+	switch {
+	case err != nil && result == usherpool.Full:
+		// The header says that the call has not run, and the body of a rejection is not relayed.
+		h.noteTarget(choice.Target, req.Attempt, x.sentAt, x.info.Notice)
+		return sendResult{choice: choice, result: result, err: err}
+	case err != nil:
 		return broken(err)
 	}
 	if r.body = body; !complete {
@@ -314,7 +320,6 @@
 		h.state.markCold(id, x.info.ColdRemaining)
 	}
 	h.noteTarget(choice.Target, req.Attempt, x.sentAt, x.info.Notice)
-	result := classify(status, x.info)
 	if result == usherpool.Answered {
 		h.observeCall(req, choice, time.Since(x.sentAt))
 	}
--- a/service/ushertarget/sending.go
+++ b/service/ushertarget/sending.go
@@ -11,6 +11,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/samphireusher/samphireusher/pkg/usherconn"
 )
 
 type (
@@ -98,6 +100,7 @@
 }
 
 func dialGuarded(dial Dial) Dial {
+	dial = usherconn.Dialer(dial)
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
 		conn, err := dial(ctx, network, address)
 		if err != nil {
--- a/standin/ushernet/conn.go
+++ b/standin/ushernet/conn.go
@@ -29,6 +29,8 @@
 		writerClosed bool
 		readerClosed bool
 		changed      chan struct{}
+		// writerError and readerError are the errors of the ends that write to and read from the stream.
+		writerError, readerError *socketError
 	}
 
 	// chunk is the data of one write and its time of arrival.
@@ -41,9 +43,12 @@
 	conn struct {
 		local, remote netip.AddrPort
 		in, out       *stream
+		// socketError is the error of this end, peerError that of the other one.
+		socketError, peerError *socketError
 
 		mu                          sync.Mutex
 		closed                      chan struct{}
+		resets                      bool
 		readDeadline, writeDeadline time.Time
 		deadlineChanged             chan struct{}
 	}
@@ -60,10 +65,11 @@
 // pair returns both ends of a new connection. The caller must hold the lock.
 func (n *Network) pair(a, b netip.AddrPort) (client, server *conn) {
 	n.opened++
-	toServer := &stream{network: n, number: n.opened, link: link{a.Addr(), b.Addr()}, changed: make(chan struct{})}
-	toClient := &stream{network: n, number: n.opened, detectsSilence: true, link: link{b.Addr(), a.Addr()}, changed: make(chan struct{})}
-	client = &conn{local: a, remote: b, in: toClient, out: toServer, closed: make(chan struct{}), deadlineChanged: make(chan struct{})}
-	server = &conn{local: b, remote: a, in: toServer, out: toClient, closed: make(chan struct{}), deadlineChanged: make(chan struct{})}
+	ofClient, ofServer := &socketError{}, &socketError{}
+	toServer := &stream{network: n, number: n.opened, link: link{a.Addr(), b.Addr()}, changed: make(chan struct{}), writerError: ofClient, readerError: ofServer}
+	toClient := &stream{network: n, number: n.opened, detectsSilence: true, link: link{b.Addr(), a.Addr()}, changed: make(chan struct{}), writerError: ofServer, readerError: ofClient}
+	client = &conn{local: a, remote: b, in: toClient, out: toServer, socketError: ofClient, peerError: ofServer, closed: make(chan struct{}), deadlineChanged: make(chan struct{})}
+	server = &conn{local: b, remote: a, in: toServer, out: toClient, socketError: ofServer, peerError: ofClient, closed: make(chan struct{}), deadlineChanged: make(chan struct{})}
 	return client, server
 }
 
@@ -89,6 +95,9 @@
 	case blocked || silenced != nil:
 		return 0, nil, unblocked, time.Time{}, nil
 	case len(s.chunks) == 0 && s.writerClosed:
+		if err := s.readerError.take(false); err != nil {
+			return 0, nil, nil, time.Time{}, err
+		}
 		return 0, nil, nil, time.Time{}, io.EOF
 	case len(s.chunks) == 0:
 		return 0, s.changed, unblocked, time.Time{}, nil
@@ -115,6 +124,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.readerClosed || s.writerClosed {
+		if err := s.writerError.take(true); err != nil {
+			return false, nil, err
+		}
 		return false, nil, io.ErrClosedPipe
 	}
 	if s.size > maxBufferedBytes {
@@ -126,6 +138,12 @@
 	return true, nil, nil
 }
 
+func (s *stream) isWriterClosed() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.writerClosed
+}
+
 func (s *stream) closeWriter() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -155,18 +173,24 @@
 
 // Write implements net.Conn.
 func (c *conn) Write(data []byte) (int, error) {
-	for {
-		done, changed, err := c.out.write(data)
+	c.socketError.addWrites(1)
+	defer c.socketError.addWrites(-1)
+	count := 0
+	for count < len(data) {
+		part := data[count:min(len(data), count+maxBufferedBytes)]
+		done, changed, err := c.out.write(part)
 		if err != nil {
-			return 0, err
+			return count, err
 		}
 		if done {
-			return len(data), nil
+			count += len(part)
+			continue
 		}
 		if err := c.waitForChange(changed, nil, time.Time{}, func() time.Time { return c.writeDeadline }); err != nil {
-			return 0, err
+			return count, err
 		}
 	}
+	return count, nil
 }
 
 // waitForChange returns at a change of the stream, the network or the deadline, or when data is due. It fails if the deadline has passed
@@ -204,6 +228,9 @@
 	select {
 	case <-c.closed:
 	default:
+		if c.resets && !c.out.isWriterClosed() {
+			c.peerError.set()
+		}
 		close(c.closed)
 		c.out.closeWriter()
 		c.in.closeReader()
