usherhost: take changes of a peer only from a response with status 200

What was wrong: a host that is behind took the changes in a peer's response whatever its status, such as 000, 999 or 500. Callers would be served by them.

Fix: any other status is an error, so that the next peer is asked; the line of the failed pull names it.

Control calls of engines and calls to the store had handled invalid statuses: TestControlResponseWithABrokenHeadIsNoAnswer and TestEngineWithABrokenHeadStillRuns passed before and are kept.

--- a/service/usherhost/peers.go
+++ b/service/usherhost/peers.go
@@ -362,6 +362,9 @@
 		return nil, err
 	}
 	defer func() { err = errors.Join(err, response.Body.Close()) }()
+	if response.StatusCode != http.StatusOK {
+		return nil, errUnexpectedResponse.New("peer responded with status %q", response.Status)
+	}
 	begun()
 	data, err := io.ReadAll(io.LimitReader(response.Body, maxCatalogBytes))
 	if err != nil {
