usherresponse: refuse responses with a name of a field that is no token

What callers saw: a target sent a header in which the name of a field held a blank, such as "X : v". Callers got the response as an answer; where the name was almost that of the length or of chunks, with a body that was not the target's.

What else: a 404 with such a header, in answer to the order to end a run, showed the end of the run, and the stream went on at a second engine while the first one worked on.

Cause: net/http keeps names with blanks as they are in responses; it refuses other bytes, and checks names of requests only.

Fix: a response with a name that is no token counts for nothing, as where its body ends is not known, and its connection is not used again. The check stands where responses are read: in the exchange, and in the transports of the clients of control interfaces, the store, peers, targets, gateways and the platform.

The line "response refused" names the field, or why else what a target has sent is not its response.

--- a/cmd/usher-host/daemon/control_answer_test.go
+++ b/cmd/usher-host/daemon/control_answer_test.go
@@ -45,22 +45,25 @@
 	return client, nil
 }
 
-// brokenHeads returns heads that are none in the protocol.
-func brokenHeads() map[string]rawHead {
+// brokenHeads returns heads that are none in the protocol, with the given status where that is not what is wrong.
+func brokenHeads(status string) map[string]rawHead {
 	heads := map[string]rawHead{}
+	for name, fields := range malformedFields {
+		heads[name] = rawHead{status, strings.ReplaceAll(fields, "Content-Length: 4\r\n", "")}
+	}
 	for _, invalid := range invalidStatuses {
 		heads["status "+invalid] = rawHead{invalid + " Trouble", ""}
 	}
 	return heads
 }
 
-// Engines' control interfaces and the store respond with a head that is none.
+// Engines' control interfaces and the store respond with a head that is none. A 404 of an engine counted as the end of a run.
 func TestControlResponseWithABrokenHeadIsNoAnswer(t *testing.T) {
 	at := netip.MustParseAddrPort("10.0.0.1:80")
 	for _, c := range []struct{ status, body string }{
 		{"200 OK", `{"handle":"h-1","state":"draining","runs":[],"items":[],"events":[],"storeRevision":7}`}, {"404 Not Found", `{}`}, {"410 Gone", `{}`}, {"503 Service Unavailable", `{"handle":"h-1"}`},
 	} {
-		for name, head := range brokenHeads() {
+		for name, head := range brokenHeads(c.status) {
 			t.Run(c.status+", "+name, func(t *testing.T) {
 				response := fmt.Sprintf("HTTP/1.1 %s\r\n%s\r\n%s", head.status, head.fields, c.body)
 				var settings usherhost.Settings
@@ -93,10 +96,11 @@
 	}
 }
 
-// An engine responds to orders to end a run with a head that is none, which shows no end of the run.
+// An engine turns orders to end a run away with a 404 whose head is none. That showed the end of the run, so the stream went on at a second engine
+// while the first one worked on.
 func TestEngineWithABrokenHeadStillRuns(t *testing.T) {
 	for name, head := range map[string]rawHead{
-		"status 000": {"000 Trouble", ""},
+		"blank in a name": {"404 Not Found", "X Y: v\r\n"}, "blank before the colon": {"404 Not Found", "Content-Type : application/json\r\n"}, "status 000": {"000 Trouble", ""},
 	} {
 		for _, path := range []string{"/appraisal/250", "/eligibility/90"} {
 			t.Run(name+", "+path, func(t *testing.T) {
@@ -129,9 +133,9 @@
 	}
 }
 
-// A peer that is ahead responds to a pull with an invalid status, or with a failure, and changes in the body. The host took the changes.
+// A peer that is ahead responds to a pull with a head that is none, or with a failure, and changes in the body. The host took the changes.
 func TestPullWithABrokenHeadIsNoAnswer(t *testing.T) {
-	heads := brokenHeads()
+	heads := brokenHeads("200 OK")
 	heads["failure"] = rawHead{"500 Internal Server Error", ""}
 	heads["well-formed"] = rawHead{"200 OK", ""}
 	for name, head := range heads {
--- a/cmd/usher-host/daemon/daemon.go
+++ b/cmd/usher-host/daemon/daemon.go
@@ -18,6 +18,7 @@
 	"github.com/alecthomas/kong"
 
 	"github.com/samphireusher/samphireusher/pkg/usherconn"
+	"github.com/samphireusher/samphireusher/pkg/usherresponse"
 	"github.com/samphireusher/samphireusher/platform/usheradapter"
 	"github.com/samphireusher/samphireusher/service/usherhost"
 )
@@ -80,8 +81,8 @@
 
 func client(network usherhost.Network, disableKeepAlives bool) *http.Client {
 	return &http.Client{
-		Transport: &http.Transport{
+		Transport: usherresponse.Transport{Base: &http.Transport{
 			DialContext: usherconn.Dialer(network.Dial), DisableKeepAlives: disableKeepAlives, MaxIdleConnsPerHost: 1, IdleConnTimeout: idleTimeout, MaxResponseHeaderBytes: maxHeaderBytes,
-		},
+		}},
 	}
 }
--- a/service/usherclient/client.go
+++ b/service/usherclient/client.go
@@ -32,6 +32,7 @@
 
 	"github.com/samphireusher/samphireusher/pkg/ushercall"
 	"github.com/samphireusher/samphireusher/pkg/usherconn"
+	"github.com/samphireusher/samphireusher/pkg/usherresponse"
 )
 
 const (
@@ -133,13 +134,18 @@
 
 // NewWith returns a client for a workspace that opens connections with dial.
 func NewWith(workspace, key string, dial Dial) *Client {
-	return &Client{workspace: workspace, key: key, scheme: "http", http: &http.Client{Transport: &http.Transport{DialContext: usherconn.Dialer(dial), MaxResponseHeaderBytes: maxHeaderBytes}}}
+	return &Client{workspace: workspace, key: key, scheme: "http", http: newHTTPClient(dial, nil)}
 }
 
 // WithTLS returns a client that uses TLS and verifies the gateways' certificates according to config.
 func (c *Client) WithTLS(config *tls.Config) *Client {
-	transport := &http.Transport{DialContext: usherconn.Dialer((&net.Dialer{}).DialContext), TLSClientConfig: config, MaxResponseHeaderBytes: maxHeaderBytes}
-	return &Client{workspace: c.workspace, key: c.key, scheme: "https", http: &http.Client{Transport: transport}}
+	return &Client{workspace: c.workspace, key: c.key, scheme: "https", http: newHTTPClient((&net.Dialer{}).DialContext, config)}
+}
+
+func newHTTPClient(dial Dial, config *tls.Config) *http.Client {
+	return &http.Client{Transport: usherresponse.Transport{
+		Base: &http.Transport{DialContext: usherconn.Dialer(dial), TLSClientConfig: config, MaxResponseHeaderBytes: maxHeaderBytes},
+	}}
 }
 
 // Error implements error.
--- a/service/usherclient/status_test.go
+++ b/service/usherclient/status_test.go
@@ -7,6 +7,8 @@
 	"strings"
 	"testing"
 
+	"github.com/joomcode/errorx"
+
 	"github.com/samphireusher/samphireusher/service/usherclient"
 )
 
@@ -29,3 +31,26 @@
 		}
 	}
 }
+
+// The head of a gateway's response is none in the protocol.
+func TestResponseWithAMalformedFieldIsAnError(t *testing.T) {
+	for _, field := range []string{"X Y: v", "X : v", "Content-Length : 2"} {
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			conn, _, err := http.NewResponseController(w).Hijack()
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			defer conn.Close()
+			fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s\r\nContent-Length: 2\r\n\r\n{}", field)
+		}))
+		defer server.Close()
+		address, client := strings.TrimPrefix(server.URL, "http://"), usherclient.New("w", "k")
+		if location, err := client.Locate(t.Context(), address); !errorx.IsOfType(err, usherclient.ErrConnection) {
+			t.Errorf("%q: %+v, error %v; want that of a broken connection", field, location, err)
+		}
+		if answer, err := client.Send(t.Context(), address, usherclient.Request{Template: "standing"}, nil); !errorx.IsOfType(err, usherclient.ErrConnection) {
+			t.Errorf("%q: %+v, error %v; want that of a broken connection", field, answer, err)
+		}
+	}
+}
--- a/service/usherfeed/platform.go
+++ b/service/usherfeed/platform.go
@@ -12,6 +12,7 @@
 	"github.com/joomcode/errorx"
 
 	"github.com/samphireusher/samphireusher/pkg/usherconn"
+	"github.com/samphireusher/samphireusher/pkg/usherresponse"
 )
 
 const (
@@ -65,7 +66,9 @@
 
 // NewPlatformWith returns a client for the platform at address that opens connections with dial.
 func NewPlatformWith(address netip.AddrPort, dial Dial) *Platform {
-	return &Platform{address: address, http: &http.Client{Transport: &http.Transport{DialContext: usherconn.Dialer(dial), MaxResponseHeaderBytes: maxHeaderBytes}}}
+	return &Platform{address: address, http: &http.Client{Transport: usherresponse.Transport{
+		Base: &http.Transport{DialContext: usherconn.Dialer(dial), MaxResponseHeaderBytes: maxHeaderBytes},
+	}}}
 }
 
 // Close closes idle connections.
--- a/service/usherhost/crash.go
+++ b/service/usherhost/crash.go
@@ -19,6 +19,16 @@
 // errSuspect is the type of errors for requests that share with others what targets crashed under.
 var errSuspect = errNamespace.NewType("suspect")
 
+// recordBroken logs why what a target has sent is not its response to a request, or records a crash of the target if that has ended the
+// exchange.
+func (h *Host) recordBroken(ctx context.Context, req *requestState, choice usherpool.Choice, cause error) {
+	if errorx.IsOfType(cause, errUnexpectedResponse) {
+		h.log.Info("response refused", "attempt", req.Attempt, "target", choice.Target.ID, "incarnation", choice.Target.Incarnation, "error", errorText(cause))
+		return
+	}
+	h.detectCrash(ctx, req, choice, cause)
+}
+
 // detectCrash records a crash of the target of a request if the exchange ended because of one, before the request was
 // answered. A connection that ends early says nothing about the target, so a new one is tried.
 func (h *Host) detectCrash(ctx context.Context, req *requestState, choice usherpool.Choice, cause error) {
--- a/service/usherhost/exchange.go
+++ b/service/usherhost/exchange.go
@@ -19,6 +19,7 @@
 	"github.com/samphireusher/samphireusher/pkg/ushercall"
 	"github.com/samphireusher/samphireusher/pkg/ushercatalog"
 	"github.com/samphireusher/samphireusher/pkg/usherconn"
+	"github.com/samphireusher/samphireusher/pkg/usherresponse"
 )
 
 const (
@@ -193,6 +194,9 @@
 	if err != nil {
 		return false, errConnectionLost.Wrap(x.limiter.cause(err), "read response header")
 	}
+	if err := usherresponse.Check(response); err != nil {
+		return false, errUnexpectedResponse.Wrap(err, "read response header")
+	}
 	response.Body = responseBody{response.Body, x.limiter}
 	switch {
 	case !ushercall.IsStatus(response.StatusCode):
--- a/service/usherhost/peers.go
+++ b/service/usherhost/peers.go
@@ -19,6 +19,7 @@
 	"github.com/samphireusher/samphireusher/pkg/ushercluster"
 	"github.com/samphireusher/samphireusher/pkg/usherconn"
 	"github.com/samphireusher/samphireusher/pkg/usherpool"
+	"github.com/samphireusher/samphireusher/pkg/usherresponse"
 )
 
 const (
@@ -134,7 +135,9 @@
 	p := &peers{
 		state: s, log: log, conn: conn,
 		client: &http.Client{
-			Transport: &http.Transport{DialContext: usherconn.Dialer(network.Dial), MaxIdleConnsPerHost: 1, IdleConnTimeout: peerIdleTimeout, MaxResponseHeaderBytes: maxServerHeaderBytes},
+			Transport: usherresponse.Transport{Base: &http.Transport{
+				DialContext: usherconn.Dialer(network.Dial), MaxIdleConnsPerHost: 1, IdleConnTimeout: peerIdleTimeout, MaxResponseHeaderBytes: maxServerHeaderBytes,
+			}},
 		},
 		sent: metrics.NewRegisteredCounter("peers.sent", registry), received: metrics.NewRegisteredCounter("peers.received", registry),
 		unreadable: metrics.NewRegisteredCounter("peers.unreadable", registry),
--- a/service/usherhost/plain.go
+++ b/service/usherhost/plain.go
@@ -270,7 +270,7 @@
 	reservation := &bufferReservation{budget: h.buffers}
 	result := h.exchange(ctx, x, req, choice, reservation)
 	if result.result == usherpool.Broken {
-		h.detectCrash(ctx, req, choice, result.err)
+		h.recordBroken(ctx, req, choice, result.err)
 	}
 	if result.reply.rest == nil {
 		x.close()
--- a/service/usherhost/stream.go
+++ b/service/usherhost/stream.go
@@ -337,7 +337,7 @@
 	err = x.receive(g.host.codec, g.req.Attempt, g.startTimeout(), g.reserveRetry)
 	stop()
 	if err != nil {
-		g.host.detectCrash(ctx, g.req, choice, err)
+		g.host.recordBroken(ctx, g.req, choice, err)
 		return sendResult{choice: choice, result: resultOf(err), ran: true, err: err}
 	}
 	if x.info.ColdRemaining > 0 {
--- a/service/ushertarget/sending.go
+++ b/service/ushertarget/sending.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/samphireusher/samphireusher/pkg/usherconn"
+	"github.com/samphireusher/samphireusher/pkg/usherresponse"
 )
 
 type (
@@ -133,6 +134,9 @@
 		return 0, ErrConnection.Wrap(err, "fetch incarnation")
 	}
 	defer response.Body.Close()
+	if err := usherresponse.Check(response); err != nil {
+		return 0, ErrConnection.Wrap(err, "fetch incarnation")
+	}
 	if response.StatusCode != http.StatusOK {
 		return 0, ErrConnection.New("target responded to the request for its load report with status %q", response.Status)
 	}
--- a/service/ushertarget/target.go
+++ b/service/ushertarget/target.go
@@ -34,6 +34,7 @@
 	"github.com/joomcode/errorx"
 
 	"github.com/samphireusher/samphireusher/pkg/ushercall"
+	"github.com/samphireusher/samphireusher/pkg/usherresponse"
 )
 
 const (
@@ -141,12 +142,12 @@
 
 // NewClientWith returns a client that opens connections with dial.
 func NewClientWith(dial Dial) *Client {
-	return &Client{http: &http.Client{Transport: &http.Transport{
+	return &Client{http: &http.Client{Transport: usherresponse.Transport{Base: &http.Transport{
 		DialContext:            dialGuarded(dial),
 		MaxIdleConnsPerHost:    idleConnections,
 		MaxResponseHeaderBytes: maxHeaderBytes,
 		DisableCompression:     true,
-	}}}
+	}}}}
 }
 
 // Close closes idle connections.
