usherhost, usherresponse: note what a rejection says that breaks off; spare idle connections

A refused response with a body has its connection closed with the body, so one target in trouble does not cost a gateway its connections to the others.

--- a/cmd/usher-host/daemon/upload_test.go
+++ b/cmd/usher-host/daemon/upload_test.go
@@ -189,6 +189,20 @@
 	}
 }
 
+// The header of a rejection says all that counts, also what the target says of itself.
+func TestRejectionResetDuringAnUploadCounts(t *testing.T) {
+	rejection := earlyResponse{status: http.StatusServiceUnavailable, fields: "Not-Executed: 1\r\nRetry-After: 1\r\n", body: partialBody, end: responseReset}
+	withEarlyResponses(t, func(_ string, n int64) (earlyResponse, bool) { return rejection, n == 1 }, func(t *testing.T, b *testbed, early *earlyResponder) {
+		got := b.upload(http.MethodPut, "/status/")
+		if got.err != nil || got.status != http.StatusOK || early.requests.Load() != 2 {
+			t.Errorf("status %d, error %v after %d requests; want the response of a second target", got.status, got.err, early.requests.Load())
+		}
+		if b.logBuffer.count("target asks for a rest") == 0 {
+			t.Error("the rest that the target asks for is not known")
+		}
+	})
+}
+
 // The response to a hedged call that is reset does not count; the other one does.
 func TestHedgedResponseResetDuringAnUploadIsNotWhole(t *testing.T) {
 	withEarlyResponses(t, func(_ string, n int64) (earlyResponse, bool) {
--- a/pkg/usherconn/conn.go
+++ b/pkg/usherconn/conn.go
@@ -85,11 +85,15 @@
 // isBroken reports whether the error of a write shows that the connection has not ended in an orderly way.
 func isBroken(err error) bool {
 	switch {
-	case err == nil, errors.Is(err, os.ErrDeadlineExceeded), errors.Is(err, net.ErrClosed):
+	case err == nil:
+		return false
+	case errors.Is(err, os.ErrDeadlineExceeded), errors.Is(err, net.ErrClosed):
 		// Caused at this end.
 		return false
 	case errors.Is(err, syscall.EPIPE), errors.Is(err, io.ErrClosedPipe):
+		// The end of the peer's data has arrived before, or a read has returned the error of the socket.
 		return false
+	default:
+		return true
 	}
-	return true
 }
--- a/pkg/usherresponse/response.go
+++ b/pkg/usherresponse/response.go
@@ -56,8 +56,10 @@
 	}
 	if err := Check(response); err != nil {
 		_ = response.Body.Close()
-		// The connection of a response without a body is idle by now, and what follows there may be the rest of this one.
-		t.CloseIdleConnections()
+		if response.Body == http.NoBody {
+			// Its connection is idle by now, and what follows there may be the rest of this response.
+			t.CloseIdleConnections()
+		}
 		return nil, err
 	}
 	return response, nil
--- a/service/usherhost/plain.go
+++ b/service/usherhost/plain.go
@@ -298,11 +298,17 @@
 	status := x.response.StatusCode
 	r := reply{status: status, header: h.codec.ResponseHeader(x.response.Header), length: x.response.ContentLength}
 	result := classify(status, x.info)
+	noteInfo := func() {
+		if x.info.ColdRemaining > 0 {
+			h.state.markCold(id, x.info.ColdRemaining)
+		}
+		h.noteTarget(choice.Target, req.Attempt, x.sentAt, x.info.Notice)
+	}
 	body, complete, err := x.readBody(reservation)
 	switch {
 	case err != nil && result == usherpool.Full:
 		// The header says that the call has not run, and the body of a rejection is not relayed.
-		h.noteTarget(choice.Target, req.Attempt, x.sentAt, x.info.Notice)
+		noteInfo()
 		return sendResult{choice: choice, result: result, err: err}
 	case err != nil:
 		return broken(err)
@@ -316,10 +322,7 @@
 	} else if h.brokenOff(ctx, x, choice.Target, int64(len(body))) {
 		return broken(errConnectionLost.Wrap(io.ErrUnexpectedEOF, "response ended with its connection after %d bytes of its body", len(body)))
 	}
-	if x.info.ColdRemaining > 0 {
-		h.state.markCold(id, x.info.ColdRemaining)
-	}
-	h.noteTarget(choice.Target, req.Attempt, x.sentAt, x.info.Notice)
+	noteInfo()
 	if result == usherpool.Answered {
 		h.observeCall(req, choice, time.Since(x.sentAt))
 	}
