--- a/cmd/usher-host/daemon/control_answer_test.go
+++ b/cmd/usher-host/daemon/control_answer_test.go
@@ -110,12 +110,7 @@
 							target.ServeHTTP(w, r)
 							return
 						}
-						conn, _, err := http.NewResponseController(w).Hijack()
-						if err != nil {
-							panic(err)
-						}
-						defer conn.Close()
-						_, _ = fmt.Fprintf(conn, "HTTP/1.1 %s\r\n%sContent-Length: 2\r\n\r\n{}", head.status, head.fields)
+						sendRaw(w, fmt.Sprintf("HTTP/1.1 %s\r\n%sContent-Length: 2\r\n\r\n{}", head.status, head.fields), nil)
 					})
 				}}
 				withTestbed(t, o, func(t *testing.T, b *testbed) {
@@ -149,12 +144,7 @@
 					t.Fatal(err)
 				}
 				b.serve(elsewhere.Address, "peer", http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-					conn, _, err := http.NewResponseController(w).Hijack()
-					if err != nil {
-						panic(err)
-					}
-					defer conn.Close()
-					_, _ = fmt.Fprintf(conn, "HTTP/1.1 %s\r\n%s\r\n%s", head.status, head.fields, body)
+					sendRaw(w, fmt.Sprintf("HTTP/1.1 %s\r\n%s\r\n%s", head.status, head.fields, body), nil)
 				}))
 				b.sendPeerReport(b.hosts[0].ip, elsewhere, map[int]any{3: revision})
 				time.Sleep(time.Second)
--- a/cmd/usher-host/daemon/fieldname_test.go
+++ b/cmd/usher-host/daemon/fieldname_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"strings"
@@ -31,24 +32,14 @@
 	"control byte in a value":                "X: \x01\r\nContent-Length: 4\r\n",
 }
 
-// sendFields responds with the given lines in the header, and keeps the connection open where the body has a length.
+// sendFields responds with the given lines in the header, and keeps the connection open where the response ends before.
 func sendFields(w http.ResponseWriter, r *http.Request, status int, fields, body string) {
-	conn, _, err := http.NewResponseController(w).Hijack()
-	if err != nil {
-		panic(err)
-	}
-	defer conn.Close()
-	attempt := r.Header.Get("Attempt-Id")
-	_, _ = fmt.Fprintf(conn, "HTTP/1.1 %d %s\r\nAttempt-Id: %s\r\nServer-Seal: s.%s\r\n%s\r\n%s", status, http.StatusText(status), attempt, attempt, fields, body)
-	awaitClose(conn, fields)
-}
-
-// awaitClose waits until the other end closes the connection, if the response that was sent ends before.
-func awaitClose(conn net.Conn, fields string) {
+	var end func(conn net.Conn, request io.Reader)
 	if strings.Contains(fields, "Content-Length: ") || strings.Contains(fields, "Transfer-Encoding: ") {
-		_ = conn.SetReadDeadline(time.Now().Add(time.Minute))
-		_, _ = conn.Read(make([]byte, 1))
+		end = func(_ net.Conn, request io.Reader) { _, _ = io.Copy(io.Discard, request) }
 	}
+	attempt := r.Header.Get("Attempt-Id")
+	sendRaw(w, fmt.Sprintf("HTTP/1.1 %d %s\r\nAttempt-Id: %s\r\nServer-Seal: s.%s\r\n%s\r\n%s", status, http.StatusText(status), attempt, attempt, fields, body), end)
 }
 
 // A target in trouble sends a header with a name that is none. Callers got the response, with a body that was not the target's where the name
@@ -108,13 +99,8 @@
 		t.Run(name, func(t *testing.T) {
 			o := options{hosts: 1, plainTargets: 1, wrapTarget: func(_ string, _ http.Handler) http.Handler {
 				return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-					conn, _, err := http.NewResponseController(w).Hijack()
-					if err != nil {
-						panic(err)
-					}
-					defer conn.Close()
 					attempt := r.Header.Get("Attempt-Id")
-					_, _ = fmt.Fprintf(conn, "%sHTTP/1.1 200 OK\r\nAttempt-Id: %s\r\nServer-Seal: s.%s\r\nContent-Length: 4\r\n\r\nbody", first, attempt, attempt)
+					sendRaw(w, fmt.Sprintf("%sHTTP/1.1 200 OK\r\nAttempt-Id: %s\r\nServer-Seal: s.%s\r\nContent-Length: 4\r\n\r\nbody", first, attempt, attempt), nil)
 				})
 			}}
 			withTestbed(t, o, func(t *testing.T, b *testbed) {
--- a/cmd/usher-host/daemon/process_upload_test.go
+++ b/cmd/usher-host/daemon/process_upload_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"log/slog"
 	"net"
 	"net/http"
@@ -63,7 +62,7 @@
 func (p *uploadPlay) serveTargets() (stop func()) {
 	var servers []*http.Server
 	copies := usherstandin.NewCopyRegistry()
-	early := &earlyResponder{respond: func(string, int64) (earlyResponse, bool) {
+	early := &earlyResponder{respond: func(int64) (earlyResponse, bool) {
 		p.mu.Lock()
 		defer p.mu.Unlock()
 		return p.response, true
@@ -104,16 +103,7 @@
 	for name, value := range map[string]string{"Attempt-Id": fmt.Sprintf("%016x", p.sent), "Deadline-Ms": "30000", "Api-Key": apiKey, "Model": "m", "Token-Counts": "3000,900"} {
 		r.Header.Set(name, value)
 	}
-	got := result{attempt: r.Header.Get("Attempt-Id")}
-	answer, err := p.client.Do(r)
-	if err != nil {
-		got.err = err
-		return got
-	}
-	defer func() { _ = answer.Body.Close() }()
-	body, err := io.ReadAll(answer.Body)
-	got.status, got.body, got.err = answer.StatusCode, string(body), err
-	return got
+	return doWith(p.client, r)
 }
 
 // expectBroken checks that callers do not get a part of a response as the whole.
--- a/cmd/usher-host/daemon/testbed_request_test.go
+++ b/cmd/usher-host/daemon/testbed_request_test.go
@@ -48,9 +48,12 @@
 	announcesClose bool
 }
 
-func (b *testbed) do(r *http.Request) result {
+func (b *testbed) do(r *http.Request) result { return doWith(b.client, r) }
+
+// doWith sends a request and reads the response to its end.
+func doWith(client *http.Client, r *http.Request) result {
 	start := time.Now()
-	response, err := b.client.Do(r)
+	response, err := client.Do(r)
 	if err != nil {
 		return result{err: err, attempt: r.Header.Get("Attempt-Id"), elapsed: time.Since(start)}
 	}
@@ -69,6 +72,20 @@
 	return b.do(b.request(b.t.Context(), h, http.MethodPost, path, "a body"))
 }
 
+// sendRaw responds to a request with bytes that net/http would not send, and closes the connection after end.
+func sendRaw(w http.ResponseWriter, response string, end func(conn net.Conn, request io.Reader)) {
+	conn, buffered, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		panic(err)
+	}
+	defer conn.Close()
+	// The other end may have closed the connection.
+	_, _ = io.WriteString(conn, response)
+	if end != nil {
+		end(conn, buffered)
+	}
+}
+
 // resolvedAddresses returns a host's response to a caller that asks for the addresses of hosts.
 func (b *testbed) resolvedAddresses(h *host) string {
 	return b.getAt(h, locatePort, "/resolve?name="+hostName+"&zone=kochi").body
--- a/cmd/usher-host/daemon/upload_test.go
+++ b/cmd/usher-host/daemon/upload_test.go
@@ -35,8 +35,8 @@
 
 	// earlyResponder lets targets respond early.
 	earlyResponder struct {
-		// respond returns the response to a request that a target gets, and whether it responds early.
-		respond func(target string, n int64) (earlyResponse, bool)
+		// respond returns the response to the n-th request, at whichever target, and whether the target responds early.
+		respond func(n int64) (earlyResponse, bool)
 		// requests counts the requests at all targets.
 		requests atomic.Int64
 	}
@@ -87,18 +87,12 @@
 
 // send responds to a request of which only the header was read.
 func (e earlyResponse) send(w http.ResponseWriter, r *http.Request) {
-	conn, buffered, err := http.NewResponseController(w).Hijack()
-	if err != nil {
-		panic(err)
-	}
-	defer conn.Close()
 	attempt, status := r.Header.Get("Attempt-Id"), e.status
 	if status == 0 {
 		status = http.StatusOK
 	}
-	_, _ = fmt.Fprintf(conn, "HTTP/1.1 %d %s\r\nAttempt-Id: %s\r\nServer-Seal: s.%s\r\n%s\r\n%s", status, http.StatusText(status), attempt, attempt, e.fields,
-		strings.ReplaceAll(e.body, "ATTEMPT", attempt))
-	e.end(conn, buffered)
+	sendRaw(w, fmt.Sprintf("HTTP/1.1 %d %s\r\nAttempt-Id: %s\r\nServer-Seal: s.%s\r\n%s\r\n%s", status, http.StatusText(status), attempt, attempt, e.fields,
+		strings.ReplaceAll(e.body, "ATTEMPT", attempt)), e.end)
 }
 
 // someEvents returns the first events of a stream.
@@ -110,10 +104,10 @@
 	return body.String()
 }
 
-func (e *earlyResponder) wrap(id string, target http.Handler) http.Handler {
+func (e *earlyResponder) wrap(_ string, target http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.Header.Get("Attempt-Id") != "" {
-			if response, ok := e.respond(id, e.requests.Add(1)); ok {
+			if response, ok := e.respond(e.requests.Add(1)); ok {
 				response.send(w, r)
 				return
 			}
@@ -123,7 +117,7 @@
 }
 
 // withEarlyResponses runs a test with a testbed whose callers may send long bodies.
-func withEarlyResponses(t *testing.T, respond func(target string, n int64) (earlyResponse, bool), test func(t *testing.T, b *testbed, early *earlyResponder)) {
+func withEarlyResponses(t *testing.T, respond func(n int64) (earlyResponse, bool), test func(t *testing.T, b *testbed, early *earlyResponder)) {
 	t.Helper()
 	early := &earlyResponder{respond: respond}
 	withTestbed(t, options{hosts: 1, engines: 3, plainTargets: 3, wrapTarget: early.wrap, editDeclarations: acceptUploads}, func(t *testing.T, b *testbed) {
@@ -168,7 +162,7 @@
 		{name: "failure of a stream", method: http.MethodPost, path: "/appraisal/20", response: earlyResponse{status: http.StatusInternalServerError, body: partialBody, end: responseReset}, broken: 9, want: http.StatusBadGateway, wantRequests: 1},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			withEarlyResponses(t, func(_ string, n int64) (earlyResponse, bool) { return c.response, n <= c.broken }, func(t *testing.T, b *testbed, early *earlyResponder) {
+			withEarlyResponses(t, func(n int64) (earlyResponse, bool) { return c.response, n <= c.broken }, func(t *testing.T, b *testbed, early *earlyResponder) {
 				got := b.upload(c.method, c.path)
 				switch {
 				case c.want == 0 && got.err == nil:
@@ -192,7 +186,7 @@
 // The header of a rejection says all that counts, also what the target says of itself.
 func TestRejectionResetDuringAnUploadCounts(t *testing.T) {
 	rejection := earlyResponse{status: http.StatusServiceUnavailable, fields: "Not-Executed: 1\r\nRetry-After: 1\r\n", body: partialBody, end: responseReset}
-	withEarlyResponses(t, func(_ string, n int64) (earlyResponse, bool) { return rejection, n == 1 }, func(t *testing.T, b *testbed, early *earlyResponder) {
+	withEarlyResponses(t, func(n int64) (earlyResponse, bool) { return rejection, n == 1 }, func(t *testing.T, b *testbed, early *earlyResponder) {
 		got := b.upload(http.MethodPut, "/status/")
 		if got.err != nil || got.status != http.StatusOK || early.requests.Load() != 2 {
 			t.Errorf("status %d, error %v after %d requests; want the response of a second target", got.status, got.err, early.requests.Load())
@@ -205,7 +199,7 @@
 
 // The response to a hedged call that is reset does not count; the other one does.
 func TestHedgedResponseResetDuringAnUploadIsNotWhole(t *testing.T) {
-	withEarlyResponses(t, func(_ string, n int64) (earlyResponse, bool) {
+	withEarlyResponses(t, func(n int64) (earlyResponse, bool) {
 		if n == 1 {
 			return earlyResponse{body: wholeBody, end: lateEnd}, true
 		}
@@ -223,7 +217,7 @@
 	for _, response := range wholeResponses() {
 		for _, c := range []struct{ method, path string }{{http.MethodPost, "/allotment/"}, {http.MethodPut, "/status/"}} {
 			t.Run(response.name+", "+c.path, func(t *testing.T) {
-				withEarlyResponses(t, func(string, int64) (earlyResponse, bool) { return response, true }, func(t *testing.T, b *testbed, early *earlyResponder) {
+				withEarlyResponses(t, func(int64) (earlyResponse, bool) { return response, true }, func(t *testing.T, b *testbed, early *earlyResponder) {
 					got := b.upload(c.method, c.path)
 					want := max(response.status, http.StatusOK)
 					if got.err != nil || got.status != want || got.body != wholeBody || got.elapsed > time.Second || early.requests.Load() != 1 {
@@ -240,7 +234,7 @@
 		for _, path := range []string{"/appraisal/20", "/eligibility/20"} {
 			t.Run("stream, "+end.name+", "+path, func(t *testing.T) {
 				whole := earlyResponse{fields: "Content-Type: text/event-stream\r\n", body: someEvents(20), end: end.end}
-				withEarlyResponses(t, func(string, int64) (earlyResponse, bool) { return whole, true }, func(t *testing.T, b *testbed, early *earlyResponder) {
+				withEarlyResponses(t, func(int64) (earlyResponse, bool) { return whole, true }, func(t *testing.T, b *testbed, early *earlyResponder) {
 					got := b.upload(http.MethodPost, path)
 					if got.err != nil || !isComplete(got.body, got.attempt, 20) || early.requests.Load() != 1 {
 						t.Errorf("status %d, error %v, events %v after %d requests; want 1 to 20", got.status, got.err, events(got.body), early.requests.Load())
