usherconn, usherresponse: plainer comments and names of tests

Read as a newcomer: a malformed header is called so, and the ends that stand-ins give to early responses say what they do. Comments and names of tests only.

--- a/cmd/usher-host/daemon/control_answer_test.go
+++ b/cmd/usher-host/daemon/control_answer_test.go
@@ -45,7 +45,7 @@
 	return client, nil
 }
 
-// brokenHeads returns heads that are none in the protocol, with the given status where that is not what is wrong.
+// brokenHeads returns malformed heads by what is wrong with them. status is theirs unless that is wrong.
 func brokenHeads(status string) map[string]rawHead {
 	heads := map[string]rawHead{}
 	for name, fields := range malformedFields {
@@ -57,7 +57,7 @@
 	return heads
 }
 
-// Engines' control interfaces and the store respond with a head that is none. A 404 of an engine counted as the end of a run.
+// Engines' control interfaces and the store respond with a malformed head. A 404 of an engine counted as the end of a run.
 func TestControlResponseWithABrokenHeadIsNoAnswer(t *testing.T) {
 	at := netip.MustParseAddrPort("10.0.0.1:80")
 	for _, c := range []struct{ status, body string }{
@@ -96,7 +96,7 @@
 	}
 }
 
-// An engine turns orders to end a run away with a 404 whose head is none. That showed the end of the run, so the stream went on at a second engine
+// An engine turns orders to end a run away with a malformed 404. That showed the end of the run, so the stream went on at a second engine
 // while the first one worked on.
 func TestEngineWithABrokenHeadStillRuns(t *testing.T) {
 	for name, head := range map[string]rawHead{
@@ -128,7 +128,7 @@
 	}
 }
 
-// A peer that is ahead responds to a pull with a head that is none, or with a failure, and changes in the body. The host took the changes.
+// A peer that is ahead responds to a pull with a malformed head, or with a failure, and changes in the body. The host took the changes.
 func TestPullWithABrokenHeadIsNoAnswer(t *testing.T) {
 	heads := brokenHeads("200 OK")
 	heads["failure"] = rawHead{"500 Internal Server Error", ""}
--- a/cmd/usher-host/daemon/fieldname_test.go
+++ b/cmd/usher-host/daemon/fieldname_test.go
@@ -10,7 +10,7 @@
 	"time"
 )
 
-// malformedFields are lines of a header that are none in the protocol.
+// malformedFields are malformed lines of a header, by what is wrong with them.
 var malformedFields = map[string]string{
 	"blank in a name":                        "X Y: v\r\nContent-Length: 4\r\n",
 	"blank before the colon":                 "X : v\r\nContent-Length: 4\r\n",
@@ -42,7 +42,7 @@
 	sendRaw(w, fmt.Sprintf("HTTP/1.1 %d %s\r\nAttempt-Id: %s\r\nServer-Seal: s.%s\r\n%s\r\n%s", status, http.StatusText(status), attempt, attempt, fields, body), end)
 }
 
-// A target in trouble sends a header with a name that is none. Callers got the response, with a body that was not the target's where the name
+// A target in trouble sends a header with a malformed name. Callers got the response, with a body that was not the target's where the name
 // was almost that of a length or of chunks.
 func TestResponseWithAMalformedFieldIsNoAnswer(t *testing.T) {
 	for name, fields := range malformedFields {
--- a/cmd/usher-host/daemon/process_upload_test.go
+++ b/cmd/usher-host/daemon/process_upload_test.go
@@ -42,17 +42,17 @@
 		// The hosts hear of the targets.
 		time.Sleep(2 * time.Second)
 
-		part, stream := earlyResponse{name: "reset", body: partialBody, end: responseReset}, "Content-Type: text/event-stream\r\n"
-		brokenStream := earlyResponse{name: "reset after 5 events", fields: stream, body: someEvents(5), end: responseReset}
+		part, stream := earlyResponse{name: "reset", body: partialBody, end: resetDuringUpload}, "Content-Type: text/event-stream\r\n"
+		brokenStream := earlyResponse{name: "reset after 5 events", fields: stream, body: someEvents(5), end: resetDuringUpload}
 		p.expectBroken(http.MethodPost, "/allotment/", part)
 		p.expectBroken(http.MethodPut, "/status/", part)
-		p.expectBroken(http.MethodPost, "/allotment/", earlyResponse{name: "reset after a long part", body: strings.Repeat("p", longPart), end: responseReset})
+		p.expectBroken(http.MethodPost, "/allotment/", earlyResponse{name: "reset after a long part", body: strings.Repeat("p", longPart), end: resetDuringUpload})
 		p.expectBroken(http.MethodPost, "/appraisal/20", brokenStream)
 		p.expectBroken(http.MethodPost, "/eligibility/20", brokenStream)
 		for _, whole := range wholeResponses() {
 			p.expectWhole("/allotment/", whole, func(string) string { return wholeBody })
 		}
-		p.expectWhole("/appraisal/20", earlyResponse{name: "sending side closed", fields: stream, body: someEvents(20), end: responseEnded}, func(attempt string) string {
+		p.expectWhole("/appraisal/20", earlyResponse{name: "sending side closed", fields: stream, body: someEvents(20), end: halfCloseAndRead}, func(attempt string) string {
 			return strings.ReplaceAll(someEvents(20), "ATTEMPT", attempt)
 		})
 	})
--- a/cmd/usher-host/daemon/upload_test.go
+++ b/cmd/usher-host/daemon/upload_test.go
@@ -42,33 +42,33 @@
 	}
 )
 
-// responseReset lets a target reset the connection while the request is still being written.
-func responseReset(conn net.Conn, _ io.Reader) {
+// resetDuringUpload makes a target reset the connection while the request is still being written.
+func resetDuringUpload(conn net.Conn, _ io.Reader) {
 	time.Sleep(5 * time.Millisecond)
 	_ = conn.(interface{ SetLinger(seconds int) error }).SetLinger(0)
 }
 
-// responseEnded lets a target close its sending side and read on.
-func responseEnded(conn net.Conn, request io.Reader) {
+// halfCloseAndRead makes a target close its sending side and read on.
+func halfCloseAndRead(conn net.Conn, request io.Reader) {
 	_ = conn.(interface{ CloseWrite() error }).CloseWrite()
 	_, _ = io.Copy(io.Discard, request)
 }
 
-// responseLeft lets a target close its sending side and read nothing more.
-func responseLeft(conn net.Conn, _ io.Reader) {
+// halfCloseAndStall makes a target close its sending side and read nothing more.
+func halfCloseAndStall(conn net.Conn, _ io.Reader) {
 	_ = conn.(interface{ CloseWrite() error }).CloseWrite()
 	time.Sleep(time.Minute)
 }
 
-// responseAfterUpload lets a target read the rest of the request before it closes the connection.
-func responseAfterUpload(_ net.Conn, request io.Reader) {
+// readUploadAndClose makes a target read the rest of the request before it closes the connection.
+func readUploadAndClose(_ net.Conn, request io.Reader) {
 	_, _ = io.CopyN(io.Discard, request, uploadBytes)
 }
 
-// lateEnd lets a target end its response after a hedged call was sent.
-func lateEnd(conn net.Conn, request io.Reader) {
+// halfCloseLate makes a target end its response after a hedged call was sent.
+func halfCloseLate(conn net.Conn, request io.Reader) {
 	time.Sleep(100 * time.Millisecond)
-	responseEnded(conn, request)
+	halfCloseAndRead(conn, request)
 }
 
 // wholeResponses are the ways in which an early response is complete.
@@ -76,12 +76,12 @@
 	length := fmt.Sprintf("Content-Length: %d\r\n", len(wholeBody))
 	chunks := fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", len(wholeBody), wholeBody)
 	return []earlyResponse{
-		{name: "length, then reset", fields: length, body: wholeBody, end: responseReset},
-		{name: "chunks, then reset", fields: "Transfer-Encoding: chunked\r\n", body: chunks, end: responseReset},
-		{name: "failure with a length, then reset", status: http.StatusRequestEntityTooLarge, fields: length, body: wholeBody, end: responseReset},
-		{name: "sending side closed, reads on", body: wholeBody, end: responseEnded},
-		{name: "sending side closed, reads no more", body: wholeBody, end: responseLeft},
-		{name: "closed after the upload", body: wholeBody, end: responseAfterUpload},
+		{name: "length, then reset", fields: length, body: wholeBody, end: resetDuringUpload},
+		{name: "chunks, then reset", fields: "Transfer-Encoding: chunked\r\n", body: chunks, end: resetDuringUpload},
+		{name: "failure with a length, then reset", status: http.StatusRequestEntityTooLarge, fields: length, body: wholeBody, end: resetDuringUpload},
+		{name: "sending side closed, reads on", body: wholeBody, end: halfCloseAndRead},
+		{name: "sending side closed, reads no more", body: wholeBody, end: halfCloseAndStall},
+		{name: "closed after the upload", body: wholeBody, end: readUploadAndClose},
 	}
 }
 
@@ -138,8 +138,8 @@
 // A target sends a part of a response without framing and resets the connection while the request is still being written. The write gets the
 // error of the socket and the read an ordinary end, so callers got the part as the whole.
 func TestResponseResetDuringAnUploadIsNotWhole(t *testing.T) {
-	part := earlyResponse{body: partialBody, end: responseReset}
-	broken := earlyResponse{fields: "Content-Type: text/event-stream\r\n", body: someEvents(5), end: responseReset}
+	part := earlyResponse{body: partialBody, end: resetDuringUpload}
+	broken := earlyResponse{fields: "Content-Type: text/event-stream\r\n", body: someEvents(5), end: resetDuringUpload}
 	for _, c := range []struct {
 		name, method, path string
 		response           earlyResponse
@@ -153,13 +153,13 @@
 		{name: "call that may run once", method: http.MethodPost, path: "/allotment/", response: part, broken: 9, want: http.StatusBadGateway, wantRequests: 1},
 		{name: "idempotent call", method: http.MethodPut, path: "/status/", response: part, broken: 1, want: http.StatusOK, wantRequests: 2},
 		{name: "idempotent call, each time", method: http.MethodPut, path: "/status/", response: part, broken: 9, want: http.StatusBadGateway, wantRequests: 2},
-		{name: "response that is relayed as it comes", method: http.MethodPost, path: "/allotment/", response: earlyResponse{body: strings.Repeat("p", longPart), end: responseReset}, broken: 9, wantRequests: 1},
-		{name: "failure", method: http.MethodPost, path: "/allotment/", response: earlyResponse{status: http.StatusInternalServerError, body: partialBody, end: responseReset}, broken: 9, want: http.StatusBadGateway, wantRequests: 1},
-		{name: "rejection", method: http.MethodPost, path: "/allotment/", response: earlyResponse{status: http.StatusServiceUnavailable, fields: "Not-Executed: 1\r\n", body: partialBody, end: responseReset}, broken: 9, want: http.StatusServiceUnavailable, wantRequests: 1},
+		{name: "response that is relayed as it comes", method: http.MethodPost, path: "/allotment/", response: earlyResponse{body: strings.Repeat("p", longPart), end: resetDuringUpload}, broken: 9, wantRequests: 1},
+		{name: "failure", method: http.MethodPost, path: "/allotment/", response: earlyResponse{status: http.StatusInternalServerError, body: partialBody, end: resetDuringUpload}, broken: 9, want: http.StatusBadGateway, wantRequests: 1},
+		{name: "rejection", method: http.MethodPost, path: "/allotment/", response: earlyResponse{status: http.StatusServiceUnavailable, fields: "Not-Executed: 1\r\n", body: partialBody, end: resetDuringUpload}, broken: 9, want: http.StatusServiceUnavailable, wantRequests: 1},
 		{name: "stream that runs once", method: http.MethodPost, path: "/appraisal/20", response: broken, broken: 9},
 		{name: "stream that may be resumed", method: http.MethodPost, path: "/eligibility/20", response: broken, broken: 1, want: http.StatusOK, wantEvents: 20, wantRequests: 2},
 		{name: "stream that may be resumed, each time", method: http.MethodPost, path: "/eligibility/20", response: broken, broken: 9, wantRequests: 2},
-		{name: "failure of a stream", method: http.MethodPost, path: "/appraisal/20", response: earlyResponse{status: http.StatusInternalServerError, body: partialBody, end: responseReset}, broken: 9, want: http.StatusBadGateway, wantRequests: 1},
+		{name: "failure of a stream", method: http.MethodPost, path: "/appraisal/20", response: earlyResponse{status: http.StatusInternalServerError, body: partialBody, end: resetDuringUpload}, broken: 9, want: http.StatusBadGateway, wantRequests: 1},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			withEarlyResponses(t, func(n int64) (earlyResponse, bool) { return c.response, n <= c.broken }, func(t *testing.T, b *testbed, early *earlyResponder) {
@@ -185,7 +185,7 @@
 
 // The header of a rejection says all that counts, also what the target says of itself.
 func TestRejectionResetDuringAnUploadCounts(t *testing.T) {
-	rejection := earlyResponse{status: http.StatusServiceUnavailable, fields: "Not-Executed: 1\r\nRetry-After: 1\r\n", body: partialBody, end: responseReset}
+	rejection := earlyResponse{status: http.StatusServiceUnavailable, fields: "Not-Executed: 1\r\nRetry-After: 1\r\n", body: partialBody, end: resetDuringUpload}
 	withEarlyResponses(t, func(n int64) (earlyResponse, bool) { return rejection, n == 1 }, func(t *testing.T, b *testbed, early *earlyResponder) {
 		got := b.upload(http.MethodPut, "/status/")
 		if got.err != nil || got.status != http.StatusOK || early.requests.Load() != 2 {
@@ -201,9 +201,9 @@
 func TestHedgedResponseResetDuringAnUploadIsNotWhole(t *testing.T) {
 	withEarlyResponses(t, func(n int64) (earlyResponse, bool) {
 		if n == 1 {
-			return earlyResponse{body: wholeBody, end: lateEnd}, true
+			return earlyResponse{body: wholeBody, end: halfCloseLate}, true
 		}
-		return earlyResponse{body: partialBody, end: responseReset}, true
+		return earlyResponse{body: partialBody, end: resetDuringUpload}, true
 	}, func(t *testing.T, b *testbed, early *earlyResponder) {
 		got := b.upload(http.MethodPut, "/status/")
 		if got.err != nil || got.status != http.StatusOK || got.body != wholeBody || early.requests.Load() != 2 {
@@ -230,7 +230,7 @@
 	for _, end := range []struct {
 		name string
 		end  func(conn net.Conn, request io.Reader)
-	}{{"reads on", responseEnded}, {"reads no more", responseLeft}, {"closed after the upload", responseAfterUpload}} {
+	}{{"reads on", halfCloseAndRead}, {"reads no more", halfCloseAndStall}, {"closed after the upload", readUploadAndClose}} {
 		for _, path := range []string{"/appraisal/20", "/eligibility/20"} {
 			t.Run("stream, "+end.name+", "+path, func(t *testing.T) {
 				whole := earlyResponse{fields: "Content-Type: text/event-stream\r\n", body: someEvents(20), end: end.end}
--- a/pkg/usherconn/conn.go
+++ b/pkg/usherconn/conn.go
@@ -1,11 +1,11 @@
-// Package usherconn provides client connections that report a reset to their reader, also if it was the write that failed.
+// Package usherconn provides client connections that report a reset to their reader, even if a write has received the error.
 //
-// The kernel reports the error of a socket to one system call only. If the peer resets a connection while a request is still being
-// written, that call is often the write. The read then sees an ordinary end, and a response that only the end of its connection
-// delimits looks complete although it was cut off. A Conn returns the error of the write in place of such an end.
+// The kernel returns the error of a socket from one system call only. If the peer resets a connection while a request is still being
+// written, that call is often the write. The read then returns an ordinary end, and a response that is delimited by the end of its
+// connection looks complete although it was cut off. A Conn returns the error of the write in place of such an end.
 //
-// A peer that ends its sending side in an orderly way may still refuse the rest of the request. The write then fails with EPIPE, which
-// says nothing about the response: the end of the peer's data had arrived before.
+// A peer that shuts down its sending side has sent all of its response, and may still refuse the rest of the request. The write then
+// fails with EPIPE, and the read returns the end.
 //
 // # Usage
 //
--- a/pkg/usherresponse/response.go
+++ b/pkg/usherresponse/response.go
@@ -1,9 +1,9 @@
-// Package usherresponse refuses HTTP responses with a header that is none in the protocol, although net/http accepts it.
+// Package usherresponse refuses HTTP responses with malformed headers that net/http accepts.
 //
-// The name of a field is a token (RFC 9110, 5.1), without blanks before the colon (RFC 9112, 5.1). net/http refuses all other bytes
-// in a name, but keeps names with blanks as they are: a "Content-Length " is then no Content-Length, and the body that is read is not the
-// one that was sent. Where such a field should be is not known, so nothing in the response counts. Folded values, which net/http joins,
-// are allowed. Trailers are not looked at: the last chunk has shown the end of the body by then.
+// The name of a field is a token (RFC 9110, 5.1) without blanks before the colon (RFC 9112, 5.1). net/http refuses other bytes in
+// names, but keeps names with blanks as they are. A "Content-Length " then does not count as a Content-Length, and the body that is read
+// may not be the one that was sent. So nothing in such a response counts. Folded values, which net/http joins, are allowed. Trailers are
+// not checked, as the last chunk has shown the end of the body before them.
 //
 // # Usage
 //
@@ -28,7 +28,7 @@
 var (
 	// Errors is the namespace of this package's errors.
 	Errors = errorx.NewNamespace("usher_response").ApplyModifiers(errorx.TypeModifierOmitStackTrace)
-	// ErrMalformed is the type of errors for responses whose header is none in the protocol.
+	// ErrMalformed is the type of errors for responses with a malformed header.
 	ErrMalformed = Errors.NewType("malformed")
 )
 
--- a/service/usherclient/status_test.go
+++ b/service/usherclient/status_test.go
@@ -32,7 +32,7 @@
 	}
 }
 
-// The head of a gateway's response is none in the protocol.
+// The header of a gateway's response is malformed.
 func TestResponseWithAMalformedFieldIsAnError(t *testing.T) {
 	for _, field := range []string{"X Y: v", "X : v", "Content-Length : 2"} {
 		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
--- a/service/usherfeed/platform_test.go
+++ b/service/usherfeed/platform_test.go
@@ -10,7 +10,7 @@
 	"github.com/samphireusher/samphireusher/service/usherfeed"
 )
 
-// A value of the platform whose response has a head that is none, or breaks off, must not be taken for the value.
+// A value of the platform whose response has a malformed head, or breaks off, must not be taken for the value.
 func TestValueOfABrokenResponseIsNoValue(t *testing.T) {
 	for name, response := range map[string]string{
 		"blank in a name":                "HTTP/1.1 200 OK\r\nX Y: v\r\nContent-Length: 5\r\n\r\nvalue",
--- a/service/ushertarget/status_test.go
+++ b/service/ushertarget/status_test.go
@@ -64,7 +64,7 @@
 	respond(conn)
 }
 
-// The head of a target's response is none in the protocol, so its promise that it did not run the request counts for nothing, nor does its
+// The header of a target's response is malformed, so its promise that it did not run the request counts for nothing, nor does its
 // result.
 func TestResponseWithAMalformedFieldPromisesNothing(t *testing.T) {
 	client := ushertarget.NewClient()
