tests of usher-host: the test of reset uploads waits for what it needs

Read again: the test with processes slept for 2 s until the host had heard of its targets. On a slow machine, requests that the host refused by itself would have passed as broken responses. It now sends requests until each path reaches a target, and a broken response counts only if a target got the request, so it is stricter than before.

--- a/cmd/usher-host/daemon/process_upload_test.go
+++ b/cmd/usher-host/daemon/process_upload_test.go
@@ -21,6 +21,7 @@
 type uploadPlay struct {
 	*processFleet
 	client *http.Client
+	early  *earlyResponder
 	sent   int
 
 	mu       sync.Mutex
@@ -39,8 +40,7 @@
 		acceptUploads(d)
 		p.store.PutJSON("op/config", d)
 		p.awaitFleet()
-		// The hosts hear of the targets.
-		time.Sleep(2 * time.Second)
+		p.awaitTargets("/allotment/", "/status/", "/appraisal/20", "/eligibility/20")
 
 		part, stream := earlyResponse{name: "reset", body: partialBody, end: resetDuringUpload}, "Content-Type: text/event-stream\r\n"
 		brokenStream := earlyResponse{name: "reset after 5 events", fields: stream, body: someEvents(5), end: resetDuringUpload}
@@ -62,7 +62,7 @@
 func (p *uploadPlay) serveTargets() (stop func()) {
 	var servers []*http.Server
 	copies := usherstandin.NewCopyRegistry()
-	early := &earlyResponder{respond: func(int64) (earlyResponse, bool) {
+	p.early = &earlyResponder{respond: func(int64) (earlyResponse, bool) {
 		p.mu.Lock()
 		defer p.mu.Unlock()
 		return p.response, true
@@ -74,7 +74,7 @@
 		if err != nil {
 			p.t.Fatal(err)
 		}
-		server := &http.Server{Handler: early.wrap(id, target), ErrorLog: slog.NewLogLogger(slog.DiscardHandler, slog.LevelError)}
+		server := &http.Server{Handler: p.early.wrap(id, target), ErrorLog: slog.NewLogLogger(slog.DiscardHandler, slog.LevelError)}
 		servers = append(servers, server)
 		go func() { _ = server.Serve(listener) }()
 		key, entry := target.Entry("ready")
@@ -87,6 +87,21 @@
 	}
 }
 
+// awaitTargets waits until the host sends requests with the given paths to targets.
+func (p *uploadPlay) awaitTargets(paths ...string) {
+	p.t.Helper()
+	whole := earlyResponse{fields: "Content-Length: 0\r\n", end: readUploadAndClose}
+	deadline := time.Now().Add(fleetStart)
+	for _, path := range paths {
+		for got := p.upload(http.MethodPost, path, whole); got.status != http.StatusOK; got = p.upload(http.MethodPost, path, whole) {
+			if time.Now().After(deadline) {
+				p.t.Fatalf("%s: status %d, error %v %s after the start; want 200", path, got.status, got.err, fleetStart)
+			}
+			time.Sleep(pollInterval)
+		}
+	}
+}
+
 // upload sends a request with a long body, to which targets respond with response.
 func (p *uploadPlay) upload(method, path string, response earlyResponse) result {
 	p.mu.Lock()
@@ -109,8 +124,11 @@
 // expectBroken checks that callers do not get a part of a response as the whole.
 func (p *uploadPlay) expectBroken(method, path string, response earlyResponse) {
 	for range uploadsOfARound {
+		before := p.early.requests.Load()
 		if got := p.upload(method, path, response); got.err == nil && got.status == http.StatusOK {
 			p.t.Errorf("%s, %s: status %d and %d bytes as a complete response", path, response.name, got.status, len(got.body))
+		} else if p.early.requests.Load() == before {
+			p.t.Errorf("%s, %s: status %d, error %v, and no target got the request", path, response.name, got.status, got.err)
 		}
 	}
 }
